--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,5 @@
+/**
+ * The program.
+ */
+
+console.log('flamingorouter')
--- /dev/null
+++ b/packages/controllers/src/types/replica.ts
@@ -0,0 +1,45 @@
+/**
+ * The replicated log as the rest of the program sees it.
+ */
+
+export interface MemberFacts {
+  id: string
+  /** host:port of the control port. */
+  address: string
+  availabilityZone: string
+  role: 'voter' | 'learner'
+}
+
+/** What a replica tells its owner. All calls come from the one event loop. */
+export interface ReplicaOwner {
+  /**
+   * A committed entry, in index order, exactly once per process start or reload.
+   * `own` is true when this process proposed it in its present leadership, so
+   * that its decisions are applied already.
+   */
+  committed: (index: number, entry: Uint8Array, own: boolean) => void
+  /** Replaces the whole state by a snapshot; entries after it follow. */
+  restored: (index: number, snapshot: Uint8Array) => void
+  /** This process leads, and every entry of earlier terms has been committed and delivered. */
+  leading: (term: number) => void
+  /**
+   * This process leads no more. The owner drops state that holds uncommitted
+   * decisions; the replica then delivers `restored` and `committed` anew from
+   * the newest snapshot on.
+   */
+  following: (leader: string) => void
+  /** Encodes the state as of the last entry delivered. Called only while nothing proposed is uncommitted. */
+  snapshot: () => Uint8Array
+}
+
+export interface ReplicaStatus {
+  id: string
+  term: number
+  role: 'leader' | 'follower' | 'candidate' | 'learner'
+  leader: string
+  commitIndex: number
+  lastIndex: number
+  members: MemberFacts[]
+  /** Highest index known to be durable on each member; the leader only. */
+  matchIndex: Record<string, number>
+}
--- /dev/null
+++ b/packages/operators/src/index.ts
@@ -0,0 +1,1 @@
+export * from './internal.js'
--- /dev/null
+++ b/packages/scheduler/__tests__/errors.test.ts
@@ -0,0 +1,27 @@
+/**
+ * The closed list of errors and its table.
+ */
+
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { ERROR_ANSWERS, ErrorKind, Failure, toFailure } from '../src/index.js'
+
+describe('errors', () => {
+  describe('the table', () => {
+    it('has an answer with a failing exit code for every kind', () => {
+      for (const kind of Object.values(ErrorKind)) {
+        assert.ok(ERROR_ANSWERS[kind].httpStatus >= 400)
+        assert.ok(ERROR_ANSWERS[kind].exitCode > 0)
+      }
+    })
+  })
+
+  describe('toFailure', () => {
+    it('keeps a failure and wraps anything else as internal', () => {
+      const failure = Failure.create(ErrorKind.conflict, 'version 3 expected, 4 found')
+      assert.equal(toFailure(failure), failure)
+      assert.equal(toFailure('text').kind, ErrorKind.internal)
+      assert.equal(toFailure(new Error('cause')).message, 'cause: cause')
+    })
+  })
+})
--- /dev/null
+++ b/packages/scheduler/src/core/apply.ts
@@ -0,0 +1,161 @@
+/**
+ * Applies decisions to the durable state. Every replica runs this code, so it
+ * reads nothing but its arguments.
+ */
+
+import type { Decision } from '../types/decisions.js'
+import type { ClusterState } from '../types/state.js'
+import { TaskPhase, type TaskState, type WorkloadSpec } from '../types/workloads.js'
+
+export function applyDecision (state: ClusterState, decision: Decision): void {
+  state.change += 1
+  switch (decision.kind) {
+    case 'workloadApplied': return applyWorkload(state, decision)
+    case 'workloadEnded': return endWorkload(state, decision.id, decision.reason)
+    case 'workloadForgotten': state.workloads.delete(decision.id); return
+    case 'taskPlaced': return placeTask(state, decision)
+    case 'taskStarted': return changeTask(state, decision, task => { task.phase = TaskPhase.running })
+    case 'taskStopping': return changeTask(state, decision, task => { task.stopping = decision.stopping })
+    case 'taskEnded': return endTask(state, decision)
+    case 'taskRequeued': return requeueTask(state, decision)
+    case 'targetAnnounced':
+      state.targets.set(decision.target.name, decision.target)
+      state.fence = Math.max(state.fence, decision.target.fence)
+      return
+    case 'targetPhaseSet': return setTargetPhase(state, decision)
+    case 'targetRemoved':
+      if (state.targets.get(decision.name)?.session === decision.session) state.targets.delete(decision.name)
+      return
+    case 'vmDrained': state.drainedVms.set(decision.vm, decision.reason); return
+    case 'vmReadmitted': state.drainedVms.delete(decision.vm); return
+    case 'requestClaimed':
+      state.requests.set(requestKey(decision.request.caller, decision.request.requestId), decision.request)
+      return
+    case 'requestSettled': return settleRequest(state, decision)
+    case 'requestForgotten': state.requests.delete(decision.key); return
+    case 'teamPut':
+      state.teams.set(decision.team.name, decision.team)
+      state.configurationVersion += 1
+      return
+    case 'policyPut':
+      state.policies.set(decision.policy.name, decision.policy)
+      state.configurationVersion += 1
+      return
+    case 'documentPut':
+      state.documents.set(decision.document.name, decision.document)
+      state.configurationVersion += 1
+      return
+    case 'audited':
+      state.audit.push(decision.entry)
+      state.auditNumber = decision.entry.number
+      return
+    case 'changeAnswered': state.answered.set(decision.key, decision.answered); return
+    case 'changeForgotten': state.answered.delete(decision.key)
+  }
+}
+
+/** Key of a request in the durable state. */
+export function requestKey (caller: string, requestId: string): string {
+  return `${caller} ${requestId}`
+}
+
+function createTask (index: number, at: number): TaskState {
+  return {
+    index,
+    phase: TaskPhase.waiting,
+    attempt: 0,
+    target: '',
+    session: '',
+    reason: '',
+    waitingSince: at,
+    failures: 0,
+    stopping: ''
+  }
+}
+
+function applyWorkload (state: ClusterState, decision: Extract<Decision, { kind: 'workloadApplied' }>): void {
+  const existing = state.workloads.get(decision.id)
+  const tasks = existing?.tasks ?? []
+  while (tasks.length < decision.spec.taskCount) tasks.push(createTask(tasks.length, decision.at))
+  const spec: WorkloadSpec = decision.spec
+  state.workloads.set(decision.id, {
+    id: decision.id,
+    owner: existing?.owner ?? decision.owner,
+    spec,
+    version: decision.version,
+    tasks,
+    ended: false,
+    reason: '',
+    change: state.change
+  })
+  if (existing === undefined) state.workloadNumber += 1
+}
+
+function endWorkload (state: ClusterState, id: string, reason: string): void {
+  const workload = state.workloads.get(id)
+  if (workload === undefined) return
+  workload.ended = true
+  workload.reason = reason
+  workload.change = state.change
+}
+
+function changeTask (
+  state: ClusterState,
+  decision: { id: string, index: number, attempt: number },
+  change: (task: TaskState) => void
+): void {
+  const workload = state.workloads.get(decision.id)
+  const task = workload?.tasks[decision.index]
+  if (workload === undefined || task === undefined || task.attempt !== decision.attempt) return
+  change(task)
+  workload.change = state.change
+}
+
+function placeTask (state: ClusterState, decision: Extract<Decision, { kind: 'taskPlaced' }>): void {
+  const workload = state.workloads.get(decision.id)
+  const task = workload?.tasks[decision.index]
+  if (workload === undefined || task === undefined) return
+  task.phase = TaskPhase.placed
+  task.attempt = decision.attempt
+  task.target = decision.target
+  task.session = decision.session
+  task.reason = ''
+  task.stopping = ''
+  workload.change = state.change
+}
+
+function endTask (state: ClusterState, decision: Extract<Decision, { kind: 'taskEnded' }>): void {
+  changeTask(state, decision, task => {
+    releaseTask(task, decision.reason)
+    task.phase = decision.phase
+  })
+}
+
+function requeueTask (state: ClusterState, decision: Extract<Decision, { kind: 'taskRequeued' }>): void {
+  changeTask(state, decision, task => {
+    releaseTask(task, decision.reason)
+    task.phase = TaskPhase.waiting
+    task.waitingSince = decision.at
+    if (decision.failed) task.failures += 1
+  })
+}
+
+function releaseTask (task: TaskState, reason: string): void {
+  task.target = ''
+  task.session = ''
+  task.stopping = ''
+  task.reason = reason
+}
+
+function setTargetPhase (state: ClusterState, decision: Extract<Decision, { kind: 'targetPhaseSet' }>): void {
+  const target = state.targets.get(decision.name)
+  if (target === undefined || target.session !== decision.session) return
+  target.phase = decision.phase
+}
+
+function settleRequest (state: ClusterState, decision: Extract<Decision, { kind: 'requestSettled' }>): void {
+  const request = state.requests.get(decision.key)
+  if (request === undefined) return
+  request.outcome = decision.outcome
+  request.settledAt = decision.at
+}
--- /dev/null
+++ b/packages/scheduler/src/core/step.ts
@@ -0,0 +1,53 @@
+/**
+ * One step of the scheduler: an event, the time, and what came of it.
+ */
+
+import type { Answer } from '../types/answers.js'
+import type { Decision } from '../types/decisions.js'
+import type { Effect } from '../types/effects.js'
+import type { Command } from '../types/events.js'
+import type { ClusterState } from '../types/state.js'
+import type { TargetState } from '../types/targets.js'
+import type { ErrorKind } from '../utils/errors.js'
+
+export class Step {
+  readonly decisions: Decision[] = []
+  readonly effects: Effect[] = []
+
+  private constructor (
+    readonly state: ClusterState,
+    /** Cluster time in milliseconds; never runs backwards within one term. */
+    readonly now: number,
+    private readonly applied: (decision: Decision) => void
+  ) {}
+
+  static create (state: ClusterState, now: number, applied: (decision: Decision) => void): Step {
+    return new Step(state, now, applied)
+  }
+
+  /** Applies a decision to the state at once and records it for the log. */
+  decide (decision: Decision): void {
+    this.decisions.push(decision)
+    this.applied(decision)
+  }
+
+  reply (call: number, answer: Answer): void {
+    this.effects.push({ kind: 'reply', call, answer })
+  }
+
+  refuse (call: number, error: ErrorKind, message: string, retryAfterMs = 0): void {
+    this.effects.push({ kind: 'refuse', call, error, message, retryAfterMs })
+  }
+
+  command (entry: string, target: TargetState, commands: Command[]): void {
+    this.effects.push({
+      kind: 'command',
+      entry,
+      target: target.name,
+      address: target.address,
+      session: target.session,
+      fence: target.fence,
+      commands
+    })
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/types/events.ts
@@ -0,0 +1,91 @@
+/**
+ * Events: what the edges tell the scheduler. An event with a `call` is answered
+ * by exactly one reply or refusal with that number.
+ */
+
+import type { DocumentState, PolicyState, TeamState } from './configuration.js'
+import type { Outcome, RequestFacts } from './requests.js'
+import type { Resources } from './resources.js'
+import type { TargetKind } from './targets.js'
+import type { WorkloadSpec } from './workloads.js'
+
+/** Identifies a change that an actor may send again after a lost answer. */
+export interface ChangeOrigin {
+  actor: string
+  /** Empty when the actor does not want a repeat to be recognised. */
+  requestId: string
+  method: string
+  /** SHA-256 of the request message. */
+  digest: string
+}
+
+export const TaskResult = Object.freeze({
+  succeeded: 'succeeded',
+  failed: 'failed',
+  stopped: 'stopped',
+  checkpointed: 'checkpointed',
+  /** The start was refused; it never ran. */
+  refused: 'refused'
+} as const)
+export type TaskResult = typeof TaskResult[keyof typeof TaskResult]
+
+export interface TaskUsage { task: string, attempt: number, usage: Resources }
+export interface TaskEnd { task: string, attempt: number, result: TaskResult, reason: string, runMs: number }
+
+export interface Announcement {
+  name: string
+  kind: TargetKind
+  incarnation: number
+  vm: string
+  rack: string
+  availabilityZone: string
+  address: string
+  capacity: Resources
+  service: string
+  slots: number
+  connections: number
+}
+
+export type Event =
+  /** Sent at a fixed interval; drives time-outs. */
+  | { kind: 'tick' }
+  | { kind: 'announce', call: number, entry: string, announcement: Announcement }
+  | { kind: 'renew', call: number, entry: string, name: string, session: string, running: TaskUsage[], ended: TaskEnd[] }
+  | { kind: 'leave', call: number, name: string, session: string, reason: string }
+  /** A worker's answers to the commands that an entry carried to it. */
+  | { kind: 'commandResults', target: string, session: string, results: CommandResult[] }
+  /** An entry could not carry the commands to the worker. */
+  | { kind: 'commandsLost', target: string, session: string, commands: Command[], reason: string }
+  | { kind: 'applyWorkload', call: number, origin: ChangeOrigin, id: string, spec: WorkloadSpec, expectedVersion: number }
+  | { kind: 'submitJob', call: number, origin: ChangeOrigin, spec: WorkloadSpec }
+  | { kind: 'cancelJobs', call: number, origin: ChangeOrigin, id: string, selector: Record<string, string> }
+  | { kind: 'deleteWorkload', call: number, origin: ChangeOrigin, id: string, expectedVersion: number }
+  | { kind: 'putTeam', call: number, origin: ChangeOrigin, team: TeamState, expectedVersion: number }
+  | { kind: 'putPolicy', call: number, origin: ChangeOrigin, policy: PolicyState, expectedVersion: number }
+  | { kind: 'putDocument', call: number, origin: ChangeOrigin, document: DocumentState, expectedVersion: number }
+  | { kind: 'drain', call: number, origin: ChangeOrigin, vm: string, target: string, reason: string }
+  | { kind: 'readmit', call: number, origin: ChangeOrigin, vm: string, target: string }
+  | { kind: 'vmGone', call: number, origin: ChangeOrigin, vm: string }
+  | { kind: 'explain', call: number, id: string }
+  /** An entry asks for a slot for a request; answered by a Grant or an Outcome. */
+  | { kind: 'acquire', call: number, entry: string, facts: RequestFacts }
+  /** An entry tells how its grant ended. */
+  | { kind: 'settle', call: number, entry: string, grant: string, caller: string, requestId: string, outcome: Outcome, retry: boolean }
+  | { kind: 'cancelRequest', call: number, caller: string, requestId: string }
+  | { kind: 'fetchOutcome', call: number, caller: string, requestId: string }
+  /** An entry stopped answering; its grants may still be in use. */
+  | { kind: 'entryLost', entry: string }
+
+export type EventKind = Event['kind']
+
+export interface Command {
+  task: string
+  attempt: number
+  action:
+    | { kind: 'start', workload: string, resources: Resources, payload: Uint8Array }
+    | { kind: 'stop', graceMs: number }
+    | { kind: 'checkpoint', graceMs: number }
+    | { kind: 'throttle', millicores: number }
+}
+
+export interface CommandResult { task: string, attempt: number, accepted: boolean, reason: string }
--- /dev/null
+++ b/packages/scheduler/src/types/limits.ts
@@ -0,0 +1,35 @@
+/**
+ * Time limits and sizes that the scheduler works with. All times are in
+ * milliseconds.
+ */
+
+export interface Limits {
+  /** How long a session lives after a renewal. */
+  leaseMs: number
+  renewEveryMs: number
+  /** How far two clocks may drift apart within one lease. */
+  driftMs: number
+  /** After how long commands without an answer are sent again. */
+  resendMs: number
+  stopGraceMs: number
+  /** How long the outcome of a request is kept. */
+  retentionMs: number
+  /** Requests that may wait in the queue of one service. */
+  queueLimit: number
+  /** Ended workloads that are kept for reading. */
+  endedLimit: number
+  /** Audit entries kept in the state. */
+  auditLimit: number
+}
+
+export const DEFAULT_LIMITS: Readonly<Limits> = Object.freeze({
+  leaseMs: 5_000,
+  renewEveryMs: 1_000,
+  driftMs: 500,
+  resendMs: 500,
+  stopGraceMs: 2_000,
+  retentionMs: 600_000,
+  queueLimit: 10_000,
+  endedLimit: 10_000,
+  auditLimit: 20_000
+})
--- /dev/null
+++ b/packages/scheduler/src/types/state.ts
@@ -0,0 +1,53 @@
+/**
+ * The durable state of the cluster: what every replica holds after it has
+ * applied the same decisions in the same order. It is plain data, so that a
+ * snapshot is its encoding.
+ */
+
+import type { AnsweredChange, AuditEntry, DocumentState, PolicyState, TeamState } from './configuration.js'
+import type { RequestState } from './requests.js'
+import type { TargetState } from './targets.js'
+import type { WorkloadState } from './workloads.js'
+
+export interface ClusterState {
+  /** Count of decisions applied. */
+  change: number
+  /** Last fence given out. */
+  fence: number
+  /** Last workload number given out. */
+  workloadNumber: number
+  /** Version of all configuration together; grows by one with each accepted change. */
+  configurationVersion: number
+  workloads: Map<string, WorkloadState>
+  targets: Map<string, TargetState>
+  /** Names of VMs kept free of new work, with the reason. */
+  drainedVms: Map<string, string>
+  /** Keyed by caller and request id. */
+  requests: Map<string, RequestState>
+  teams: Map<string, TeamState>
+  policies: Map<string, PolicyState>
+  documents: Map<string, DocumentState>
+  /** Keyed by actor and request id. */
+  answered: Map<string, AnsweredChange>
+  audit: AuditEntry[]
+  auditNumber: number
+}
+
+export function createClusterState (): ClusterState {
+  return {
+    change: 0,
+    fence: 0,
+    workloadNumber: 0,
+    configurationVersion: 0,
+    workloads: new Map(),
+    targets: new Map(),
+    drainedVms: new Map(),
+    requests: new Map(),
+    teams: new Map(),
+    policies: new Map(),
+    documents: new Map(),
+    answered: new Map(),
+    audit: [],
+    auditNumber: 0
+  }
+}
