Add the rpc package with the bindings of methods to the scheduler

Cause: every peer's package translates between messages and events, so the shape of that translation is settled before they are written.

--- /dev/null
+++ b/packages/rpc/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Unary RPC over HTTP by the Connect protocol: server, client, and the bindings
+ * of methods to the scheduler.
+ */
+
+export * from './internal.js'
--- /dev/null
+++ b/packages/rpc/src/internal.ts
@@ -0,0 +1,5 @@
+/**
+ * Re-exports every module of the package, so that import order is settled here.
+ */
+
+export * from './types/binding.js'
--- a/packages/scheduler/src/types/configuration.ts
+++ b/packages/scheduler/src/types/configuration.ts
@@ -3,6 +3,7 @@
  * trail of every change that was accepted or refused.
  */
 
+import type { Answer } from './answers.js'
 import type { Resources } from './resources.js'
 import type { WorkloadKind } from './workloads.js'
 
@@ -50,7 +51,6 @@
 /** The first answer to a change, kept for a repeat of its request id. */
 export interface AnsweredChange {
   digest: string
-  /** Bytes of the answer message. */
-  answer: Uint8Array
+  answer: Answer
   at: number
 }
