Grant requests slots on runners

Cause: callers' requests had no path to runners. Change: the scheduler's part for requests keeps a queue for each service, grants a slot of one runner to the request that goes first, claims a request that is not idempotent by a decision before its grant is released, and answers a repeat with the first outcome. SubmitRequest gains created_ms, by whose age a forgotten request stays refused.

--- a/packages/scheduler/src/core/apply.ts
+++ b/packages/scheduler/src/core/apply.ts
@@ -3,10 +3,14 @@
  * reads nothing but its arguments.
  */
 
+import { createHash } from 'node:crypto'
 import type { Decision } from '../types/decisions.js'
 import type { ClusterState } from '../types/state.js'
 import { TaskPhase, type TaskState, type WorkloadSpec } from '../types/workloads.js'
 
+/** Characters of base64, six bits each. */
+const FINGERPRINT_LENGTH = 12
+
 export function applyDecision (state: ClusterState, decision: Decision): void {
   state.change += 1
   switch (decision.kind) {
@@ -32,7 +36,9 @@
       state.requests.set(requestKey(decision.request.caller, decision.request.requestId), decision.request)
       return
     case 'requestSettled': return settleRequest(state, decision)
-    case 'requestForgotten': state.requests.delete(decision.key); return
+    case 'requestForgotten': return forgetRequest(state, decision.key)
+    case 'entryExtended': state.entries.set(decision.entry.name, decision.entry); return
+    case 'entryForgotten': state.entries.delete(decision.name); return
     case 'teamPut':
       state.teams.set(decision.team.name, decision.team)
       state.configurationVersion += 1
@@ -54,9 +60,15 @@
   }
 }
 
+/** Identifies a forgotten request; an equal one of another request only makes that one refused. */
+export function requestFingerprint (key: string): string {
+  return createHash('sha256').update(key).digest('base64url').slice(0, FINGERPRINT_LENGTH)
+}
+
 /** Key of a request in the durable state. */
 export function requestKey (caller: string, requestId: string): string {
-  return `${caller} ${requestId}`
+  // The length keeps apart callers and ids that hold the separator themselves.
+  return `${caller.length} ${caller} ${requestId}`
 }
 
 function createTask (index: number, at: number): TaskState {
@@ -159,3 +171,15 @@
   request.outcome = decision.outcome
   request.settledAt = decision.at
 }
+
+/** A forgotten request stays refused: by its time, or by its fingerprint when it has none. */
+function forgetRequest (state: ClusterState, key: string): void {
+  const request = state.requests.get(key)
+  if (request === undefined) return
+  state.requests.delete(key)
+  if (request.createdMs > 0) {
+    state.requestFloor = Math.max(state.requestFloor, request.createdMs)
+  } else {
+    state.forgottenRequests.set(requestFingerprint(key), request.settledAt)
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/core/requests/budget.ts
@@ -0,0 +1,31 @@
+/**
+ * A retry budget: each first answer earns a fraction of a retry, so that retries
+ * stay a fixed share of the work that succeeds, and a service that fails
+ * everything is not given a multiple of its load.
+ */
+
+/** Retries earned by one success. */
+const RATIO = 0.1
+/** Retries that may be saved up; what a quiet service can spend at once. */
+const CAPACITY = 10
+
+export class RetryBudget {
+  private tokens = CAPACITY
+
+  static create (): RetryBudget {
+    return new RetryBudget()
+  }
+
+  private constructor () {}
+
+  succeeded (): void {
+    this.tokens = Math.min(CAPACITY, this.tokens + RATIO)
+  }
+
+  /** Takes one retry; false when there is none. */
+  take (): boolean {
+    if (this.tokens < 1) return false
+    this.tokens -= 1
+    return true
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/core/requests/limiter.ts
@@ -0,0 +1,78 @@
+/**
+ * How many requests one runner is given at once. The limit grows by one for each
+ * full round of answers that are as quick as those of the service as a whole,
+ * and is cut when its answers are much slower or fail (additive increase,
+ * multiplicative decrease, as in TCP congestion avoidance, RFC 5681).
+ */
+
+const SMOOTHING = 0.1
+/** Slower than the service by this factor cuts the limit. */
+const SLOW_FACTOR = 2
+const SLOW_CUT = 0.9
+const FAILED_CUT = 0.7
+/** Consecutive failures after which a runner is suspected. */
+const SUSPECT_FAILURES = 3
+
+export class Latency {
+  private smoothed = 0
+  private samples = 0
+
+  static create (): Latency {
+    return new Latency()
+  }
+
+  private constructor () {}
+
+  /** Milliseconds; 0 before the first sample. */
+  get mean (): number {
+    return this.smoothed
+  }
+
+  get count (): number {
+    return this.samples
+  }
+
+  add (ms: number): void {
+    this.samples += 1
+    const weight = Math.max(SMOOTHING, 1 / this.samples)
+    this.smoothed += (ms - this.smoothed) * weight
+  }
+}
+
+export class Limiter {
+  readonly latency = Latency.create()
+  private allowed: number
+  private failures = 0
+
+  static create (slots: number): Limiter {
+    return new Limiter(slots)
+  }
+
+  private constructor (private readonly slots: number) {
+    this.allowed = slots
+  }
+
+  /** Requests at once, at least 1. */
+  get limit (): number {
+    return Math.max(1, Math.floor(this.allowed))
+  }
+
+  get isSuspect (): boolean {
+    return this.failures >= SUSPECT_FAILURES
+  }
+
+  answered (ms: number, serviceMs: number): void {
+    this.failures = 0
+    this.latency.add(ms)
+    if (serviceMs > 0 && this.latency.mean > serviceMs * SLOW_FACTOR) {
+      this.allowed = Math.max(1, this.allowed * SLOW_CUT)
+    } else {
+      this.allowed = Math.min(this.slots, this.allowed + 1 / this.allowed)
+    }
+  }
+
+  failed (): void {
+    this.failures += 1
+    this.allowed = Math.max(1, this.allowed * FAILED_CUT)
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/core/requests/queue.ts
@@ -0,0 +1,105 @@
+/**
+ * The queue of one service. Each entry has one lane for each urgency, so that an
+ * entry that may not use any free slot is passed over in one step. Among the
+ * heads of the lanes the lowest order goes first; the order is the time of
+ * arrival put back by a fixed delay for each class, so that a request overtakes
+ * only those of lower classes that came within that delay. This bounds how long
+ * urgent work can keep other work waiting.
+ */
+
+import type { LiveRequest } from './live.js'
+
+const COMPACT_AT = 1_024
+
+class Lane {
+  private items: LiveRequest[] = []
+  private head = 0
+
+  get first (): LiveRequest | undefined {
+    while (this.head < this.items.length && this.items[this.head].phase !== 'waiting') this.head += 1
+    if (this.head > COMPACT_AT) {
+      this.items = this.items.slice(this.head)
+      this.head = 0
+    }
+    return this.items[this.head]
+  }
+
+  /** Keeps the lane in order; almost always at the end. */
+  push (request: LiveRequest): void {
+    let at = this.items.length
+    while (at > this.head && this.items[at - 1].order > request.order) at -= 1
+    if (at === this.items.length) this.items.push(request)
+    else this.items.splice(at, 0, request)
+  }
+
+  /** Requests ahead of an order; those that are over already count until they reach the head. */
+  ahead (order: number): number {
+    let low = this.head
+    let high = this.items.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      if (this.items[middle].order <= order) low = middle + 1
+      else high = middle
+    }
+    return low - this.head
+  }
+
+  * waiting (): Iterable<LiveRequest> {
+    for (let at = this.head; at < this.items.length; at += 1) {
+      if (this.items[at].phase === 'waiting') yield this.items[at]
+    }
+  }
+}
+
+export class RequestQueue {
+  private readonly lanes = new Map<string, Lane>()
+  private count = 0
+
+  static create (): RequestQueue {
+    return new RequestQueue()
+  }
+
+  private constructor () {}
+
+  /** Requests that wait. */
+  get size (): number {
+    return this.count
+  }
+
+  add (request: LiveRequest): void {
+    const name = `${request.facts.urgency} ${request.entry}`
+    let lane = this.lanes.get(name)
+    if (lane === undefined) {
+      lane = new Lane()
+      this.lanes.set(name, lane)
+    }
+    lane.push(request)
+    this.count += 1
+  }
+
+  /** To be called when a request stops waiting; its phase has changed already. */
+  left (): void {
+    this.count -= 1
+  }
+
+  /** The heads of all lanes, first the one that goes first. */
+  heads (): LiveRequest[] {
+    const heads: LiveRequest[] = []
+    for (const [name, lane] of this.lanes) {
+      const first = lane.first
+      if (first === undefined) this.lanes.delete(name)
+      else heads.push(first)
+    }
+    return heads.sort((a, b) => a.order - b.order)
+  }
+
+  ahead (order: number): number {
+    let total = 0
+    for (const lane of this.lanes.values()) total += lane.ahead(order)
+    return total
+  }
+
+  * waiting (): Iterable<LiveRequest> {
+    for (const lane of this.lanes.values()) yield * lane.waiting()
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/core/requests/runners.ts
@@ -0,0 +1,179 @@
+/**
+ * The runners of one service and the slots in use on each. The count of held
+ * slots follows the name of a runner over its sessions, since work of an older
+ * session may still occupy it.
+ */
+
+import type { TargetState } from '../../types/targets.js'
+import { TargetPhase } from '../../types/targets.js'
+import { Latency, Limiter } from './limiter.js'
+import type { HeldSlot, LiveRequest } from './live.js'
+
+const FIRST_PROBE_MS = 1_000
+const LAST_PROBE_MS = 30_000
+
+export interface Runner {
+  name: string
+  /** Absent once it left and only old grants hold its slots. */
+  target: TargetState | undefined
+  isDrained: boolean
+  /** By slot number. */
+  held: Map<number, HeldSlot>
+  byEntry: Map<string, number>
+  limiter: Limiter
+  /** Next time at which a suspect one is tried. */
+  probeAt: number
+  probeMs: number
+}
+
+export class Runners {
+  readonly latency = Latency.create()
+  private readonly byName = new Map<string, Runner>()
+
+  static create (entryLimit: number): Runners {
+    return new Runners(entryLimit)
+  }
+
+  private constructor (private readonly entryLimit: number) {}
+
+  get all (): Iterable<Runner> {
+    return this.byName.values()
+  }
+
+  get (name: string): Runner | undefined {
+    return this.byName.get(name)
+  }
+
+  /** Takes a runner's new session, or its first. */
+  put (target: TargetState, isDrained: boolean): Runner {
+    const existing = this.byName.get(target.name)
+    const isNew = existing?.target === undefined || existing.target.session !== target.session
+    const runner: Runner = {
+      name: target.name,
+      target,
+      isDrained,
+      held: existing?.held ?? new Map(),
+      byEntry: existing?.byEntry ?? new Map(),
+      limiter: isNew ? Limiter.create(usableSlots(target)) : existing.limiter,
+      probeAt: isNew ? 0 : existing.probeAt,
+      probeMs: isNew ? FIRST_PROBE_MS : existing.probeMs
+    }
+    this.byName.set(target.name, runner)
+    return runner
+  }
+
+  remove (name: string): void {
+    const runner = this.byName.get(name)
+    if (runner === undefined) return
+    runner.target = undefined
+    this.dropUnused(runner)
+  }
+
+  /** Connections that one entry may keep to a runner; 0 closes each after its use. */
+  connectionShare (target: TargetState): number {
+    return Math.floor(target.connections / this.entryLimit)
+  }
+
+  /** Slots that one entry may hold on a runner. */
+  slotShare (target: TargetState): number {
+    return Math.min(usableSlots(target), Math.max(1, this.connectionShare(target)))
+  }
+
+  hold (runner: Runner, held: HeldSlot): void {
+    let slot = held.slot
+    while (runner.held.has(slot)) slot += 1
+    held.slot = slot
+    runner.held.set(slot, held)
+    runner.byEntry.set(held.entry, (runner.byEntry.get(held.entry) ?? 0) + 1)
+  }
+
+  release (held: HeldSlot): Runner | undefined {
+    const runner = this.byName.get(held.runner)
+    if (runner === undefined || !runner.held.delete(held.slot)) return runner
+    const left = (runner.byEntry.get(held.entry) ?? 1) - 1
+    if (left > 0) runner.byEntry.set(held.entry, left)
+    else runner.byEntry.delete(held.entry)
+    this.dropUnused(runner)
+    return runner
+  }
+
+  /**
+   * Slots that may be given out now. Entries that have not told a new leader what
+   * they hold may each use their whole share.
+   */
+  free (runner: Runner, silentEntries: number, now: number): number {
+    const target = runner.target
+    if (target === undefined || runner.isDrained) return 0
+    if (target.phase === TargetPhase.suspect) return runner.held.size === 0 && now >= runner.probeAt ? 1 : 0
+    if (target.phase !== TargetPhase.ready) return 0
+    const slots = usableSlots(target)
+    const hidden = silentEntries * this.slotShare(target)
+    return Math.min(slots - runner.held.size - hidden, runner.limiter.limit - runner.held.size)
+  }
+
+  /** Requests that the open runners take at once. */
+  capacity (): number {
+    let total = 0
+    for (const runner of this.byName.values()) {
+      if (runner.target?.phase === TargetPhase.ready && !runner.isDrained) total += runner.limiter.limit
+    }
+    return total
+  }
+
+  /** Runners that can take a request now. */
+  open (silentEntries: number, now: number): Runner[] {
+    const open: Runner[] = []
+    for (const runner of this.byName.values()) {
+      if (this.free(runner, silentEntries, now) > 0) open.push(runner)
+    }
+    return open
+  }
+
+  /** The open runner on which a request should be quickest; undefined when it may use none. */
+  pick (open: readonly Runner[], request: LiveRequest): Runner | undefined {
+    let best: Runner | undefined
+    let bestScore = Infinity
+    for (const runner of open) {
+      if (!this.isAllowed(runner, request)) continue
+      const score = this.score(runner)
+      if (score >= bestScore) continue
+      best = runner
+      bestScore = score
+    }
+    return best
+  }
+
+  /** Puts off the next probe of a suspect runner, twice as long each time. */
+  delayProbe (runner: Runner, now: number): void {
+    runner.probeAt = now + runner.probeMs
+    runner.probeMs = Math.min(LAST_PROBE_MS, runner.probeMs * 2)
+  }
+
+  private isAllowed (runner: Runner, request: LiveRequest): boolean {
+    const target = runner.target
+    if (target === undefined || request.tried.includes(runner.name)) return false
+    // A probe may fail, so that only a request that can be sent again is one.
+    if (target.phase === TargetPhase.suspect && !request.facts.idempotent) return false
+    return (runner.byEntry.get(request.entry) ?? 0) < this.slotShare(target)
+  }
+
+  private score (runner: Runner): number {
+    const load = (runner.held.size + 1) / runner.limiter.limit
+    return load * Math.max(1, runner.limiter.latency.mean)
+  }
+
+  private dropUnused (runner: Runner): void {
+    if (runner.target === undefined && runner.held.size === 0) this.byName.delete(runner.name)
+  }
+}
+
+export function usableSlots (target: TargetState): number {
+  return Math.min(target.slots, target.connections)
+}
+
+/** The lowest slot number that is free. */
+export function lowestSlot (runner: Runner): number {
+  let slot = 0
+  while (runner.held.has(slot)) slot += 1
+  return slot
+}
--- /dev/null
+++ b/packages/scheduler/src/core/requests/service.ts
@@ -0,0 +1,103 @@
+/**
+ * One service: its queue, its runners, and what is known of how long its
+ * requests take.
+ */
+
+import { OutcomeKind, type Outcome } from '../../types/requests.js'
+import { TargetPhase } from '../../types/targets.js'
+import { RetryBudget } from './budget.js'
+import { bare, type LiveRequest } from './live.js'
+import { RequestQueue } from './queue.js'
+import { Runners, type Runner } from './runners.js'
+
+/** Answers after which the mean time of a request is trusted. */
+const TRUSTED_SAMPLES = 20
+/** A request with less than this share of the mean time left is not started. */
+const HOPELESS_SHARE = 0.5
+const LEAST_RETRY_AFTER_MS = 100
+const MOST_RETRY_AFTER_MS = 60_000
+const NO_RUNNER_RETRY_AFTER_MS = 1_000
+
+export class Service {
+  readonly queue = RequestQueue.create()
+  readonly budget = RetryBudget.create()
+  readonly runners: Runners
+
+  static create (entryLimit: number): Service {
+    return new Service(entryLimit)
+  }
+
+  private constructor (entryLimit: number) {
+    this.runners = Runners.create(entryLimit)
+  }
+
+  /** Why a request is not queued at all, with the time to come back; undefined when it is. */
+  refusal (request: LiveRequest, now: number, queueLimit: number): Outcome | undefined {
+    if (this.queue.size >= queueLimit) return this.shed('the queue of the service is full')
+    const ahead = this.queue.ahead(request.order)
+    if (ahead === 0 || !this.isTrusted) return undefined
+    const startMs = request.deadlineAt - now - this.runners.latency.mean
+    if (this.drainMs(ahead) <= startMs) return undefined
+    return this.shed('its turn would come after its deadline')
+  }
+
+  /** A truthful refusal of a request that was never sent. */
+  shed (reason: string): Outcome {
+    return bare(OutcomeKind.notRun, reason, this.retryAfterMs())
+  }
+
+  /** Whether a waiting request can no longer be done in time. */
+  isTooLate (request: LiveRequest, now: number): boolean {
+    const leftMs = request.deadlineAt - now
+    if (leftMs <= 0) return true
+    return this.isTrusted && leftMs < this.runners.latency.mean * HOPELESS_SHARE
+  }
+
+  answered (runner: Runner, ms: number): void {
+    runner.limiter.answered(ms, this.isTrusted ? this.runners.latency.mean : 0)
+    this.runners.latency.add(ms)
+    this.budget.succeeded()
+  }
+
+  failed (runner: Runner): void {
+    runner.limiter.failed()
+  }
+
+  /** A runner is suspected only while most of the others answer: else the service itself fails. */
+  canSuspect (runner: Runner): boolean {
+    if (runner.target?.phase !== TargetPhase.ready) return false
+    let healthy = 0
+    let total = 0
+    for (const other of this.runners.all) {
+      if (other.target === undefined) continue
+      total += 1
+      if (other.target.phase === TargetPhase.ready && !other.limiter.isSuspect) healthy += 1
+    }
+    return healthy * 2 > total
+  }
+
+  /** Whether a runner is left that has not failed this request. */
+  hasUntried (request: LiveRequest): boolean {
+    for (const runner of this.runners.all) {
+      if (runner.target?.phase === TargetPhase.ready && !request.tried.includes(runner.name)) return true
+    }
+    return false
+  }
+
+  private get isTrusted (): boolean {
+    return this.runners.latency.count >= TRUSTED_SAMPLES
+  }
+
+  /** Milliseconds until so many requests have been started. */
+  private drainMs (requests: number): number {
+    const capacity = this.runners.capacity()
+    if (capacity === 0) return Infinity
+    return requests * this.runners.latency.mean / capacity
+  }
+
+  private retryAfterMs (): number {
+    const drainMs = this.drainMs(this.queue.size)
+    if (!Number.isFinite(drainMs)) return NO_RUNNER_RETRY_AFTER_MS
+    return Math.round(Math.min(MOST_RETRY_AFTER_MS, Math.max(LEAST_RETRY_AFTER_MS, drainMs)))
+  }
+}
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -5,7 +5,7 @@
  */
 
 import type { AnsweredChange, AuditEntry, DocumentState, PolicyState, TeamState } from './configuration.js'
-import type { RequestState, Outcome } from './requests.js'
+import type { EntryState, RequestState, Outcome } from './requests.js'
 import type { TargetPhase, TargetState } from './targets.js'
 import type { TaskPhase, WorkloadSpec } from './workloads.js'
 
@@ -30,6 +30,8 @@
   | { kind: 'requestClaimed', request: RequestState }
   | { kind: 'requestSettled', key: string, outcome: Outcome, at: number }
   | { kind: 'requestForgotten', key: string }
+  | { kind: 'entryExtended', entry: EntryState }
+  | { kind: 'entryForgotten', name: string }
   | { kind: 'teamPut', team: TeamState }
   | { kind: 'policyPut', policy: PolicyState }
   | { kind: 'documentPut', document: DocumentState }
--- a/packages/scheduler/src/types/limits.ts
+++ b/packages/scheduler/src/types/limits.ts
@@ -16,6 +16,18 @@
   retentionMs: number
   /** Requests that may wait in the queue of one service. */
   queueLimit: number
+  /** Durable records of requests that are not idempotent. */
+  requestLimit: number
+  /** Fingerprints of forgotten requests that had no time of their own. */
+  forgottenLimit: number
+  /** Bytes of bodies kept with those records. */
+  bodyLimit: number
+  /** Outcomes of idempotent requests kept in memory. */
+  recentLimit: number
+  /** Entries over which the connections of a runner are divided. */
+  entryLimit: number
+  /** How long after its deadline a request may still occupy its slot. */
+  lateMs: number
   /** Ended workloads that are kept for reading. */
   endedLimit: number
   /** Audit entries kept in the state. */
@@ -30,6 +42,12 @@
   stopGraceMs: 2_000,
   retentionMs: 600_000,
   queueLimit: 10_000,
+  requestLimit: 20_000,
+  forgottenLimit: 50_000,
+  bodyLimit: 16_777_216,
+  recentLimit: 2_000,
+  entryLimit: 16,
+  lateMs: 2_000,
   endedLimit: 10_000,
   auditLimit: 20_000
 })
--- a/packages/scheduler/src/types/requests.ts
+++ b/packages/scheduler/src/types/requests.ts
@@ -34,6 +34,16 @@
   deadlineMs: number
   /** SHA-256 of service, flags and payload: tells a repeat from a conflict. */
   digest: string
+  /**
+   * When the caller first made the request, in Unix milliseconds by its own
+   * clock; 0 when it does not say. A repeat carries the same value.
+   */
+  createdMs: number
+  /**
+   * Names one execution of Submit in one process of an entry. An acquire with a
+   * token says that this execution holds no grant for the request.
+   */
+  token: string
 }
 
 /** The durable record of a request that must not run twice. */
@@ -45,6 +55,15 @@
   /** Runner that may have run it; empty when it was settled unclaimed. */
   runner: string
   session: string
+  /** Identity of the grant; empty when it was settled unclaimed. */
+  grant: string
+  /** Entry and token that hold the grant. */
+  entry: string
+  token: string
+  /** See RequestFacts. */
+  createdMs: number
+  /** Cluster time in milliseconds until which the runner may work on it. */
+  expiresAt: number
   outcome: Outcome
   /** Cluster time in milliseconds. */
   claimedAt: number
@@ -62,4 +81,24 @@
   fence: number
   /** Milliseconds that the entry may use the slot, from its receipt. */
   expiresInMs: number
+  /** Connections that this entry may keep open to the runner. */
+  connections: number
+}
+
+/** A grant in use, as an entry reports it to a new leader. */
+export interface HeldGrant {
+  id: string
+  runner: string
+  slot: number
+  caller: string
+  requestId: string
+  /** Milliseconds until the runner has to be done with it. */
+  expiresInMs: number
+}
+
+/** What the durable state holds of an entry, so that a new leader knows whom to wait for. */
+export interface EntryState {
+  name: string
+  /** Cluster time in milliseconds after which none of its grants is in use. */
+  horizon: number
 }
--- a/packages/scheduler/src/types/state.ts
+++ b/packages/scheduler/src/types/state.ts
@@ -5,7 +5,7 @@
  */
 
 import type { AnsweredChange, AuditEntry, DocumentState, PolicyState, TeamState } from './configuration.js'
-import type { RequestState } from './requests.js'
+import type { EntryState, RequestState } from './requests.js'
 import type { TargetState } from './targets.js'
 import type { WorkloadState } from './workloads.js'
 
@@ -24,6 +24,12 @@
   drainedVms: Map<string, string>
   /** Keyed by caller and request id. */
   requests: Map<string, RequestState>
+  /** Requests that were made at or before this time, in Unix milliseconds, are refused when not idempotent. */
+  requestFloor: number
+  /** Fingerprints of forgotten requests that had no time of their own. */
+  forgottenRequests: Map<string, number>
+  /** Entries that may hold grants. */
+  entries: Map<string, EntryState>
   teams: Map<string, TeamState>
   policies: Map<string, PolicyState>
   documents: Map<string, DocumentState>
@@ -43,6 +49,9 @@
     targets: new Map(),
     drainedVms: new Map(),
     requests: new Map(),
+    requestFloor: 0,
+    forgottenRequests: new Map(),
+    entries: new Map(),
     teams: new Map(),
     policies: new Map(),
     documents: new Map(),
