--- /dev/null
+++ b/packages/scheduler/src/core/placement/policy.ts
@@ -0,0 +1,82 @@
+/**
+ * The policy that is in force for a workload: the one that it names, else the
+ * default of its kind and firm, else the built-in default of its kind.
+ */
+
+import type { PolicyState } from '../../types/configuration.js'
+import type { ClusterState } from '../../types/state.js'
+import { Urgency, WorkloadKind, type WorkloadSpec } from '../../types/workloads.js'
+
+export const StrategyName = Object.freeze({
+  firstFit: 'first-fit',
+  bestFit: 'best-fit',
+  balance: 'balance',
+  spread: 'spread'
+} as const)
+export type StrategyName = typeof StrategyName[keyof typeof StrategyName]
+
+export interface EffectivePolicy {
+  /** Empty for a built-in default. */
+  name: string
+  strategy: StrategyName
+  /** Tasks of the workload on one VM; 0 is no limit. */
+  maxPerVm: number
+  /** Tasks of the workload in one rack; 0 is no limit. */
+  maxPerRack: number
+  preempts: boolean
+}
+
+const STRATEGY_NAMES: ReadonlySet<string> = new Set(Object.values(StrategyName))
+
+export function isStrategyName (name: string): name is StrategyName {
+  return STRATEGY_NAMES.has(name)
+}
+
+/** Finds the policy in force for a workload. */
+export function resolvePolicy (state: ClusterState, spec: WorkloadSpec): EffectivePolicy {
+  const found = findPolicy(state, spec)
+  if (found === undefined) return builtInPolicy(spec)
+  return {
+    name: found.name,
+    strategy: isStrategyName(found.strategy) ? found.strategy : builtInStrategy(spec),
+    maxPerVm: found.maxPerVm,
+    maxPerRack: found.maxPerRack,
+    preempts: found.preempts
+  }
+}
+
+function findPolicy (state: ClusterState, spec: WorkloadSpec): PolicyState | undefined {
+  if (spec.policy !== '') return state.policies.get(spec.policy)
+  let best: PolicyState | undefined
+  let bestRank = 0
+  for (const policy of state.policies.values()) {
+    const rank = rankDefault(policy, spec)
+    if (rank > bestRank || (rank === bestRank && best !== undefined && policy.name < best.name)) {
+      best = policy
+      bestRank = rank
+    }
+  }
+  return best
+}
+
+/** Firm and kind go before firm alone, which goes before kind alone; 0 is no default. */
+function rankDefault (policy: PolicyState, spec: WorkloadSpec): number {
+  if (policy.kind === '' && policy.firm === '') return 0
+  if (policy.kind !== '' && policy.kind !== spec.kind) return 0
+  if (policy.firm !== '' && policy.firm !== spec.firm) return 0
+  return (policy.firm !== '' ? 2 : 0) + (policy.kind !== '' ? 1 : 0)
+}
+
+function builtInPolicy (spec: WorkloadSpec): EffectivePolicy {
+  return {
+    name: '',
+    strategy: builtInStrategy(spec),
+    maxPerVm: 0,
+    maxPerRack: 0,
+    preempts: spec.urgency === Urgency.urgent
+  }
+}
+
+function builtInStrategy (spec: WorkloadSpec): StrategyName {
+  return spec.kind === WorkloadKind.service ? StrategyName.spread : StrategyName.bestFit
+}
--- /dev/null
+++ b/packages/scheduler/src/core/placement/sizes.ts
@@ -0,0 +1,66 @@
+/**
+ * Arithmetic on amounts of resources. Amounts that change often are changed in
+ * place, so that the hot path allocates nothing.
+ */
+
+import type { Resources } from '../../types/resources.js'
+
+export const DIMENSIONS = Object.freeze(['millicores', 'memoryMib', 'accelerators'] as const)
+export type Dimension = typeof DIMENSIONS[number]
+
+export function createSize (): Resources {
+  return { millicores: 0, memoryMib: 0, accelerators: 0 }
+}
+
+export function copySize (size: Resources): Resources {
+  return { millicores: size.millicores, memoryMib: size.memoryMib, accelerators: size.accelerators }
+}
+
+/** True when the need goes into the room in every dimension. */
+export function isWithin (need: Resources, room: Resources): boolean {
+  return need.millicores <= room.millicores &&
+    need.memoryMib <= room.memoryMib &&
+    need.accelerators <= room.accelerators
+}
+
+/** Adds an amount, some number of times, to a sum in place. */
+export function addSize (sum: Resources, amount: Resources, times = 1): void {
+  sum.millicores += amount.millicores * times
+  sum.memoryMib += amount.memoryMib * times
+  sum.accelerators += amount.accelerators * times
+}
+
+/** The larger of two amounts in each dimension. */
+export function largerSize (one: Resources, other: Resources): Resources {
+  return {
+    millicores: Math.max(one.millicores, other.millicores),
+    memoryMib: Math.max(one.memoryMib, other.memoryMib),
+    accelerators: Math.max(one.accelerators, other.accelerators)
+  }
+}
+
+/** How many times the need goes into the room; Infinity for a need of nothing. */
+export function countWithin (need: Resources, room: Resources): number {
+  let count = Infinity
+  for (const dimension of DIMENSIONS) {
+    if (room[dimension] < 0) return 0
+    if (need[dimension] > 0) count = Math.min(count, Math.floor(room[dimension] / need[dimension]))
+  }
+  return count
+}
+
+/**
+ * The largest share of any dimension of the total (Ghodsi et al., Dominant
+ * Resource Fairness, 2011).
+ */
+export function dominantShare (amount: Resources, total: Resources): number {
+  return Math.max(
+    share(amount.millicores, total.millicores),
+    share(amount.memoryMib, total.memoryMib),
+    share(amount.accelerators, total.accelerators)
+  )
+}
+
+function share (amount: number, total: number): number {
+  return total > 0 ? amount / total : 0
+}
