Add sessions, tasks, workloads and configuration to the scheduler

Cause: the scheduler had types and an empty loop, so no target could announce itself and no workload could be applied. An event goes to every part that handles its kind, and parts settle in rounds while any of them decides. Decisions that end an attempt say why and until when the task backs off; startableAt and takesWork tell placement what to honour.

--- a/packages/scheduler/src/core/apply.ts
+++ b/packages/scheduler/src/core/apply.ts
@@ -5,14 +5,16 @@
 
 import type { Decision } from '../types/decisions.js'
 import type { ClusterState } from '../types/state.js'
-import { TaskPhase, type TaskState, type WorkloadSpec } from '../types/workloads.js'
+import { isLive, TaskPhase, type TaskState, WorkloadKind, type WorkloadSpec } from '../types/workloads.js'
 
 export function applyDecision (state: ClusterState, decision: Decision): void {
   state.change += 1
   switch (decision.kind) {
     case 'workloadApplied': return applyWorkload(state, decision)
     case 'workloadEnded': return endWorkload(state, decision.id, decision.reason)
-    case 'workloadForgotten': state.workloads.delete(decision.id); return
+    case 'workloadStopping': return stopWorkload(state, decision.id, decision.reason)
+    case 'workloadDelayed': return delayWorkload(state, decision.id, decision.notBefore)
+    case 'workloadForgotten': return forgetWorkload(state, decision.id)
     case 'taskPlaced': return placeTask(state, decision)
     case 'taskStarted': return changeTask(state, decision, task => { task.phase = TaskPhase.running })
     case 'taskStopping': return changeTask(state, decision, task => { task.stopping = decision.stopping })
@@ -28,6 +30,8 @@
       return
     case 'vmDrained': state.drainedVms.set(decision.vm, decision.reason); return
     case 'vmReadmitted': state.drainedVms.delete(decision.vm); return
+    case 'targetDrained': state.drainedTargets.set(decision.name, decision.reason); return
+    case 'targetReadmitted': state.drainedTargets.delete(decision.name); return
     case 'requestClaimed':
       state.requests.set(requestKey(decision.request.caller, decision.request.requestId), decision.request)
       return
@@ -48,6 +52,7 @@
     case 'audited':
       state.audit.push(decision.entry)
       state.auditNumber = decision.entry.number
+      trimAudit(state, decision.limit)
       return
     case 'changeAnswered': state.answered.set(decision.key, decision.answered); return
     case 'changeForgotten': state.answered.delete(decision.key)
@@ -59,15 +64,16 @@
   return `${caller} ${requestId}`
 }
 
-function createTask (index: number, at: number): TaskState {
+function createTask (index: number, attempt: number, at: number): TaskState {
   return {
     index,
     phase: TaskPhase.waiting,
-    attempt: 0,
+    attempt,
     target: '',
     session: '',
     reason: '',
     waitingSince: at,
+    notBefore: 0,
     failures: 0,
     stopping: ''
   }
@@ -75,9 +81,10 @@
 
 function applyWorkload (state: ClusterState, decision: Extract<Decision, { kind: 'workloadApplied' }>): void {
   const existing = state.workloads.get(decision.id)
-  const tasks = existing?.tasks ?? []
-  while (tasks.length < decision.spec.taskCount) tasks.push(createTask(tasks.length, decision.at))
   const spec: WorkloadSpec = decision.spec
+  const tasks = existing?.tasks ?? []
+  if (existing?.ended === true || spec.kind === WorkloadKind.service) reviveTasks(tasks, spec.taskCount, decision.at)
+  while (tasks.length < spec.taskCount) tasks.push(createTask(tasks.length, state.attemptFloor, decision.at))
   state.workloads.set(decision.id, {
     id: decision.id,
     owner: existing?.owner ?? decision.owner,
@@ -85,12 +92,36 @@
     version: decision.version,
     tasks,
     ended: false,
+    stopping: '',
+    notBefore: 0,
     reason: '',
     change: state.change
   })
   if (existing === undefined) state.workloadNumber += 1
 }
 
+/** Tasks that ended wait again; their attempts go on counting. */
+function reviveTasks (tasks: TaskState[], count: number, at: number): void {
+  for (const task of tasks.slice(0, count)) {
+    if (isLive(task)) continue
+    Object.assign(task, createTask(task.index, task.attempt, at))
+  }
+}
+
+function stopWorkload (state: ClusterState, id: string, reason: string): void {
+  const workload = state.workloads.get(id)
+  if (workload === undefined) return
+  workload.stopping = reason
+  workload.change = state.change
+}
+
+function delayWorkload (state: ClusterState, id: string, notBefore: number): void {
+  const workload = state.workloads.get(id)
+  if (workload === undefined) return
+  workload.notBefore = notBefore
+  workload.change = state.change
+}
+
 function endWorkload (state: ClusterState, id: string, reason: string): void {
   const workload = state.workloads.get(id)
   if (workload === undefined) return
@@ -99,6 +130,19 @@
   workload.change = state.change
 }
 
+function forgetWorkload (state: ClusterState, id: string): void {
+  const workload = state.workloads.get(id)
+  if (workload === undefined) return
+  for (const task of workload.tasks) state.attemptFloor = Math.max(state.attemptFloor, task.attempt)
+  state.workloads.delete(id)
+}
+
+/** Drops a tenth at a time, so that the cost of an entry stays constant. */
+function trimAudit (state: ClusterState, limit: number): void {
+  if (state.audit.length <= limit) return
+  state.audit.splice(0, state.audit.length - Math.floor(limit * 0.9))
+}
+
 function changeTask (
   state: ClusterState,
   decision: { id: string, index: number, attempt: number },
@@ -136,7 +180,8 @@
     releaseTask(task, decision.reason)
     task.phase = TaskPhase.waiting
     task.waitingSince = decision.at
-    if (decision.failed) task.failures += 1
+    task.notBefore = decision.notBefore
+    task.failures = decision.failures
   })
 }
 
--- /dev/null
+++ b/packages/scheduler/src/core/configuration/configuration.ts
@@ -0,0 +1,126 @@
+/**
+ * Teams, policies and configuration documents, each changed by compare-and-set
+ * on its version.
+ */
+
+import type { PolicyState, TeamState } from '../../types/configuration.js'
+import type { Event } from '../../types/events.js'
+import type { Limits } from '../../types/limits.js'
+import { ErrorKind } from '../../utils/errors.js'
+import { type Change, ChangeLedger } from '../changes/ledger.js'
+import { Part } from '../part.js'
+import type { Step } from '../step.js'
+
+type EventOf<K extends Event['kind']> = Extract<Event, { kind: K }>
+
+const WEIGHT_MAX = 1_000
+const WEIGHT_DEFAULT = 100
+const DOCUMENT_MAX_CHARACTERS = 1_048_576
+
+interface Versioned { name: string, version: number }
+
+export class Configuration extends Part {
+  readonly handles = ['putTeam', 'putPolicy', 'putDocument'] as const
+  private readonly ledger: ChangeLedger
+
+  private constructor (limits: Limits) {
+    super()
+    this.ledger = ChangeLedger.create(limits)
+  }
+
+  static create (limits: Limits): Configuration {
+    return new Configuration(limits)
+  }
+
+  reset (): void {}
+
+  handle (event: Event, step: Step): void {
+    switch (event.kind) {
+      case 'putTeam': return this.putTeam(event, step)
+      case 'putPolicy': return this.putPolicy(event, step)
+      case 'putDocument': return this.putDocument(event, step)
+    }
+  }
+
+  /** Forgets the answers to old changes of any part. */
+  override tick (step: Step): void {
+    this.ledger.forget(step)
+  }
+
+  private putTeam (event: EventOf<'putTeam'>, step: Step): void {
+    const change = { call: event.call, origin: event.origin, subject: `team ${event.team.name}` }
+    const before = step.state.teams.get(event.team.name)
+    if (!this.isAllowed(step, change, before, event.expectedVersion, teamFault(event.team))) return
+    const weight = event.team.weight === 0 ? WEIGHT_DEFAULT : event.team.weight
+    const team = { ...event.team, weight, version: event.expectedVersion + 1 }
+    step.decide({ kind: 'teamPut', team })
+    this.accept(step, change, before, team)
+  }
+
+  private putPolicy (event: EventOf<'putPolicy'>, step: Step): void {
+    const change = { call: event.call, origin: event.origin, subject: `policy ${event.policy.name}` }
+    const before = step.state.policies.get(event.policy.name)
+    if (!this.isAllowed(step, change, before, event.expectedVersion, policyFault(event.policy))) return
+    const policy = { ...event.policy, version: event.expectedVersion + 1 }
+    step.decide({ kind: 'policyPut', policy })
+    this.accept(step, change, before, policy)
+  }
+
+  private putDocument (event: EventOf<'putDocument'>, step: Step): void {
+    const { name } = event.document
+    const change = { call: event.call, origin: event.origin, subject: `document ${name}` }
+    const before = step.state.documents.get(name)
+    const fault = name === '' ? 'name is empty' : documentFault(event.document.document)
+    if (!this.isAllowed(step, change, before, event.expectedVersion, fault)) return
+    const document = { ...event.document, version: event.expectedVersion + 1 }
+    step.decide({ kind: 'documentPut', document })
+    this.accept(step, change, before, document)
+  }
+
+  private isAllowed (
+    step: Step,
+    change: Change,
+    before: Versioned | undefined,
+    expectedVersion: number,
+    fault: string
+  ): boolean {
+    if (this.ledger.isRepeat(step, change)) return false
+    if (fault !== '') {
+      this.ledger.refuse(step, change, ErrorKind.invalidArgument, fault)
+      return false
+    }
+    const version = before?.version ?? 0
+    if (version === expectedVersion) return true
+    const message = `${change.subject} has version ${version}, not ${expectedVersion}`
+    this.ledger.refuse(step, change, ErrorKind.conflict, message)
+    return false
+  }
+
+  private accept (step: Step, change: Change, before: Versioned | undefined, after: Versioned): void {
+    const answer = { kind: 'applied', id: after.name, version: after.version } as const
+    this.ledger.accept(step, change, answer, before === undefined ? '' : JSON.stringify(before), JSON.stringify(after))
+  }
+}
+
+function teamFault (team: TeamState): string {
+  if (team.name === '') return 'name is empty'
+  if (!Number.isInteger(team.weight) || team.weight < 0 || team.weight > WEIGHT_MAX) {
+    return `weight ${team.weight} is not a whole number from 0 to ${WEIGHT_MAX}`
+  }
+  return ''
+}
+
+function policyFault (policy: PolicyState): string {
+  return policy.name === '' ? 'name is empty' : ''
+}
+
+function documentFault (document: string): string {
+  if (document.length > DOCUMENT_MAX_CHARACTERS) return `document is longer than ${DOCUMENT_MAX_CHARACTERS} characters`
+  try {
+    const parsed: unknown = JSON.parse(document)
+    const isObject = typeof parsed === 'object' && parsed !== null && !Array.isArray(parsed)
+    return isObject ? '' : 'document is not a JSON object'
+  } catch {
+    return 'document is not JSON'
+  }
+}
--- a/packages/scheduler/src/core/part.ts
+++ b/packages/scheduler/src/core/part.ts
@@ -10,7 +10,7 @@
 import type { Step } from './step.js'
 
 export abstract class Part {
-  /** Kinds of event that are given to this part. */
+  /** Kinds of event that are given to this part, after the parts before it. */
   abstract readonly handles: readonly EventKind[]
 
   /** Builds the indexes anew when this replica starts to lead. */
@@ -22,7 +22,7 @@
   /** Told of each decision, of any part, after it was applied. */
   observe (_decision: Decision, _state: ClusterState, _now: number): void {}
 
-  /** Called once after each event, so that a part can act on what it observed. */
+  /** Called after each event, and again while any part decides, so that a part can act on what it observed. */
   settle (_step: Step): void {}
 
   /** Called at each tick. */
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -18,8 +18,11 @@
   effects: Effect[]
 }
 
+/** Most rounds in which parts act on each other's decisions within one step. */
+const SETTLE_ROUNDS = 4
+
 export class Scheduler {
-  private readonly byEvent = new Map<EventKind, Part>()
+  private readonly byEvent = new Map<EventKind, Part[]>()
   private time = 0
 
   private constructor (
@@ -27,7 +30,11 @@
     private current: ClusterState
   ) {
     for (const part of parts) {
-      for (const kind of part.handles) this.byEvent.set(kind, part)
+      for (const kind of part.handles) {
+        const handlers = this.byEvent.get(kind)
+        if (handlers === undefined) this.byEvent.set(kind, [part])
+        else handlers.push(part)
+      }
     }
   }
 
@@ -61,12 +68,20 @@
     if (event.kind === 'tick') {
       for (const part of this.parts) part.tick(step)
     } else {
-      this.byEvent.get(event.kind)?.handle(event, step)
+      for (const part of this.byEvent.get(event.kind) ?? []) part.handle(event, step)
     }
-    for (const part of this.parts) part.settle(step)
+    this.settle(step)
     return { decisions: step.decisions, effects: step.effects }
   }
 
+  private settle (step: Step): void {
+    for (let round = 0; round < SETTLE_ROUNDS; round++) {
+      const before = step.decisions.length
+      for (const part of this.parts) part.settle(step)
+      if (step.decisions.length === before) return
+    }
+  }
+
   private decided (decision: Decision): void {
     applyDecision(this.current, decision)
     for (const part of this.parts) part.observe(decision, this.current, this.time)
--- /dev/null
+++ b/packages/scheduler/src/core/sessions/drains.ts
@@ -0,0 +1,94 @@
+/**
+ * Taking VMs and targets out of use and back: by operators, and by notices of the
+ * platform.
+ */
+
+import type { Event } from '../../types/events.js'
+import type { Limits } from '../../types/limits.js'
+import type { ClusterState } from '../../types/state.js'
+import { TargetPhase, type TargetState } from '../../types/targets.js'
+import { ErrorKind } from '../../utils/errors.js'
+import { type Change, ChangeLedger } from '../changes/ledger.js'
+import { Part } from '../part.js'
+import type { Step } from '../step.js'
+import { isDrained } from './announcements.js'
+
+type EventOf<K extends Event['kind']> = Extract<Event, { kind: K }>
+
+/** Phases that a drain overrides. */
+const DRAINABLE: readonly TargetPhase[] = [TargetPhase.ready, TargetPhase.suspect, TargetPhase.probing]
+
+export class Drains extends Part {
+  readonly handles = ['drain', 'readmit', 'vmGone'] as const
+  private readonly ledger: ChangeLedger
+
+  private constructor (limits: Limits) {
+    super()
+    this.ledger = ChangeLedger.create(limits)
+  }
+
+  static create (limits: Limits): Drains {
+    return new Drains(limits)
+  }
+
+  reset (): void {}
+
+  handle (event: Event, step: Step): void {
+    if (event.kind !== 'drain' && event.kind !== 'readmit' && event.kind !== 'vmGone') return
+    const subject = event.vm === '' && event.kind !== 'vmGone' ? `target ${event.target}` : `vm ${event.vm}`
+    const change: Change = { call: event.call, origin: event.origin, subject }
+    if (this.ledger.isRepeat(step, change)) return
+    if (event.kind === 'vmGone') return this.removeVm(event, change, step)
+    if ((event.vm === '') === (event.target === '')) {
+      return this.ledger.refuse(step, change, ErrorKind.invalidArgument, 'exactly one of vm and target is needed')
+    }
+    if (event.target !== '' && !step.state.targets.has(event.target)) {
+      return this.ledger.refuse(step, change, ErrorKind.notFound, `no target ${event.target}`)
+    }
+    if (event.kind === 'drain') this.drain(event, change, step)
+    else this.readmit(event, change, step)
+  }
+
+  private drain (event: EventOf<'drain'>, change: Change, step: Step): void {
+    const targets = selectTargets(step.state, event.vm, event.target)
+    if (event.vm !== '') step.decide({ kind: 'vmDrained', vm: event.vm, reason: event.reason })
+    else step.decide({ kind: 'targetDrained', name: event.target, reason: event.reason })
+    for (const target of targets) {
+      if (DRAINABLE.includes(target.phase)) setPhase(step, target, TargetPhase.draining)
+    }
+    const after = event.reason === '' ? 'drained' : `drained: ${event.reason}`
+    this.ledger.accept(step, change, { kind: 'targets', count: targets.length }, '', after)
+  }
+
+  /** A target goes back into use once neither it nor its VM is drained. */
+  private readmit (event: EventOf<'readmit'>, change: Change, step: Step): void {
+    const targets = selectTargets(step.state, event.vm, event.target)
+    if (event.vm !== '') step.decide({ kind: 'vmReadmitted', vm: event.vm })
+    else step.decide({ kind: 'targetReadmitted', name: event.target })
+    for (const target of targets) {
+      if (target.phase !== TargetPhase.draining || isDrained(step.state, target)) continue
+      setPhase(step, target, TargetPhase.ready)
+    }
+    this.ledger.accept(step, change, { kind: 'targets', count: targets.length }, 'drained', 'in use')
+  }
+
+  /** The platform vouches that nothing runs on the VM any more. */
+  private removeVm (event: EventOf<'vmGone'>, change: Change, step: Step): void {
+    const targets = selectTargets(step.state, event.vm, '')
+    for (const target of targets) step.decide({ kind: 'targetRemoved', name: target.name, session: target.session })
+    if (step.state.drainedVms.has(event.vm)) step.decide({ kind: 'vmReadmitted', vm: event.vm })
+    this.ledger.accept(step, change, { kind: 'targets', count: targets.length }, '', 'gone')
+  }
+}
+
+function setPhase (step: Step, target: TargetState, phase: TargetPhase): void {
+  step.decide({ kind: 'targetPhaseSet', name: target.name, session: target.session, phase })
+}
+
+function selectTargets (state: ClusterState, vm: string, name: string): TargetState[] {
+  const targets: TargetState[] = []
+  for (const target of state.targets.values()) {
+    if (name === '' ? target.vm === vm : target.name === name) targets.push(target)
+  }
+  return targets
+}
--- /dev/null
+++ b/packages/scheduler/src/core/sessions/sessions.ts
@@ -0,0 +1,172 @@
+/**
+ * Sessions of targets: announcements, renewals, expiry, and what takes a target
+ * out of use and back. A session ends when its lease and the drift bound have run
+ * out, when the target announces itself with a higher incarnation, or when the
+ * platform says that its VM is gone.
+ */
+
+import type { Announcement, Event } from '../../types/events.js'
+import type { Decision } from '../../types/decisions.js'
+import type { Limits } from '../../types/limits.js'
+import type { ClusterState } from '../../types/state.js'
+import { TargetPhase, type TargetState } from '../../types/targets.js'
+import { isHeld } from '../../types/workloads.js'
+import { ErrorKind } from '../../utils/errors.js'
+import { Part } from '../part.js'
+import type { Step } from '../step.js'
+import { announcementFault, isSameAnnouncement, phaseAtAnnouncement } from './announcements.js'
+import { Leases } from './leases.js'
+
+type EventOf<K extends Event['kind']> = Extract<Event, { kind: K }>
+
+export interface SessionOptions {
+  /** Requests in flight on a runner, for the answer to its leave. */
+  requestsInFlight?: (runner: string) => number
+}
+
+export class Sessions extends Part {
+  readonly handles = ['announce', 'renew', 'leave'] as const
+  private readonly leases: Leases
+  /** When a lost target was seen as lost, in milliseconds. */
+  private readonly lostSince = new Map<string, number>()
+
+  private constructor (private readonly limits: Limits, private readonly options: SessionOptions) {
+    super()
+    this.leases = Leases.create(limits)
+  }
+
+  static create (limits: Limits, options: SessionOptions = {}): Sessions {
+    return new Sessions(limits, options)
+  }
+
+  reset (state: ClusterState, now: number): void {
+    this.leases.clear(now)
+    this.lostSince.clear()
+    for (const target of state.targets.values()) {
+      if (target.phase === TargetPhase.lost) this.lostSince.set(target.name, now)
+      else this.leases.renew(target.name, target.session, now)
+    }
+  }
+
+  handle (event: Event, step: Step): void {
+    switch (event.kind) {
+      case 'announce': return this.announce(event, step)
+      case 'renew': return this.renew(event, step)
+      case 'leave': return this.leave(event, step)
+    }
+  }
+
+  override observe (decision: Decision, _state: ClusterState, now: number): void {
+    if (decision.kind === 'targetAnnounced') {
+      this.lostSince.delete(decision.target.name)
+      this.leases.renew(decision.target.name, decision.target.session, now)
+    } else if (decision.kind === 'targetRemoved') {
+      this.lostSince.delete(decision.name)
+      this.leases.drop(decision.name)
+    }
+  }
+
+  override tick (step: Step): void {
+    for (const name of this.leases.expired(step.now)) {
+      this.leases.drop(name)
+      this.lostSince.set(name, step.now)
+      this.setPhase(step, name, TargetPhase.lost)
+    }
+    this.forgetLost(step)
+  }
+
+  private announce (event: EventOf<'announce'>, step: Step): void {
+    const { announcement, call } = event
+    const fault = announcementFault(announcement)
+    if (fault !== '') return step.refuse(call, ErrorKind.invalidArgument, fault)
+    const existing = step.state.targets.get(announcement.name)
+    if (existing === undefined || existing.phase === TargetPhase.lost) return this.open(event, step, existing)
+    if (announcement.incarnation < existing.incarnation) {
+      return step.refuse(call, ErrorKind.conflict, `a later incarnation of ${existing.name} has a session`)
+    }
+    if (announcement.incarnation === existing.incarnation) return this.repeat(event, step, existing)
+    // Only a process on the same VM can vouch that nothing of the old session runs.
+    const remainingMs = announcement.vm === existing.vm ? 0 : this.leases.remainingMs(existing.name, step.now)
+    if (remainingMs > 0) {
+      const message = `the session of ${existing.name} on VM ${existing.vm} is not over yet`
+      return step.refuse(call, ErrorKind.unavailable, message, remainingMs)
+    }
+    this.open(event, step, existing)
+  }
+
+  private repeat (event: EventOf<'announce'>, step: Step, existing: TargetState): void {
+    if (!isSameAnnouncement(event.announcement, existing)) {
+      const message = `${existing.name} announced otherwise with the same incarnation, from ${existing.address}`
+      return step.refuse(event.call, ErrorKind.conflict, message)
+    }
+    this.leases.renew(existing.name, existing.session, step.now)
+    this.replySession(step, event.call, existing)
+  }
+
+  private open (event: EventOf<'announce'>, step: Step, existing: TargetState | undefined): void {
+    const { announcement } = event
+    const fence = step.state.fence + 1
+    const target = createTarget(announcement, fence, phaseAtAnnouncement(step.state, announcement, existing))
+    step.decide({ kind: 'targetAnnounced', target })
+    this.replySession(step, event.call, target)
+  }
+
+  private replySession (step: Step, call: number, target: TargetState): void {
+    const { leaseMs, renewEveryMs } = this.limits
+    step.reply(call, { kind: 'session', session: target.session, fence: target.fence, leaseMs, renewEveryMs })
+  }
+
+  private renew (event: EventOf<'renew'>, step: Step): void {
+    const { leaseMs } = this.limits
+    if (!isCurrentSession(step.state, event.name, event.session)) {
+      return step.reply(event.call, { kind: 'renewed', leaseMs, acknowledged: [], sessionOver: true })
+    }
+    this.leases.renew(event.name, event.session, step.now)
+    // Every end is either recorded within this step or was recorded before.
+    const acknowledged = event.ended.map(end => `${end.task}#${end.attempt}`)
+    step.reply(event.call, { kind: 'renewed', leaseMs, acknowledged, sessionOver: false })
+  }
+
+  private leave (event: EventOf<'leave'>, step: Step): void {
+    if (!isCurrentSession(step.state, event.name, event.session)) {
+      return step.refuse(event.call, ErrorKind.failedPrecondition, `the session of ${event.name} is over`)
+    }
+    this.setPhase(step, event.name, TargetPhase.leaving)
+    step.reply(event.call, { kind: 'left', inFlight: this.countInFlight(step.state, event.name) })
+  }
+
+  private countInFlight (state: ClusterState, name: string): number {
+    let count = this.options.requestsInFlight?.(name) ?? 0
+    for (const workload of state.workloads.values()) {
+      for (const task of workload.tasks) {
+        if (task.target === name && isHeld(task)) count += 1
+      }
+    }
+    return count
+  }
+
+  private setPhase (step: Step, name: string, phase: TargetPhase): void {
+    const target = step.state.targets.get(name)
+    if (target === undefined || target.phase === phase) return
+    step.decide({ kind: 'targetPhaseSet', name, session: target.session, phase })
+  }
+
+  private forgetLost (step: Step): void {
+    for (const [name, since] of this.lostSince) {
+      if (step.now - since < this.limits.retentionMs) return
+      const session = step.state.targets.get(name)?.session ?? ''
+      step.decide({ kind: 'targetRemoved', name, session })
+      this.lostSince.delete(name)
+    }
+  }
+}
+
+/** True while a session of a target goes on. */
+export function isCurrentSession (state: ClusterState, name: string, session: string): boolean {
+  const target = state.targets.get(name)
+  return target !== undefined && target.session === session && target.phase !== TargetPhase.lost
+}
+
+function createTarget (announcement: Announcement, fence: number, phase: TargetPhase): TargetState {
+  return { ...announcement, session: `session-${fence}`, fence, phase }
+}
--- /dev/null
+++ b/packages/scheduler/src/core/tasks/labels.ts
@@ -0,0 +1,55 @@
+/**
+ * Index of live jobs by label, so that a selector costs as much as what it
+ * selects. Volatile.
+ */
+
+import type { ClusterState } from '../../types/state.js'
+import { WorkloadKind, type WorkloadState } from '../../types/workloads.js'
+
+export class LabelIndex {
+  private readonly byLabel = new Map<string, Set<string>>()
+
+  private constructor () {}
+
+  static create (): LabelIndex {
+    return new LabelIndex()
+  }
+
+  rebuild (state: ClusterState): void {
+    this.byLabel.clear()
+    for (const workload of state.workloads.values()) this.add(workload)
+  }
+
+  add (workload: WorkloadState): void {
+    if (workload.ended || workload.spec.kind === WorkloadKind.service) return
+    for (const label of labelsOf(workload)) {
+      const ids = this.byLabel.get(label)
+      if (ids === undefined) this.byLabel.set(label, new Set([workload.id]))
+      else ids.add(workload.id)
+    }
+  }
+
+  remove (workload: WorkloadState): void {
+    for (const label of labelsOf(workload)) {
+      const ids = this.byLabel.get(label)
+      ids?.delete(workload.id)
+      if (ids?.size === 0) this.byLabel.delete(label)
+    }
+  }
+
+  /** Ids of the live jobs that carry every label of the selector. */
+  select (selector: Record<string, string>): string[] {
+    const sets = Object.entries(selector).map(([name, value]) => this.byLabel.get(labelKey(name, value)))
+    if (sets.length === 0 || sets.includes(undefined)) return []
+    const [smallest, ...others] = (sets as Set<string>[]).sort((one, other) => one.size - other.size)
+    return [...smallest].filter(id => others.every(ids => ids.has(id)))
+  }
+}
+
+function labelsOf (workload: WorkloadState): string[] {
+  return Object.entries(workload.spec.labels).map(([name, value]) => labelKey(name, value))
+}
+
+function labelKey (name: string, value: string): string {
+  return `${name.length} ${name}=${value}`
+}
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -7,33 +7,40 @@
 import type { AnsweredChange, AuditEntry, DocumentState, PolicyState, TeamState } from './configuration.js'
 import type { RequestState, Outcome } from './requests.js'
 import type { TargetPhase, TargetState } from './targets.js'
-import type { TaskPhase, WorkloadSpec } from './workloads.js'
+import type { EndCause, TaskPhase, WorkloadSpec } from './workloads.js'
 
 export type Decision =
   | { kind: 'workloadApplied', id: string, owner: string, spec: WorkloadSpec, version: number, at: number }
-  /** The workload takes no more starts; tasks that hold a worker are stopped first. */
+  /** Every task has ended. */
   | { kind: 'workloadEnded', id: string, reason: string }
+  /** Every task that still lives is being stopped; none of them starts again. */
+  | { kind: 'workloadStopping', id: string, reason: string }
+  /** No task of the workload starts before a time, in milliseconds of cluster time. */
+  | { kind: 'workloadDelayed', id: string, notBefore: number }
   /** A workload that ended is dropped from the state. */
   | { kind: 'workloadForgotten', id: string }
   | { kind: 'taskPlaced', id: string, index: number, attempt: number, target: string, session: string }
   | { kind: 'taskStarted', id: string, index: number, attempt: number }
   | { kind: 'taskStopping', id: string, index: number, attempt: number, stopping: 'cancel' | 'preempt' }
   /** The attempt is over, and the task ends with it. */
-  | { kind: 'taskEnded', id: string, index: number, attempt: number, phase: TaskPhase, reason: string }
+  | { kind: 'taskEnded', id: string, index: number, attempt: number, phase: TaskPhase, cause: EndCause, reason: string }
   /** The attempt is over, and the task waits again. */
-  | { kind: 'taskRequeued', id: string, index: number, attempt: number, failed: boolean, reason: string, at: number }
+  | { kind: 'taskRequeued', id: string, index: number, attempt: number, failures: number, cause: EndCause, reason: string, at: number, notBefore: number }
   | { kind: 'targetAnnounced', target: TargetState }
   | { kind: 'targetPhaseSet', name: string, session: string, phase: TargetPhase }
   | { kind: 'targetRemoved', name: string, session: string }
   | { kind: 'vmDrained', vm: string, reason: string }
   | { kind: 'vmReadmitted', vm: string }
+  | { kind: 'targetDrained', name: string, reason: string }
+  | { kind: 'targetReadmitted', name: string }
   | { kind: 'requestClaimed', request: RequestState }
   | { kind: 'requestSettled', key: string, outcome: Outcome, at: number }
   | { kind: 'requestForgotten', key: string }
   | { kind: 'teamPut', team: TeamState }
   | { kind: 'policyPut', policy: PolicyState }
   | { kind: 'documentPut', document: DocumentState }
-  | { kind: 'audited', entry: AuditEntry }
+  /** The oldest entries beyond `limit` are dropped. */
+  | { kind: 'audited', entry: AuditEntry, limit: number }
   | { kind: 'changeAnswered', key: string, answered: AnsweredChange }
   | { kind: 'changeForgotten', key: string }
 
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -58,7 +58,8 @@
   | { kind: 'commandsLost', target: string, session: string, commands: Command[], reason: string }
   | { kind: 'applyWorkload', call: number, origin: ChangeOrigin, id: string, spec: WorkloadSpec, expectedVersion: number }
   | { kind: 'submitJob', call: number, origin: ChangeOrigin, spec: WorkloadSpec }
-  | { kind: 'cancelJobs', call: number, origin: ChangeOrigin, id: string, selector: Record<string, string> }
+  /** A team restricts it to the jobs of that team. */
+  | { kind: 'cancelJobs', call: number, origin: ChangeOrigin, id: string, selector: Record<string, string>, team?: string }
   | { kind: 'deleteWorkload', call: number, origin: ChangeOrigin, id: string, expectedVersion: number }
   | { kind: 'putTeam', call: number, origin: ChangeOrigin, team: TeamState, expectedVersion: number }
   | { kind: 'putPolicy', call: number, origin: ChangeOrigin, policy: PolicyState, expectedVersion: number }
--- a/packages/scheduler/src/types/limits.ts
+++ b/packages/scheduler/src/types/limits.ts
@@ -11,7 +11,13 @@
   driftMs: number
   /** After how long commands without an answer are sent again. */
   resendMs: number
+  /** How long a task may take to stop or to checkpoint. */
   stopGraceMs: number
+  /** First delay before a failed task is tried again; doubled by each further failure. */
+  backoffBaseMs: number
+  backoffMaxMs: number
+  /** A service task that ran as long as this starts to count its failures anew. */
+  stableRunMs: number
   /** How long the outcome of a request is kept. */
   retentionMs: number
   /** Requests that may wait in the queue of one service. */
@@ -28,6 +34,9 @@
   driftMs: 500,
   resendMs: 500,
   stopGraceMs: 2_000,
+  backoffBaseMs: 250,
+  backoffMaxMs: 60_000,
+  stableRunMs: 60_000,
   retentionMs: 600_000,
   queueLimit: 10_000,
   endedLimit: 10_000,
--- a/packages/scheduler/src/types/state.ts
+++ b/packages/scheduler/src/types/state.ts
@@ -16,12 +16,16 @@
   fence: number
   /** Last workload number given out. */
   workloadNumber: number
+  /** Attempts of new tasks count from here, so that the attempts of a name that is used again never repeat. */
+  attemptFloor: number
   /** Version of all configuration together; grows by one with each accepted change. */
   configurationVersion: number
   workloads: Map<string, WorkloadState>
   targets: Map<string, TargetState>
   /** Names of VMs kept free of new work, with the reason. */
   drainedVms: Map<string, string>
+  /** Names of targets kept free of new work over all of their sessions, with the reason. */
+  drainedTargets: Map<string, string>
   /** Keyed by caller and request id. */
   requests: Map<string, RequestState>
   teams: Map<string, TeamState>
@@ -38,10 +42,12 @@
     change: 0,
     fence: 0,
     workloadNumber: 0,
+    attemptFloor: 0,
     configurationVersion: 0,
     workloads: new Map(),
     targets: new Map(),
     drainedVms: new Map(),
+    drainedTargets: new Map(),
     requests: new Map(),
     teams: new Map(),
     policies: new Map(),
--- a/packages/scheduler/src/types/targets.ts
+++ b/packages/scheduler/src/types/targets.ts
@@ -12,8 +12,10 @@
   ready: 'ready',
   /** An operator or a platform notice keeps new work away. */
   draining: 'draining',
-  /** It fails what others run; only probes are placed on it. */
+  /** It fails what others run, and takes no new work. */
   suspect: 'suspect',
+  /** A suspect that takes one task as a probe; it is suspect again once that is placed. */
+  probing: 'probing',
   /** It said that it leaves. */
   leaving: 'leaving',
   /** Its lease ran out; its work is released after the drift bound. */
@@ -41,3 +43,8 @@
   connections: number
   phase: TargetPhase
 }
+
+/** True when new work may be placed on a target in this phase. */
+export function takesWork (phase: TargetPhase): boolean {
+  return phase === TargetPhase.ready || phase === TargetPhase.probing
+}
--- a/packages/scheduler/src/types/workloads.ts
+++ b/packages/scheduler/src/types/workloads.ts
@@ -30,6 +30,21 @@
 } as const)
 export type TaskPhase = typeof TaskPhase[keyof typeof TaskPhase]
 
+/** Why an attempt of a task is over. */
+export const EndCause = Object.freeze({
+  succeeded: 'succeeded',
+  failed: 'failed',
+  stopped: 'stopped',
+  checkpointed: 'checkpointed',
+  /** The worker refused the start; it did not run. */
+  refused: 'refused',
+  /** The session of its worker is over; it may have run. */
+  lost: 'lost',
+  /** It was cancelled while it waited. */
+  cancelled: 'cancelled'
+} as const)
+export type EndCause = typeof EndCause[keyof typeof EndCause]
+
 export interface WorkloadSpec {
   name: string
   kind: WorkloadKind
@@ -66,6 +81,11 @@
   reason: string
   /** When it last began to wait, in milliseconds of cluster time. */
   waitingSince: number
+  /**
+   * Not placed before this cluster time in milliseconds; see `startableAt`.
+   * Set when an attempt fails, so that a repeat backs off.
+   */
+  notBefore: number
   /** Failed attempts so far. */
   failures: number
   /** A stop was asked for: `cancel` ends the task, `preempt` makes it wait again. */
@@ -79,7 +99,12 @@
   spec: WorkloadSpec
   version: number
   tasks: TaskState[]
+  /** True once every task has ended. */
   ended: boolean
+  /** Why all of its tasks are being stopped; empty when they are not. */
+  stopping: string
+  /** No task is placed before this cluster time in milliseconds; see `startableAt`. */
+  notBefore: number
   reason: string
   /** Number of the last decision that changed it. */
   change: number
@@ -89,3 +114,26 @@
 export function taskKey (workload: string, index: number): string {
   return `${workload}/${index}`
 }
+
+/** The workload and the index in a task key; undefined when it is not one. */
+export function parseTaskKey (key: string): { id: string, index: number } | undefined {
+  const slash = key.lastIndexOf('/')
+  const index = Number(key.slice(slash + 1))
+  if (slash < 1 || !Number.isSafeInteger(index) || index < 0) return undefined
+  return { id: key.slice(0, slash), index }
+}
+
+/** Cluster time in milliseconds before which placement leaves a waiting task alone. */
+export function startableAt (workload: WorkloadState, task: TaskState): number {
+  return Math.max(workload.notBefore, task.notBefore)
+}
+
+/** True while a worker holds the task, started or not. */
+export function isHeld (task: TaskState): boolean {
+  return task.phase === TaskPhase.placed || task.phase === TaskPhase.running
+}
+
+/** True until the task has ended. */
+export function isLive (task: TaskState): boolean {
+  return task.phase === TaskPhase.waiting || isHeld(task)
+}
