--- a/packages/callers/src/internal.ts
+++ b/packages/callers/src/internal.ts
@@ -1,1 +1,10 @@
-export {}
+/**
+ * Re-exports every module of the package, so that import order is settled here.
+ */
+
+export * from './types/clients.js'
+export * from './types/limits.js'
+export * from './core/byte-account.js'
+export * from './core/http-runner-client.js'
+export * from './core/submission.js'
+export * from './core/request-flow.js'
--- a/packages/scheduler/src/core/requests/live.ts
+++ b/packages/scheduler/src/core/requests/live.ts
@@ -44,6 +44,8 @@
   held: HeldSlot | undefined
   /** Runners that failed it. */
   tried: string[]
+  /** One of them may have run it. */
+  mayHaveRun: boolean
 }
 
 /** Milliseconds by which a class lets later arrivals of more urgent ones go first. */
@@ -65,7 +67,8 @@
     order: now + (CLASS_DELAY_MS[facts.urgency] ?? CLASS_DELAY_MS[Urgency.normal]),
     phase: 'waiting',
     held: undefined,
-    tried: []
+    tried: [],
+    mayHaveRun: false
   }
 }
 
--- a/packages/scheduler/src/core/requests/requests.ts
+++ b/packages/scheduler/src/core/requests/requests.ts
@@ -303,11 +303,12 @@
     if (live?.held?.id === event.grant) return this.endGrant(live, event, step)
     const record = step.state.requests.get(key)
     if (record?.grant === event.grant) this.settleLate(key, record, event.outcome, step)
-    const outcome = record?.grant === event.grant ? record.outcome : event.outcome
-    if (record === undefined && event.retry) {
-      return step.refuse(event.call, ErrorKind.notFound, 'the grant is not known to this leader')
+    const isPending = record === undefined || record.outcome.kind === OutcomeKind.pending
+    if (event.retry && isPending) {
+      return step.refuse(event.call, ErrorKind.notFound, 'the grant is not in use')
     }
-    step.reply(event.call, { kind: 'outcome', outcome })
+    const first = step.state.requests.get(key)
+    step.reply(event.call, { kind: 'outcome', outcome: first?.grant === event.grant ? first.outcome : event.outcome })
   }
 
   /** Frees the slot and learns from how the runner did. */
@@ -336,6 +337,7 @@
     const runner = live.held?.runner ?? ''
     live.held = undefined
     const mayRepeat = live.facts.idempotent || event.outcome.kind === OutcomeKind.notRun
+    if (event.outcome.kind === OutcomeKind.unknown) live.mayHaveRun = true
     const service = this.service(live.facts.service)
     if (event.retry && mayRepeat && live.deadlineAt > step.now && this.takeRetry(service)) {
       live.tried.push(runner)
@@ -360,8 +362,9 @@
   }
 
   /** Settles a request and answers all that wait for it. */
-  private finish (live: LiveRequest, outcome: Outcome, step: Step): void {
+  private finish (live: LiveRequest, ending: Outcome, step: Step): void {
     if (live.phase === 'over') return
+    const outcome = truthful(live, ending)
     const wasQueued = live.phase === 'waiting' && this.live.has(live.key)
     live.phase = 'over'
     this.live.delete(live.key)
@@ -595,6 +598,12 @@
   }
 }
 
+/** What did not run in the end may have run at an earlier try. */
+function truthful (live: LiveRequest, outcome: Outcome): Outcome {
+  const saysNotRun = outcome.kind === OutcomeKind.notRun || outcome.kind === OutcomeKind.cancelled
+  return saysNotRun && live.mayHaveRun ? { ...outcome, kind: OutcomeKind.unknown } : outcome
+}
+
 function claim (live: LiveRequest, held: HeldSlot | undefined, now: number): RequestState {
   return {
     caller: live.facts.caller,
