--- /dev/null
+++ b/packages/controllers/src/core/raft/members.ts
@@ -0,0 +1,32 @@
+/**
+ * Membership: how it is encoded in an entry, and questions about it.
+ */
+
+import type { Member } from '../../types/raft.js'
+
+export function encodeMembers (members: readonly Member[]): Uint8Array {
+  return new TextEncoder().encode(JSON.stringify(members))
+}
+
+export function decodeMembers (data: Uint8Array): Member[] {
+  return JSON.parse(new TextDecoder().decode(data)) as Member[]
+}
+
+export function isVoter (member: Member): boolean {
+  return member.role === 'voter'
+}
+
+export function findMember (members: readonly Member[], id: string): Member | undefined {
+  return members.find(member => member.id === id)
+}
+
+/** Number of voters that any two majorities share at least one of. */
+export function quorumOf (voters: number): number {
+  return Math.floor(voters / 2) + 1
+}
+
+/** The highest value that a quorum of the voters has reached. */
+export function quorumValue (values: number[]): number {
+  const descending = [...values].sort((a, b) => b - a)
+  return descending[quorumOf(values.length) - 1]
+}
--- /dev/null
+++ b/packages/controllers/src/core/raft/raft.ts
@@ -0,0 +1,200 @@
+/**
+ * The replica as a state machine: messages, ticks and proposals go in, messages
+ * and writes come out. It has no clock and no input or output, so that tests
+ * drive it over fake ones. After Ongaro and Ousterhout (2014); pre-vote, check
+ * of the quorum, leases and leadership transfer after Ongaro's thesis.
+ */
+
+import { ErrorKind, fail } from '@flamingorouter/scheduler'
+import { EntryKind, type Member, type Message, type Snapshot, type VoteRequest } from '../../types/raft.js'
+import type { MemberFacts, ReplicaStatus } from '../../types/replica.js'
+import { Candidate } from './candidate.js'
+import { Follower } from './follower.js'
+import { Formation } from './formation.js'
+import { Leader } from './leader.js'
+import { Membership } from './membership.js'
+import { RaftState, type StateOptions } from './state.js'
+
+export interface RaftOptions extends StateOptions {
+  /** First members of the group; empty for a controller that joins one. */
+  bootstrap: readonly MemberFacts[]
+  now: number
+}
+
+export class Raft {
+  readonly state: RaftState
+  private readonly follower: Follower
+  private readonly candidate: Candidate
+  private readonly formation: Formation
+  private leader: Leader | undefined
+  private membership: Membership | undefined
+  private now: number
+
+  private constructor (options: RaftOptions, installed: (snapshot: Snapshot) => void) {
+    this.now = options.now
+    this.state = RaftState.create(options)
+    this.follower = Follower.create(this.state, installed, this.now)
+    this.candidate = Candidate.create(this.state, () => { this.lead() })
+    this.formation = Formation.create(this.state, options.bootstrap)
+  }
+
+  /** `installed` is called with each snapshot of a leader that replaced the log. */
+  static create (options: RaftOptions, installed: (snapshot: Snapshot) => void): Raft {
+    return new Raft(options, installed)
+  }
+
+  get role (): ReplicaStatus['role'] {
+    if (this.leader !== undefined) return 'leader'
+    if (this.candidate.isRunning) return 'candidate'
+    return this.state.isVoter ? 'follower' : 'learner'
+  }
+
+  /** True when this replica leads and may propose. */
+  get isLeading (): boolean {
+    return this.leader?.isReady === true
+  }
+
+  get isTransferring (): boolean {
+    return this.leader?.isTransferring === true
+  }
+
+  holdsLease (now: number): boolean {
+    return this.leader?.holdsLease(now) === true
+  }
+
+  matchIndexOf (member: Member): number {
+    return this.leader?.matchIndexOf(member) ?? 0
+  }
+
+  tick (now: number): void {
+    this.now = now
+    if (this.leader !== undefined) {
+      this.leader.tick(now)
+      this.membership?.tick(now)
+      return
+    }
+    if (!this.state.isFormed) return this.formation.tick(now)
+    if (!this.state.isVoter || !this.follower.isElectionDue(now)) return
+    this.follower.restartElectionTimer(now)
+    this.candidate.startPreVote()
+  }
+
+  /** Sends what was proposed since the last call. */
+  flush (now: number): void {
+    this.leader?.flush(now)
+  }
+
+  /** Appends an entry and returns its index; throws notLeader unless this replica leads. */
+  propose (data: Uint8Array): number {
+    const leader = this.requireLeader()
+    return leader.propose(EntryKind.data, data)
+  }
+
+  addMember (facts: MemberFacts, now: number): number {
+    this.requireLeader()
+    return this.membership!.add(facts, now)
+  }
+
+  removeMember (id: string, now: number): number {
+    this.requireLeader()
+    return this.membership!.remove(id, now)
+  }
+
+  transferLeadership (to: string | undefined, now: number): void {
+    this.now = now
+    this.requireLeader().startTransfer(to, now)
+  }
+
+  /** Puts a snapshot of the committed state in the place of the entries that led to it. */
+  compact (index: number, data: Uint8Array, trailing: number): void {
+    const { state } = this
+    const term = state.log.termAt(index)
+    if (term === undefined) fail(ErrorKind.internal, `entry ${index} is not in the log`)
+    const snapshot: Snapshot = { index, term, members: state.log.membersAt(index), data }
+    state.log.compact(snapshot, trailing)
+    state.saveSnapshot(snapshot, true)
+  }
+
+  synced (sequence: number, lastIndex: number, now: number): void {
+    this.now = now
+    const durable = this.state.durableIndex
+    this.state.synced(sequence, lastIndex)
+    if (this.leader !== undefined) this.leader.advance()
+    else if (this.state.durableIndex > durable) this.follower.synced()
+  }
+
+  receive (from: string, message: Message, now: number): void {
+    this.now = now
+    if (message.toDisk !== '' && message.toDisk !== this.state.disk) return
+    switch (message.kind) {
+      case 'greeting': return this.formation.receive(from, message)
+      case 'voteRequest': return this.voteRequested(from, message)
+      case 'appendRequest':
+      case 'snapshotRequest': return this.leaderHeard(from, message)
+    }
+    if (!this.state.isFormed) return
+    const isPreVote = message.kind === 'voteAnswer' && message.pre && message.granted
+    if (!isPreVote && message.term < this.state.term) return
+    if (!isPreVote && message.term > this.state.term) this.becomeFollower(message.term)
+    switch (message.kind) {
+      case 'voteAnswer': return this.candidate.answer(from, message)
+      case 'appendAnswer': return this.leader?.appendAnswered(from, message, now)
+      case 'snapshotAnswer': return this.leader?.snapshotAnswered(from, message, now)
+      case 'timeoutNow': if (this.state.isVoter && this.leader === undefined) this.candidate.startVote(true)
+    }
+  }
+
+  private requireLeader (): Leader {
+    const { leader } = this
+    if (leader === undefined || !leader.isReady || leader.isTransferring) {
+      fail(ErrorKind.notLeader, 'this controller does not lead')
+    }
+    return leader
+  }
+
+  private voteRequested (from: string, request: VoteRequest): void {
+    const { state } = this
+    if (!state.isFormed) return
+    // Whoever hears a leader, or is one, keeps it: its lease rests on this.
+    const isBound = this.leader !== undefined || this.follower.isBound(this.now)
+    if (isBound && !request.transfer) return
+    if (request.pre) return this.candidate.grantPreVote(from, request)
+    if (!this.candidate.isKnown(from, request)) return
+    if (request.term > state.term) this.becomeFollower(request.term)
+    if (request.term < state.term) {
+      state.send(from, request.disk, { kind: 'voteAnswer', pre: false, granted: false })
+      return
+    }
+    if (this.candidate.grantVote(from, request)) this.follower.restartElectionTimer(this.now)
+  }
+
+  private leaderHeard (from: string, message: Extract<Message, { kind: 'appendRequest' | 'snapshotRequest' }>): void {
+    const { state } = this
+    if (message.term < state.term) {
+      state.send(from, message.disk, {
+        kind: 'appendAnswer', accepted: false, index: 0, refusedIndex: 0, sentAt: message.sentAt
+      })
+      return
+    }
+    if (message.term > state.term || this.role === 'candidate') this.becomeFollower(message.term)
+    if (this.leader !== undefined) fail(ErrorKind.internal, `${from} leads term ${message.term} as well`)
+    this.follower.heard(from, this.now)
+    if (message.kind === 'appendRequest') this.follower.append(from, message)
+    else this.follower.receiveSnapshot(from, message)
+  }
+
+  private becomeFollower (term: number): void {
+    const { state } = this
+    if (term > state.term) state.persist({ term, vote: '' })
+    state.leader = ''
+    this.candidate.stop()
+    this.leader = undefined
+    this.membership = undefined
+    this.follower.restartElectionTimer(this.now)
+  }
+
+  private lead (): void {
+    this.leader = Leader.create(this.state, now => { this.now = now; this.becomeFollower(this.state.term) }, this.now)
+    this.membership = Membership.create(this.state, this.leader)
+  }
+}
--- a/packages/controllers/src/types/replica.ts
+++ b/packages/controllers/src/types/replica.ts
@@ -2,6 +2,8 @@
  * The replicated log as the rest of the program sees it.
  */
 
+import type { Failure } from '@flamingorouter/scheduler'
+
 export interface MemberFacts {
   id: string
   /** host:port of the control port. */
@@ -18,7 +20,10 @@
    * that its decisions are applied already.
    */
   committed: (index: number, entry: Uint8Array, own: boolean) => void
-  /** Replaces the whole state by a snapshot; entries after it follow. */
+  /**
+   * Replaces the whole state by a snapshot; entries after it follow. Index 0
+   * with no bytes stands for the empty state.
+   */
   restored: (index: number, snapshot: Uint8Array) => void
   /** This process leads, and every entry of earlier terms has been committed and delivered. */
   leading: (term: number) => void
@@ -28,8 +33,14 @@
    * the newest snapshot on.
    */
   following: (leader: string) => void
-  /** Encodes the state as of the last entry delivered. Called only while nothing proposed is uncommitted. */
+  /**
+   * Encodes the state as of the last entry delivered or, while leading, proposed.
+   * Called from `tick` only; all that was decided by then must have been proposed.
+   * The replica keeps the result back until that entry is committed.
+   */
   snapshot: () => Uint8Array
+  /** The disk or a check failed: the replica takes no part any more until the process restarts. */
+  faulted?: (failure: Failure) => void
 }
 
 export interface ReplicaStatus {
@@ -42,4 +53,6 @@
   members: MemberFacts[]
   /** Highest index known to be durable on each member; the leader only. */
   matchIndex: Record<string, number>
+  /** Why this replica takes no part any more; empty while it does. */
+  fault: string
 }
