Give the placement tests' fake cell the causes of ended tasks

Cause: the decisions gained a cause and a count of failures, and the fake did not compile against them. Change: it fills them in; no check is touched.

--- a/packages/scheduler/__tests__/cell.ts
+++ b/packages/scheduler/__tests__/cell.ts
@@ -6,6 +6,7 @@
 import {
   applyDecision,
   createClusterState,
+  EndCause,
   Part,
   Placement,
   Scheduler,
@@ -131,11 +132,22 @@
   }
 
   ended (id: string, index: number, phase: TaskPhase = TaskPhase.succeeded): Decision {
-    return { kind: 'taskEnded', id, index, attempt: this.task(id, index).attempt, phase, reason: '' }
+    return { kind: 'taskEnded', id, index, attempt: this.task(id, index).attempt, phase, cause: phase === TaskPhase.succeeded ? EndCause.succeeded : EndCause.failed, reason: '' }
   }
 
   requeued (id: string, index: number, failed = false): Decision {
-    return { kind: 'taskRequeued', id, index, attempt: this.task(id, index).attempt, failed, reason: '', at: this.now }
+    const { attempt, failures } = this.task(id, index)
+    return {
+      kind: 'taskRequeued',
+      id,
+      index,
+      attempt,
+      failures: failed ? failures + 1 : failures,
+      cause: failed ? EndCause.failed : EndCause.stopped,
+      reason: '',
+      at: this.now,
+      notBefore: this.now
+    }
   }
 }
 
