--- a/packages/scheduler/src/core/apply.ts
+++ b/packages/scheduler/src/core/apply.ts
@@ -21,7 +21,8 @@
     case 'taskEnded': return endTask(state, decision)
     case 'taskRequeued': return requeueTask(state, decision)
     case 'targetAnnounced':
-      state.targets.set(decision.target.name, decision.target)
+      // A copy, since the decision may still wait to be encoded when the state changes.
+      state.targets.set(decision.target.name, { ...decision.target })
       state.fence = Math.max(state.fence, decision.target.fence)
       return
     case 'targetPhaseSet': return setTargetPhase(state, decision)
@@ -33,7 +34,7 @@
     case 'targetDrained': state.drainedTargets.set(decision.name, decision.reason); return
     case 'targetReadmitted': state.drainedTargets.delete(decision.name); return
     case 'requestClaimed':
-      state.requests.set(requestKey(decision.request.caller, decision.request.requestId), decision.request)
+      state.requests.set(requestKey(decision.request.caller, decision.request.requestId), { ...decision.request })
       return
     case 'requestSettled': return settleRequest(state, decision)
     case 'requestForgotten': state.requests.delete(decision.key); return
--- a/packages/scheduler/src/core/control.ts
+++ b/packages/scheduler/src/core/control.ts
@@ -5,13 +5,21 @@
 
 import type { Limits } from '../types/limits.js'
 import { Configuration } from './configuration/configuration.js'
+import type { Estimates } from './health/estimates.js'
+import { Health } from './health/health.js'
+import type { UsageTable } from './health/usage.js'
 import type { Part } from './part.js'
 import { Drains } from './sessions/drains.js'
 import { Sessions, type SessionOptions } from './sessions/sessions.js'
 import { Tasks } from './tasks/tasks.js'
 import { Workloads, type WorkloadOptions } from './tasks/workloads.js'
 
-export type ControlOptions = SessionOptions & WorkloadOptions
+export interface ControlOptions extends SessionOptions, WorkloadOptions {
+  /** Shared with placement, which reserves by it. */
+  usage?: UsageTable
+  /** Shared with placement, which backfills by it. */
+  estimates?: Estimates
+}
 
 /** Creates the parts; placement and requests go after them. */
 export function createControlParts (limits: Limits, options: ControlOptions = {}): Part[] {
@@ -19,7 +27,8 @@
     Sessions.create(limits, options),
     Drains.create(limits),
     Workloads.create(limits, options),
-    Tasks.create(limits),
+    Health.create(limits),
+    Tasks.create(limits, options.usage, options.estimates),
     Configuration.create(limits)
   ]
 }
--- /dev/null
+++ b/packages/scheduler/src/core/health/estimates.ts
@@ -0,0 +1,69 @@
+/**
+ * Run times learnt from tasks that succeeded, by the name of their workload: mean
+ * and variance of the logarithm, since run times spread over orders of magnitude,
+ * with older ones fading. Volatile.
+ */
+
+import type { WorkloadSpec } from '../../types/workloads.js'
+
+/** Weight of a new run time once enough are known. */
+const NEWEST_WEIGHT = 0.1
+/** Run times needed before they are believed over the declared one. */
+const SAMPLES_MIN = 3
+const NAMES_MAX = 4_096
+/** Standard deviations above the mean for the bound that backfill counts on: nine of ten end sooner. */
+const UPPER_DEVIATIONS = 1.28
+
+interface RunTimes { samples: number, mean: number, variance: number }
+
+export class Estimates {
+  private readonly byName = new Map<string, RunTimes>()
+
+  private constructor () {}
+
+  static create (): Estimates {
+    return new Estimates()
+  }
+
+  clear (): void {
+    this.byName.clear()
+  }
+
+  learn (spec: WorkloadSpec, runMs: number): void {
+    const key = nameOf(spec)
+    const logarithm = Math.log(Math.max(1, runMs))
+    const known = this.byName.get(key)
+    if (known === undefined) return this.insert(key, { samples: 1, mean: logarithm, variance: 0 })
+    known.samples += 1
+    const weight = Math.max(NEWEST_WEIGHT, 1 / known.samples)
+    const difference = logarithm - known.mean
+    known.mean += weight * difference
+    known.variance = (1 - weight) * (known.variance + weight * difference * difference)
+  }
+
+  /** Expected run time of one task in milliseconds; 0 when nothing is known. */
+  expectedMs (spec: WorkloadSpec): number {
+    const known = this.known(spec)
+    return known === undefined ? spec.estimateMs : Math.exp(known.mean)
+  }
+
+  /** Run time in milliseconds that nine of ten tasks stay below; 0 when nothing is known. */
+  upperMs (spec: WorkloadSpec): number {
+    const known = this.known(spec)
+    return known === undefined ? spec.estimateMs : Math.exp(known.mean + UPPER_DEVIATIONS * Math.sqrt(known.variance))
+  }
+
+  private known (spec: WorkloadSpec): RunTimes | undefined {
+    const known = this.byName.get(nameOf(spec))
+    return known === undefined || known.samples < SAMPLES_MIN ? undefined : known
+  }
+
+  private insert (key: string, times: RunTimes): void {
+    if (this.byName.size >= NAMES_MAX) this.byName.delete(this.byName.keys().next().value as string)
+    this.byName.set(key, times)
+  }
+}
+
+function nameOf (spec: WorkloadSpec): string {
+  return `${spec.team.length} ${spec.team} ${spec.name}`
+}
--- /dev/null
+++ b/packages/scheduler/src/core/health/health.ts
@@ -0,0 +1,231 @@
+/**
+ * Health of workers and of work. A worker that fails what others run is suspect:
+ * it gets no new work but one probe after a backoff, and is ready again once a
+ * probe succeeds. Work that fails on worker after worker is held back itself.
+ *
+ * The test is a cumulative sum of log-likelihood ratios (Page, "Continuous
+ * inspection schemes", 1954): each end on a worker is weighed by how much likelier
+ * it is on a worker that fails nearly all than on one that fails this work as often
+ * as the other workers do.
+ */
+
+import type { Decision } from '../../types/decisions.js'
+import type { Event } from '../../types/events.js'
+import type { Limits } from '../../types/limits.js'
+import type { ClusterState } from '../../types/state.js'
+import { TargetKind, TargetPhase, type TargetState } from '../../types/targets.js'
+import { EndCause, TaskPhase } from '../../types/workloads.js'
+import { Part } from '../part.js'
+import type { Step } from '../step.js'
+import { exponentialMs } from '../tasks/backoff.js'
+import { failureRateElsewhere, startsElsewhere, type WorkRecord, WorkRecords } from './records.js'
+
+/** Failure rate of a worker that fails nearly all. */
+const BAD_RATE = 0.95
+/** Evidence at which a worker is suspect: a thousand to one. */
+const SUSPECT_EVIDENCE = Math.log(1_000)
+/** Starts elsewhere without which one kind of work is no full proof. */
+const ELSEWHERE_MIN = 3
+/** Share of the evidence needed that one kind of work may bring by itself. */
+const ALONE_SHARE = 0.5
+/** At most one worker in so many is suspect: when more fail, the cause is elsewhere. */
+const SUSPECT_SHARE = 3
+/** Workers on which work has to fail before it is held back. */
+const FAILING_WORKERS = 2
+/** Delay of the first probe in units of the first backoff of a task. */
+const PROBE_BACKOFF = 8
+/** A probe that ran this long succeeded, in milliseconds. */
+const PROBE_RUN_MS = 10_000
+
+interface WorkerHealth {
+  evidence: number
+  /** Evidence from work that is not known elsewhere, by the name of the work. */
+  alone: Map<WorkRecord, number>
+  suspicions: number
+  /** When a suspect may be probed, in milliseconds of cluster time. */
+  probeAt: number
+  probe: Probe | undefined
+}
+
+interface Probe { id: string, index: number, attempt: number, startedAt: number }
+
+type End = Extract<Decision, { kind: 'taskEnded' | 'taskRequeued' }>
+type Placed = Extract<Decision, { kind: 'taskPlaced' }>
+
+export class Health extends Part {
+  readonly handles = [] as const
+  private readonly records = WorkRecords.create()
+  private readonly workers = new Map<string, WorkerHealth>()
+  private readonly ends: End[] = []
+  private readonly probed = new Set<string>()
+
+  private constructor (private readonly limits: Limits) {
+    super()
+  }
+
+  static create (limits: Limits): Health {
+    return new Health(limits)
+  }
+
+  reset (state: ClusterState, now: number): void {
+    this.records.clear()
+    this.workers.clear()
+    this.ends.length = 0
+    this.probed.clear()
+    for (const target of state.targets.values()) {
+      if (!isSuspect(target)) continue
+      this.health(target.name).probeAt = now + this.probeDelayMs(1)
+      // A probe that a former leader allowed is asked for again.
+      if (target.phase === TargetPhase.probing) this.probed.add(target.name)
+    }
+  }
+
+  handle (_event: Event, _step: Step): void {}
+
+  override observe (decision: Decision, state: ClusterState, now: number): void {
+    switch (decision.kind) {
+      case 'taskPlaced': return this.placed(decision, state, now)
+      case 'taskEnded':
+      case 'taskRequeued':
+        if (decision.target !== '') this.ends.push(decision)
+        return
+      case 'targetReadmitted': this.workers.delete(decision.name); return
+      case 'targetRemoved': this.workers.delete(decision.name)
+    }
+  }
+
+  override settle (step: Step): void {
+    for (const end of this.ends.splice(0)) this.judge(step, end)
+    for (const name of this.probed) this.setPhase(step, name, TargetPhase.probing, TargetPhase.suspect)
+    this.probed.clear()
+  }
+
+  override tick (step: Step): void {
+    for (const [name, health] of this.workers) {
+      const target = step.state.targets.get(name)
+      if (target === undefined || target.phase !== TargetPhase.suspect) continue
+      if (health.probe !== undefined) this.watchProbe(step, target, health, health.probe)
+      else if (step.now >= health.probeAt) this.setPhase(step, name, TargetPhase.suspect, TargetPhase.probing)
+    }
+  }
+
+  private placed (decision: Placed, state: ClusterState, now: number): void {
+    if (state.targets.get(decision.target)?.phase !== TargetPhase.probing) return
+    const { id, index, attempt } = decision
+    this.health(decision.target).probe = { id, index, attempt, startedAt: now }
+    this.probed.add(decision.target)
+  }
+
+  private judge (step: Step, end: End): void {
+    const spec = step.state.workloads.get(end.id)?.spec
+    const target = step.state.targets.get(end.target)
+    const isFailure = end.cause === EndCause.failed || end.cause === EndCause.refused
+    const isKnown = isFailure || end.cause === EndCause.succeeded
+    if (target === undefined) return
+    const health = this.workers.get(end.target)
+    const isProbe = health?.probe !== undefined && isSameAttempt(health.probe, end)
+    if (health !== undefined && isProbe) health.probe = undefined
+    if (spec === undefined || !isKnown) return
+    const record = this.records.add(spec, end.target, isFailure)
+    if (isFailure) this.holdBack(step, end.id, record)
+    if (isSuspect(target)) {
+      if (isProbe && isFailure) this.suspectAgain(step, this.health(target.name))
+      else if (!isFailure) this.restore(step, target)
+      return
+    }
+    this.weigh(this.health(target.name), record, target.name, isFailure)
+    if (this.health(target.name).evidence >= SUSPECT_EVIDENCE) this.suspect(step, target)
+  }
+
+  private weigh (health: WorkerHealth, record: WorkRecord, worker: string, isFailure: boolean): void {
+    const rate = Math.min(failureRateElsewhere(record, worker), BAD_RATE)
+    const ratio = isFailure ? BAD_RATE / rate : (1 - BAD_RATE) / (1 - rate)
+    let evidence = Math.log(ratio)
+    if (isFailure && startsElsewhere(record, worker) < ELSEWHERE_MIN) {
+      const before = health.alone.get(record) ?? 0
+      evidence = Math.min(evidence, SUSPECT_EVIDENCE * ALONE_SHARE - before)
+      health.alone.set(record, before + evidence)
+    }
+    health.evidence = Math.max(0, health.evidence + evidence)
+    if (health.evidence === 0) health.alone.clear()
+  }
+
+  private suspect (step: Step, target: TargetState): void {
+    if (target.phase !== TargetPhase.ready || !canSuspectMore(step.state)) return
+    this.suspectAgain(step, this.health(target.name))
+    this.setPhase(step, target.name, TargetPhase.ready, TargetPhase.suspect)
+  }
+
+  private suspectAgain (step: Step, health: WorkerHealth): void {
+    health.suspicions += 1
+    health.probeAt = step.now + this.probeDelayMs(health.suspicions)
+  }
+
+  private restore (step: Step, target: TargetState): void {
+    this.workers.delete(target.name)
+    this.setPhase(step, target.name, target.phase, TargetPhase.ready)
+  }
+
+  private watchProbe (step: Step, target: TargetState, health: WorkerHealth, probe: Probe): void {
+    const task = step.state.workloads.get(probe.id)?.tasks[probe.index]
+    if (task?.attempt !== probe.attempt) {
+      health.probe = undefined
+    } else if (task.phase === TaskPhase.running && step.now - probe.startedAt >= PROBE_RUN_MS) {
+      this.restore(step, target)
+    }
+  }
+
+  /** Work that fails on worker after worker waits longer after each round. */
+  private holdBack (step: Step, id: string, record: WorkRecord): void {
+    const workload = step.state.workloads.get(id)
+    if (workload === undefined || workload.ended || step.now < workload.notBefore) return
+    const needed = Math.min(FAILING_WORKERS, countWorkers(step.state))
+    if (record.failingOn.size < needed) return
+    record.delays += 1
+    step.decide({ kind: 'workloadDelayed', id, notBefore: step.now + exponentialMs(this.limits, record.delays) })
+  }
+
+  private probeDelayMs (suspicions: number): number {
+    return exponentialMs({ ...this.limits, backoffBaseMs: this.limits.backoffBaseMs * PROBE_BACKOFF }, suspicions)
+  }
+
+  private health (name: string): WorkerHealth {
+    const known = this.workers.get(name)
+    if (known !== undefined) return known
+    const health = { evidence: 0, alone: new Map(), suspicions: 0, probeAt: 0, probe: undefined }
+    this.workers.set(name, health)
+    return health
+  }
+
+  private setPhase (step: Step, name: string, from: TargetPhase, to: TargetPhase): void {
+    const target = step.state.targets.get(name)
+    if (target === undefined || target.phase !== from) return
+    step.decide({ kind: 'targetPhaseSet', name, session: target.session, phase: to })
+  }
+}
+
+function isSuspect (target: TargetState): boolean {
+  return target.phase === TargetPhase.suspect || target.phase === TargetPhase.probing
+}
+
+function isSameAttempt (probe: Probe, end: End): boolean {
+  return probe.id === end.id && probe.index === end.index && probe.attempt === end.attempt
+}
+
+function countWorkers (state: ClusterState): number {
+  let count = 0
+  for (const target of state.targets.values()) {
+    if (target.kind === TargetKind.worker && target.phase !== TargetPhase.lost) count += 1
+  }
+  return count
+}
+
+/** A cell with a single worker suspects nobody. */
+function canSuspectMore (state: ClusterState): boolean {
+  const workers = countWorkers(state)
+  let suspects = 0
+  for (const target of state.targets.values()) {
+    if (isSuspect(target)) suspects += 1
+  }
+  return workers > 1 && suspects < Math.max(1, Math.floor(workers / SUSPECT_SHARE))
+}
--- /dev/null
+++ b/packages/scheduler/src/core/health/overuse.ts
@@ -0,0 +1,137 @@
+/**
+ * Workers whose tasks use more than the worker has. Processors: tasks beyond what
+ * they declared are throttled to it. Memory, or processors that a throttle did not
+ * bring down: the least important task is checkpointed or stopped, one at a time.
+ */
+
+import type { Limits } from '../../types/limits.js'
+import { NO_RESOURCES, type Resources } from '../../types/resources.js'
+import type { TargetState } from '../../types/targets.js'
+import { type WorkloadState, WorkloadKind } from '../../types/workloads.js'
+import type { HeldTask } from '../tasks/held.js'
+import type { UsageTable } from './usage.js'
+
+/** How long a throttle is kept up, in milliseconds. */
+const THROTTLE_MS = 60_000
+/** Renewals between two measures on one worker, so that reports can show the first. */
+const MEASURE_RENEWALS = 5
+
+/** A task on a worker with what it declared and uses. */
+interface Load {
+  held: HeldTask
+  workload: WorkloadState
+  usage: Readonly<Resources>
+}
+
+export type Measure =
+  | { kind: 'throttle', held: HeldTask, millicores: number }
+  | { kind: 'preempt', held: HeldTask }
+
+interface Throttle { millicores: number, until: number }
+
+export class Overuse {
+  private readonly throttles = new Map<string, Throttle>()
+  /** When a worker last had a measure taken, in milliseconds. */
+  private readonly measuredAt = new Map<string, number>()
+
+  private constructor (private readonly limits: Limits, private readonly usage: UsageTable) {}
+
+  static create (limits: Limits, usage: UsageTable): Overuse {
+    return new Overuse(limits, usage)
+  }
+
+  clear (): void {
+    this.throttles.clear()
+    this.measuredAt.clear()
+  }
+
+  /** What to do about a worker after one of its reports. */
+  measures (target: TargetState, tasks: Iterable<HeldTask>, workloads: Map<string, WorkloadState>, now: number): Measure[] {
+    const loads = this.loads(tasks, workloads)
+    const total = sumUsage(loads)
+    const measures = this.repeatThrottles(loads, now)
+    const isOverProcessors = total.millicores > target.capacity.millicores
+    const isOverMemory = total.memoryMib > target.capacity.memoryMib
+    if (!isOverProcessors && !isOverMemory) return measures
+    const pauseMs = MEASURE_RENEWALS * this.limits.renewEveryMs
+    if (now - (this.measuredAt.get(target.name) ?? -Infinity) < pauseMs) return measures
+    this.measuredAt.set(target.name, now)
+    const throttles = isOverMemory ? [] : this.throttle(loads, now)
+    if (throttles.length > 0) return [...measures, ...throttles]
+    const victim = leastImportant(loads)
+    return victim === undefined ? measures : [...measures, { kind: 'preempt', held: victim.held }]
+  }
+
+  forget (key: string): void {
+    this.throttles.delete(key)
+  }
+
+  private loads (tasks: Iterable<HeldTask>, workloads: Map<string, WorkloadState>): Load[] {
+    const loads: Load[] = []
+    for (const held of tasks) {
+      const workload = workloads.get(held.id)
+      const usage = this.usage.usageOf(held.key)
+      if (workload !== undefined && usage !== undefined) loads.push({ held, workload, usage })
+    }
+    return loads
+  }
+
+  /** A throttle lapses on the worker unless it is repeated. */
+  private repeatThrottles (loads: readonly Load[], now: number): Measure[] {
+    const measures: Measure[] = []
+    for (const { held } of loads) {
+      const throttle = this.throttles.get(held.key)
+      if (throttle === undefined) continue
+      if (now >= throttle.until) this.throttles.delete(held.key)
+      else measures.push({ kind: 'throttle', held, millicores: throttle.millicores })
+    }
+    return measures
+  }
+
+  private throttle (loads: readonly Load[], now: number): Measure[] {
+    const measures: Measure[] = []
+    for (const { held, workload, usage } of loads) {
+      const declared = workload.spec.resources.millicores
+      if (declared === 0 || usage.millicores <= declared || this.throttles.has(held.key)) continue
+      this.throttles.set(held.key, { millicores: declared, until: now + THROTTLE_MS })
+      measures.push({ kind: 'throttle', held, millicores: declared })
+    }
+    return measures
+  }
+}
+
+function sumUsage (loads: readonly Load[]): Resources {
+  const total = { ...NO_RESOURCES }
+  for (const { usage } of loads) {
+    total.millicores += usage.millicores
+    total.memoryMib += usage.memoryMib
+  }
+  return total
+}
+
+/** Least important first: what can move without harm, low urgency, low priority, far beyond its declaration. */
+function leastImportant (loads: readonly Load[]): Load | undefined {
+  let victim: Load | undefined
+  for (const load of loads) {
+    if (load.workload.tasks[load.held.index]?.stopping !== '') return undefined
+    if (victim === undefined || compareLoads(load, victim) < 0) victim = load
+  }
+  return victim
+}
+
+function compareLoads (one: Load, other: Load): number {
+  const [left, right] = [one.workload.spec, other.workload.spec]
+  return harm(one.workload) - harm(other.workload) ||
+    left.urgency - right.urgency ||
+    left.priority - right.priority ||
+    excess(other) - excess(one)
+}
+
+/** A task that can't run again is the last to be stopped. */
+function harm (workload: WorkloadState): number {
+  return workload.spec.idempotent || workload.spec.kind === WorkloadKind.service ? 0 : 1
+}
+
+function excess (load: Load): number {
+  return load.usage.memoryMib - load.workload.spec.resources.memoryMib
+}
--- /dev/null
+++ b/packages/scheduler/src/core/health/records.ts
@@ -0,0 +1,85 @@
+/**
+ * How the tasks of each kind of work fared on each worker. Jobs of one team and
+ * name count as the same work. Volatile.
+ */
+
+import type { WorkloadSpec } from '../../types/workloads.js'
+
+/** Kinds of work that are remembered; the oldest is forgotten first. */
+const RECORDS_MAX = 2_048
+/** What is assumed of work that nothing is known of: one failure in five starts. */
+const PRIOR_FAILURES = 1
+const PRIOR_STARTS = 5
+
+interface Tally { starts: number, failures: number }
+
+/** How one kind of work fared. */
+export interface WorkRecord {
+  total: Tally
+  byWorker: Map<string, Tally>
+  /** Workers on which it failed since it last succeeded anywhere. */
+  failingOn: Set<string>
+  /** Times that it was held back since it last succeeded. */
+  delays: number
+}
+
+export class WorkRecords {
+  private readonly records = new Map<string, WorkRecord>()
+
+  private constructor () {}
+
+  static create (): WorkRecords {
+    return new WorkRecords()
+  }
+
+  clear (): void {
+    this.records.clear()
+  }
+
+  add (spec: WorkloadSpec, worker: string, isFailure: boolean): WorkRecord {
+    const record = this.record(spec)
+    count(record.total, isFailure)
+    count(tallyOf(record, worker), isFailure)
+    if (isFailure) {
+      record.failingOn.add(worker)
+    } else {
+      record.failingOn.clear()
+      record.delays = 0
+    }
+    return record
+  }
+
+  private record (spec: WorkloadSpec): WorkRecord {
+    const key = `${spec.team.length} ${spec.team} ${spec.name}`
+    const known = this.records.get(key)
+    if (known !== undefined) return known
+    if (this.records.size >= RECORDS_MAX) this.records.delete(this.records.keys().next().value as string)
+    const record = { total: { starts: 0, failures: 0 }, byWorker: new Map(), failingOn: new Set<string>(), delays: 0 }
+    this.records.set(key, record)
+    return record
+  }
+}
+
+/** Starts of the work on workers other than one. */
+export function startsElsewhere (record: WorkRecord, worker: string): number {
+  return record.total.starts - (record.byWorker.get(worker)?.starts ?? 0)
+}
+
+/** Probability that the work fails on a worker that is as good as the others. */
+export function failureRateElsewhere (record: WorkRecord, worker: string): number {
+  const failures = record.total.failures - (record.byWorker.get(worker)?.failures ?? 0)
+  return (failures + PRIOR_FAILURES) / (startsElsewhere(record, worker) + PRIOR_STARTS)
+}
+
+function tallyOf (record: WorkRecord, worker: string): Tally {
+  const known = record.byWorker.get(worker)
+  if (known !== undefined) return known
+  const tally = { starts: 0, failures: 0 }
+  record.byWorker.set(worker, tally)
+  return tally
+}
+
+function count (tally: Tally, isFailure: boolean): void {
+  tally.starts += 1
+  if (isFailure) tally.failures += 1
+}
--- a/packages/scheduler/src/core/tasks/gangs.ts
+++ b/packages/scheduler/src/core/tasks/gangs.ts
@@ -26,7 +26,7 @@
     const { index, attempt } = task
     if (task.phase === TaskPhase.waiting) {
       const phase = TaskPhase.cancelled
-      step.decide({ kind: 'taskEnded', id: gang.id, index, attempt, phase, cause: EndCause.cancelled, reason })
+      step.decide({ kind: 'taskEnded', id: gang.id, index, attempt, target: '', phase, cause: EndCause.cancelled, reason })
     } else if (isHeld(task) && task.stopping !== 'cancel') {
       step.decide({ kind: 'taskStopping', id: gang.id, index, attempt, stopping: 'cancel' })
     }
@@ -44,6 +44,7 @@
         id: gang.id,
         index,
         attempt,
+        target: '',
         failures,
         cause: EndCause.succeeded,
         reason: 'the gang starts over',
--- a/packages/scheduler/src/core/tasks/outbox.ts
+++ b/packages/scheduler/src/core/tasks/outbox.ts
@@ -17,6 +17,9 @@
 /** Most bytes of payloads in one message to a worker, unless one payload is larger. */
 const BATCH_BYTES = 1_048_576
 
+/** How often a checkpoint is asked for before the task is stopped without one. */
+const CHECKPOINT_SENDS = 2
+
 export type CommandKind = Command['action']['kind']
 
 interface PendingCommand {
@@ -27,6 +30,7 @@
   millicores: number
   isSent: boolean
   sentAt: number
+  sends: number
 }
 
 interface Channel {
@@ -83,7 +87,7 @@
     const key = commandKey(kind, task, attempt)
     const known = pending.get(key)
     if (known !== undefined && known.millicores === millicores) return
-    pending.set(key, { task, attempt, kind, millicores, isSent: false, sentAt: 0 })
+    pending.set(key, { task, attempt, kind, millicores, isSent: false, sentAt: 0, sends: 0 })
     this.dirty.add(target)
   }
 
@@ -126,10 +130,16 @@
     let bytes = 0
     for (const pending of channel.pending.values()) {
       if (!this.isDue(pending, step.now)) continue
+      if (pending.kind === 'checkpoint' && pending.sends === CHECKPOINT_SENDS) {
+        this.add(name, 'stop', pending.task, pending.attempt)
+        channel.pending.delete(commandKey('checkpoint', pending.task, pending.attempt))
+        continue
+      }
       const command = this.build(pending, step.state)
       if (command === undefined) continue
       pending.isSent = true
       pending.sentAt = step.now
+      pending.sends += 1
       const size = command.action.kind === 'start' ? command.action.payload.length : 0
       if (batch.length === BATCH_COMMANDS || (batch.length > 0 && bytes + size > BATCH_BYTES)) {
         step.command(channel.entry, target, batch)
--- a/packages/scheduler/src/core/tasks/tasks.ts
+++ b/packages/scheduler/src/core/tasks/tasks.ts
@@ -5,17 +5,21 @@
  */
 
 import type { Decision } from '../../types/decisions.js'
-import type { Event, TaskEnd } from '../../types/events.js'
+import type { Event, TaskEnd, TaskUsage } from '../../types/events.js'
 import type { Limits } from '../../types/limits.js'
 import type { ClusterState } from '../../types/state.js'
 import { TargetKind, TargetPhase } from '../../types/targets.js'
 import { EndCause, isHeld, taskKey, TaskPhase, WorkloadKind } from '../../types/workloads.js'
+import { Estimates } from '../health/estimates.js'
+import { Overuse } from '../health/overuse.js'
+import { UsageTable } from '../health/usage.js'
 import { Part } from '../part.js'
 import { isCurrentSession } from '../sessions/sessions.js'
 import type { Step } from '../step.js'
 import { backoffMs } from './backoff.js'
 import { settleGang } from './gangs.js'
 import { type HeldTask, HeldTasks } from './held.js'
+import { moveTasks } from './moves.js'
 import { Outbox } from './outbox.js'
 import { judgeEnd } from './verdict.js'
 
@@ -28,23 +32,32 @@
   readonly handles = ['announce', 'renew', 'commandResults', 'commandsLost', 'entryLost'] as const
   private readonly held = HeldTasks.create()
   private readonly outbox: Outbox
+  private readonly overuse: Overuse
   /** Targets whose session may have changed in this step. */
   private readonly orphaned = new Set<string>()
   /** Gangs of which a task ended or was requeued in this step. */
   private readonly gangs = new Set<string>()
 
-  private constructor (private readonly limits: Limits) {
+  private constructor (
+    private readonly limits: Limits,
+    private readonly usage: UsageTable,
+    private readonly estimates: Estimates
+  ) {
     super()
     this.outbox = Outbox.create(limits)
+    this.overuse = Overuse.create(limits, usage)
   }
 
-  static create (limits: Limits): Tasks {
-    return new Tasks(limits)
+  static create (limits: Limits, usage = UsageTable.create(), estimates = Estimates.create()): Tasks {
+    return new Tasks(limits, usage, estimates)
   }
 
   reset (state: ClusterState, now: number): void {
     this.held.rebuild(state, now)
     this.outbox.clear()
+    this.overuse.clear()
+    this.usage.clear()
+    this.estimates.clear()
     this.orphaned.clear()
     this.gangs.clear()
     for (const target of this.held.targets()) {
@@ -88,7 +101,8 @@
     }
   }
 
-  override tick (): void {
+  override tick (step: Step): void {
+    moveTasks(step, this.held)
     this.outbox.tick()
   }
 
@@ -116,20 +130,26 @@
     if (!isCurrentSession(step.state, event.name, event.session)) return
     if (step.state.targets.get(event.name)?.kind !== TargetKind.worker) return
     for (const end of event.ended) this.takeEnd(event.name, end, step)
-    for (const running of event.running) this.takeRunning(event.name, running.task, running.attempt, step)
+    for (const running of event.running) this.takeRunning(event.name, running, step)
     this.stopMissing(event.name, step)
+    this.limitUse(event.name, step)
     this.outbox.reachedThrough(event.name, event.entry)
   }
 
   private takeEnd (target: string, end: TaskEnd, step: Step): void {
     this.outbox.settle(target, end.task, end.attempt)
     const held = this.held.find(target, end.task, end.attempt)
-    if (held !== undefined) this.end(held, end.result, end.reason, step, end.runMs)
+    if (held === undefined) return
+    const spec = step.state.workloads.get(held.id)?.spec
+    if (end.result === EndCause.succeeded && spec !== undefined) this.estimates.learn(spec, end.runMs)
+    this.end(held, end.result, end.reason, step, end.runMs)
   }
 
-  private takeRunning (target: string, key: string, attempt: number, step: Step): void {
-    const held = this.held.find(target, key, attempt)
-    if (held === undefined) return this.outbox.add(target, 'stop', key, attempt)
+  private takeRunning (target: string, running: TaskUsage, step: Step): void {
+    const { task, attempt, usage } = running
+    const held = this.held.find(target, task, attempt)
+    if (held === undefined) return this.outbox.add(target, 'stop', task, attempt)
+    this.usage.report(task, attempt, usage, step.now)
     this.confirmStart(held, step)
   }
 
@@ -152,6 +172,16 @@
     }
   }
 
+  private limitUse (name: string, step: Step): void {
+    const target = step.state.targets.get(name)
+    if (target === undefined) return
+    for (const measure of this.overuse.measures(target, this.held.on(name).values(), step.state.workloads, step.now)) {
+      const { key, id, index, attempt } = measure.held
+      if (measure.kind === 'preempt') step.decide({ kind: 'taskStopping', id, index, attempt, stopping: 'preempt' })
+      else this.outbox.add(name, 'throttle', key, attempt, measure.millicores)
+    }
+  }
+
   private takeResults (event: EventOf<'commandResults'>, step: Step): void {
     if (!isCurrentSession(step.state, event.target, event.session)) return
     for (const result of event.results) {
@@ -202,6 +232,8 @@
     if (held?.attempt === decision.attempt) {
       this.held.remove(held.key)
       this.outbox.settle(held.target, held.key, held.attempt)
+      this.usage.drop(held.key)
+      this.overuse.forget(held.key)
     }
     if (state.workloads.get(decision.id)?.spec.kind === WorkloadKind.gang) this.gangs.add(decision.id)
   }
@@ -228,13 +260,24 @@
     const workload = step.state.workloads.get(held.id)
     const task = workload?.tasks[held.index]
     if (workload === undefined || task === undefined || !isHeld(task)) return
-    const { id, index, attempt } = held
+    const { id, index, attempt, target } = held
     const verdict = judgeEnd(workload, task, cause, runMs >= this.limits.stableRunMs)
     if (verdict.kind === 'ended') {
-      return step.decide({ kind: 'taskEnded', id, index, attempt, phase: verdict.phase, cause, reason })
+      return step.decide({ kind: 'taskEnded', id, index, attempt, target, phase: verdict.phase, cause, reason })
     }
     const { failures } = verdict
     const notBefore = step.now + backoffMs(this.limits, cause, failures)
-    step.decide({ kind: 'taskRequeued', id, index, attempt, failures, cause, reason, at: step.now, notBefore })
+    step.decide({
+      kind: 'taskRequeued',
+      id,
+      index,
+      attempt,
+      target,
+      failures,
+      cause,
+      reason,
+      at: step.now,
+      notBefore
+    })
   }
 }
--- a/packages/scheduler/src/core/tasks/workloads.ts
+++ b/packages/scheduler/src/core/tasks/workloads.ts
@@ -128,7 +128,7 @@
     const reason = this.options.infeasibility?.(spec) ?? ''
     if (reason !== '') return this.ledger.refuse(step, change, ErrorKind.infeasible, reason)
     step.decide({ kind: 'workloadApplied', id, owner: event.origin.actor, spec, version: 1, at: step.now })
-    this.ledger.accept(step, change, { kind: 'applied', id, version: 1 }, '', describeSpec(spec))
+    this.ledger.accept(step, change, { kind: 'applied', id, version: 1 }, '', summarizeSpec(spec))
   }
 
   private cancel (event: EventOf<'cancelJobs'>, step: Step): void {
@@ -239,7 +239,8 @@
   const task = workload.tasks[index]
   const { attempt } = task
   if (task.phase === TaskPhase.waiting) {
-    step.decide({ kind: 'taskEnded', id, index, attempt, phase: TaskPhase.cancelled, cause: EndCause.cancelled, reason })
+    const phase = TaskPhase.cancelled
+    step.decide({ kind: 'taskEnded', id, index, attempt, target: '', phase, cause: EndCause.cancelled, reason })
   } else if (isHeld(task) && task.stopping !== 'cancel') {
     step.decide({ kind: 'taskStopping', id, index, attempt, stopping: 'cancel' })
   }
@@ -253,3 +254,9 @@
 function describeSpec (spec: WorkloadSpec): string {
   return JSON.stringify({ ...spec, payload: `${spec.payload.length} bytes` })
 }
+
+/** A caller's job in the audit trail: there are many, so it is short. */
+function summarizeSpec (spec: WorkloadSpec): string {
+  const { millicores, memoryMib, accelerators } = spec.resources
+  return `${spec.kind} ${spec.name} ${spec.taskCount}x${millicores}m/${memoryMib}MiB/${accelerators} team=${spec.team}`
+}
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -22,10 +22,10 @@
   | { kind: 'taskPlaced', id: string, index: number, attempt: number, target: string, session: string }
   | { kind: 'taskStarted', id: string, index: number, attempt: number }
   | { kind: 'taskStopping', id: string, index: number, attempt: number, stopping: 'cancel' | 'preempt' }
-  /** The attempt is over, and the task ends with it. */
-  | { kind: 'taskEnded', id: string, index: number, attempt: number, phase: TaskPhase, cause: EndCause, reason: string }
+  /** The attempt is over, and the task ends with it. The target held it, and is empty when it waited. */
+  | { kind: 'taskEnded', id: string, index: number, attempt: number, target: string, phase: TaskPhase, cause: EndCause, reason: string }
   /** The attempt is over, and the task waits again. */
-  | { kind: 'taskRequeued', id: string, index: number, attempt: number, failures: number, cause: EndCause, reason: string, at: number, notBefore: number }
+  | { kind: 'taskRequeued', id: string, index: number, attempt: number, target: string, failures: number, cause: EndCause, reason: string, at: number, notBefore: number }
   | { kind: 'targetAnnounced', target: TargetState }
   | { kind: 'targetPhaseSet', name: string, session: string, phase: TargetPhase }
   | { kind: 'targetRemoved', name: string, session: string }
