--- a/packages/scheduler/src/core/placement/demand.ts
+++ b/packages/scheduler/src/core/placement/demand.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Resources } from '../../types/resources.js'
-import { TaskPhase, type TaskState, type WorkloadState } from '../../types/workloads.js'
+import { startableAt, TaskPhase, type TaskState, type WorkloadState } from '../../types/workloads.js'
 import { isZoneAllowed } from './feasibility.js'
 import type { Worker } from './fleet.js'
 import type { EffectivePolicy } from './policy.js'
@@ -73,7 +73,7 @@
       const index = this.queue[at]
       if (!this.waitingTasks.has(index)) continue
       const task = this.workload.tasks[index]
-      if (task.phase === TaskPhase.waiting && isDue(task, now)) return task
+      if (task.phase === TaskPhase.waiting && isDue(this.workload, task, now)) return task
     }
     return undefined
   }
@@ -130,8 +130,8 @@
 }
 
 /** True when the back-off of a waiting task is over. */
-export function isDue (task: TaskState & { notBefore?: number }, now: number): boolean {
-  return (task.notBefore ?? 0) <= now
+export function isDue (workload: WorkloadState, task: TaskState, now: number): boolean {
+  return startableAt(workload, task) <= now
 }
 
 function count (counts: Map<string, number>, key: string, by: number): void {
