--- a/packages/scheduler/__tests__/cell.ts
+++ b/packages/scheduler/__tests__/cell.ts
@@ -132,21 +132,23 @@
   }
 
   ended (id: string, index: number, phase: TaskPhase = TaskPhase.succeeded): Decision {
-    return { kind: 'taskEnded', id, index, attempt: this.task(id, index).attempt, phase, cause: phase === TaskPhase.succeeded ? EndCause.succeeded : EndCause.failed, reason: '' }
+    const { attempt, target } = this.task(id, index)
+    return { kind: 'taskEnded', id, index, attempt, target, phase, cause: EndCause.succeeded, reason: '' }
   }
 
   requeued (id: string, index: number, failed = false): Decision {
-    const { attempt, failures } = this.task(id, index)
+    const { attempt, target, failures } = this.task(id, index)
     return {
       kind: 'taskRequeued',
       id,
       index,
       attempt,
+      target,
       failures: failed ? failures + 1 : failures,
       cause: failed ? EndCause.failed : EndCause.stopped,
       reason: '',
       at: this.now,
-      notBefore: this.now
+      notBefore: 0
     }
   }
 }
--- a/packages/scheduler/src/core/placement/placement.ts
+++ b/packages/scheduler/src/core/placement/placement.ts
@@ -128,7 +128,7 @@
 
   private placeGang (demand: Demand, step: Step): number {
     const tasks = demand.listWaiting()
-    if (!tasks.every(task => isDue(task, step.now))) return 0
+    if (!tasks.every(task => isDue(demand.workload, task, step.now))) return 0
     const plan = this.planGang(demand, tasks)
     if (plan === undefined) return 0
     for (const [at, task] of tasks.entries()) this.decide(demand, task, plan[at], step)
