Add stand-in runners and tests of the flow through an entry

Cause: the flow had no runner to be tested against.

Shown by: packages/callers/__tests__/flow.test.ts, checks taken from the journals of the runners.

--- /dev/null
+++ b/packages/callers/__tests__/flow.test.ts
@@ -0,0 +1,263 @@
+/**
+ * The flow of requests through an entry, with the scheduler's part behind a
+ * leader in the same process and stand-in runners on the loopback interface.
+ */
+
+import assert from 'node:assert/strict'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { create } from '@bufbuild/protobuf'
+import { SubmitRequestSchema, type RunRequest, type SubmitRequest } from '@flamingorouter/schema'
+import {
+  DEFAULT_LIMITS, ErrorKind, Failure, OutcomeKind, Requests, Scheduler, TargetKind, TargetPhase, createClusterState,
+  type Answer, type Effect, type Event
+} from '@flamingorouter/scheduler'
+import { Behaviour, MemoryJournal, RunServer, type Plan } from '@flamingorouter/targets'
+import { HttpRunnerClient, Leader, RequestFlow, type LeaderCall } from '../src/index.js'
+
+const ENTRY = 'e1'
+const PAYLOAD = new Uint8Array(4_096).fill(7)
+
+interface Pending {
+  resolve: (answer: Answer) => void
+  reject: (error: Error) => void
+}
+
+/** A leader that answers at once, unless told to lose answers. */
+class LocalLeader extends Leader {
+  /** Answers that are lost after the scheduler has handled the question. */
+  losing = 0
+  readonly asked: LeaderCall['kind'][] = []
+  private readonly pending = new Map<number, Pending>()
+  private calls = 0
+
+  constructor (readonly scheduler: Scheduler) {
+    super()
+  }
+
+  override async call (question: LeaderCall): Promise<Answer> {
+    this.calls += 1
+    const call = this.calls
+    this.asked.push(question.kind)
+    return await new Promise((resolve, reject) => {
+      if (this.losing > 0) {
+        this.losing -= 1
+        reject(Failure.create(ErrorKind.unavailable, 'the link was lost'))
+      } else {
+        this.pending.set(call, { resolve, reject })
+      }
+      this.give({ ...question, call, entry: ENTRY } as Event)
+    })
+  }
+
+  give (event: Event): void {
+    for (const effect of this.scheduler.handle(event, Date.now()).effects) this.release(effect)
+  }
+
+  private release (effect: Effect): void {
+    if (effect.kind === 'reply') this.pending.get(effect.call)?.resolve(effect.answer)
+    if (effect.kind === 'refuse') this.pending.get(effect.call)?.reject(Failure.create(effect.error, effect.message))
+  }
+}
+
+describe('request flow', () => {
+  let plans: Record<string, (request: RunRequest) => Plan>
+  let journal: MemoryJournal
+  let servers: RunServer[]
+  let client: HttpRunnerClient
+  let leader: LocalLeader
+  let flow: RequestFlow
+  let createdMs: bigint
+
+  async function addRunner (name: string, isServing = true): Promise<void> {
+    const server = RunServer.create({
+      name,
+      journal: journal.write,
+      plan: request => plans[name]?.(request) ?? { behaviour: Behaviour.answer, workMs: 0 },
+      session: () => `session-${name}`
+    })
+    const address = await server.listen('127.0.0.1')
+    if (isServing) servers.push(server)
+    else await server.die()
+    leader.scheduler.state.targets.set(name, {
+      name,
+      kind: TargetKind.runner,
+      session: `session-${name}`,
+      fence: 1,
+      incarnation: 1,
+      vm: name,
+      rack: 'r',
+      availabilityZone: 'z',
+      address,
+      capacity: { millicores: 0, memoryMib: 0, accelerators: 0 },
+      service: 'lookup',
+      slots: 2,
+      connections: 4,
+      phase: TargetPhase.ready
+    })
+    leader.scheduler.lead(Date.now())
+  }
+
+  function plan (name: string, behaviour: Behaviour, workMs = 0): void {
+    plans[name] = () => ({ behaviour, workMs })
+  }
+
+  function submit (requestId: string, idempotent: boolean, changes: Partial<SubmitRequest> = {}): ReturnType<RequestFlow['submit']> {
+    const fields = { service: 'lookup', requestId, idempotent, deadlineMs: 5_000, payload: PAYLOAD, createdMs }
+    return flow.submit('ann', create(SubmitRequestSchema, { ...fields, ...changes } as never))
+  }
+
+  function runs (event: 'begin' | 'refused' = 'begin'): string[] {
+    return journal.records.filter(record => record.event === event).map(record => record.runner)
+  }
+
+  beforeEach(() => {
+    plans = {}
+    createdMs = BigInt(Date.now())
+    journal = MemoryJournal.create()
+    servers = []
+    client = HttpRunnerClient.create()
+    const requests = Requests.create({ ...DEFAULT_LIMITS, entryLimit: 2 })
+    leader = new LocalLeader(Scheduler.create([requests], createClusterState()))
+    flow = RequestFlow.create({ leader, runners: client, limits: { askAgainMs: 1 } })
+  })
+
+  afterEach(async () => {
+    await client.close()
+    for (const server of servers) await server.die()
+  })
+
+  it('returns the whole answer and frees the slot', async () => {
+    await addRunner('a')
+    const outcome = await submit('1', true)
+    assert.equal(outcome.kind, OutcomeKind.done)
+    assert.deepEqual(Buffer.from(outcome.body), Buffer.from(PAYLOAD))
+    await flow.drain()
+    assert.deepEqual(flow.held(), [])
+    assert.equal(flow.heldBytes, 0)
+  })
+
+  describe('a runner that answers wrongly', () => {
+    const wrong = [Behaviour.truncate, Behaviour.wrongDigest, Behaviour.cutAfter, Behaviour.cutBefore, Behaviour.fail]
+    for (const behaviour of wrong) {
+      it(`is not sent a request that is not idempotent again: ${behaviour}`, async () => {
+        await addRunner('a')
+        await addRunner('b')
+        plan('a', behaviour)
+        plan('b', behaviour)
+        const outcome = await submit('1', false)
+        assert.equal(outcome.kind, OutcomeKind.unknown)
+        assert.equal(runs().length, behaviour === Behaviour.cutBefore ? 0 : 1)
+        assert.equal((await submit('1', false)).kind, OutcomeKind.unknown)
+      })
+
+      it(`has its idempotent requests done by another: ${behaviour}`, async () => {
+        await addRunner('a')
+        await addRunner('b')
+        plan('a', behaviour)
+        for (const id of ['1', '2', '3', '4']) assert.equal((await submit(id, true)).kind, OutcomeKind.done)
+        assert.ok(runs().includes('b'))
+      })
+    }
+
+    it('does not mix up answers when it answers twice', async () => {
+      await addRunner('a')
+      plan('a', Behaviour.answerTwice)
+      for (let index = 0; index < 20; index += 1) {
+        const payload = new Uint8Array(100).fill(index)
+        const outcome = await submit(`${index}`, true, { payload })
+        if (outcome.kind === OutcomeKind.done) assert.deepEqual(Buffer.from(outcome.body), Buffer.from(payload))
+      }
+      assert.ok(runs().length > 0)
+    })
+  })
+
+  describe('a request that did not run', () => {
+    it('is sent elsewhere, even when it is not idempotent, after a refusal or without a connection', async () => {
+      await addRunner('a')
+      await addRunner('b', false)
+      await addRunner('c')
+      plan('a', Behaviour.refuse)
+      for (const id of ['1', '2', '3']) assert.equal((await submit(id, false)).kind, OutcomeKind.done)
+      assert.deepEqual(runs(), ['c', 'c', 'c'])
+    })
+
+    it('is told to be notRun when everybody refuses', async () => {
+      await addRunner('a')
+      plan('a', Behaviour.refuse)
+      const outcome = await submit('1', false)
+      assert.equal(outcome.kind, OutcomeKind.notRun)
+      assert.deepEqual(runs(), [])
+    })
+  })
+
+  describe('a lost link to the leader', () => {
+    it('loses the grant, asks again, and runs the request once', async () => {
+      await addRunner('a')
+      leader.losing = 1
+      assert.equal((await submit('1', false)).kind, OutcomeKind.done)
+      assert.deepEqual(runs(), ['a'])
+      assert.deepEqual(leader.asked, ['acquire', 'acquire', 'settle'])
+    })
+
+    it('loses the report, which is made again until it is taken', async () => {
+      await addRunner('a')
+      plans.a = () => {
+        leader.losing = 3
+        return { behaviour: Behaviour.answer, workMs: 0 }
+      }
+      assert.equal((await submit('1', false)).kind, OutcomeKind.done)
+      assert.deepEqual(leader.asked, ['acquire', 'settle', 'settle', 'settle', 'settle'])
+    })
+  })
+
+  describe('a deadline', () => {
+    it('answers unknown, and the late answer can be fetched', async () => {
+      await addRunner('a')
+      plans.a = request => {
+        // A runner that overruns the time that it was given.
+        request.deadlineMs = 10_000
+        return { behaviour: Behaviour.answer, workMs: 300 }
+      }
+      assert.equal((await submit('1', false, { deadlineMs: 100 })).kind, OutcomeKind.unknown)
+      assert.equal(flow.held().length, 1)
+      await flow.drain()
+      const late = await leader.call({ kind: 'fetchOutcome', caller: 'ann', requestId: '1' })
+      assert.ok(late.kind === 'outcome')
+      assert.equal(late.outcome.kind, OutcomeKind.done)
+      assert.equal(runs().length, 1)
+    })
+  })
+
+  describe('a planned stop', () => {
+    it('refuses new requests, and waits for those in flight', async () => {
+      await addRunner('a')
+      plan('a', Behaviour.answer, 50)
+      const running = submit('1', false)
+      const drained = flow.drain()
+      await assert.rejects(submit('2', false), { kind: ErrorKind.unavailable, retryAfterMs: 1_000 })
+      await drained
+      assert.equal((await running).kind, OutcomeKind.done)
+    })
+  })
+
+  describe('callers that never read', () => {
+    it('are refused more once the entry holds too many bytes, until answers are read', async () => {
+      await addRunner('a')
+      flow = RequestFlow.create({ leader, runners: client, limits: { heldBytes: 3 * PAYLOAD.length } })
+      let read: () => void = () => {}
+      const closed = new Promise<void>(resolve => { read = resolve })
+      const send = (requestId: string): ReturnType<RequestFlow['submit']> => {
+        const fields = { service: 'lookup', requestId, idempotent: true, deadlineMs: 5_000, payload: PAYLOAD }
+        return flow.submit('ann', create(SubmitRequestSchema, fields), closed)
+      }
+      for (const id of ['1', '2', '3']) {
+        await send(id)
+        while (flow.inFlight > 0) await new Promise(resolve => { setImmediate(resolve) })
+      }
+      await assert.rejects(send('4'), { kind: ErrorKind.resourceExhausted })
+      read()
+      await closed
+      assert.equal((await send('5')).kind, OutcomeKind.done)
+    })
+  })
+})
--- a/packages/scheduler/src/core/requests/requests.ts
+++ b/packages/scheduler/src/core/requests/requests.ts
@@ -66,6 +66,15 @@
     this.recent = RecentOutcomes.create(limits.recentLimit)
   }
 
+  /** Slots in use on a runner. */
+  inFlight (name: string): number {
+    for (const service of this.services.values()) {
+      const runner = service.runners.get(name)
+      if (runner !== undefined) return runner.held.size
+    }
+    return 0
+  }
+
   override reset (state: ClusterState, now: number): void {
     this.services = new Map()
     this.live = new Map()
--- a/packages/targets/src/internal.ts
+++ b/packages/targets/src/internal.ts
@@ -1,1 +1,8 @@
-export {}
+/**
+ * Re-exports every module of the package, so that import order is settled here.
+ */
+
+export * from './standin/journal.js'
+export * from './standin/behaviour.js'
+export * from './standin/run-server.js'
+export * from './standin/runner.js'
