Serve every method over HTTP and bind it to the scheduler

Cause: the schema and the scheduler stood apart, with no server between them. Change: RpcServer (h3 on node:http) speaks the unary Connect protocol in JSON and binary, checks head, caller, size, shape and fields in that order, and answers errors from the closed table with one ErrorDetail. RpcClient (undici) maps them back.

--- /dev/null
+++ b/packages/operators/src/core/bindings.ts
@@ -0,0 +1,11 @@
+/**
+ * Every binding of the operator service. GetConfigurationStatus, ListMembers,
+ * AddMember and RemoveMember need more than the state and are not among them.
+ */
+
+import type { Binding } from '@flamingorouter/rpc'
+import { cellBindings } from './cell.js'
+import { configurationBindings } from './configuration.js'
+import { workloadBindings } from './workloads.js'
+
+export const operatorBindings: readonly Binding[] = [...workloadBindings, ...configurationBindings, ...cellBindings]
--- /dev/null
+++ b/packages/operators/src/core/cell.ts
@@ -0,0 +1,159 @@
+/**
+ * The cell as a whole: drains, status and the audit trail.
+ */
+
+import { create, type MessageInitShape } from '@bufbuild/protobuf'
+import {
+  expectAnswer, fromResources, originOf, pageSize, requireAllTeams, type Binding, type EventBinding, type ReadBinding
+} from '@flamingorouter/rpc'
+import {
+  NO_RESOURCES, TargetKind, TaskPhase, type AuditEntry, type ClusterState, type Resources, type TargetState
+} from '@flamingorouter/scheduler'
+import {
+  DrainResponseSchema, GetStatusResponseSchema, ListAuditResponseSchema, OperatorService, ReadmitResponseSchema,
+  type AuditEntrySchema, type DrainRequestSchema, type GetStatusRequestSchema, type GetStatusResponse,
+  type ListAuditRequest, type ListAuditRequestSchema, type ReadmitRequestSchema, type TargetStatusSchema
+} from '@flamingorouter/schema'
+import { addResources, holdsWorker, sumCapacity } from './sums.js'
+
+const { method } = OperatorService
+
+/** What the status tells beyond the durable state. */
+export interface CellFacts {
+  leader: string
+  term: number
+  committed: number
+  /** Entries that are connected. */
+  entries: number
+  warnings: string[]
+}
+
+const NO_FACTS: Readonly<CellFacts> = Object.freeze({ leader: '', term: 0, committed: 0, entries: 0, warnings: [] })
+
+const drain: EventBinding<typeof DrainRequestSchema, typeof DrainResponseSchema> = {
+  kind: 'event',
+  method: method.drain,
+  toEvent: (request, context) => {
+    requireAllTeams(context)
+    const { vm, target, reason } = request
+    const origin = originOf(method.drain, request.requestId, context)
+    return { kind: 'drain', call: context.call, origin, vm, target, reason }
+  },
+  toResponse: answer => create(DrainResponseSchema, { targets: expectAnswer(answer, 'targets').count })
+}
+
+const readmit: EventBinding<typeof ReadmitRequestSchema, typeof ReadmitResponseSchema> = {
+  kind: 'event',
+  method: method.readmit,
+  toEvent: (request, context) => {
+    requireAllTeams(context)
+    const { vm, target } = request
+    const origin = originOf(method.readmit, request.requestId, context)
+    return { kind: 'readmit', call: context.call, origin, vm, target }
+  },
+  toResponse: answer => create(ReadmitResponseSchema, { targets: expectAnswer(answer, 'targets').count })
+}
+
+const getStatus: ReadBinding<typeof GetStatusRequestSchema, typeof GetStatusResponseSchema> = {
+  kind: 'read',
+  method: method.getStatus,
+  read: (_request, _context, state) => describeCell(state, NO_FACTS)
+}
+
+const listAudit: ReadBinding<typeof ListAuditRequestSchema, typeof ListAuditResponseSchema> = {
+  kind: 'read',
+  method: method.listAudit,
+  read: (request, context, state) => {
+    requireAllTeams(context)
+    return create(ListAuditResponseSchema, { entries: selectAudit(state.audit, request).map(fromAudit) })
+  }
+}
+
+export const cellBindings: readonly Binding[] = [drain, readmit, getStatus, listAudit]
+
+/** The status of the cell from its state and what the leading process knows besides. */
+export function describeCell (state: ClusterState, facts: CellFacts): GetStatusResponse {
+  const held = new Map<string, { reserved: Resources, tasks: number }>()
+  let waiting = 0
+  let running = 0
+  for (const { ended, spec, tasks } of state.workloads.values()) {
+    if (ended) continue
+    for (const task of tasks) {
+      if (task.phase === TaskPhase.waiting) waiting += 1
+      if (task.phase === TaskPhase.running) running += 1
+      if (!holdsWorker(task)) continue
+      const on = held.get(task.target) ?? { reserved: { ...NO_RESOURCES }, tasks: 0 }
+      addResources(on.reserved, spec.resources)
+      on.tasks += 1
+      held.set(task.target, on)
+    }
+  }
+  const reserved = { ...NO_RESOURCES }
+  for (const each of held.values()) addResources(reserved, each.reserved)
+  const targets = [...state.targets.values()]
+  const workers = targets.filter(target => target.kind === TargetKind.worker).length
+  return create(GetStatusResponseSchema, {
+    leader: facts.leader,
+    term: BigInt(facts.term),
+    committed: BigInt(facts.committed),
+    workers,
+    runners: targets.length - workers,
+    entries: facts.entries,
+    tasksWaiting: waiting,
+    tasksRunning: running,
+    capacity: fromResources(sumCapacity(state)),
+    reserved: fromResources(reserved),
+    warnings: facts.warnings,
+    targets: targets.map(target => fromTarget(target, held.get(target.name)))
+  })
+}
+
+function fromTarget (
+  target: TargetState,
+  held: { reserved: Resources, tasks: number } | undefined
+): MessageInitShape<typeof TargetStatusSchema> {
+  const { name, vm, rack, availabilityZone, kind, phase } = target
+  return {
+    name,
+    vm,
+    rack,
+    availabilityZone,
+    kind,
+    phase,
+    capacity: fromResources(target.capacity),
+    reserved: fromResources(held?.reserved ?? NO_RESOURCES),
+    tasks: held?.tasks ?? 0
+  }
+}
+
+function selectAudit (audit: readonly AuditEntry[], request: ListAuditRequest): AuditEntry[] {
+  const limit = pageSize(request.limit)
+  const after = Number(request.after)
+  const selected: AuditEntry[] = []
+  for (let step = 0; step < audit.length && selected.length < limit; step += 1) {
+    const entry = request.latest ? audit[audit.length - 1 - step] : audit[step]
+    if (entry.number > after && matchesAudit(entry, request)) selected.push(entry)
+  }
+  return request.latest ? selected.reverse() : selected
+}
+
+function matchesAudit (entry: AuditEntry, request: ListAuditRequest): boolean {
+  if (request.actor !== '' && entry.actor !== request.actor) return false
+  if (request.method !== '' && entry.method !== request.method) return false
+  return request.subject === '' || entry.subject === request.subject
+}
+
+function fromAudit (entry: AuditEntry): MessageInitShape<typeof AuditEntrySchema> {
+  const { actor, method, subject, before, after, refusal, requestId } = entry
+  return {
+    number: BigInt(entry.number),
+    timeMs: BigInt(Math.round(entry.timeMs)),
+    actor,
+    method,
+    subject,
+    before,
+    after,
+    refusal,
+    requestId
+  }
+}
--- /dev/null
+++ b/packages/operators/src/core/sums.ts
@@ -0,0 +1,26 @@
+/**
+ * Sums of resources over the state.
+ */
+
+import { NO_RESOURCES, TargetKind, TaskPhase, type ClusterState, type Resources, type TaskState } from '@flamingorouter/scheduler'
+
+/** Adds `count` times an amount to a sum. */
+export function addResources (sum: Resources, amount: Resources, count = 1): void {
+  sum.millicores += amount.millicores * count
+  sum.memoryMib += amount.memoryMib * count
+  sum.accelerators += amount.accelerators * count
+}
+
+/** True while a worker holds the task, started or not. */
+export function holdsWorker (task: TaskState): boolean {
+  return task.phase === TaskPhase.placed || task.phase === TaskPhase.running
+}
+
+/** Capacity of all workers. */
+export function sumCapacity (state: ClusterState): Resources {
+  const sum = { ...NO_RESOURCES }
+  for (const target of state.targets.values()) {
+    if (target.kind === TargetKind.worker) addResources(sum, target.capacity)
+  }
+  return sum
+}
--- /dev/null
+++ b/packages/operators/src/core/workloads.ts
@@ -0,0 +1,143 @@
+/**
+ * Workloads: apply, get, list, watch, delete and explain.
+ */
+
+import { create } from '@bufbuild/protobuf'
+import {
+  expectAnswer, findWorkload, fromWorkload, matchesLabels, mayRead, originOf, pageSize, requireAllTeams, requireTeam,
+  toKind, toSpec, vmNames, type Binding, type EventBinding, type ReadBinding
+} from '@flamingorouter/rpc'
+import type { ClusterState, WorkloadState } from '@flamingorouter/scheduler'
+import {
+  ApplyWorkloadResponseSchema, DeleteWorkloadResponseSchema, ExplainResponseSchema, GetWorkloadResponseSchema,
+  ListWorkloadsResponseSchema, OperatorService, type ApplyWorkloadRequestSchema, type DeleteWorkloadRequestSchema,
+  type ExplainRequestSchema, type GetWorkloadRequestSchema, type ListWorkloadsRequest, type ListWorkloadsRequestSchema,
+  type ListWorkloadsResponse, type WatchWorkloadsRequestSchema, type WorkloadSpec
+} from '@flamingorouter/schema'
+
+const { method } = OperatorService
+
+/** A workload of an operator is known by the name in its specification. */
+const applyWorkload: EventBinding<typeof ApplyWorkloadRequestSchema, typeof ApplyWorkloadResponseSchema> = {
+  kind: 'event',
+  method: method.applyWorkload,
+  toEvent: (request, context) => {
+    const spec = toSpec(request.spec as WorkloadSpec, context.team)
+    requireTeam(spec.team, context)
+    return {
+      kind: 'applyWorkload',
+      call: context.call,
+      origin: originOf(method.applyWorkload, request.requestId, context),
+      id: spec.name,
+      spec,
+      expectedVersion: Number(request.expectedVersion)
+    }
+  },
+  toResponse: answer => {
+    const { id, version } = expectAnswer(answer, 'applied')
+    return create(ApplyWorkloadResponseSchema, { id, version: BigInt(version) })
+  }
+}
+
+const getWorkload: ReadBinding<typeof GetWorkloadRequestSchema, typeof GetWorkloadResponseSchema> = {
+  kind: 'read',
+  method: method.getWorkload,
+  read: (request, context, state) => create(GetWorkloadResponseSchema, {
+    status: fromWorkload(findWorkload(state, request.id, context), { tasks: true, vmOf: vmNames(state) })
+  })
+}
+
+const listWorkloads: ReadBinding<typeof ListWorkloadsRequestSchema, typeof ListWorkloadsResponseSchema> = {
+  kind: 'read',
+  method: method.listWorkloads,
+  read: (request, context, state) => {
+    const isMatch = (workload: WorkloadState): boolean =>
+      mayRead(workload.spec.team, context) && matchesFilter(workload, request)
+    return describe(state, selectFirst(state, isMatch, request.afterId, pageSize(request.limit)))
+  }
+}
+
+const watchWorkloads: ReadBinding<typeof WatchWorkloadsRequestSchema, typeof ListWorkloadsResponseSchema> = {
+  kind: 'read',
+  method: method.watchWorkloads,
+  read: (request, context, state) => {
+    const after = Number(request.afterChange)
+    const changed = [...state.workloads.values()]
+      .filter(workload => workload.change > after && mayRead(workload.spec.team, context))
+    return describe(state, changed)
+  },
+  waitMs: request => request.waitMs,
+  isChanged: (request, state) => {
+    const after = Number(request.afterChange)
+    for (const workload of state.workloads.values()) {
+      if (workload.change > after) return true
+    }
+    return false
+  }
+}
+
+const deleteWorkload: EventBinding<typeof DeleteWorkloadRequestSchema, typeof DeleteWorkloadResponseSchema> = {
+  kind: 'event',
+  method: method.deleteWorkload,
+  toEvent: (request, context) => {
+    requireAllTeams(context)
+    return {
+      kind: 'deleteWorkload',
+      call: context.call,
+      origin: originOf(method.deleteWorkload, request.requestId, context),
+      id: request.id,
+      expectedVersion: Number(request.expectedVersion)
+    }
+  },
+  toResponse: answer => create(DeleteWorkloadResponseSchema, { version: BigInt(expectAnswer(answer, 'applied').version) })
+}
+
+const explain: EventBinding<typeof ExplainRequestSchema, typeof ExplainResponseSchema> = {
+  kind: 'event',
+  method: method.explain,
+  toEvent: (request, context) => {
+    requireAllTeams(context)
+    return { kind: 'explain', call: context.call, id: request.id }
+  },
+  toResponse: answer => create(ExplainResponseSchema, expectAnswer(answer, 'explained'))
+}
+
+export const workloadBindings: readonly Binding[] =
+  [applyWorkload, getWorkload, listWorkloads, watchWorkloads, deleteWorkload, explain]
+
+function describe (state: ClusterState, workloads: readonly WorkloadState[]): ListWorkloadsResponse {
+  const vmOf = vmNames(state)
+  return create(ListWorkloadsResponseSchema, {
+    workloads: workloads.map(workload => fromWorkload(workload, { tasks: false, vmOf })),
+    change: BigInt(state.change)
+  })
+}
+
+function matchesFilter ({ spec }: WorkloadState, request: ListWorkloadsRequest): boolean {
+  const kind = toKind(request.kind)
+  if (kind !== '' && spec.kind !== kind) return false
+  if (request.team !== '' && spec.team !== request.team) return false
+  return matchesLabels(spec.labels, request.selector)
+}
+
+/**
+ * The first `limit` matching workloads by id after `afterId`. Keeps at most
+ * twice as many ids at once, so that a page of a large state is not a sort of it.
+ */
+function selectFirst (
+  state: ClusterState,
+  isMatch: (workload: WorkloadState) => boolean,
+  afterId: string,
+  limit: number
+): WorkloadState[] {
+  let kept: string[] = []
+  let bound: string | undefined
+  for (const [id, workload] of state.workloads) {
+    if (id <= afterId || (bound !== undefined && id >= bound) || !isMatch(workload)) continue
+    kept.push(id)
+    if (kept.length < limit * 2) continue
+    kept = kept.sort().slice(0, limit)
+    bound = kept[limit - 1]
+  }
+  return kept.sort().slice(0, limit).map(id => state.workloads.get(id) as WorkloadState)
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,5 @@
+/**
+ * The peer "platform": what the host of the VMs tells the system.
+ */
+
 export * from './internal.js'
--- a/packages/rpc/src/internal.ts
+++ b/packages/rpc/src/internal.ts
@@ -2,4 +2,17 @@
  * Re-exports every module of the package, so that import order is settled here.
  */
 
+export * from './types/violation.js'
+export * from './types/principal.js'
+export * from './types/call.js'
+export * from './types/limits.js'
 export * from './types/binding.js'
+export * from './utils/wire.js'
+export * from './utils/codec.js'
+export * from './utils/checks.js'
+export * from './utils/workloads.js'
+export * from './utils/bindings.js'
+export * from './utils/body.js'
+export * from './core/loopback.js'
+export * from './core/server.js'
+export * from './core/client.js'
--- /dev/null
+++ b/packages/rpc/src/utils/codec.ts
@@ -0,0 +1,99 @@
+/**
+ * The two encodings of a message: binary and JSON. Both refuse what the schema
+ * does not name, since an unknown field may ask for something that would
+ * silently not be done.
+ */
+
+import {
+  fromBinary, fromJsonString, isMessage, toBinary, toJsonString,
+  type DescField, type DescMessage, type Message
+} from '@bufbuild/protobuf'
+import { ErrorKind, Failure } from '@flamingorouter/scheduler'
+import type { RpcResult } from '../types/call.js'
+import type { Violation } from '../types/violation.js'
+import { failViolations } from './wire.js'
+
+export const ContentType = Object.freeze({ json: 'application/json', proto: 'application/proto' } as const)
+export type ContentType = typeof ContentType[keyof typeof ContentType]
+
+const utf8 = new TextDecoder('utf-8', { fatal: true })
+
+/** The encoding that a Content-Type header names, or undefined for any other. */
+export function parseContentType (header: string | undefined): ContentType | undefined {
+  const type = (header ?? '').split(';', 1)[0].trim().toLowerCase()
+  if (type === ContentType.json) return ContentType.json
+  if (type === ContentType.proto) return ContentType.proto
+  return undefined
+}
+
+/** Throws a Failure of kind invalidArgument when the bytes are no such message. */
+export function decodeMessage (schema: DescMessage, type: ContentType, bytes: Uint8Array): Message {
+  const message = type === ContentType.json ? decodeJson(schema, bytes) : decodeBinary(schema, bytes)
+  const violations: Violation[] = []
+  findUnknown(schema, message, '', violations)
+  if (violations.length > 0) failViolations(violations)
+  return message
+}
+
+/** Encodes a response, which a handler may have left in binary. */
+export function encodeResult (schema: DescMessage, type: ContentType, result: RpcResult): Uint8Array | string {
+  if (type === ContentType.proto) return isMessage(result) ? toBinary(schema, result) : result as Uint8Array
+  const message = isMessage(result) ? result : fromBinary(schema, result as Uint8Array)
+  return toJsonString(schema, message, { alwaysEmitImplicit: true })
+}
+
+function decodeJson (schema: DescMessage, bytes: Uint8Array): Message {
+  try {
+    return fromJsonString(schema, utf8.decode(bytes), { ignoreUnknownFields: false })
+  } catch (error) {
+    throw refusal('the body is not a JSON message of this method', error)
+  }
+}
+
+function decodeBinary (schema: DescMessage, bytes: Uint8Array): Message {
+  try {
+    return fromBinary(schema, bytes)
+  } catch (error) {
+    throw refusal('the body is not a binary message of this method', error)
+  }
+}
+
+function refusal (text: string, error: unknown): Failure {
+  const reason = error instanceof Error ? error.message : String(error)
+  return Failure.create(ErrorKind.invalidArgument, `${text}: ${reason}`)
+}
+
+/** Reports fields and enum numbers that the schema does not name, at any depth. */
+function findUnknown (schema: DescMessage, message: Message, path: string, report: Violation[]): void {
+  for (const { no } of message.$unknown ?? []) {
+    report.push({ path: `${path}#${no}`, expected: `a field of ${schema.name}`, found: `unknown field ${no}` })
+  }
+  for (const field of schema.fields) {
+    const value = readField(field, message)
+    if (value !== undefined) findUnknownIn(field, value, path + field.jsonName, report)
+  }
+}
+
+function findUnknownIn (field: DescField, value: unknown, path: string, report: Violation[]): void {
+  if (field.fieldKind === 'enum') {
+    if (field.enum.value[value as number] !== undefined) return
+    report.push({ path, expected: `a value of ${field.enum.name}`, found: String(value) })
+    return
+  }
+  if (field.fieldKind === 'message') {
+    findUnknown(field.message, value as Message, `${path}.`, report)
+    return
+  }
+  if (field.fieldKind !== 'list' || field.listKind !== 'message') return
+  const items = value as Message[]
+  for (let index = 0; index < items.length; index += 1) {
+    findUnknown(field.message, items[index], `${path}[${index}].`, report)
+  }
+}
+
+function readField (field: DescField, message: Message): unknown {
+  const record = message as unknown as Record<string, unknown>
+  if (field.oneof === undefined) return record[field.localName]
+  const chosen = record[field.oneof.localName] as { case?: string, value?: unknown }
+  return chosen.case === field.localName ? chosen.value : undefined
+}
--- /dev/null
+++ b/packages/targets/src/core/rules.ts
@@ -0,0 +1,67 @@
+/**
+ * The rules on what targets say of themselves.
+ */
+
+import {
+  address, all, checkNeed, checkReason, checkResources, choice, each, fields, identifier, integer, name, oneOfFields,
+  optional, required, Role, type MethodRules
+} from '@flamingorouter/rpc'
+import {
+  TargetService, TaskResultSchema, type AnnounceRequest, type LeaveRequest, type RenewRequest, type RunnerFacts,
+  type TaskEnd, type TaskUsage, type WorkerFacts
+} from '@flamingorouter/schema'
+
+const MAX_SLOTS = 1_024
+const MAX_CONNECTIONS = 65_536
+const MAX_TASKS = 10_000
+const ROLES: readonly Role[] = [Role.target]
+
+/** Every method that targets call. */
+export const targetMethods: readonly MethodRules[] = [
+  {
+    method: TargetService.method.announce,
+    roles: ROLES,
+    check: all(
+      fields<AnnounceRequest>({
+        name: name(),
+        incarnation: integer(0),
+        vm: name(),
+        rack: optional(name()),
+        availabilityZone: name(),
+        address: address(),
+        worker: optional(fields<WorkerFacts>({ capacity: required(checkNeed) })),
+        runner: optional(fields<RunnerFacts>({
+          service: name(),
+          slots: integer(1, MAX_SLOTS),
+          connections: integer(1, MAX_CONNECTIONS)
+        }))
+      }),
+      oneOfFields<AnnounceRequest>(['worker', 'runner'])
+    )
+  },
+  {
+    method: TargetService.method.renew,
+    roles: ROLES,
+    check: fields<RenewRequest>({
+      session: identifier(),
+      name: name(),
+      running: each(fields<TaskUsage>({
+        task: identifier(),
+        attempt: integer(1),
+        usage: optional(checkResources)
+      }), MAX_TASKS),
+      ended: each(fields<TaskEnd>({
+        task: identifier(),
+        attempt: integer(1),
+        result: choice(TaskResultSchema),
+        reason: checkReason,
+        runMs: integer(0)
+      }), MAX_TASKS)
+    })
+  },
+  {
+    method: TargetService.method.leave,
+    roles: ROLES,
+    check: fields<LeaveRequest>({ session: identifier(), name: name(), reason: checkReason })
+  }
+]
