--- a/packages/callers/src/internal.ts
+++ b/packages/callers/src/internal.ts
@@ -4,3 +4,9 @@
 
 export * from './bindings/rules.js'
 export * from './bindings/jobs.js'
+export * from './types/clients.js'
+export * from './types/limits.js'
+export * from './core/byte-account.js'
+export * from './core/http-runner-client.js'
+export * from './core/submission.js'
+export * from './core/request-flow.js'
