--- a/packages/callers/src/internal.ts
+++ b/packages/callers/src/internal.ts
@@ -2,6 +2,8 @@
  * Re-exports every module of the package, so that import order is settled here.
  */
 
+export * from './bindings/rules.js'
+export * from './bindings/jobs.js'
 export * from './types/clients.js'
 export * from './types/limits.js'
 export * from './core/byte-account.js'
