--- a/packages/callers/src/core/request-flow.ts
+++ b/packages/callers/src/core/request-flow.ts
@@ -13,6 +13,7 @@
 import {
   DEADLINE_LIMIT_MS, DEFAULT_FLOW_LIMITS, PAYLOAD_LIMIT, REQUEST_ID_LIMIT, type FlowLimits
 } from '../types/limits.js'
+import { SystemTimers, type Timers } from '../types/timers.js'
 import { ByteAccount } from './byte-account.js'
 import { Submission } from './submission.js'
 
@@ -20,12 +21,14 @@
   leader: Leader
   runners: RunnerClient
   limits?: Partial<FlowLimits>
+  timers?: Timers
 }
 
 export class RequestFlow {
   private readonly submissions = new Set<Submission>()
   private readonly bytes: ByteAccount
   private readonly limits: FlowLimits
+  private readonly timers: Timers
   private isDraining = false
   private drained: Array<() => void> = []
 
@@ -35,6 +38,7 @@
 
   private constructor (private readonly options: RequestFlowOptions) {
     this.limits = { ...DEFAULT_FLOW_LIMITS, ...options.limits }
+    this.timers = options.timers ?? SystemTimers.create()
     this.bytes = ByteAccount.create(this.limits.heldBytes)
   }
 
@@ -57,7 +61,7 @@
     this.refuseWhenDraining()
     const facts = readFacts(caller, request)
     this.bytes.take(request.payload.length)
-    const submission = Submission.create({ ...this.options, limits: this.limits, facts, payload: request.payload })
+    const submission = Submission.create({ ...this.options, limits: this.limits, timers: this.timers, facts, payload: request.payload })
     this.submissions.add(submission)
     submission.over.then(() => { this.end(submission, request.payload.length) }, () => {})
     const outcome = await submission.outcome
@@ -135,10 +139,10 @@
   return fail(ErrorKind.invalidArgument, `urgency: expected 1, 2 or 3, found ${urgency}`)
 }
 
-/** What a repeat must share with the first; the deadline may differ. */
+/** What a repeat must share with the first; the deadline and the urgency may differ. */
 function contentDigest (request: SubmitRequest): string {
   const hash = createHash('sha256')
-  hash.update(JSON.stringify([request.service, request.idempotent, request.urgency, String(request.createdMs)]))
+  hash.update(JSON.stringify([request.service, request.idempotent, String(request.createdMs)]))
   hash.update(request.payload)
   return hash.digest('hex')
 }
--- a/packages/callers/src/core/submission.ts
+++ b/packages/callers/src/core/submission.ts
@@ -13,11 +13,13 @@
 } from '@flamingorouter/scheduler'
 import type { Leader, LeaderCall, RunEnd, RunnerClient } from '../types/clients.js'
 import type { FlowLimits } from '../types/limits.js'
+import type { Timers } from '../types/timers.js'
 
 export interface SubmissionOptions {
   leader: Leader
   runners: RunnerClient
   limits: FlowLimits
+  timers: Timers
   facts: RequestFacts
   payload: Uint8Array
 }
@@ -34,7 +36,7 @@
   private mayHaveRun = false
   private isAnswered = false
   private known: Outcome | undefined
-  private timer: NodeJS.Timeout | undefined
+  private callOff: () => void
   private answer: (outcome: Outcome) => void = () => {}
   private refuse: (failure: Error) => void = () => {}
 
@@ -44,12 +46,12 @@
 
   private constructor (private readonly options: SubmissionOptions) {
     const { facts } = options
-    this.deadlineAt = performance.now() + facts.deadlineMs
+    this.deadlineAt = this.options.timers.now() + facts.deadlineMs
     this.outcome = new Promise((resolve, reject) => {
       this.answer = resolve
       this.refuse = reject
     })
-    this.timer = setTimeout(() => { this.reachDeadline() }, facts.deadlineMs)
+    this.callOff = options.timers.after(facts.deadlineMs, () => { this.reachDeadline() })
     this.over = this.run()
   }
 
@@ -63,7 +65,7 @@
   }
 
   private get leftMs (): number {
-    return this.deadlineAt - performance.now()
+    return this.deadlineAt - this.options.timers.now()
   }
 
   private async run (): Promise<void> {
@@ -74,7 +76,7 @@
     } catch (error) {
       this.refuseCaller(toFailure(error))
     } finally {
-      clearTimeout(this.timer)
+      this.callOff()
     }
   }
 
@@ -88,7 +90,7 @@
         return await this.options.leader.call({ kind: 'acquire', facts: { ...facts, deadlineMs } })
       } catch (error) {
         if (!isLost(error) || this.leftMs + limits.leaderGraceMs <= 0) throw error
-        await pause(limits.askAgainMs)
+        await this.options.timers.pause(limits.askAgainMs)
       }
     }
   }
@@ -103,14 +105,14 @@
     const { facts, limits } = this.options
     const { caller, requestId } = facts
     const question: LeaderCall = { kind: 'settle', grant: grant.id, caller, requestId, outcome, retry }
-    const until = performance.now() + limits.reportMs
+    const until = this.options.timers.now() + limits.reportMs
     for (;;) {
       try {
         return await this.options.leader.call(question)
       } catch (error) {
         if (isKind(error, ErrorKind.notFound)) return await this.acquireAgain()
-        if (!isLost(error) || performance.now() > until) throw error
-        await pause(limits.askAgainMs)
+        if (!isLost(error) || this.options.timers.now() > until) throw error
+        await this.options.timers.pause(limits.askAgainMs)
       }
     }
   }
@@ -165,9 +167,9 @@
     if (this.grant !== undefined) {
       return this.answerCaller(bare(OutcomeKind.unknown, 'the runner had not answered at the deadline'))
     }
-    this.timer = setTimeout(() => {
+    this.callOff = this.options.timers.after(this.options.limits.leaderGraceMs, () => {
       this.answerCaller(bare(OutcomeKind.unknown, 'no leader had answered at the deadline'))
-    }, this.options.limits.leaderGraceMs)
+    })
   }
 
   private answerCaller (outcome: Outcome): void {
@@ -197,7 +199,3 @@
 function isLost (error: unknown): boolean {
   return isKind(error, ErrorKind.unavailable) || isKind(error, ErrorKind.notLeader)
 }
-
-async function pause (ms: number): Promise<void> {
-  await new Promise(resolve => { setTimeout(resolve, ms) })
-}
--- a/packages/scheduler/src/core/apply.ts
+++ b/packages/scheduler/src/core/apply.ts
@@ -42,7 +42,10 @@
       return
     case 'requestSettled': return settleRequest(state, decision)
     case 'requestForgotten': return forgetRequest(state, decision.key)
-    case 'entryExtended': state.entries.set(decision.entry.name, decision.entry); return
+    case 'entryExtended':
+      state.entries.set(decision.entry.name, decision.entry)
+      state.grantHorizon = Math.max(state.grantHorizon, decision.entry.horizon)
+      return
     case 'entryForgotten': state.entries.delete(decision.name); return
     case 'teamPut':
       state.teams.set(decision.team.name, decision.team)
--- a/packages/scheduler/src/core/requests/requests.ts
+++ b/packages/scheduler/src/core/requests/requests.ts
@@ -21,6 +21,7 @@
 import type { Step } from '../step.js'
 import { bare, createLiveRequest, type HeldSlot, type LiveRequest } from './live.js'
 import { RecentOutcomes } from './recent.js'
+import { RunFilter } from './run-filter.js'
 import { lowestSlot, type Runner } from './runners.js'
 import { Service } from './service.js'
 
@@ -51,6 +52,9 @@
   private recent: RecentOutcomes
   /** Entries of an earlier leader that have not told what they hold, and until when they may hold it. */
   private silent = new Map<string, number>()
+  private filter: RunFilter
+  /** What was made later than this was not granted by an earlier leader; 0 when there was none. */
+  private knownSince = 0
   private bodyBytes = 0
   /** Tells the grants of this term from those of others; 0 until the term has decided something. */
   private epoch = 0
@@ -64,6 +68,7 @@
   private constructor (private readonly limits: Limits, private readonly options: RequestOptions) {
     super()
     this.recent = RecentOutcomes.create(limits.recentLimit)
+    this.filter = RunFilter.create(limits.retentionMs, 0)
   }
 
   /** Slots in use on a runner. */
@@ -82,6 +87,8 @@
     this.recent = RecentOutcomes.create(this.limits.recentLimit)
     this.silent = new Map()
     this.changed = new Set()
+    this.filter = RunFilter.create(this.limits.retentionMs, now)
+    this.knownSince = state.grantHorizon === 0 ? 0 : now + CLOCK_AHEAD_MS
     this.bodyBytes = 0
     this.epoch = 0
     for (const target of state.targets.values()) this.putRunner(target, state)
@@ -308,6 +315,7 @@
     const held = this.grants.get(event.grant)
     const key = requestKey(event.caller, event.requestId)
     const live = this.live.get(key)
+    if (event.outcome.kind !== OutcomeKind.notRun) this.filter.add(key, step.now)
     if (held !== undefined) this.learnEnd(held, live, event.outcome, step)
     if (live?.held?.id === event.grant) return this.endGrant(live, event, step)
     const record = step.state.requests.get(key)
@@ -373,7 +381,7 @@
   /** Settles a request and answers all that wait for it. */
   private finish (live: LiveRequest, ending: Outcome, step: Step): void {
     if (live.phase === 'over') return
-    const outcome = truthful(live, ending)
+    const outcome = this.truthful(live, ending, step)
     const wasQueued = live.phase === 'waiting' && this.live.has(live.key)
     live.phase = 'over'
     this.live.delete(live.key)
@@ -384,6 +392,21 @@
     for (const waiter of live.waiters) step.reply(waiter.call, answer)
   }
 
+  /** What was not run in the end may have run at an earlier try or under an earlier leader. */
+  private truthful (live: LiveRequest, outcome: Outcome, step: Step): Outcome {
+    const saysNotRun = outcome.kind === OutcomeKind.notRun || outcome.kind === OutcomeKind.cancelled
+    if (!saysNotRun || !(live.mayHaveRun || this.mayHaveRunBefore(live, step))) return outcome
+    return { ...outcome, kind: OutcomeKind.unknown }
+  }
+
+  /** A request that is not idempotent has a record instead. */
+  private mayHaveRunBefore ({ facts, key }: LiveRequest, step: Step): boolean {
+    if (!facts.idempotent) return false
+    if (this.filter.mayHold(key)) return true
+    if (this.knownSince === 0 || facts.createdMs > this.knownSince) return false
+    return facts.createdMs > 0 || step.now < step.state.grantHorizon + this.limits.retentionMs
+  }
+
   private keep (live: LiveRequest, outcome: Outcome, step: Step): void {
     if (live.facts.idempotent) {
       // One that is told to come back may do so under the same id.
@@ -441,6 +464,7 @@
     for (const held of [...this.grants.values()]) {
       if (step.now < held.expiresAt + this.limits.driftMs) continue
       this.releaseHeld(held)
+      this.filter.add(held.key, step.now)
       const live = this.live.get(held.key)
       if (live?.held !== held) continue
       this.finish(live, bare(OutcomeKind.unknown, 'nobody told how it ended'), step)
@@ -535,6 +559,9 @@
 
   /** Goes on for the next caller that waits, or drops a request for which nobody does. */
   private abandon (live: LiveRequest, step: Step): void {
+    if (live.waiters.length === 0 && step.state.requests.has(live.key)) {
+      return this.finish(live, bare(OutcomeKind.notRun, 'its entry was lost before it was sent'), step)
+    }
     live.phase = 'over'
     this.live.delete(live.key)
     const service = this.service(live.facts.service)
@@ -607,12 +634,6 @@
   }
 }
 
-/** What did not run in the end may have run at an earlier try. */
-function truthful (live: LiveRequest, outcome: Outcome): Outcome {
-  const saysNotRun = outcome.kind === OutcomeKind.notRun || outcome.kind === OutcomeKind.cancelled
-  return saysNotRun && live.mayHaveRun ? { ...outcome, kind: OutcomeKind.unknown } : outcome
-}
-
 function claim (live: LiveRequest, held: HeldSlot | undefined, now: number): RequestState {
   return {
     caller: live.facts.caller,
--- a/packages/scheduler/src/types/state.ts
+++ b/packages/scheduler/src/types/state.ts
@@ -34,6 +34,8 @@
   forgottenRequests: Map<string, number>
   /** Entries that may hold grants. */
   entries: Map<string, EntryState>
+  /** The latest horizon that any entry ever had; 0 when no request was ever granted. */
+  grantHorizon: number
   teams: Map<string, TeamState>
   policies: Map<string, PolicyState>
   documents: Map<string, DocumentState>
@@ -58,6 +60,7 @@
     requestFloor: 0,
     forgottenRequests: new Map(),
     entries: new Map(),
+    grantHorizon: 0,
     teams: new Map(),
     policies: new Map(),
     documents: new Map(),
