--- /dev/null
+++ b/packages/scheduler/__tests__/schedules.test.ts
@@ -0,0 +1,131 @@
+/**
+ * Generated schedules of faults against fake workers: whatever happens, no task
+ * runs in two places, none that must run once runs twice, no VM holds more than
+ * it can, and once the faults are over all work ends.
+ */
+
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { isHeld, type WorkloadKind } from '../src/index.js'
+import { createJob, origin, size, World } from './support/world.js'
+
+const SCHEDULES = 300
+const SEED = 20_261
+const WORKERS = 4
+const CALM = { lossPercent: 0, doublePercent: 0, delayMs: 5, commitMs: 5 }
+
+interface Action { afterMs: number, kind: string, at: number, ms: number }
+
+const kinds = ['batch', 'once', 'gang', 'service', 'moving', 'cancel', 'cut', 'pause', 'crash', 'leader', 'gap', 'storm', 'drain', 'scale']
+
+const action: fc.Arbitrary<Action> = fc.record({
+  afterMs: fc.integer({ min: 0, max: 3_000 }),
+  kind: fc.constantFrom(...kinds, 'batch', 'once', 'gang', 'cut', 'storm'),
+  at: fc.nat(1_000),
+  ms: fc.integer({ min: 100, max: 15_000 })
+})
+
+/** What the schedules came to, so that they can't pass by doing nothing. */
+const totals = { placed: 0, lost: 0, moved: 0, unknown: 0, cancelledHeld: 0, succeeded: 0, leaders: 0, stopped: 0 }
+
+function act (world: World, ids: string[], { kind, at, ms }: Action): void {
+  const worker = world.workers[at % WORKERS]
+  const resources = size(1 + at % 3, 1 + at % 2)
+  const job = (spec: Parameters<typeof createJob>[0]): void => { ids.push(world.submit({ resources, ...spec })) }
+  switch (kind) {
+    case 'batch': return job({ taskCount: 1 + at % 5 })
+    case 'once': return job({ taskCount: 1 + at % 4, idempotent: false })
+    case 'gang': return job({ kind: 'gang', taskCount: 2 + at % 3, idempotent: at % 4 !== 0 })
+    case 'moving': return job({ taskCount: 2, preemptible: true })
+    case 'service': return applyService(world, `service-${at % 3}`, 1 + at % 4)
+    case 'scale': return applyService(world, `service-${at % 3}`, at % 3)
+    case 'cancel': if (ids.length > 0) world.cancel(ids[at % ids.length]); return
+    case 'cut': worker.isCut = true; return world.after(ms, () => { worker.isCut = false })
+    case 'pause': if (!worker.isPaused) { worker.pause(); world.after(ms, () => { worker.resume() }) } return
+    case 'crash': if (!worker.isPaused) { worker.crash(); world.after(ms % 3_000, () => { worker.restart() }) } return
+    case 'leader': totals.leaders += 1; return world.changeLeader(at % 3)
+    case 'gap': totals.leaders += 1; return world.loseLeader(ms % 4_000)
+    case 'storm':
+      world.weather = { lossPercent: at % 40, doublePercent: at % 30, delayMs: 1 + ms % 2_000, commitMs: 1 + at % 300 }
+      return world.after(ms, () => { world.weather = CALM })
+    case 'drain':
+      world.toLeader({ kind: 'drain', call: 0, origin: origin(), vm: worker.vm, target: '', reason: '' })
+      return world.after(ms, () => {
+        world.toLeader({ kind: 'readmit', call: 0, origin: origin(), vm: worker.vm, target: '' })
+      })
+  }
+}
+
+function applyService (world: World, id: string, taskCount: number): void {
+  const expectedVersion = world.scheduler.state.workloads.get(id)?.version ?? 0
+  const spec = createJob({ name: id, kind: 'service' as WorkloadKind, taskCount })
+  world.toLeader({ kind: 'applyWorkload', call: 0, origin: origin(), id, spec, expectedVersion })
+}
+
+function run (seed: number, actions: readonly Action[]): World {
+  const world = World.create(seed, { retentionMs: 60_000 })
+  world.weather = CALM
+  world.runMsOf = task => 200 + (task.length * 7_919 + Number(task.at(-1)) * 104_729) % 9_000
+  // A lease of 5 s and a drift bound of 0.5 s allow a clock that is 9 % slow.
+  for (let at = 0; at < WORKERS; at++) world.addWorker(`w${at}`, size(4, 4), [1, 0.91, 1.1, 0.95][at])
+  world.advance(2_000)
+  const ids: string[] = []
+  for (const next of actions) {
+    world.advance(next.afterMs)
+    if (world.isLedNow) act(world, ids, next)
+    assert.deepEqual(world.violations(), [])
+  }
+  // The faults end, and what is left has time to end.
+  world.advance(20_000)
+  for (const worker of world.workers) world.toLeader({ kind: 'readmit', call: 0, origin: origin(), vm: worker.vm, target: '' })
+  for (let round = 0; round < 60 && !isSettled(world, ids); round++) world.advance(5_000)
+  assert.deepEqual(world.violations(), [])
+  return world
+}
+
+function isSettled (world: World, ids: readonly string[]): boolean {
+  return ids.every(id => world.state.workloads.get(id)?.ended === true)
+}
+
+function tally (world: World): void {
+  for (const decision of world.committed) {
+    if (decision.kind === 'taskPlaced') totals.placed += 1
+    if (decision.kind === 'taskPlaced' && decision.attempt > 1) totals.moved += 1
+    if (decision.kind === 'targetPhaseSet' && decision.phase === 'lost') totals.lost += 1
+    if (decision.kind === 'taskRequeued' && decision.cause === 'stopped') totals.stopped += 1
+    if (decision.kind !== 'taskEnded') continue
+    if (decision.phase === 'unknown') totals.unknown += 1
+    if (decision.phase === 'succeeded') totals.succeeded += 1
+    if (decision.phase === 'cancelled' && decision.target !== '') totals.cancelledHeld += 1
+  }
+}
+
+/** What the state says of each task agrees with what the workers wrote down. */
+function checkTruth (world: World, ids: readonly string[]): void {
+  for (const id of ids) {
+    const workload = world.state.workloads.get(id)
+    assert.ok(workload?.ended, `${id} did not end`)
+    for (const task of workload.tasks) {
+      const runs = world.journal.of(`${id}/${task.index}`)
+      assert.ok(!isHeld(task))
+      assert.ok(runs.every(run => run.to !== Infinity), `${id}/${task.index} still runs`)
+      const hasSucceeded = runs.some(run => run.result === 'succeeded' && run.attempt === task.attempt)
+      if (task.phase === 'succeeded') assert.ok(hasSucceeded, `${id}/${task.index} did not succeed`)
+      if (task.phase === 'cancelled' && !workload.spec.idempotent) assert.ok(!hasSucceeded || task.stopping !== '')
+    }
+  }
+}
+
+describe('schedules of faults', () => {
+  it('keep every task in one place, every VM within capacity, and let all work end', () => {
+    const schedule = fc.tuple(fc.integer(), fc.array(action, { minLength: 5, maxLength: 40 }))
+    fc.assert(fc.property(schedule, ([seed, actions]) => {
+      const world = run(seed, actions)
+      tally(world)
+      checkTruth(world, [...world.state.workloads.keys()].filter(id => id.startsWith('job-')))
+      assert.equal(world.scheduler.state.change, world.state.change)
+    }), { numRuns: SCHEDULES, seed: SEED, includeErrorInReport: true })
+    console.log(JSON.stringify(totals))
+  })
+})
--- /dev/null
+++ b/packages/scheduler/__tests__/support/world.ts
@@ -0,0 +1,294 @@
+/**
+ * A leader with its log, fake workers and the messages between them, in fake
+ * time. Messages can be lost, late and doubled; a leader can be replaced while
+ * decisions are not committed yet. It only carries messages: it models no load.
+ */
+
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import {
+  applyDecision, createClusterState, createControlParts, DEFAULT_LIMITS, Placement, Scheduler, taskKey, Urgency,
+  type Answer, type ClusterState, type Decision, type Effect, type ErrorKind, type Event, type Limits, type Resources,
+  type TaskState, type WorkloadSpec
+} from '../../src/index.js'
+import { Journal } from './journal.js'
+import { FakeWorker } from './worker.js'
+
+export type Refused = { kind: 'refused', error: ErrorKind, message: string }
+export type CommandEffect = Extract<Effect, { kind: 'command' }>
+type Reply = (answer: Answer) => void
+
+/** How messages fare; in percent and milliseconds. */
+export interface Weather { lossPercent: number, doublePercent: number, delayMs: number, commitMs: number }
+
+interface Timer { at: number, order: number, run: () => void }
+interface Entry { decisions: Decision[], effects: Effect[] }
+
+export class World {
+  now = 0
+  weather: Weather = { lossPercent: 0, doublePercent: 0, delayMs: 1, commitMs: 1 }
+  readonly journal = Journal.create()
+  readonly workers: FakeWorker[] = []
+  /** Every decision that was committed. */
+  readonly committed: Decision[] = []
+  /** Commands that arrived or were lost on the way. */
+  readonly commands: CommandEffect[] = []
+  /** Replaces the way of commands to workers, when a test wants its own. */
+  carry: ((effect: CommandEffect, deliver: () => void) => void) | undefined
+  runMsOf: (task: string) => number = () => 5_000
+  failing: (task: string) => boolean = () => false
+  scheduler: Scheduler
+  readonly limits: Limits
+  private readonly durable: ClusterState = createClusterState()
+  private readonly random
+  private readonly timers: Timer[] = []
+  private readonly replies = new Map<number, Reply>()
+  private readonly refusals = new Map<number, (refused: Refused) => void>()
+  private uncommitted: Entry[] = []
+  private leadership = 0
+  private isLed = true
+  private clockOffset = 0
+  private order = 0
+  private calls = 0
+
+  private constructor (seed: number, limits: Partial<Limits>) {
+    this.random = xoroshiro128plus(seed)
+    this.limits = { ...DEFAULT_LIMITS, ...limits }
+    this.scheduler = this.createLeader()
+    this.tick()
+  }
+
+  static create (seed = 1, limits: Partial<Limits> = {}): World {
+    return new World(seed, limits)
+  }
+
+  /** State that a quorum holds. */
+  get state (): ClusterState {
+    return this.durable
+  }
+
+  pick (least: number, most: number): number {
+    return uniformInt(this.random, least, most)
+  }
+
+  after (ms: number, run: () => void): void {
+    this.order += 1
+    const timer = { at: this.now + Math.max(0, ms), order: this.order, run }
+    let at = this.timers.length
+    while (at > 0 && this.timers[at - 1].at > timer.at) at -= 1
+    this.timers.splice(at, 0, timer)
+  }
+
+  /** Lets time go by. */
+  advance (ms: number): void {
+    const until = this.now + ms
+    for (let next = this.timers[0]; next !== undefined && next.at <= until; next = this.timers[0]) {
+      this.timers.shift()
+      this.now = next.at
+      next.run()
+    }
+    this.now = until
+  }
+
+  addWorker (name: string, capacity: Resources = size(4, 8), rate = 1): FakeWorker {
+    const worker = FakeWorker.create(this, name, capacity, rate)
+    this.workers.push(worker)
+    return worker
+  }
+
+  worker (name: string): FakeWorker {
+    const worker = this.workers.find(worker => worker.name === name)
+    if (worker === undefined) throw new Error(`no worker ${name}`)
+    return worker
+  }
+
+  task (id: string, index = 0): TaskState {
+    const task = this.durable.workloads.get(id)?.tasks[index]
+    if (task === undefined) throw new Error(`no task ${taskKey(id, index)}`)
+    return task
+  }
+
+  runMs (task: string): number {
+    return this.runMsOf(task)
+  }
+
+  isFailing (task: string): boolean {
+    return this.failing(task)
+  }
+
+  isOnce (task: string): boolean {
+    const spec = this.durable.workloads.get(task.slice(0, task.lastIndexOf('/')))?.spec
+    return spec !== undefined && !spec.idempotent && !spec.preemptible && spec.kind !== 'service'
+  }
+
+  violations (): string[] {
+    return this.journal.violations(new Map(this.workers.map(worker => [worker.vm, worker.capacity])))
+  }
+
+  /** Sends an event over the network. */
+  toLeader (event: Event, reply?: Reply): void {
+    this.send(() => { this.feed(event, reply) })
+  }
+
+  /** Gives an event to the leader at once, lets it commit, and returns the answer. */
+  ask (event: Event): Answer | Refused {
+    let answered: Answer | Refused | undefined
+    this.feed(event, answer => { answered = answer }, refused => { answered = refused })
+    while (this.uncommitted.length > 0) this.commitFirst()
+    if (answered === undefined) throw new Error(`no answer to ${event.kind}`)
+    return answered
+  }
+
+  submit (spec: Partial<WorkloadSpec>, requestId = ''): string {
+    const answer = this.ask({ kind: 'submitJob', call: 0, origin: origin(requestId), spec: createJob(spec) })
+    if (answer.kind !== 'applied') throw new Error(JSON.stringify(answer))
+    return answer.id
+  }
+
+  cancel (id: string): Answer | Refused {
+    return this.ask({ kind: 'cancelJobs', call: 0, origin: origin(), id, selector: {} })
+  }
+
+  /** Another replica leads, with what is committed and some of what is not. */
+  changeLeader (kept = 0): void {
+    const entries = this.uncommitted
+    this.uncommitted = []
+    this.leadership += 1
+    for (const entry of entries.slice(0, kept)) this.applyCommitted(entry)
+    this.clockOffset = this.pick(-200, 200)
+    this.replies.clear()
+    this.refusals.clear()
+    this.scheduler = this.createLeader()
+  }
+
+  /** No replica leads for a while. */
+  loseLeader (ms: number): void {
+    this.isLed = false
+    this.after(ms, () => {
+      this.isLed = true
+      this.changeLeader(this.pick(0, this.uncommitted.length))
+    })
+  }
+
+  get isLedNow (): boolean {
+    return this.isLed
+  }
+
+  private createLeader (): Scheduler {
+    const parts = [...createControlParts(this.limits), Placement.create()]
+    const scheduler = Scheduler.create(parts, structuredClone(this.durable))
+    scheduler.lead(this.leaderNow)
+    return scheduler
+  }
+
+  private get leaderNow (): number {
+    return Math.round(this.now + this.clockOffset)
+  }
+
+  private tick (): void {
+    if (this.isLed) this.feed({ kind: 'tick' })
+    this.after(100, () => { this.tick() })
+  }
+
+  private feed (event: Event, reply?: Reply, refuse?: (refused: Refused) => void): void {
+    if (!this.isLed) return
+    const numbered = this.number(event, reply, refuse)
+    const { decisions, effects } = this.scheduler.handle(numbered, this.leaderNow)
+    if (decisions.length === 0 && effects.length === 0) return
+    // As an encoded record, which later changes of the state do not reach.
+    this.uncommitted.push(structuredClone({ decisions, effects }))
+    const { leadership } = this
+    this.after(this.pick(0, this.weather.commitMs), () => {
+      if (leadership === this.leadership && this.isLed) this.commitFirst()
+    })
+  }
+
+  private number (event: Event, reply?: Reply, refuse?: (refused: Refused) => void): Event {
+    if (!('call' in event)) return event
+    this.calls += 1
+    if (reply !== undefined) this.replies.set(this.calls, reply)
+    if (refuse !== undefined) this.refusals.set(this.calls, refuse)
+    return { ...event, call: this.calls }
+  }
+
+  private commitFirst (): void {
+    const entry = this.uncommitted.shift()
+    if (entry === undefined) return
+    this.applyCommitted(entry)
+    for (const effect of entry.effects) this.release(effect)
+  }
+
+  private applyCommitted (entry: Entry): void {
+    for (const decision of structuredClone(entry.decisions)) {
+      applyDecision(this.durable, decision)
+      this.committed.push(decision)
+    }
+  }
+
+  private release (effect: Effect): void {
+    if (effect.kind === 'command') {
+      this.commands.push(effect)
+      const deliver = (): void => { this.deliver(effect) }
+      if (this.carry !== undefined) this.carry(effect, deliver)
+      else this.send(deliver)
+      return
+    }
+    const reply = this.replies.get(effect.call)
+    const refuse = this.refusals.get(effect.call)
+    this.replies.delete(effect.call)
+    this.refusals.delete(effect.call)
+    if (effect.kind === 'refuse') refuse?.({ kind: 'refused', error: effect.error, message: effect.message })
+    else if (refuse !== undefined) reply?.(effect.answer)
+    else this.send(() => { reply?.(effect.answer) })
+  }
+
+  private deliver (effect: CommandEffect): void {
+    const { target, session, commands } = effect
+    const worker = this.worker(target)
+    if (worker.isPaused) return this.after(500, () => { this.deliver(effect) })
+    try {
+      if (worker.isCut || worker.isDown) throw new Error('unreachable')
+      const results = worker.execute(session, commands)
+      this.toLeader({ kind: 'commandResults', target, session, results })
+    } catch (error) {
+      this.toLeader({ kind: 'commandsLost', target, session, commands, reason: String(error) })
+    }
+  }
+
+  private send (arrive: () => void): void {
+    const { lossPercent, doublePercent, delayMs } = this.weather
+    if (this.pick(1, 100) <= lossPercent) return
+    this.after(this.pick(0, delayMs), arrive)
+    if (this.pick(1, 100) <= doublePercent) this.after(this.pick(0, 20 * delayMs), arrive)
+  }
+}
+
+export function size (cores: number, gib: number, accelerators = 0): Resources {
+  return { millicores: cores * 1_000, memoryMib: gib * 1_024, accelerators }
+}
+
+export function origin (requestId = '', digest = 'digest'): { actor: string, requestId: string, method: string, digest: string } {
+  return { actor: 'operator', requestId, method: 'method', digest }
+}
+
+export function createJob (spec: Partial<WorkloadSpec> = {}): WorkloadSpec {
+  return {
+    name: 'job',
+    kind: 'batch',
+    firm: 'firm',
+    team: 'team',
+    taskCount: 1,
+    resources: size(1, 1),
+    urgency: Urgency.normal,
+    priority: 0,
+    policy: '',
+    estimateMs: 0,
+    idempotent: true,
+    retryLimit: 3,
+    preemptible: false,
+    availabilityZones: [],
+    labels: {},
+    payload: new Uint8Array(0),
+    ...spec
+  }
+}
