--- a/packages/scheduler/__tests__/schedules.test.ts
+++ b/packages/scheduler/__tests__/schedules.test.ts
@@ -10,8 +10,9 @@
 import { isHeld, type WorkloadKind } from '../src/index.js'
 import { createJob, origin, size, World } from './support/world.js'
 
-const SCHEDULES = 300
-const SEED = 20_261
+/** More schedules and other seeds by the environment, for longer runs. */
+const SCHEDULES = Number(process.env.SCHEDULES ?? 300)
+const SEED = Number(process.env.SEED ?? 20_261)
 const WORKERS = 4
 const CALM = { lossPercent: 0, doublePercent: 0, delayMs: 5, commitMs: 5 }
 
@@ -63,6 +64,10 @@
   world.toLeader({ kind: 'applyWorkload', call: 0, origin: origin(), id, spec, expectedVersion })
 }
 
+function removeService (world: World, id: string): void {
+  world.toLeader({ kind: 'deleteWorkload', call: 0, origin: origin(), id, expectedVersion: 0 })
+}
+
 function run (seed: number, actions: readonly Action[]): World {
   const world = World.create(seed, { retentionMs: 60_000 })
   world.weather = CALM
@@ -76,16 +81,19 @@
     if (world.isLedNow) act(world, ids, next)
     assert.deepEqual(world.violations(), [])
   }
-  // The faults end, and what is left has time to end.
+  // The faults end, the services make room, and what is left has time to end.
   world.advance(20_000)
+  for (let at = 0; at < 3; at++) {
+    if (world.state.workloads.has(`service-${at}`)) removeService(world, `service-${at}`)
+  }
   for (const worker of world.workers) world.toLeader({ kind: 'readmit', call: 0, origin: origin(), vm: worker.vm, target: '' })
-  for (let round = 0; round < 60 && !isSettled(world, ids); round++) world.advance(5_000)
+  for (let round = 0; round < 60 && !isSettled(world); round++) world.advance(5_000)
   assert.deepEqual(world.violations(), [])
   return world
 }
 
-function isSettled (world: World, ids: readonly string[]): boolean {
-  return ids.every(id => world.state.workloads.get(id)?.ended === true)
+function isSettled (world: World): boolean {
+  return [...world.state.workloads.values()].every(workload => workload.ended)
 }
 
 function tally (world: World): void {
@@ -102,10 +110,9 @@
 }
 
 /** What the state says of each task agrees with what the workers wrote down. */
-function checkTruth (world: World, ids: readonly string[]): void {
-  for (const id of ids) {
-    const workload = world.state.workloads.get(id)
-    assert.ok(workload?.ended, `${id} did not end`)
+function checkTruth (world: World): void {
+  for (const [id, workload] of world.state.workloads) {
+    assert.ok(workload.ended, `${id} did not end`)
     for (const task of workload.tasks) {
       const runs = world.journal.of(`${id}/${task.index}`)
       assert.ok(!isHeld(task))
@@ -123,9 +130,14 @@
     fc.assert(fc.property(schedule, ([seed, actions]) => {
       const world = run(seed, actions)
       tally(world)
-      checkTruth(world, [...world.state.workloads.keys()].filter(id => id.startsWith('job-')))
-      assert.equal(world.scheduler.state.change, world.state.change)
+      checkTruth(world)
+      world.commitAll()
+      assert.deepEqual(world.scheduler.state, world.state, 'a follower holds what the leader holds')
     }), { numRuns: SCHEDULES, seed: SEED, includeErrorInReport: true })
-    console.log(JSON.stringify(totals))
+    const perSchedule = { placed: 15, lost: 0.6, moved: 6, unknown: 0.4, cancelledHeld: 1.5, succeeded: 7, leaders: 0.8, stopped: 0.1 }
+    for (const [name, least] of Object.entries(perSchedule)) {
+      const count = totals[name as keyof typeof totals]
+      assert.ok(count >= least * SCHEDULES, `${name}: ${count} in ${SCHEDULES} schedules`)
+    }
   })
 })
--- a/packages/scheduler/__tests__/support/world.ts
+++ b/packages/scheduler/__tests__/support/world.ts
@@ -134,7 +134,7 @@
   ask (event: Event): Answer | Refused {
     let answered: Answer | Refused | undefined
     this.feed(event, answer => { answered = answer }, refused => { answered = refused })
-    while (this.uncommitted.length > 0) this.commitFirst()
+    this.commitAll()
     if (answered === undefined) throw new Error(`no answer to ${event.kind}`)
     return answered
   }
@@ -170,6 +170,11 @@
     })
   }
 
+  /** Commits all that the leader has decided. */
+  commitAll (): void {
+    while (this.uncommitted.length > 0) this.commitFirst()
+  }
+
   get isLedNow (): boolean {
     return this.isLed
   }
--- a/packages/scheduler/src/core/apply.ts
+++ b/packages/scheduler/src/core/apply.ts
@@ -16,7 +16,7 @@
   switch (decision.kind) {
     case 'workloadApplied': return applyWorkload(state, decision)
     case 'workloadEnded': return endWorkload(state, decision.id, decision.reason)
-    case 'workloadStopping': return stopWorkload(state, decision.id, decision.reason)
+    case 'workloadStopping': return stopWorkload(state, decision)
     case 'workloadDelayed': return delayWorkload(state, decision.id, decision.notBefore)
     case 'workloadForgotten': return forgetWorkload(state, decision.id)
     case 'taskPlaced': return placeTask(state, decision)
@@ -121,10 +121,11 @@
   }
 }
 
-function stopWorkload (state: ClusterState, id: string, reason: string): void {
-  const workload = state.workloads.get(id)
+function stopWorkload (state: ClusterState, decision: Extract<Decision, { kind: 'workloadStopping' }>): void {
+  const workload = state.workloads.get(decision.id)
   if (workload === undefined) return
-  workload.stopping = reason
+  workload.stopping = decision.reason
+  workload.version = decision.version
   workload.change = state.change
 }
 
--- a/packages/scheduler/src/core/placement/placement.ts
+++ b/packages/scheduler/src/core/placement/placement.ts
@@ -128,6 +128,8 @@
 
   private placeGang (demand: Demand, step: Step): number {
     const tasks = demand.listWaiting()
+    // A gang that starts over waits until its last task is over.
+    if (tasks.length < demand.workload.spec.taskCount) return 0
     if (!tasks.every(task => isDue(demand.workload, task, step.now))) return 0
     const plan = this.planGang(demand, tasks)
     if (plan === undefined) return 0
--- a/packages/scheduler/src/core/tasks/workloads.ts
+++ b/packages/scheduler/src/core/tasks/workloads.ts
@@ -103,11 +103,10 @@
     this.ledger.accept(step, change, { kind: 'applied', id, version }, before, describeSpec(event.spec))
   }
 
-  /** Version 0 creates, and creates again what has ended. */
+  /** Version 0 creates; what has ended is started anew by its version, so that a late repeat never revives it. */
   private isVersionRight (step: Step, change: Change, existing: WorkloadState | undefined, expected: number): boolean {
     const version = existing?.version ?? 0
     if (version === expected) return true
-    if (expected === 0 && existing?.ended === true) return true
     if (expected === 0) {
       this.ledger.refuse(step, change, ErrorKind.alreadyExists, `${change.subject} exists with version ${version}`)
     } else if (existing === undefined) {
@@ -173,7 +172,7 @@
       return this.ledger.refuse(step, change, ErrorKind.conflict, message)
     }
     if (!workload.ended && workload.stopping === '') stopAll(step, workload, `deleted by ${event.origin.actor}`)
-    const answer = { kind: 'applied', id: workload.id, version } as const
+    const answer = { kind: 'applied', id: workload.id, version: workload.version } as const
     this.ledger.accept(step, change, answer, describeSpec(workload.spec), '')
   }
 
@@ -228,7 +227,8 @@
 
 /** Ends the tasks that wait, and has the others stopped. */
 function stopAll (step: Step, workload: WorkloadState, reason: string): void {
-  step.decide({ kind: 'workloadStopping', id: workload.id, reason })
+  // A new version, so that an earlier change that comes late finds another one.
+  step.decide({ kind: 'workloadStopping', id: workload.id, version: workload.version + 1, reason })
   for (const task of workload.tasks) stopTask(step, workload, task.index, reason)
   // A service without tasks has nothing to wait for.
   if (!workload.tasks.some(isLive)) step.decide({ kind: 'workloadEnded', id: workload.id, reason })
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -14,7 +14,7 @@
   /** Every task has ended. */
   | { kind: 'workloadEnded', id: string, reason: string }
   /** Every task that still lives is being stopped; none of them starts again. */
-  | { kind: 'workloadStopping', id: string, reason: string }
+  | { kind: 'workloadStopping', id: string, version: number, reason: string }
   /** No task of the workload starts before a time, in milliseconds of cluster time. */
   | { kind: 'workloadDelayed', id: string, notBefore: number }
   /** A workload that ended is dropped from the state. */
