--- /dev/null
+++ b/packages/cli/__tests__/settings.test.ts
@@ -0,0 +1,103 @@
+/**
+ * Settings: the published schema, its errors and its defaults.
+ */
+
+import assert from 'node:assert/strict'
+import { readdirSync } from 'node:fs'
+import { describe, it } from 'node:test'
+import { DEFAULT_RPC_LIMITS } from '@flamingorouter/rpc'
+import { DEFAULT_LIMITS } from '@flamingorouter/scheduler'
+import { checkSettings, readSettings, type Settings } from '../src/index.js'
+
+const CONTROLLERS = [
+  { id: 'a', address: '127.0.0.1:7101', availabilityZone: 'z1' },
+  { id: 'b', address: '127.0.0.1:7102', availabilityZone: 'z2' },
+  { id: 'c', address: '127.0.0.1:7103', availabilityZone: 'z3' }
+]
+
+const LEAST = {
+  process: 'a',
+  availabilityZone: 'z1',
+  vm: 'vm-a',
+  controllers: CONTROLLERS,
+  controller: { dataFolder: 'data', listen: '127.0.0.1:7101' },
+  entry: { listen: '127.0.0.1:7070' }
+}
+
+/** Paths of the errors for the least settings with some values replaced. */
+function refusedPaths (changes: object): string[] {
+  return checkSettings({ ...LEAST, ...changes }).errors.map(({ path }) => path)
+}
+
+describe('settings', () => {
+  describe('defaults', () => {
+    it('are those of the packages that they are for', () => {
+      const { settings, errors } = checkSettings(LEAST)
+      assert.deepEqual(errors, [])
+      assert.deepEqual(settings?.limits, DEFAULT_LIMITS)
+      assert.deepEqual(settings?.http, DEFAULT_RPC_LIMITS)
+    })
+  })
+
+  describe('errors', () => {
+    it('are told all at once, each with its path, what was expected and what was found', () => {
+      const { errors } = checkSettings({
+        ...LEAST,
+        vm: 7,
+        entry: { listen: 'nowhere', extra: true },
+        controllers: [...CONTROLLERS.slice(1), { id: 'a', address: '127.0.0.1:7101' }],
+        timing: { heartbeatMs: 0 },
+        log: { level: 'loud' }
+      })
+      assert.deepEqual(errors.map(({ path }) => path).sort(), [
+        'controllers[2].availabilityZone', 'entry.extra', 'entry.listen', 'log.level', 'timing.heartbeatMs', 'vm'
+      ])
+      const level = errors.find(({ path }) => path === 'log.level')
+      assert.deepEqual(level, { path: 'log.level', expected: 'one of trace, debug, info, warn, error', found: '"loud"' })
+    })
+
+    const cases: { name: string, changes: object, paths: string[] }[] = [
+      { name: 'no role', changes: { entry: undefined, controller: undefined, process: 'x' }, paths: ['controller'] },
+      { name: 'a controller of the list without the role', changes: { controller: undefined }, paths: ['controller'] },
+      { name: 'a port that does not exist', changes: { entry: { listen: '127.0.0.1:70000' } }, paths: ['entry.listen'] },
+      { name: 'two controllers of one name and address', changes: { controllers: [CONTROLLERS[0], CONTROLLERS[0]] }, paths: ['controllers[1].id', 'controllers[1].address'] },
+      { name: 'another zone in the list than its own', changes: { availabilityZone: 'z9' }, paths: ['controllers[0].availabilityZone'] },
+      { name: 'elections faster than heartbeats', changes: { timing: { heartbeatMs: 200, electionMs: 400 } }, paths: ['timing.electionMs'] },
+      { name: 'drift that eats the lease of the leader', changes: { timing: { driftMs: 300 } }, paths: ['timing.driftMs'] },
+      { name: 'leases that one lost renewal ends', changes: { limits: { renewEveryMs: 4_000 } }, paths: ['limits.renewEveryMs'] },
+      { name: 'plaintext beyond the loopback interface', changes: { entry: { listen: '10.0.0.1:7070' }, controller: { dataFolder: 'data', listen: '0.0.0.0:7101' } }, paths: ['controller.listen', 'entry.listen'] },
+      { name: 'a list in place of the settings', changes: {}, paths: [''] }
+    ]
+    for (const { name, changes, paths } of cases) {
+      it(`refuse ${name}`, () => {
+        const refused = paths[0] === '' ? checkSettings([]).errors.map(({ path }) => path) : refusedPaths(changes)
+        assert.deepEqual(refused, paths)
+      })
+    }
+  })
+
+  describe('the examples', () => {
+    const sizes = [
+      { folder: 'coastline', zones: 4, entries: 12, controllers: 5 },
+      { folder: 'consortium', zones: 3, entries: 9, controllers: 3 }
+    ]
+    for (const { folder, zones, entries, controllers } of sizes) {
+      it(`of ${folder} hold without errors or warnings, and agree`, () => {
+        const files = readdirSync(`examples/${folder}`).filter(file => file.startsWith('entry-'))
+        const checked = files.map(file => readSettings(`examples/${folder}/${file}`))
+        assert.deepEqual(checked.flatMap(({ errors, warnings }) => [...errors, ...warnings]), [])
+        const settings = checked.map(each => each.settings as Settings)
+        assert.equal(settings.length, entries)
+        assert.equal(new Set(settings.map(each => each.process)).size, entries)
+        assert.equal(new Set(settings.map(each => each.availabilityZone)).size, zones)
+        assert.equal(settings.filter(each => each.controller !== undefined).length, controllers)
+        for (const each of settings) assert.deepEqual(each.controllers, settings[0].controllers)
+      })
+    }
+
+    it('would warn when one availability zone held a majority', () => {
+      const crowded = CONTROLLERS.map(each => ({ ...each, availabilityZone: 'z1' }))
+      assert.equal(checkSettings({ ...LEAST, controllers: crowded }).warnings.length, 1)
+    })
+  })
+})
--- /dev/null
+++ b/packages/cli/src/core/documents.ts
@@ -0,0 +1,57 @@
+/**
+ * Files that the commands read: JSON in the form of a message, with short names
+ * for its enums.
+ */
+
+import { readFileSync } from 'node:fs'
+import { fromJson, type DescEnum, type DescMessage, type JsonObject, type MessageShape } from '@bufbuild/protobuf'
+import { ErrorKind, fail } from '@flamingorouter/scheduler'
+
+/** Reads a message from a file, or from standard input for `-`. */
+export function readMessage<S extends DescMessage> (schema: S, file: string): MessageShape<S> {
+  return parseMessage(schema, readDocument(file), file)
+}
+
+export function parseMessage<S extends DescMessage> (schema: S, text: string, file: string): MessageShape<S> {
+  try {
+    const parsed: unknown = JSON.parse(text)
+    if (typeof parsed !== 'object' || parsed === null || Array.isArray(parsed)) throw new Error('expected a JSON object')
+    return fromJson(schema, lengthenEnums(schema, parsed as JsonObject))
+  } catch (error) {
+    fail(ErrorKind.invalidArgument, `${file}: ${error instanceof Error ? error.message : String(error)}`)
+  }
+}
+
+/** Text of a file, or of standard input for `-`. */
+export function readDocument (file: string): string {
+  try {
+    return readFileSync(file === '-' ? 0 : file, 'utf8')
+  } catch (error) {
+    return fail(ErrorKind.invalidArgument, error instanceof Error ? error.message : String(error))
+  }
+}
+
+/** The number of an enum value by its short name, as in `urgent` for URGENCY_URGENT. */
+export function enumNumber (schema: DescEnum, short: string): number {
+  const found = schema.values.find(value => shortName(schema, value.number) === short.toLowerCase() || value.name === short)
+  if (found !== undefined && found.number !== 0) return found.number
+  const names = schema.values.filter(value => value.number !== 0).map(value => shortName(schema, value.number))
+  fail(ErrorKind.invalidArgument, `expected one of ${names.join(', ')}, found ${short}`)
+}
+
+/** The short name of an enum value; empty for the unspecified one. */
+export function shortName (schema: DescEnum, number: number): string {
+  const name = schema.value[number]?.name ?? String(number)
+  const short = name.startsWith(schema.sharedPrefix?.toUpperCase() ?? '') ? name.slice(schema.sharedPrefix?.length ?? 0) : name
+  return number === 0 ? '' : short.toLowerCase()
+}
+
+function lengthenEnums (schema: DescMessage, json: JsonObject): JsonObject {
+  const long: JsonObject = { ...json }
+  for (const field of schema.fields) {
+    const value = json[field.jsonName]
+    if (field.fieldKind !== 'enum' || typeof value !== 'string') continue
+    long[field.jsonName] = enumNumber(field.enum, value)
+  }
+  return long
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,5 @@
+/**
+ * The program's own modules, for its tests.
+ */
+
 export * from './internal.js'
