Add framing, links and the runtime of controller and entry (not yet wired)

Cause: the system's processes need links to each other, and the leader's loop must hold effects back until their decisions are committed.

--- /dev/null
+++ b/packages/cli/src/runtime/controller.ts
@@ -0,0 +1,252 @@
+/**
+ * The controller role: a replica of the log, the scheduler fed by one loop while
+ * this process leads, and the answers to calls of entries.
+ */
+
+import { fromBinary, toBinary } from '@bufbuild/protobuf'
+import { createHash } from 'node:crypto'
+import {
+  decodeValue, encodeValue, InternalMethod,
+  type CallFrame, type ConfigurationAnswer, type ExecuteAnswer, type ExecuteBody, type ForwardedCall,
+  type HeartbeatAnswer, type HeartbeatBody, type Link, type Replica, type ReplicaOwner, type RequestEvent
+} from '@flamingorouter/controllers'
+import type { Binding, CallContext } from '@flamingorouter/rpc'
+import {
+  createClusterState, ErrorKind, fail, toFailure, type ClusterState, type Decision, type Effect, type Event, type Scheduler
+} from '@flamingorouter/scheduler'
+import { Calls } from './calls.js'
+import { clusterNow, monotonicNow } from './clock.js'
+import { EntryTable } from './liveness.js'
+import type { LocalMethod } from './local-methods.js'
+import { Proposals } from './proposals.js'
+import type { RuntimeLog } from './runtime-log.js'
+import { Watches } from './watches.js'
+
+/** How long an entry may take to carry commands, in milliseconds. */
+const EXECUTE_TIMEOUT_MS = 2_000
+
+export interface ControllerOptions {
+  id: string
+  scheduler: Scheduler
+  bindings: readonly Binding[]
+  /** Methods that need more than the state, such as membership. */
+  localMethods: ReadonlyMap<string, LocalMethod>
+  log: RuntimeLog
+}
+
+type ExecuteEffect = Extract<Effect, { kind: 'command' }>
+
+export class Controller implements ReplicaOwner {
+  readonly entries = EntryTable.create()
+  replica!: Replica
+  private proposals!: Proposals
+  private readonly calls = Calls.create()
+  private readonly watches = Watches.create()
+  private readonly bindings = new Map<string, Binding>()
+  private readonly links = new Map<string, Link>()
+  private isLeading = false
+
+  private constructor (private readonly options: ControllerOptions) {
+    for (const binding of options.bindings) {
+      this.bindings.set(`${binding.method.parent.typeName}/${binding.method.name}`, binding)
+    }
+  }
+
+  static create (options: ControllerOptions): Controller {
+    return new Controller(options)
+  }
+
+  /** Connects the replica, which is created with this controller as its owner. */
+  attach (replica: Replica): void {
+    this.replica = replica
+    const release = (effect: Effect): void => { this.release(effect) }
+    const failed = (thrown: unknown): void => {
+      this.options.log.warn('propose_failed', { error: toFailure(thrown).message })
+    }
+    this.proposals = Proposals.create(replica, release, failed)
+  }
+
+  get state (): ClusterState {
+    return this.options.scheduler.state
+  }
+
+  /** Entries that wait for their commit. */
+  get inFlight (): number {
+    return this.proposals.inFlight
+  }
+
+  /** True while this process may grant and answer. */
+  get isAuthoritative (): boolean {
+    return this.isLeading && this.replica.holdsLease()
+  }
+
+  linkOpened (link: Link): void {
+    const peer = link.peer
+    if (peer?.role === 'entry') this.links.set(peer.process, link)
+  }
+
+  linkClosed (link: Link): void {
+    const peer = link.peer
+    if (peer === undefined || this.links.get(peer.process) !== link) return
+    this.links.delete(peer.process)
+    if (this.isLeading) this.feed({ kind: 'entryLost', entry: peer.process })
+  }
+
+  /** Runs the scheduler's time-outs and the waiting reads. */
+  tick (): void {
+    if (!this.isAuthoritative) return
+    this.feed({ kind: 'tick' })
+    this.entries.sweep(monotonicNow())
+    this.watches.check(this.state)
+  }
+
+  // What the replica tells.
+
+  committed (index: number, entry: Uint8Array, own: boolean): void {
+    if (own) {
+      this.proposals.committed(index)
+    } else {
+      for (const decision of decodeValue(entry) as Decision[]) this.options.scheduler.apply(decision)
+    }
+    this.watches.check(this.state)
+  }
+
+  restored (index: number, snapshot: Uint8Array): void {
+    this.options.scheduler.restore(decodeState(snapshot))
+    this.options.log.info('state_restored', { index, bytes: snapshot.length })
+  }
+
+  leading (term: number): void {
+    this.options.scheduler.lead(clusterNow())
+    this.entries.reset(monotonicNow())
+    this.isLeading = true
+    this.options.log.info('leading', { term, change: this.state.change })
+  }
+
+  following (leader: string): void {
+    if (this.isLeading) this.options.log.warn('leadership_lost', { leader })
+    this.isLeading = false
+    this.options.scheduler.restore(createClusterState())
+    this.proposals.drop()
+    this.calls.abandon('leadership was lost before the change was committed; its outcome is not known here')
+    this.watches.abandon()
+  }
+
+  snapshot (): Uint8Array {
+    return encodeValue(this.state)
+  }
+
+  // Calls of entries.
+
+  async called (link: Link, frame: CallFrame): Promise<unknown> {
+    if (!this.isAuthoritative) this.refuseAsFollower()
+    const entry = link.peer?.process ?? ''
+    switch (frame.method) {
+      case InternalMethod.heartbeat: return this.answerHeartbeat(frame.body as HeartbeatBody)
+      case InternalMethod.configuration: return await this.answerConfiguration()
+      case InternalMethod.request: return await this.answerRequest(entry, frame.body as RequestEvent)
+      default: return await this.answerRpc(entry, frame.method, frame.body as ForwardedCall)
+    }
+  }
+
+  private refuseAsFollower (): never {
+    const { leader } = this.replica.status()
+    fail(ErrorKind.notLeader, leader === '' ? 'no leader is known' : `the leader is ${leader}`)
+  }
+
+  private answerHeartbeat (body: HeartbeatBody): HeartbeatAnswer {
+    this.entries.hear(body, monotonicNow())
+    return { term: this.replica.status().term, configurationVersion: this.state.configurationVersion }
+  }
+
+  private async answerConfiguration (): Promise<ConfigurationAnswer> {
+    const answer = { version: this.state.configurationVersion, documents: [...this.state.documents.values()] }
+    await this.barrier()
+    return answer
+  }
+
+  private async answerRequest (entry: string, event: RequestEvent): Promise<unknown> {
+    return await this.calls.open(call => {
+      const numbered = event.kind === 'acquire' || event.kind === 'settle' ? { ...event, call, entry } : { ...event, call }
+      this.feed(numbered)
+    })
+  }
+
+  private async answerRpc (entry: string, method: string, body: ForwardedCall): Promise<Uint8Array> {
+    const context = this.createContext(entry, body)
+    const local = this.options.localMethods.get(method)
+    if (local !== undefined) return await local(body.request, context, this)
+    const binding = this.bindings.get(method)
+    if (binding === undefined) fail(ErrorKind.unimplemented, `no method ${method}`)
+    const request = fromBinary(binding.method.input, body.request)
+    if (binding.kind === 'event') {
+      const answer = await this.calls.open(call => { this.feed(binding.toEvent(request, { ...context, call })) })
+      return toBinary(binding.method.output, binding.toResponse(answer, request))
+    }
+    const waitMs = binding.waitMs?.(request) ?? 0
+    if (waitMs > 0 && binding.isChanged !== undefined) {
+      const isChanged = binding.isChanged
+      await this.watches.wait(state => isChanged(request, state), waitMs, this.state)
+    }
+    const response = toBinary(binding.method.output, binding.read(request, context, this.state))
+    await this.barrier()
+    return response
+  }
+
+  private createContext (entry: string, body: ForwardedCall): CallContext {
+    return {
+      call: 0,
+      actor: body.actor,
+      team: body.team,
+      entry,
+      now: clusterNow(),
+      digest: createHash('sha256').update(body.request).digest('hex')
+    }
+  }
+
+  /**
+   * Resolves when everything decided so far is committed. A read is made before
+   * it waits here, so that it never shows a change that could still be lost.
+   */
+  async barrier (): Promise<void> {
+    await this.calls.open(call => {
+      this.proposals.add({ decisions: [], effects: [{ kind: 'reply', call, answer: { kind: 'left', inFlight: 0 } }] })
+    })
+    if (!this.isAuthoritative) this.refuseAsFollower()
+  }
+
+  private feed (event: Event): void {
+    this.proposals.add(this.options.scheduler.handle(event, clusterNow()))
+  }
+
+  // Effects whose decisions are committed.
+
+  private release (effect: Effect): void {
+    switch (effect.kind) {
+      case 'reply': return this.calls.reply(effect.call, effect.answer)
+      case 'refuse': return this.calls.refuse(effect.call, effect.error, effect.message, effect.retryAfterMs)
+      case 'command': this.execute(effect).catch((thrown: unknown) => {
+        this.options.log.error('execute_failed', { target: effect.target, error: toFailure(thrown).message })
+      })
+    }
+  }
+
+  private async execute (effect: ExecuteEffect): Promise<void> {
+    const { target, address, session, fence, commands } = effect
+    const body: ExecuteBody = { target, address, session, fence, commands }
+    const link = this.links.get(effect.entry) ?? this.links.values().next().value
+    try {
+      if (!this.isAuthoritative) fail(ErrorKind.notLeader, 'the lease is not held')
+      if (link === undefined) fail(ErrorKind.unavailable, 'no entry is connected')
+      const answer = await link.call(InternalMethod.execute, body, EXECUTE_TIMEOUT_MS) as ExecuteAnswer
+      if (this.isLeading) this.feed({ kind: 'commandResults', target, session, results: answer.results })
+    } catch (thrown) {
+      const reason = toFailure(thrown).message
+      if (this.isLeading) this.feed({ kind: 'commandsLost', target, session, commands, reason })
+    }
+  }
+}
+
+function decodeState (snapshot: Uint8Array): ClusterState {
+  return decodeValue(snapshot) as ClusterState
+}
--- /dev/null
+++ b/packages/cli/src/runtime/freshness.ts
@@ -0,0 +1,52 @@
+/**
+ * The configuration that an entry has in force, and whether it may still act on
+ * it. It is fresh for a bound after the sending of the last heartbeat whose
+ * answer named the same version.
+ */
+
+import type { ConfigurationAnswer, HeartbeatAnswer } from '@flamingorouter/controllers'
+import { monotonicNow } from './clock.js'
+import { FRESHNESS_MS } from './liveness.js'
+
+export class Freshness {
+  /** -1 until the first configuration has arrived. */
+  version = -1
+  readonly documents = new Map<string, unknown>()
+  private confirmedAt = -Infinity
+  private isFetching = false
+
+  private constructor (
+    private readonly fetch: () => Promise<ConfigurationAnswer>,
+    private readonly changed: (version: number) => void
+  ) {}
+
+  static create (fetch: () => Promise<ConfigurationAnswer>, changed: (version: number) => void): Freshness {
+    return new Freshness(fetch, changed)
+  }
+
+  get isFresh (): boolean {
+    return monotonicNow() - this.confirmedAt <= FRESHNESS_MS
+  }
+
+  /** Takes a heartbeat's answer; fetches the configuration when it has a newer version. */
+  confirm (answer: HeartbeatAnswer, sentAt: number): void {
+    if (answer.configurationVersion === this.version) {
+      this.confirmedAt = Math.max(this.confirmedAt, sentAt)
+      return
+    }
+    if (answer.configurationVersion < this.version || this.isFetching) return
+    this.isFetching = true
+    this.update().catch(() => {}).finally(() => { this.isFetching = false })
+  }
+
+  private async update (): Promise<void> {
+    const sentAt = monotonicNow()
+    const answer = await this.fetch()
+    if (answer.version < this.version) return
+    this.documents.clear()
+    for (const { name, document } of answer.documents) this.documents.set(name, JSON.parse(document))
+    this.version = answer.version
+    this.confirmedAt = Math.max(this.confirmedAt, sentAt)
+    this.changed(answer.version)
+  }
+}
--- /dev/null
+++ b/packages/cli/src/runtime/local-methods.ts
@@ -0,0 +1,98 @@
+/**
+ * Methods that the leading controller answers from more than the durable state:
+ * membership, and what each process has in force.
+ */
+
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
+import type { CallContext } from '@flamingorouter/rpc'
+import {
+  GetConfigurationStatusResponseSchema, ListMembersResponseSchema, OperatorService, type Member
+} from '@flamingorouter/schema'
+import type { ReplicaStatus } from '@flamingorouter/controllers'
+import type { Controller } from './controller.js'
+import { monotonicNow } from './clock.js'
+
+export type LocalMethod = (request: Uint8Array, context: CallContext, controller: Controller) => Promise<Uint8Array>
+
+/** Warns when the loss of one availability zone would lose the quorum. */
+export function listMemberWarnings (status: ReplicaStatus): string[] {
+  const voters = status.members.filter(member => member.role === 'voter')
+  const byZone = new Map<string, number>()
+  for (const voter of voters) byZone.set(voter.availabilityZone, (byZone.get(voter.availabilityZone) ?? 0) + 1)
+  const warnings: string[] = []
+  for (const [zone, count] of byZone) {
+    if (count * 2 >= voters.length && voters.length > 1) {
+      warnings.push(`availability zone ${zone} holds ${count} of ${voters.length} voters; losing it loses the quorum`)
+    }
+  }
+  if (voters.length < 3) warnings.push(`${voters.length} voters survive no loss`)
+  return warnings
+}
+
+function listMembers (status: ReplicaStatus): Member[] {
+  return status.members.map(member => ({
+    $typeName: 'flamingorouter.operators.v1.Member',
+    id: member.id,
+    address: member.address,
+    availabilityZone: member.availabilityZone,
+    role: member.role,
+    leader: member.id === status.leader,
+    matchIndex: BigInt(status.matchIndex[member.id] ?? 0)
+  }))
+}
+
+async function answerMembers (controller: Controller): Promise<Uint8Array> {
+  const status = controller.replica.status()
+  return toBinary(ListMembersResponseSchema, create(ListMembersResponseSchema, {
+    members: listMembers(status),
+    warnings: listMemberWarnings(status)
+  }))
+}
+
+async function answerAddMember (bytes: Uint8Array, _context: CallContext, controller: Controller): Promise<Uint8Array> {
+  const request = fromBinary(OperatorService.method.addMember.input, bytes)
+  await controller.replica.addMember({
+    id: request.id,
+    address: request.address,
+    availabilityZone: request.availabilityZone,
+    role: 'learner'
+  })
+  return await answerMembers(controller)
+}
+
+async function answerRemoveMember (bytes: Uint8Array, _context: CallContext, controller: Controller): Promise<Uint8Array> {
+  const request = fromBinary(OperatorService.method.removeMember.input, bytes)
+  await controller.replica.removeMember(request.id)
+  return await answerMembers(controller)
+}
+
+async function answerConfigurationStatus (
+  _bytes: Uint8Array,
+  _context: CallContext,
+  controller: Controller
+): Promise<Uint8Array> {
+  const version = controller.state.configurationVersion
+  await controller.barrier()
+  const now = monotonicNow()
+  return toBinary(GetConfigurationStatusResponseSchema, create(GetConfigurationStatusResponseSchema, {
+    version: BigInt(version),
+    inForce: controller.entries.isInForce(version, now),
+    processes: controller.entries.list().map(entry => ({
+      process: entry.process,
+      version: BigInt(entry.configurationVersion),
+      ageMs: Math.round(now - entry.heardAt),
+      live: controller.entries.isLive(entry, now)
+    }))
+  }))
+}
+
+/** All local methods by their full RPC name. */
+export function createLocalMethods (): Map<string, LocalMethod> {
+  const service = OperatorService.typeName
+  return new Map<string, LocalMethod>([
+    [`${service}/ListMembers`, async (_bytes, _context, controller) => await answerMembers(controller)],
+    [`${service}/AddMember`, answerAddMember],
+    [`${service}/RemoveMember`, answerRemoveMember],
+    [`${service}/GetConfigurationStatus`, answerConfigurationStatus]
+  ])
+}
--- /dev/null
+++ b/packages/cli/src/runtime/proposals.ts
@@ -0,0 +1,92 @@
+/**
+ * Holds what the scheduler decided until the replicated log has it. Decisions of
+ * one turn of the loop become one entry; an effect is released only when the
+ * entry of its own step, and every entry before it, is committed.
+ */
+
+import { encodeValue, type Replica } from '@flamingorouter/controllers'
+import type { Decision, Effect, StepResult } from '@flamingorouter/scheduler'
+
+/** Decisions after which an entry is closed and the next one begun. */
+const DECISIONS_PER_ENTRY = 512
+
+interface Held {
+  index: number
+  effects: Effect[]
+}
+
+/** What is done with an effect once it may be seen. */
+export type Release = (effect: Effect) => void
+
+export class Proposals {
+  private decisions: Decision[] = []
+  private effects: Effect[] = []
+  /** Entries that are proposed and not yet committed, in index order. */
+  private held: Held[] = []
+  private isScheduled = false
+
+  private constructor (
+    private readonly replica: Replica,
+    private readonly release: Release,
+    private readonly failed: (thrown: unknown) => void
+  ) {}
+
+  static create (replica: Replica, release: Release, failed: (thrown: unknown) => void): Proposals {
+    return new Proposals(replica, release, failed)
+  }
+
+  /** Number of entries that wait for their commit. */
+  get inFlight (): number {
+    return this.held.length
+  }
+
+  /** Takes the result of one step. */
+  add (result: StepResult): void {
+    if (result.decisions.length === 0 && result.effects.length === 0) return
+    for (const decision of result.decisions) this.decisions.push(decision)
+    for (const effect of result.effects) this.effects.push(effect)
+    if (this.decisions.length >= DECISIONS_PER_ENTRY) return this.flush()
+    if (this.isScheduled) return
+    this.isScheduled = true
+    setImmediate(() => { this.flush() })
+  }
+
+  /** An own entry is committed. */
+  committed (index: number): void {
+    let released = 0
+    while (released < this.held.length && this.held[released].index <= index) released += 1
+    for (const { effects } of this.held.splice(0, released)) this.releaseAll(effects)
+  }
+
+  /** Leadership is lost: nothing held may be released any more. */
+  drop (): void {
+    this.decisions = []
+    this.effects = []
+    this.held = []
+  }
+
+  private flush (): void {
+    this.isScheduled = false
+    const { decisions, effects } = this
+    this.decisions = []
+    this.effects = []
+    if (decisions.length === 0) return this.follow(effects)
+    try {
+      const index = this.replica.propose(encodeValue(decisions))
+      this.held.push({ index, effects })
+    } catch (thrown) {
+      this.failed(thrown)
+    }
+  }
+
+  /** Effects without decisions still wait for the decisions they were based on. */
+  private follow (effects: Effect[]): void {
+    const last = this.held[this.held.length - 1]
+    if (last === undefined) return this.releaseAll(effects)
+    for (const effect of effects) last.effects.push(effect)
+  }
+
+  private releaseAll (effects: Effect[]): void {
+    for (const effect of effects) this.release(effect)
+  }
+}
--- /dev/null
+++ b/packages/controllers/src/core/framing.ts
@@ -0,0 +1,107 @@
+/**
+ * Framing on a byte stream: a four-byte big-endian length, then one CBOR item.
+ */
+
+import { Encoder } from 'cbor-x'
+import { ErrorKind, fail } from '@flamingorouter/scheduler'
+import type { Frame } from '../types/messages.js'
+
+/** Largest body of one frame, in bytes. */
+export const FRAME_LIMIT_BYTES = 16 * 1024 * 1024
+
+const HEADER_BYTES = 4
+
+const FRAME_KINDS: ReadonlySet<string> = new Set(['hello', 'call', 'answer', 'replication', 'notice'])
+
+const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false, copyBuffers: true })
+
+/** Encodes any plain value, for frames, log entries and snapshots. */
+export function encodeValue (value: unknown): Uint8Array {
+  return codec.encode(value)
+}
+
+/** Decodes a value that encodeValue made. Throws on malformed input. */
+export function decodeValue (bytes: Uint8Array): unknown {
+  return codec.decode(bytes as Buffer)
+}
+
+/** Encodes a frame with its header. Fails with payloadTooLarge past the limit. */
+export function encodeFrame (frame: Frame): Buffer {
+  const body = codec.encode(frame)
+  if (body.length > FRAME_LIMIT_BYTES) {
+    fail(ErrorKind.payloadTooLarge, `frame of ${body.length} bytes exceeds ${FRAME_LIMIT_BYTES}`)
+  }
+  const framed = Buffer.allocUnsafe(HEADER_BYTES + body.length)
+  framed.writeUInt32BE(body.length, 0)
+  framed.set(body, HEADER_BYTES)
+  return framed
+}
+
+/** Cuts a byte stream into frames. */
+export class FrameReader {
+  private chunks: Buffer[] = []
+  private buffered = 0
+  /** Total bytes of the frame that is being read; 0 while its header is incomplete. */
+  private expected = 0
+
+  private constructor (private limitBytes: number) {}
+
+  static create (limitBytes = FRAME_LIMIT_BYTES): FrameReader {
+    return new FrameReader(limitBytes)
+  }
+
+  /** Changes the largest body that is accepted from now on. */
+  setLimit (limitBytes: number): void {
+    this.limitBytes = limitBytes
+  }
+
+  /**
+   * Takes a chunk and hands each frame that it completes to `deliver`.
+   * Fails with invalidArgument on a malformed one.
+   */
+  push (chunk: Buffer, deliver: (frame: Frame) => void): void {
+    this.chunks.push(chunk)
+    this.buffered += chunk.length
+    while (this.isFrameComplete()) deliver(this.take())
+  }
+
+  private isFrameComplete (): boolean {
+    if (this.expected === 0) {
+      if (this.buffered < HEADER_BYTES) return false
+      const length = this.join().readUInt32BE(0)
+      if (length === 0 || length > this.limitBytes) {
+        fail(ErrorKind.invalidArgument, `frame length ${length} is outside 1..${this.limitBytes}`)
+      }
+      this.expected = HEADER_BYTES + length
+    }
+    return this.buffered >= this.expected
+  }
+
+  private take (): Frame {
+    const bytes = this.join()
+    const body = bytes.subarray(HEADER_BYTES, this.expected)
+    this.chunks = [bytes.subarray(this.expected)]
+    this.buffered -= this.expected
+    this.expected = 0
+    return decodeFrame(body)
+  }
+
+  private join (): Buffer {
+    if (this.chunks.length > 1) this.chunks = [Buffer.concat(this.chunks)]
+    return this.chunks[0]
+  }
+}
+
+function decodeFrame (body: Uint8Array): Frame {
+  let value: unknown
+  try {
+    value = decodeValue(body)
+  } catch {
+    fail(ErrorKind.invalidArgument, 'frame is not valid CBOR')
+  }
+  const kind = (value as { kind?: unknown } | null)?.kind
+  if (typeof kind !== 'string' || !FRAME_KINDS.has(kind)) {
+    fail(ErrorKind.invalidArgument, 'frame has no known kind')
+  }
+  return value as Frame
+}
--- a/packages/controllers/src/types/messages.ts
+++ b/packages/controllers/src/types/messages.ts
@@ -18,8 +18,6 @@
   id: number
   /** Full name of an RPC, or of an internal method. */
   method: string
-  /** Who asks, as the entry authenticated it; empty for the system itself. */
-  principal: string
   body: unknown
 }
 
--- a/packages/controllers/src/types/replica.ts
+++ b/packages/controllers/src/types/replica.ts
@@ -23,9 +23,9 @@
   /** This process leads, and every entry of earlier terms has been committed and delivered. */
   leading: (term: number) => void
   /**
-   * This process leads no more. The owner drops state that holds uncommitted
-   * decisions; the replica then delivers `restored` and `committed` anew from
-   * the newest snapshot on.
+   * This process leads no more. The owner drops its whole state, which holds
+   * uncommitted decisions, for an empty one; the replica then delivers `restored`,
+   * when there is a snapshot, and `committed` anew from the start of its log on.
    */
   following: (leader: string) => void
   /** Encodes the state as of the last entry delivered. Called only while nothing proposed is uncommitted. */
