--- /dev/null
+++ b/packages/cli/src/runtime/entry.ts
@@ -0,0 +1,150 @@
+/**
+ * The entry role: it takes calls over HTTP, passes them to the leader, carries
+ * the leader's commands to workers, and keeps the configuration in force.
+ */
+
+import {
+  InternalMethod,
+  type CallFrame, type ConfigurationAnswer, type ExecuteAnswer, type ExecuteBody, type ForwardedCall,
+  type HeartbeatAnswer, type HeartbeatBody, type HelloFrame
+} from '@flamingorouter/controllers'
+import type { MethodRules, RpcCall, RpcClient, RpcHandler } from '@flamingorouter/rpc'
+import { methodName } from '@flamingorouter/rpc'
+import { ErrorKind, fail, Failure } from '@flamingorouter/scheduler'
+import { monotonicNow } from './clock.js'
+import { Freshness } from './freshness.js'
+import { AfterLoss, HEARTBEAT_MS, LeaderClient, type Pulse } from './leader-client.js'
+import type { RuntimeLog } from './runtime-log.js'
+import { executeOnWorker } from './worker-commands.js'
+
+/** How long a forwarded call may take when its caller names no time, in milliseconds. */
+const FORWARD_TIMEOUT_MS = 10_000
+
+/** How long a configuration fetch may take, in milliseconds. */
+const FETCH_TIMEOUT_MS = 2_000
+
+/** What the entry does beside forwarding, such as the request flow. */
+export interface EntryOptions {
+  hello: HelloFrame
+  controllers: readonly string[]
+  /** Every method that the entry serves. */
+  methods: readonly MethodRules[]
+  workers: RpcClient
+  log: RuntimeLog
+}
+
+export class Entry implements Pulse {
+  readonly leader: LeaderClient
+  readonly freshness: Freshness
+  private isDraining = false
+  private inFlight = 0
+
+  private constructor (private readonly options: EntryOptions) {
+    this.freshness = Freshness.create(() => this.fetchConfiguration(), version => { this.configured(version) })
+    this.leader = LeaderClient.create(options.controllers, options.hello, { called: (_link, frame) => this.called(frame) }, this)
+  }
+
+  static create (options: EntryOptions): Entry {
+    return new Entry(options)
+  }
+
+  /** True while the balancer should send calls here. */
+  get isReady (): boolean {
+    return !this.isDraining && this.leader.hasLeader && this.freshness.isFresh
+  }
+
+  /** A handler for each method; `own` holds those that are not just passed on. */
+  createHandlers (own: ReadonlyMap<string, RpcHandler>): Map<string, RpcHandler> {
+    const handlers = new Map<string, RpcHandler>()
+    for (const { method } of this.options.methods) {
+      const name = methodName(method)
+      const handler = own.get(name) ?? ((call: RpcCall) => this.forward(call))
+      handlers.set(name, call => this.count(call, handler))
+    }
+    return handlers
+  }
+
+  /** Fails when the entry may not admit new work. */
+  requireFresh (): void {
+    if (this.freshness.isFresh) return
+    throw Failure.create(ErrorKind.unavailable, 'the configuration could not be confirmed', { retryAfterMs: HEARTBEAT_MS * 4 })
+  }
+
+  /** Stops to be ready; calls that still arrive are served. */
+  drain (): void {
+    this.isDraining = true
+    this.leader.beatAll()
+  }
+
+  /** Resolves when no call is in flight, or after `timeoutMs`. */
+  async settle (timeoutMs: number): Promise<boolean> {
+    const deadline = monotonicNow() + timeoutMs
+    while (this.inFlight > 0 && monotonicNow() < deadline) {
+      await new Promise(resolve => { setTimeout(resolve, 10) })
+    }
+    return this.inFlight === 0
+  }
+
+  close (): void {
+    this.leader.close()
+  }
+
+  // What the heartbeat says and learns.
+
+  describe (): HeartbeatBody {
+    return {
+      process: this.options.hello.process,
+      availabilityZone: this.options.hello.availabilityZone,
+      configurationVersion: this.freshness.version,
+      isAdmitting: this.isReady
+    }
+  }
+
+  confirmed (answer: HeartbeatAnswer, sentAt: number): void {
+    this.freshness.confirm(answer, sentAt)
+  }
+
+  private async fetchConfiguration (): Promise<ConfigurationAnswer> {
+    return await this.leader.call(InternalMethod.configuration, {}, FETCH_TIMEOUT_MS, AfterLoss.repeat) as ConfigurationAnswer
+  }
+
+  private configured (version: number): void {
+    this.options.log.info('configuration_in_force', { version })
+    this.leader.beatAll()
+  }
+
+  private async called (frame: CallFrame): Promise<ExecuteAnswer> {
+    if (frame.method !== InternalMethod.execute) fail(ErrorKind.unimplemented, `no method ${frame.method}`)
+    return await executeOnWorker(this.options.workers, frame.body as ExecuteBody)
+  }
+
+  private async count (call: RpcCall, handler: RpcHandler): ReturnType<RpcHandler> {
+    this.inFlight += 1
+    try {
+      return await handler(call)
+    } finally {
+      this.inFlight -= 1
+    }
+  }
+
+  private async forward (call: RpcCall): Promise<Uint8Array> {
+    this.requireFresh()
+    const body: ForwardedCall = { request: call.body, actor: call.principal.name, team: call.principal.team }
+    const timeoutMs = (call.timeoutMs > 0 ? call.timeoutMs : FORWARD_TIMEOUT_MS) + requestedWaitMs(call)
+    return await this.leader.call(call.name, body, timeoutMs, afterLoss(call)) as Uint8Array
+  }
+}
+
+/** A watch says itself how long it waits. */
+function requestedWaitMs (call: RpcCall): number {
+  return typeof call.request.waitMs === 'number' ? call.request.waitMs : 0
+}
+
+/**
+ * Reads and the calls of targets may be sent again, and so may a change whose
+ * request id lets the leader recognise it.
+ */
+function afterLoss (call: RpcCall): AfterLoss {
+  const { requestId } = call.request as { requestId?: string }
+  return requestId === '' ? AfterLoss.report : AfterLoss.repeat
+}
--- a/packages/targets/src/standin/worker-core.ts
+++ b/packages/targets/src/standin/worker-core.ts
@@ -47,10 +47,15 @@
   private readonly ended = new Map<string, TaskEnd>()
   private readonly finished = new Set<string>()
 
-  private constructor (readonly name: string, readonly vm: string) {}
+  private constructor (
+    readonly name: string,
+    readonly vm: string,
+    private readonly recorded: (record: RunRecord) => void
+  ) {}
 
-  static create (name: string, vm: string): WorkerCore {
-    return new WorkerCore(name, vm)
+  /** `recorded` is told of each run as it begins and as it ends. */
+  static create (name: string, vm: string, recorded: (record: RunRecord) => void = () => {}): WorkerCore {
+    return new WorkerCore(name, vm, recorded)
   }
 
   get runningCount (): number {
@@ -64,9 +69,17 @@
     this.leaseUntil = leaseUntil
   }
 
-  /** Stops everything at once: the lease ran out, or the session is over. */
+  /**
+   * Stops everything at once: the lease ran out, or the session is over. A
+   * watchdog stops tasks at the end of the lease even while this process is
+   * paused, so that no run reaches past it.
+   */
   endSession (now: number): void {
-    for (const task of this.running.values()) task.record.end = now
+    const end = Math.min(now, this.leaseUntil)
+    for (const { record } of this.running.values()) {
+      record.end = end
+      this.recorded(record)
+    }
     this.running.clear()
     this.ended.clear()
     this.session = ''
@@ -143,6 +156,7 @@
       end: 0
     }
     this.journal.push(record)
+    this.recorded(record)
     this.running.set(key, { record, plan, endsAt: plan.runMs === 0 ? 0 : now + plan.runMs })
     return ''
   }
@@ -164,8 +178,9 @@
   private finish (key: string, task: RunningTask, result: TaskEnd['result'], now: number): void {
     this.running.delete(key)
     this.remember(key)
-    task.record.end = now
     const { record } = task
+    record.end = now
+    this.recorded(record)
     this.ended.set(key, {
       task: record.task,
       attempt: record.attempt,
