--- /dev/null
+++ b/packages/cli/src/runtime/controller-node.ts
@@ -0,0 +1,142 @@
+/**
+ * A running controller: its data folder, its control port, its links and its
+ * timers.
+ */
+
+import { randomUUID } from 'node:crypto'
+import {
+  FolderDisk, LinkServer, MonotonicClock, parseAddress, Replica,
+  type HelloFrame, type LinkHandlers, type MemberFacts, type Timing
+} from '@flamingorouter/controllers'
+import type { Binding } from '@flamingorouter/rpc'
+import { createParts, Scheduler, type Limits } from '@flamingorouter/scheduler'
+import { Controller } from './controller.js'
+import { ControllerLinks } from './links.js'
+import { createLocalMethods } from './local-methods.js'
+import type { RuntimeLog } from './runtime-log.js'
+
+/** Time between two ticks of the replica and the scheduler, in milliseconds. */
+const TICK_MS = 10
+
+/** Ticks of the replica to one of the scheduler. */
+const SCHEDULER_TICKS = 5
+
+/** How long a planned stop waits for another controller to lead, in milliseconds. */
+const TRANSFER_MS = 2_000
+
+export interface ControllerSettings {
+  id: string
+  group: string
+  availabilityZone: string
+  dataFolder: string
+  /** host:port to listen on for controllers and entries. */
+  listen: string
+  /** First members; empty for a controller that joins a group. */
+  bootstrap: readonly MemberFacts[]
+  timing: Timing
+  snapshotEvery: number
+  limits: Limits
+  seed: number
+}
+
+export interface ControllerContext {
+  bindings: readonly Binding[]
+  log: RuntimeLog
+  /** The controller cannot go on; the process should end. */
+  faulted: (reason: string) => void
+}
+
+export class ControllerNode {
+  private timer: NodeJS.Timeout | undefined
+  private ticks = 0
+
+  private constructor (
+    readonly controller: Controller,
+    private readonly replica: Replica,
+    private readonly links: ControllerLinks,
+    private readonly server: LinkServer
+  ) {}
+
+  static async start (settings: ControllerSettings, context: ControllerContext): Promise<ControllerNode> {
+    const { id, group, availabilityZone } = settings
+    const hello: HelloFrame = { kind: 'hello', group, process: id, role: 'controller', availabilityZone }
+    const controller = Controller.create({
+      scheduler: Scheduler.create(createParts(settings.limits)),
+      bindings: context.bindings,
+      localMethods: createLocalMethods(),
+      log: context.log,
+      faulted: context.faulted
+    })
+    const members = (): readonly MemberFacts[] => {
+      const known = controller.isAttached ? controller.replica.status().members : []
+      return known.length > 0 ? known : settings.bootstrap
+    }
+    const links = ControllerLinks.create(hello, members)
+    const replica = await Replica.open({
+      id,
+      group,
+      disk: FolderDisk.create(settings.dataFolder),
+      newDisk: randomUUID(),
+      bootstrap: [...settings.bootstrap],
+      transport: links,
+      owner: controller,
+      clock: MonotonicClock.create(),
+      seed: settings.seed,
+      timing: settings.timing,
+      snapshotEvery: settings.snapshotEvery
+    })
+    controller.attach(replica)
+    const server = LinkServer.create(hello, createHandlers(controller, replica, links))
+    await server.listen(parseAddress(settings.listen))
+    const node = new ControllerNode(controller, replica, links, server)
+    node.timer = setInterval(() => { node.tick() }, TICK_MS)
+    return node
+  }
+
+  /** A planned stop: another controller leads first, then this one ends. */
+  async stop (): Promise<void> {
+    await this.handOver()
+    await this.kill()
+  }
+
+  /** Ends without handing leadership over. */
+  async kill (): Promise<void> {
+    clearInterval(this.timer)
+    this.server.close()
+    this.links.close()
+    await this.replica.close()
+  }
+
+  private tick (): void {
+    this.controller.flush()
+    this.replica.tick()
+    this.ticks += 1
+    if (this.ticks % SCHEDULER_TICKS === 0) this.controller.tick()
+  }
+
+  private async handOver (): Promise<void> {
+    if (this.replica.status().role !== 'leader') return
+    const others = this.replica.status().members.filter(({ id, role }) => role === 'voter' && id !== this.replica.status().id)
+    if (others.length === 0) return
+    for (let waited = 0; waited < TRANSFER_MS && this.replica.status().role === 'leader'; waited += TICK_MS) {
+      if (this.replica.holdsLease()) this.replica.transferLeadership()
+      await new Promise(resolve => { setTimeout(resolve, TICK_MS) })
+    }
+  }
+}
+
+function createHandlers (controller: Controller, replica: Replica, links: ControllerLinks): LinkHandlers {
+  return {
+    opened: link => {
+      links.accepted(link)
+      controller.linkOpened(link)
+    },
+    called: (link, frame) => controller.called(link, frame),
+    replication: (link, message) => { replica.receive(link.peer?.process ?? '', message) },
+    notice: () => {},
+    closed: link => {
+      links.dropped(link)
+      controller.linkClosed(link)
+    }
+  }
+}
--- a/packages/cli/src/runtime/controller.ts
+++ b/packages/cli/src/runtime/controller.ts
@@ -12,7 +12,7 @@
 } from '@flamingorouter/controllers'
 import type { Binding, CallContext } from '@flamingorouter/rpc'
 import {
-  createClusterState, ErrorKind, fail, toFailure, type ClusterState, type Decision, type Effect, type Event, type Scheduler
+  createClusterState, ErrorKind, fail, toFailure, type ClusterState, type Failure, type Decision, type Effect, type Event, type Scheduler
 } from '@flamingorouter/scheduler'
 import { Calls } from './calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
@@ -32,14 +32,15 @@
   /** Methods that need more than the state, such as membership. */
   localMethods: ReadonlyMap<string, LocalMethod>
   log: RuntimeLog
+  /** This controller cannot go on. */
+  faulted: (reason: string) => void
 }
 
 type ExecuteEffect = Extract<Effect, { kind: 'command' }>
 
 export class Controller implements ReplicaOwner {
   readonly entries = EntryTable.create()
-  replica!: Replica
-  private proposals!: Proposals
+  private attached: { replica: Replica, proposals: Proposals } | undefined
   private readonly calls = Calls.create()
   private readonly watches = Watches.create()
   private readonly bindings = new Map<string, Binding>()
@@ -58,12 +59,23 @@
 
   /** Connects the replica, which is created with this controller as its owner. */
   attach (replica: Replica): void {
-    this.replica = replica
     const release = (effect: Effect): void => { this.release(effect) }
     const failed = (thrown: unknown): void => {
       this.options.log.warn('propose_failed', { error: toFailure(thrown).message })
     }
-    this.proposals = Proposals.create(replica, release, failed)
+    this.attached = { replica, proposals: Proposals.create(replica, release, failed) }
+  }
+
+  get isAttached (): boolean {
+    return this.attached !== undefined
+  }
+
+  get replica (): Replica {
+    return this.attached?.replica ?? fail(ErrorKind.unavailable, 'the controller is starting')
+  }
+
+  private get proposals (): Proposals {
+    return this.attached?.proposals ?? fail(ErrorKind.unavailable, 'the controller is starting')
   }
 
   get state (): ClusterState {
@@ -92,6 +104,11 @@
     if (this.isLeading) this.feed({ kind: 'entryLost', entry: peer.process })
   }
 
+  /** Proposes what the present turn decided, so that the state has nothing beyond the log. */
+  flush (): void {
+    this.proposals.flush()
+  }
+
   /** Runs the scheduler's time-outs and the waiting reads. */
   tick (): void {
     if (!this.isAuthoritative) return
@@ -112,7 +129,7 @@
   }
 
   restored (index: number, snapshot: Uint8Array): void {
-    this.options.scheduler.restore(decodeState(snapshot))
+    this.options.scheduler.restore(snapshot.length === 0 ? createClusterState() : decodeState(snapshot))
     this.options.log.info('state_restored', { index, bytes: snapshot.length })
   }
 
@@ -126,12 +143,16 @@
   following (leader: string): void {
     if (this.isLeading) this.options.log.warn('leadership_lost', { leader })
     this.isLeading = false
-    this.options.scheduler.restore(createClusterState())
-    this.proposals.drop()
+    this.attached?.proposals.drop()
     this.calls.abandon('leadership was lost before the change was committed; its outcome is not known here')
     this.watches.abandon()
   }
 
+  faulted (failure: Failure): void {
+    this.options.log.error('replica_faulted', { error: failure.message })
+    this.options.faulted(failure.message)
+  }
+
   snapshot (): Uint8Array {
     return encodeValue(this.state)
   }
--- /dev/null
+++ b/packages/cli/src/runtime/entry-node.ts
@@ -0,0 +1,80 @@
+/**
+ * A running entry: its HTTP port and its links to the controllers.
+ */
+
+import type { HelloFrame } from '@flamingorouter/controllers'
+import { RpcClient, RpcServer, type Authenticate, type CallRecord, type MethodRules, type PlainAnswer } from '@flamingorouter/rpc'
+import { Entry } from './entry.js'
+import { createRequestHandlers } from './request-handlers.js'
+import type { RuntimeLog } from './runtime-log.js'
+
+/** How long an entry stays open after its readiness fell, in milliseconds. */
+const READINESS_FALL_MS = 500
+
+/** How long a planned stop waits for calls in flight, in milliseconds. */
+const DRAIN_MS = 30_000
+
+export interface EntrySettings {
+  process: string
+  group: string
+  availabilityZone: string
+  /** host:port for HTTP. */
+  listen: { host: string, port: number }
+  /** Control addresses of the controllers. */
+  controllers: readonly string[]
+  /** Time between the fall of readiness and the closing of the port, in milliseconds. */
+  readinessFallMs?: number
+}
+
+export interface EntryContext {
+  methods: readonly MethodRules[]
+  authenticate: Authenticate
+  log: RuntimeLog
+  observe?: (record: CallRecord) => void
+  pages?: ReadonlyMap<string, () => PlainAnswer | Promise<PlainAnswer>>
+}
+
+export class EntryNode {
+  private constructor (
+    readonly entry: Entry,
+    private readonly server: RpcServer,
+    private readonly workers: RpcClient,
+    private readonly settings: EntrySettings,
+    /** Port for HTTP. */
+    readonly port: number
+  ) {}
+
+  static async start (settings: EntrySettings, context: EntryContext): Promise<EntryNode> {
+    const { process, group, availabilityZone } = settings
+    const hello: HelloFrame = { kind: 'hello', group, process, role: 'entry', availabilityZone }
+    const workers = RpcClient.create()
+    const entry = Entry.create({ hello, controllers: settings.controllers, methods: context.methods, workers, log: context.log })
+    const server = RpcServer.create({
+      methods: context.methods,
+      handlers: entry.createHandlers(createRequestHandlers(entry, context.log)),
+      authenticate: context.authenticate,
+      observe: context.observe,
+      pages: new Map([
+        ...context.pages ?? [],
+        ['/livez', () => ({ status: 200, type: 'text/plain', body: 'live\n' })],
+        ['/readyz', () => describeReadiness(entry)]
+      ])
+    })
+    const port = await server.listen(settings.listen)
+    return new EntryNode(entry, server, workers, settings, port)
+  }
+
+  /** A planned stop: readiness falls first, then calls in flight end, then the port closes. */
+  async stop (): Promise<void> {
+    this.entry.drain()
+    await new Promise(resolve => { setTimeout(resolve, this.settings.readinessFallMs ?? READINESS_FALL_MS) })
+    await Promise.all([this.server.close(), this.entry.settle(DRAIN_MS)])
+    this.entry.close()
+    await this.workers.close()
+  }
+}
+
+function describeReadiness (entry: Entry): PlainAnswer {
+  if (entry.isReady) return { status: 200, type: 'text/plain', body: 'ready\n' }
+  return { status: 503, type: 'text/plain', body: 'not ready\n' }
+}
--- /dev/null
+++ b/packages/cli/src/runtime/links.ts
@@ -0,0 +1,63 @@
+/**
+ * Links between controllers: one is dialled to each other member, and a member
+ * that is not dialled yet is answered over the link that it opened.
+ */
+
+import {
+  LinkDialler, Transport,
+  type HelloFrame, type Link, type LinkHandlers, type MemberFacts
+} from '@flamingorouter/controllers'
+
+const QUIET: LinkHandlers = {
+  opened: () => {},
+  called: async () => { throw new Error('no calls over a replication link') },
+  replication: () => {},
+  notice: () => {},
+  closed: () => {}
+}
+
+export class ControllerLinks extends Transport {
+  private readonly diallers = new Map<string, LinkDialler>()
+  private readonly inbound = new Map<string, Link>()
+
+  private constructor (
+    private readonly hello: HelloFrame,
+    private readonly members: () => readonly MemberFacts[]
+  ) {
+    super()
+  }
+
+  /** `members` tells the membership as this controller knows it now. */
+  static create (hello: HelloFrame, members: () => readonly MemberFacts[]): ControllerLinks {
+    return new ControllerLinks(hello, members)
+  }
+
+  override send (to: string, message: unknown): void {
+    const link = this.dial(to)?.link
+    const open = link?.isOpen === true ? link : this.inbound.get(to)
+    open?.send({ kind: 'replication', message })
+  }
+
+  accepted (link: Link): void {
+    if (link.peer?.role === 'controller') this.inbound.set(link.peer.process, link)
+  }
+
+  dropped (link: Link): void {
+    const process = link.peer?.process ?? ''
+    if (this.inbound.get(process) === link) this.inbound.delete(process)
+  }
+
+  close (): void {
+    for (const dialler of this.diallers.values()) dialler.close()
+  }
+
+  private dial (to: string): LinkDialler | undefined {
+    const member = this.members().find(({ id }) => id === to)
+    const known = this.diallers.get(to)
+    if (member === undefined || known?.address === member.address) return known
+    known?.close()
+    const dialler = LinkDialler.create(member.address, this.hello, QUIET)
+    this.diallers.set(to, dialler)
+    return dialler
+  }
+}
--- a/packages/cli/src/runtime/proposals.ts
+++ b/packages/cli/src/runtime/proposals.ts
@@ -65,12 +65,16 @@
     this.held = []
   }
 
-  private flush (): void {
+  /** Proposes the decisions of this turn now. */
+  flush (): void {
     this.isScheduled = false
     const { decisions, effects } = this
     this.decisions = []
     this.effects = []
-    if (decisions.length === 0) return this.follow(effects)
+    if (decisions.length === 0) {
+      if (effects.length > 0) this.follow(effects)
+      return
+    }
     try {
       const index = this.replica.propose(encodeValue(decisions))
       this.held.push({ index, effects })
