--- a/packages/scheduler/src/core/placement/fleet.ts
+++ b/packages/scheduler/src/core/placement/fleet.ts
@@ -6,7 +6,7 @@
 
 import type { Resources } from '../../types/resources.js'
 import type { ClusterState } from '../../types/state.js'
-import { TargetKind, TargetPhase, type TargetState } from '../../types/targets.js'
+import { takesWork, TargetKind, type TargetState } from '../../types/targets.js'
 import type { Holding } from './demand.js'
 import { addSize, copySize, createSize, isWithin } from './sizes.js'
 
@@ -120,5 +120,5 @@
 }
 
 function isUsable (target: TargetState, state: ClusterState): boolean {
-  return target.phase === TargetPhase.ready && !state.drainedVms.has(target.vm)
+  return takesWork(target.phase) && !state.drainedVms.has(target.vm)
 }
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -5,7 +5,7 @@
  */
 
 import type { AnsweredChange, AuditEntry, DocumentState, PolicyState, TeamState } from './configuration.js'
-import type { RequestState, Outcome } from './requests.js'
+import type { EntryState, RequestState, Outcome } from './requests.js'
 import type { TargetPhase, TargetState } from './targets.js'
 import type { EndCause, TaskPhase, WorkloadSpec } from './workloads.js'
 
@@ -22,10 +22,10 @@
   | { kind: 'taskPlaced', id: string, index: number, attempt: number, target: string, session: string }
   | { kind: 'taskStarted', id: string, index: number, attempt: number }
   | { kind: 'taskStopping', id: string, index: number, attempt: number, stopping: 'cancel' | 'preempt' }
-  /** The attempt is over, and the task ends with it. */
-  | { kind: 'taskEnded', id: string, index: number, attempt: number, phase: TaskPhase, cause: EndCause, reason: string }
+  /** The attempt is over, and the task ends with it. The target held it, and is empty when it waited. */
+  | { kind: 'taskEnded', id: string, index: number, attempt: number, target: string, phase: TaskPhase, cause: EndCause, reason: string }
   /** The attempt is over, and the task waits again. */
-  | { kind: 'taskRequeued', id: string, index: number, attempt: number, failures: number, cause: EndCause, reason: string, at: number, notBefore: number }
+  | { kind: 'taskRequeued', id: string, index: number, attempt: number, target: string, failures: number, cause: EndCause, reason: string, at: number, notBefore: number }
   | { kind: 'targetAnnounced', target: TargetState }
   | { kind: 'targetPhaseSet', name: string, session: string, phase: TargetPhase }
   | { kind: 'targetRemoved', name: string, session: string }
@@ -36,6 +36,8 @@
   | { kind: 'requestClaimed', request: RequestState }
   | { kind: 'requestSettled', key: string, outcome: Outcome, at: number }
   | { kind: 'requestForgotten', key: string }
+  | { kind: 'entryExtended', entry: EntryState }
+  | { kind: 'entryForgotten', name: string }
   | { kind: 'teamPut', team: TeamState }
   | { kind: 'policyPut', policy: PolicyState }
   | { kind: 'documentPut', document: DocumentState }
