--- a/packages/cli/src/runtime/controller.ts
+++ b/packages/cli/src/runtime/controller.ts
@@ -6,13 +6,13 @@
 import { fromBinary, toBinary } from '@bufbuild/protobuf'
 import { createHash } from 'node:crypto'
 import {
-  decodeValue, encodeValue, InternalMethod,
+  decodeValue, encodeValue, InternalMethod, Topic,
   type CallFrame, type ConfigurationAnswer, type ExecuteAnswer, type ExecuteBody, type ForwardedCall,
   type HeartbeatAnswer, type HeartbeatBody, type Link, type Replica, type ReplicaOwner, type RequestEvent
 } from '@flamingorouter/controllers'
 import type { Binding, CallContext } from '@flamingorouter/rpc'
 import {
-  createClusterState, ErrorKind, fail, toFailure, type ClusterState, type Failure, type Decision, type Effect, type Event, type Scheduler
+  createClusterState, ErrorKind, fail, toFailure, type ClusterState, type Failure, type Decision, type Effect, type Event, type HeldGrant, type Scheduler
 } from '@flamingorouter/scheduler'
 import { Calls } from './calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
@@ -26,7 +26,6 @@
 const EXECUTE_TIMEOUT_MS = 2_000
 
 export interface ControllerOptions {
-  id: string
   scheduler: Scheduler
   bindings: readonly Binding[]
   /** Methods that need more than the state, such as membership. */
@@ -157,6 +156,12 @@
     return encodeValue(this.state)
   }
 
+  /** A message of an entry without an answer. */
+  noticed (link: Link, topic: string, body: unknown): void {
+    if (!this.isAuthoritative || topic !== Topic.grantsHeld) return
+    this.feed({ kind: 'grantsHeld', entry: link.peer?.process ?? '', grants: body as HeldGrant[] })
+  }
+
   // Calls of entries.
 
   async called (link: Link, frame: CallFrame): Promise<unknown> {
--- a/packages/cli/src/runtime/entry-node.ts
+++ b/packages/cli/src/runtime/entry-node.ts
@@ -5,7 +5,7 @@
 import type { HelloFrame } from '@flamingorouter/controllers'
 import { RpcClient, RpcServer, type Authenticate, type CallRecord, type MethodRules, type PlainAnswer } from '@flamingorouter/rpc'
 import { Entry } from './entry.js'
-import { createRequestHandlers } from './request-handlers.js'
+import { createRequestRole, type RequestRole } from './request-handlers.js'
 import type { RuntimeLog } from './runtime-log.js'
 
 /** How long an entry stays open after its readiness fell, in milliseconds. */
@@ -39,6 +39,7 @@
     readonly entry: Entry,
     private readonly server: RpcServer,
     private readonly workers: RpcClient,
+    private readonly requests: RequestRole,
     private readonly settings: EntrySettings,
     /** Port for HTTP. */
     readonly port: number
@@ -49,9 +50,11 @@
     const hello: HelloFrame = { kind: 'hello', group, process, role: 'entry', availabilityZone }
     const workers = RpcClient.create()
     const entry = Entry.create({ hello, controllers: settings.controllers, methods: context.methods, workers, log: context.log })
+    const requests = createRequestRole(entry)
+    entry.heldGrants = () => requests.flow.held()
     const server = RpcServer.create({
       methods: context.methods,
-      handlers: entry.createHandlers(createRequestHandlers(entry, context.log)),
+      handlers: entry.createHandlers(requests.handlers),
       authenticate: context.authenticate,
       observe: context.observe,
       pages: new Map([
@@ -61,16 +64,16 @@
       ])
     })
     const port = await server.listen(settings.listen)
-    return new EntryNode(entry, server, workers, settings, port)
+    return new EntryNode(entry, server, workers, requests, settings, port)
   }
 
   /** A planned stop: readiness falls first, then calls in flight end, then the port closes. */
   async stop (): Promise<void> {
     this.entry.drain()
     await new Promise(resolve => { setTimeout(resolve, this.settings.readinessFallMs ?? READINESS_FALL_MS) })
-    await Promise.all([this.server.close(), this.entry.settle(DRAIN_MS)])
+    await Promise.all([this.server.close(), this.entry.settle(DRAIN_MS), this.requests.flow.drain()])
     this.entry.close()
-    await this.workers.close()
+    await Promise.all([this.workers.close(), this.requests.close()])
   }
 }
 
--- a/packages/cli/src/runtime/entry.ts
+++ b/packages/cli/src/runtime/entry.ts
@@ -4,13 +4,13 @@
  */
 
 import {
-  InternalMethod,
+  InternalMethod, Topic,
   type CallFrame, type ConfigurationAnswer, type ExecuteAnswer, type ExecuteBody, type ForwardedCall,
-  type HeartbeatAnswer, type HeartbeatBody, type HelloFrame
+  type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type Link
 } from '@flamingorouter/controllers'
-import type { MethodRules, RpcCall, RpcClient, RpcHandler } from '@flamingorouter/rpc'
+import type { MethodRules, RpcCall, RpcClient, RpcHandler, RpcResult } from '@flamingorouter/rpc'
 import { methodName } from '@flamingorouter/rpc'
-import { ErrorKind, fail, Failure } from '@flamingorouter/scheduler'
+import { ErrorKind, fail, Failure, type HeldGrant } from '@flamingorouter/scheduler'
 import { monotonicNow } from './clock.js'
 import { Freshness } from './freshness.js'
 import { AfterLoss, HEARTBEAT_MS, LeaderClient, type Pulse } from './leader-client.js'
@@ -36,6 +36,8 @@
 export class Entry implements Pulse {
   readonly leader: LeaderClient
   readonly freshness: Freshness
+  /** Tells the grants in use; set by the request flow. */
+  heldGrants: () => HeldGrant[] = () => []
   private isDraining = false
   private inFlight = 0
 
@@ -104,6 +106,10 @@
     this.freshness.confirm(answer, sentAt)
   }
 
+  found (link: Link): void {
+    link.send({ kind: 'notice', topic: Topic.grantsHeld, body: this.heldGrants() })
+  }
+
   private async fetchConfiguration (): Promise<ConfigurationAnswer> {
     return await this.leader.call(InternalMethod.configuration, {}, FETCH_TIMEOUT_MS, AfterLoss.repeat) as ConfigurationAnswer
   }
@@ -118,7 +124,7 @@
     return await executeOnWorker(this.options.workers, frame.body as ExecuteBody)
   }
 
-  private async count (call: RpcCall, handler: RpcHandler): ReturnType<RpcHandler> {
+  private async count (call: RpcCall, handler: RpcHandler): Promise<RpcResult> {
     this.inFlight += 1
     try {
       return await handler(call)
--- a/packages/cli/src/runtime/leader-client.ts
+++ b/packages/cli/src/runtime/leader-client.ts
@@ -24,6 +24,8 @@
   abstract describe (): HeartbeatBody
   /** `sentAt` is the monotonic time in milliseconds at which the answered heartbeat left. */
   abstract confirmed (answer: HeartbeatAnswer, sentAt: number): void
+  /** A leader is found, over this link; called before any call goes to it. */
+  abstract found (link: Link): void
 }
 
 /** What may be done after the answer to a call was lost. */
@@ -129,7 +131,8 @@
   }
 
   private answered (link: Link, answer: HeartbeatAnswer, sentAt: number): void {
-    if (answer.term < this.term) return
+    if (answer.term < this.term || !link.isOpen) return
+    if (this.leader !== link || answer.term > this.term) this.pulse.found(link)
     this.term = answer.term
     this.leader = link
     this.pulse.confirmed(answer, sentAt)
--- /dev/null
+++ b/packages/cli/src/runtime/methods.ts
@@ -0,0 +1,13 @@
+/**
+ * Every method that an entry serves, and every binding that a leader answers.
+ */
+
+import { callerBindings, callerMethods } from '@flamingorouter/callers'
+import { operatorBindings, operatorMethods } from '@flamingorouter/operators'
+import { platformBindings, platformMethods } from '@flamingorouter/platform'
+import type { Binding, MethodRules } from '@flamingorouter/rpc'
+import { targetBindings, targetMethods } from '@flamingorouter/targets'
+
+export const ALL_METHODS: readonly MethodRules[] = [...callerMethods, ...operatorMethods, ...targetMethods, ...platformMethods]
+
+export const ALL_BINDINGS: readonly Binding[] = [...callerBindings, ...operatorBindings, ...targetBindings, ...platformBindings]
--- /dev/null
+++ b/packages/cli/src/runtime/request-handlers.ts
@@ -0,0 +1,97 @@
+/**
+ * The methods of callers that an entry serves itself: it holds the payloads,
+ * sends them to runners and tells each caller its outcome.
+ */
+
+import { create } from '@bufbuild/protobuf'
+import { HttpRunnerClient, Leader, RequestFlow, type LeaderCall } from '@flamingorouter/callers'
+import { InternalMethod } from '@flamingorouter/controllers'
+import { methodName, type RpcHandler } from '@flamingorouter/rpc'
+import {
+  ErrorKind, Failure, OutcomeKind as Kind, fail, toFailure, type Answer, type Outcome
+} from '@flamingorouter/scheduler'
+import {
+  CallerService, CancelRequestResponseSchema, FetchOutcomeResponseSchema, OutcomeKind, SubmitResponseSchema,
+  type CancelRequestRequest, type FetchOutcomeRequest, type Outcome as OutcomeMessage, type SubmitRequest
+} from '@flamingorouter/schema'
+import type { Entry } from './entry.js'
+import { AfterLoss } from './leader-client.js'
+
+/** How long a question of the request flow waits for the leader, in milliseconds. */
+const QUESTION_TIMEOUT_MS = 310_000
+
+const KINDS: Readonly<Record<Kind, OutcomeKind>> = {
+  done: OutcomeKind.DONE,
+  notRun: OutcomeKind.NOT_RUN,
+  unknown: OutcomeKind.UNKNOWN,
+  cancelled: OutcomeKind.CANCELLED,
+  pending: OutcomeKind.PENDING
+}
+
+class EntryLeader extends Leader {
+  private constructor (private readonly entry: Entry) {
+    super()
+  }
+
+  static create (entry: Entry): EntryLeader {
+    return new EntryLeader(entry)
+  }
+
+  override async call (question: LeaderCall): Promise<Answer> {
+    try {
+      return await this.entry.leader.call(InternalMethod.request, question, QUESTION_TIMEOUT_MS, AfterLoss.report) as Answer
+    } catch (thrown) {
+      const failure = toFailure(thrown)
+      if (failure.kind !== ErrorKind.deadlineExceeded) throw failure
+      throw Failure.create(ErrorKind.unavailable, failure.message, { cause: failure })
+    }
+  }
+}
+
+export interface RequestRole {
+  flow: RequestFlow
+  handlers: Map<string, RpcHandler>
+  close: () => Promise<void>
+}
+
+export function createRequestRole (entry: Entry): RequestRole {
+  const leader = EntryLeader.create(entry)
+  const runners = HttpRunnerClient.create()
+  const flow = RequestFlow.create({ leader, runners })
+  const { submit, fetchOutcome, cancelRequest } = CallerService.method
+  const handlers = new Map<string, RpcHandler>([
+    [methodName(submit), async call => {
+      entry.requireFresh()
+      const outcome = await flow.submit(call.principal.name, call.request as SubmitRequest, call.closed)
+      return create(SubmitResponseSchema, { outcome: toMessage(outcome) })
+    }],
+    [methodName(fetchOutcome), async call => {
+      const { requestId } = call.request as FetchOutcomeRequest
+      const outcome = await ask(leader, { kind: 'fetchOutcome', caller: call.principal.name, requestId })
+      return create(FetchOutcomeResponseSchema, { outcome: toMessage(outcome) })
+    }],
+    [methodName(cancelRequest), async call => {
+      const { requestId } = call.request as CancelRequestRequest
+      const outcome = await ask(leader, { kind: 'cancelRequest', caller: call.principal.name, requestId })
+      return create(CancelRequestResponseSchema, { outcome: toMessage(outcome) })
+    }]
+  ])
+  return { flow, handlers, close: () => runners.close() }
+}
+
+async function ask (leader: Leader, question: LeaderCall): Promise<Outcome> {
+  const answer = await leader.call(question)
+  if (answer.kind !== 'outcome') fail(ErrorKind.internal, `answer ${answer.kind} in place of an outcome`)
+  return answer.outcome
+}
+
+function toMessage (outcome: Outcome): OutcomeMessage {
+  return {
+    $typeName: 'flamingorouter.callers.v1.Outcome',
+    kind: KINDS[outcome.kind],
+    body: outcome.body as Uint8Array<ArrayBuffer>,
+    reason: outcome.reason,
+    retryAfterMs: outcome.retryAfterMs,
+    digest: outcome.digest
+  }
+}
--- a/packages/controllers/src/types/methods.ts
+++ b/packages/controllers/src/types/methods.ts
@@ -3,7 +3,7 @@
  * published schema travel under their full RPC name.
  */
 
-import type { Answer, Command, CommandResult, Event } from '@flamingorouter/scheduler'
+import type { Command, CommandResult, Event } from '@flamingorouter/scheduler'
 
 export const InternalMethod = Object.freeze({
   /** Entry to leader: says that the entry lives and what it has in force. */
@@ -16,6 +16,12 @@
   execute: 'internal/execute'
 } as const)
 
+/** Topics of messages without an answer. */
+export const Topic = Object.freeze({
+  /** Entry to a new leader, before anything else: the grants that the entry holds. */
+  grantsHeld: 'grantsHeld'
+} as const)
+
 export interface HeartbeatBody {
   process: string
   availabilityZone: string
@@ -35,9 +41,10 @@
   documents: Array<{ name: string, version: number, document: string }>
 }
 
-/** Events that the request flow of an entry may send. */
-export type RequestEvent = Extract<Event, { kind: 'acquire' | 'settle' | 'cancelRequest' | 'fetchOutcome' }>
-export type RequestAnswer = Extract<Answer, { kind: 'granted' | 'outcome' }>
+type Unnumbered<E> = E extends unknown ? Omit<E, 'call' | 'entry'> : never
+
+/** An event of the request flow; the leader adds the number of the call and the entry. */
+export type RequestEvent = Unnumbered<Extract<Event, { kind: 'acquire' | 'settle' | 'cancelRequest' | 'fetchOutcome' }>>
 
 export interface ExecuteBody {
   target: string
--- a/packages/rpc/src/core/server.ts
+++ b/packages/rpc/src/core/server.ts
@@ -150,8 +150,9 @@
     record.requestBytes = bytes.length
     const request = checkRequest(rules, type, bytes)
     const body = type === ContentType.proto ? bytes : toBinary(rules.method.input, request)
+    const closed = new Promise<void>(resolve => { res.once('close', () => { resolve() }) })
     const result = await withNotice(res, timeoutMs, signal =>
-      handler({ name: record.name, method: rules.method, request, body, principal, timeoutMs, signal }))
+      handler({ name: record.name, method: rules.method, request, body, principal, timeoutMs, signal, closed }))
     const encoded = encodeResult(rules.method.output, type, result)
     return new HTTPResponse(encoded as ConstructorParameters<typeof HTTPResponse>[0], { headers: this.headers(type) })
   }
--- a/packages/rpc/src/types/call.ts
+++ b/packages/rpc/src/types/call.ts
@@ -28,6 +28,8 @@
   timeoutMs: number
   /** Aborts when the caller hung up or its time ran out. */
   signal: AbortSignal
+  /** Resolves when the response has been read by the other end, or cut off. */
+  closed: Promise<void>
 }
 
 /** The response as a message, or as its binary encoding. */
