--- /dev/null
+++ b/packages/cli/src/dev/small-cell.ts
@@ -0,0 +1,165 @@
+/**
+ * A whole small cell in one process: controllers, entries, and stand-in workers
+ * and runners, all over loopback with data folders that are removed at the end.
+ */
+
+import { mkdtempSync, rmSync } from 'node:fs'
+import { createServer, type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { admitLoopback } from '@flamingorouter/rpc'
+import { DEFAULT_LIMITS } from '@flamingorouter/scheduler'
+import { StandInRunner, StandInWorker } from '@flamingorouter/targets'
+import { ControllerNode } from '../runtime/controller-node.js'
+import { EntryNode } from '../runtime/entry-node.js'
+import { ALL_BINDINGS, ALL_METHODS } from '../runtime/methods.js'
+import type { RuntimeLog } from '../runtime/runtime-log.js'
+
+const HOST = '127.0.0.1'
+const GROUP = 'dev'
+const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const
+const TIMING = { heartbeatMs: 50, electionMs: 300, driftMs: 30 }
+const SNAPSHOT_EVERY = 10_000
+
+/** Capacity of each stand-in worker. */
+const WORKER_CAPACITY = { millicores: 16_000, memoryMib: 32_768, accelerators: 2 }
+const SLOTS = 8
+const CONNECTIONS = 64
+
+export interface SmallCellOptions {
+  workers: number
+  runners: number
+  /** Service that the runners serve. */
+  service: string
+  /** Port of the first entry; 0 takes a free one. */
+  port: number
+  log: RuntimeLog
+}
+
+export class SmallCell {
+  readonly workers: StandInWorker[] = []
+  readonly runners: StandInRunner[] = []
+  private readonly controllers: ControllerNode[] = []
+  private readonly entries: EntryNode[] = []
+  /** Control addresses of the controllers. */
+  private addresses: string[] = []
+  private readonly folder = mkdtempSync(join(tmpdir(), 'flamingorouter-'))
+
+  private constructor (private readonly options: SmallCellOptions) {}
+
+  static async start (options: SmallCellOptions): Promise<SmallCell> {
+    const cell = new SmallCell(options)
+    await cell.startControllers()
+    await cell.startEntries()
+    await cell.startTargets()
+    return cell
+  }
+
+  /** host:port of each entry. */
+  get endpoints (): string[] {
+    return this.entries.map(({ port }) => `${HOST}:${port}`)
+  }
+
+  get capacity (): typeof WORKER_CAPACITY {
+    const { workers } = this.options
+    return {
+      millicores: WORKER_CAPACITY.millicores * workers,
+      memoryMib: WORKER_CAPACITY.memoryMib * workers,
+      accelerators: WORKER_CAPACITY.accelerators * workers
+    }
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.runners.map(runner => runner.die()))
+    await Promise.all(this.workers.map(worker => worker.stop()))
+    await Promise.all(this.entries.map(entry => entry.stop()))
+    await Promise.all(this.controllers.map(controller => controller.kill()))
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
+  private async startControllers (): Promise<void> {
+    const ports = await findFreePorts(ZONES.length)
+    const members = ZONES.map((availabilityZone, index) => ({
+      id: `controller-${index + 1}`,
+      address: `${HOST}:${ports[index]}`,
+      availabilityZone,
+      role: 'voter' as const
+    }))
+    for (const [index, member] of members.entries()) {
+      this.controllers.push(await ControllerNode.start({
+        id: member.id,
+        group: GROUP,
+        availabilityZone: member.availabilityZone,
+        dataFolder: join(this.folder, member.id),
+        listen: member.address,
+        bootstrap: members,
+        timing: TIMING,
+        snapshotEvery: SNAPSHOT_EVERY,
+        limits: DEFAULT_LIMITS,
+        seed: index + 1
+      }, {
+        bindings: ALL_BINDINGS,
+        log: this.options.log,
+        faulted: reason => { this.options.log.error('controller_faulted', { id: member.id, reason }) }
+      }))
+    }
+    this.addresses = members.map(({ address }) => address)
+  }
+
+  private async startEntries (): Promise<void> {
+    for (const [index, port] of [this.options.port, 0].entries()) {
+      this.entries.push(await EntryNode.start({
+        process: `entry-${index + 1}`,
+        group: GROUP,
+        availabilityZone: ZONES[index],
+        listen: { host: HOST, port },
+        controllers: this.addresses,
+        readinessFallMs: 0
+      }, { methods: ALL_METHODS, authenticate: admitLoopback(), log: this.options.log }))
+    }
+    await this.becomeReady()
+  }
+
+  private async becomeReady (): Promise<void> {
+    while (!this.entries.every(({ entry }) => entry.isReady)) {
+      await new Promise(resolve => { setTimeout(resolve, 20) })
+    }
+  }
+
+  private async startTargets (): Promise<void> {
+    const { workers, runners, service } = this.options
+    const entries = this.endpoints
+    for (let index = 0; index < workers; index += 1) {
+      const zone = ZONES[index % ZONES.length]
+      this.workers.push(StandInWorker.create({
+        name: `worker-${index + 1}`,
+        vm: `vm-${index + 1}`,
+        rack: `${zone}-rack-1`,
+        availabilityZone: zone,
+        capacity: WORKER_CAPACITY,
+        entries
+      }))
+    }
+    for (let index = 0; index < runners; index += 1) {
+      this.runners.push(StandInRunner.create({
+        name: `runner-${index + 1}`,
+        service,
+        vm: `vm-${workers + index + 1}`,
+        availabilityZone: ZONES[index % ZONES.length],
+        entries,
+        slots: SLOTS,
+        connections: CONNECTIONS
+      }))
+    }
+    await Promise.all([...this.workers, ...this.runners].map(target => target.start()))
+  }
+}
+
+/** Finds ports that were free a moment ago. */
+async function findFreePorts (count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer())
+  await Promise.all(servers.map(server => new Promise<void>(resolve => { server.listen(0, HOST, resolve) })))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(server => new Promise(resolve => { server.close(resolve) })))
+  return ports
+}
--- a/packages/cli/src/runtime/controller-node.ts
+++ b/packages/cli/src/runtime/controller-node.ts
@@ -75,7 +75,7 @@
     const replica = await Replica.open({
       id,
       group,
-      disk: FolderDisk.create(settings.dataFolder),
+      disk: await FolderDisk.open(settings.dataFolder),
       newDisk: randomUUID(),
       bootstrap: [...settings.bootstrap],
       transport: links,
--- a/packages/cli/src/runtime/runtime-log.ts
+++ b/packages/cli/src/runtime/runtime-log.ts
@@ -9,3 +9,14 @@
   abstract warn (event: string, fields?: LogFields): void
   abstract error (event: string, fields?: LogFields): void
 }
+
+/** Writes nothing. */
+export class QuietLog extends RuntimeLog {
+  static create (): QuietLog {
+    return new QuietLog()
+  }
+
+  override info (): void {}
+  override warn (): void {}
+  override error (): void {}
+}
