--- a/packages/targets/src/standin/worker-core.ts
+++ b/packages/targets/src/standin/worker-core.ts
@@ -7,7 +7,7 @@
 import type { Command, CommandResult, Resources, TaskEnd, TaskUsage } from '@flamingorouter/scheduler'
 
 /** One run of one attempt, for checkers that read the journal afterwards. */
-export interface RunRecord {
+export interface TaskRun {
   task: string
   attempt: number
   worker: string
@@ -29,7 +29,7 @@
 }
 
 interface RunningTask {
-  record: RunRecord
+  record: TaskRun
   plan: RunPlan
   endsAt: number
 }
@@ -42,7 +42,7 @@
   fence = 0
   /** When the lease runs out, in milliseconds; counted from the sending of the renewal. */
   leaseUntil = 0
-  readonly journal: RunRecord[] = []
+  readonly journal: TaskRun[] = []
   private readonly running = new Map<string, RunningTask>()
   private readonly ended = new Map<string, TaskEnd>()
   private readonly finished = new Set<string>()
@@ -50,11 +50,11 @@
   private constructor (
     readonly name: string,
     readonly vm: string,
-    private readonly recorded: (record: RunRecord) => void
+    private readonly recorded: (record: TaskRun) => void
   ) {}
 
   /** `recorded` is told of each run as it begins and as it ends. */
-  static create (name: string, vm: string, recorded: (record: RunRecord) => void = () => {}): WorkerCore {
+  static create (name: string, vm: string, recorded: (record: TaskRun) => void = () => {}): WorkerCore {
     return new WorkerCore(name, vm, recorded)
   }
 
@@ -146,7 +146,7 @@
     if (this.running.has(key)) return ''
     if (this.finished.has(key)) return this.ended.has(key) ? '' : 'the attempt has ended here'
     const plan = readPlan(payload)
-    const record: RunRecord = {
+    const record: TaskRun = {
       task: command.task,
       attempt: command.attempt,
       worker: this.name,
--- a/packages/targets/src/standin/worker.ts
+++ b/packages/targets/src/standin/worker.ts
@@ -10,7 +10,7 @@
   AnnounceRequestSchema, ExecuteResponseSchema, RenewRequestSchema, TargetService, TaskResult, WorkerService,
   type Command as CommandMessage, type ExecuteRequest, type ExecuteResponse
 } from '@flamingorouter/schema'
-import { WorkerCore, type RunRecord } from './worker-core.js'
+import { WorkerCore, type TaskRun } from './worker-core.js'
 
 const ADVANCE_MS = 20
 
@@ -39,7 +39,7 @@
   entries: readonly string[]
   headers?: Readonly<Record<string, string>>
   /** Told of each run as it begins and as it ends. */
-  recorded?: (record: RunRecord) => void
+  recorded?: (record: TaskRun) => void
 }
 
 export class StandInWorker {
