--- a/packages/controllers/src/internal.ts
+++ b/packages/controllers/src/internal.ts
@@ -4,6 +4,10 @@
 
 export * from './types/replica.js'
 export * from './types/messages.js'
+export * from './types/methods.js'
+export * from './core/framing.js'
+export * from './core/link.js'
+export * from './core/peers.js'
 export * from './types/raft.js'
 export * from './core/clock.js'
 export * from './core/transport.js'
