Prove the whole path with the binary in real processes

Cause: nothing showed that the parts work as separate processes, nor that the path goes on without its leader.

--- /dev/null
+++ b/features/steps/faults.ts
@@ -0,0 +1,64 @@
+/**
+ * Steps that bring faults about.
+ */
+
+import assert from 'node:assert/strict'
+import { Then, When } from '@cucumber/cucumber'
+import { waitFor } from '../support/real-cell.js'
+import type { CellWorld } from '../support/world.js'
+
+const ELECTION_TIMEOUT_MS = 15_000
+
+async function findLeader (world: CellWorld): Promise<string> {
+  await waitFor('a leader', ELECTION_TIMEOUT_MS, () => world.cell.findLeader() !== undefined)
+  return world.cell.findLeader() as string
+}
+
+async function waitForAnother (world: CellWorld, old: string): Promise<void> {
+  await waitFor(`another leader than ${old}`, ELECTION_TIMEOUT_MS, () => world.cell.findLeader() !== old)
+}
+
+When('the leader is killed', async function (this: CellWorld) {
+  const leader = await findLeader(this)
+  await this.cell.kill(leader)
+  await waitForAnother(this, leader)
+})
+
+When('the leader is frozen', async function (this: CellWorld) {
+  const leader = await findLeader(this)
+  this.cell.freeze(leader)
+  await waitForAnother(this, leader)
+})
+
+When('the leader is cut off', async function (this: CellWorld) {
+  const leader = await findLeader(this)
+  this.cell.isolate(leader)
+  await waitForAnother(this, leader)
+})
+
+When('the network heals', function (this: CellWorld) {
+  this.cell.heal()
+})
+
+When('frozen processes go on', function (this: CellWorld) {
+  for (const { name, isFrozen } of this.cell.processes.values()) {
+    if (isFrozen) this.cell.thaw(name)
+  }
+})
+
+When('{int} s pass', async function (this: CellWorld, seconds: number) {
+  await new Promise(resolve => { setTimeout(resolve, seconds * 1_000) })
+})
+
+When('the leader is stopped as planned', async function (this: CellWorld) {
+  const leader = await findLeader(this)
+  assert.equal(await this.cell.stop(leader), 0)
+})
+
+When('{string} is stopped as planned', async function (this: CellWorld, name: string) {
+  assert.equal(await this.cell.stop(name), 0)
+})
+
+Then('no call was refused or cut', function (this: CellWorld) {
+  assert.deepEqual(this.told.filter(({ kind }) => kind !== 'done'), [])
+})
--- /dev/null
+++ b/features/support/real-cell.ts
@@ -0,0 +1,256 @@
+/**
+ * A cell of real processes: the binary runs once for each controller and each
+ * entry, and every connection from one of them to a controller passes through a
+ * proxy of its own.
+ */
+
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer, type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { FaultProxy } from './fault-proxy.js'
+
+const HOST = '127.0.0.1'
+const BINARY = 'dist/flamingorouter'
+const POLL_MS = 20
+const ZONES = ['zone-a', 'zone-b', 'zone-c', 'zone-d'] as const
+
+/** How long a cell may take to become ready, in milliseconds. */
+const READY_TIMEOUT_MS = 20_000
+
+export interface ProcessState {
+  name: string
+  role: 'controller' | 'entry'
+  zone: string
+  port: number
+  child: ChildProcess | undefined
+  output: string[]
+  isFrozen: boolean
+}
+
+export interface RealCellOptions {
+  controllers: number
+  entries: number
+  /** Merged over the settings of each process. */
+  settings?: Record<string, unknown>
+}
+
+export class RealCell {
+  readonly processes = new Map<string, ProcessState>()
+  /** One proxy for each process and each controller that it connects to. */
+  private readonly proxies = new Map<string, FaultProxy>()
+  private readonly folder = mkdtempSync(join(tmpdir(), 'flamingorouter-cell-'))
+
+  private constructor (private readonly options: RealCellOptions) {}
+
+  static async start (options: RealCellOptions): Promise<RealCell> {
+    const cell = new RealCell(options)
+    const ports = await findFreePorts(options.controllers + options.entries)
+    for (let index = 0; index < ports.length; index += 1) {
+      const isController = index < options.controllers
+      const number = isController ? index + 1 : index - options.controllers + 1
+      cell.declare(isController ? 'controller' : 'entry', number, ports[index])
+    }
+    await Promise.all([...cell.processes.keys()].map(name => cell.launch(name)))
+    await cell.waitReady()
+    return cell
+  }
+
+  get controllers (): ProcessState[] {
+    return this.list('controller')
+  }
+
+  get entries (): ProcessState[] {
+    return this.list('entry')
+  }
+
+  /** host:port of every entry. */
+  get endpoints (): string[] {
+    return this.entries.map(({ port }) => `${HOST}:${port}`)
+  }
+
+  get (name: string): ProcessState {
+    const state = this.processes.get(name)
+    if (state === undefined) throw new Error(`no process ${name}`)
+    return state
+  }
+
+  /** Adds a controller that is not among the first members, without starting it. */
+  async declareController (number: number): Promise<ProcessState> {
+    const [port] = await findFreePorts(1)
+    return this.declare('controller', number, port)
+  }
+
+  async launch (name: string): Promise<void> {
+    const state = this.get(name)
+    const file = join(this.folder, `${name}.json`)
+    writeFileSync(file, JSON.stringify(await this.createSettings(state)))
+    const child = spawn(BINARY, ['serve', file], { stdio: ['ignore', 'pipe', 'pipe'] })
+    state.child = child
+    state.isFrozen = false
+    for (const stream of [child.stdout, child.stderr]) {
+      stream.on('data', (chunk: Buffer) => { state.output.push(...chunk.toString().split('\n').filter(line => line !== '')) })
+    }
+  }
+
+  /** SIGKILL; resolves when the process is gone. */
+  async kill (name: string): Promise<void> {
+    await this.end(name, 'SIGKILL')
+  }
+
+  /** SIGTERM; resolves with the exit code. */
+  async stop (name: string): Promise<number | null> {
+    return await this.end(name, 'SIGTERM')
+  }
+
+  freeze (name: string): void {
+    const state = this.get(name)
+    state.isFrozen = true
+    state.child?.kill('SIGSTOP')
+  }
+
+  thaw (name: string): void {
+    const state = this.get(name)
+    state.isFrozen = false
+    state.child?.kill('SIGCONT')
+  }
+
+  /** Removes the data folder of a stopped controller. */
+  loseDisk (name: string): void {
+    rmSync(join(this.folder, `${name}-data`), { recursive: true, force: true })
+  }
+
+  /** The proxies of every connection that a process opens or accepts. */
+  proxiesOf (name: string): FaultProxy[] {
+    const found: FaultProxy[] = []
+    for (const [key, proxy] of this.proxies) {
+      if (key.split('>').includes(name)) found.push(proxy)
+    }
+    return found
+  }
+
+  /** The proxy of the connections that one process opens to another. */
+  proxy (from: string, to: string): FaultProxy {
+    const proxy = this.proxies.get(`${from}>${to}`)
+    if (proxy === undefined) throw new Error(`no proxy from ${from} to ${to}`)
+    return proxy
+  }
+
+  /** Swallows everything to and from a process, without a sign to either side. */
+  isolate (name: string): void {
+    for (const proxy of this.proxiesOf(name)) proxy.set({ swallowsForth: true, swallowsBack: true })
+  }
+
+  heal (): void {
+    for (const proxy of this.proxies.values()) proxy.heal()
+  }
+
+  /** Name of the controller that leads, by the log of each process. */
+  findLeader (): string | undefined {
+    let leader: string | undefined
+    let highest = -1
+    for (const state of this.controllers) {
+      for (const line of state.output) {
+        const term = Number(/event=leading term=(\d+)/.exec(line)?.[1] ?? -1)
+        if (term <= highest) continue
+        highest = term
+        leader = state.name
+      }
+    }
+    return leader
+  }
+
+  async waitReady (): Promise<void> {
+    await waitFor('every entry is ready', READY_TIMEOUT_MS, async () => {
+      const answers = await Promise.all(this.endpoints.map(isReady))
+      return answers.every(answer => answer)
+    })
+  }
+
+  async close (): Promise<void> {
+    const living = [...this.processes.values()].filter(({ child }) => child !== undefined && child.exitCode === null)
+    await Promise.all(living.map(({ name }) => this.kill(name)))
+    await Promise.all([...this.proxies.values()].map(proxy => proxy.close()))
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
+  private list (role: ProcessState['role']): ProcessState[] {
+    return [...this.processes.values()].filter(state => state.role === role)
+  }
+
+  private declare (role: ProcessState['role'], number: number, port: number): ProcessState {
+    const name = `${role}-${number}`
+    const zone = ZONES[(number - 1) % ZONES.length]
+    const state: ProcessState = { name, role, zone, port, child: undefined, output: [], isFrozen: false }
+    this.processes.set(name, state)
+    return state
+  }
+
+  private async end (name: string, signal: NodeJS.Signals): Promise<number | null> {
+    const { child } = this.get(name)
+    if (child === undefined || child.exitCode !== null || child.signalCode !== null) return child?.exitCode ?? null
+    const ended = new Promise<number | null>(resolve => { child.once('exit', resolve) })
+    child.kill(signal)
+    return await ended
+  }
+
+  private async createSettings (state: ProcessState): Promise<Record<string, unknown>> {
+    const listen = `${HOST}:${state.port}`
+    const first = this.controllers.slice(0, this.options.controllers)
+    const controllers = await Promise.all(first.map(async peer => ({
+      id: peer.name,
+      address: peer === state ? listen : await this.openProxy(state.name, peer),
+      availabilityZone: peer.zone
+    })))
+    const data = join(this.folder, `${state.name}-data`)
+    mkdirSync(data, { recursive: true })
+    const role = state.role === 'controller'
+      ? { controller: { dataFolder: data, listen } }
+      : { entry: { listen, readinessFallMs: 300 } }
+    return {
+      process: state.name,
+      group: 'features',
+      availabilityZone: state.zone,
+      vm: `vm-of-${state.name}`,
+      controllers,
+      ...role,
+      ...this.options.settings
+    }
+  }
+
+  private async openProxy (from: string, peer: ProcessState): Promise<string> {
+    const key = `${from}>${peer.name}`
+    let proxy = this.proxies.get(key)
+    if (proxy === undefined) {
+      proxy = await FaultProxy.start(() => `${HOST}:${peer.port}`)
+      this.proxies.set(key, proxy)
+    }
+    return proxy.address
+  }
+}
+
+async function isReady (endpoint: string): Promise<boolean> {
+  try {
+    return (await fetch(`http://${endpoint}/readyz`)).ok
+  } catch {
+    return false
+  }
+}
+
+/** Polls until a condition holds; throws with what was waited for when it does not in time. */
+export async function waitFor (what: string, timeoutMs: number, holds: () => boolean | Promise<boolean>): Promise<void> {
+  const deadline = performance.now() + timeoutMs
+  while (!await holds()) {
+    if (performance.now() > deadline) throw new Error(`not within ${timeoutMs} ms: ${what}`)
+    await new Promise(resolve => { setTimeout(resolve, POLL_MS) })
+  }
+}
+
+async function findFreePorts (count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer())
+  await Promise.all(servers.map(server => new Promise<void>(resolve => { server.listen(0, HOST, resolve) })))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(server => new Promise(resolve => { server.close(resolve) })))
+  return ports
+}
--- /dev/null
+++ b/features/support/world.ts
@@ -0,0 +1,152 @@
+/**
+ * What the steps of one scenario share: the cell, its stand-in targets, the
+ * callers' books, and the checks at the end.
+ */
+
+import assert from 'node:assert/strict'
+import { create, type DescMessage, type DescMethodUnary, type MessageShape } from '@bufbuild/protobuf'
+import { setWorldConstructor, World } from '@cucumber/cucumber'
+import { RpcClient } from '@flamingorouter/rpc'
+import { toFailure } from '@flamingorouter/scheduler'
+import {
+  CallerService, GetWorkloadRequestSchema, OperatorService, OutcomeKind, SubmitRequestSchema, type WorkloadStatus
+} from '@flamingorouter/schema'
+import { MemoryJournal, StandInRunner, StandInWorker, type TaskRun } from '@flamingorouter/targets'
+import {
+  findOverlaps, findOverloads, findOversubscription, findRepeats, findUntruths, type Capacity, type ToldOutcome
+} from './checkers.js'
+import { RealCell } from './real-cell.js'
+import type { FaultProxy } from './fault-proxy.js'
+
+export const WORKER_CAPACITY: Capacity = { millicores: 8_000, memoryMib: 16_384, accelerators: 1 }
+export const SLOTS = 8
+export const CONNECTIONS = 64
+const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const
+
+const KINDS: Readonly<Record<number, string>> = {
+  [OutcomeKind.DONE]: 'done',
+  [OutcomeKind.NOT_RUN]: 'notRun',
+  [OutcomeKind.UNKNOWN]: 'unknown',
+  [OutcomeKind.CANCELLED]: 'cancelled',
+  [OutcomeKind.PENDING]: 'pending'
+}
+
+export class CellWorld extends World {
+  cell!: RealCell
+  readonly client = RpcClient.create({ headers: { 'x-flamingorouter-principal': 'feature' } })
+  readonly workers: StandInWorker[] = []
+  readonly runners: StandInRunner[] = []
+  readonly journal = MemoryJournal.create()
+  readonly told: ToldOutcome[] = []
+  /** Proxies between stand-in targets and entries, by the target's name. */
+  readonly targetProxies = new Map<string, FaultProxy>()
+  /** Calls and other work that a step began and a later one waits for. */
+  readonly pending: Array<Promise<unknown>> = []
+  private turn = 0
+
+  nextEndpoint (): string {
+    const { endpoints } = this.cell
+    this.turn += 1
+    return endpoints[this.turn % endpoints.length]
+  }
+
+  /** Calls any entry, and another one when it does not answer. */
+  async call<I extends DescMessage, O extends DescMessage> (
+    method: DescMethodUnary<I, O>,
+    request: MessageShape<I>,
+    tries = 4
+  ): Promise<MessageShape<O>> {
+    for (let left = tries; ; left -= 1) {
+      try {
+        return await this.client.call(this.nextEndpoint(), method, request)
+      } catch (thrown) {
+        if (left <= 1 || toFailure(thrown).kind !== 'unavailable') throw thrown
+        await new Promise(resolve => { setTimeout(resolve, 200) })
+      }
+    }
+  }
+
+  async startWorkers (count: number): Promise<void> {
+    for (let index = 0; index < count; index += 1) {
+      const number = this.workers.length + 1
+      this.workers.push(StandInWorker.create({
+        name: `worker-${number}`,
+        vm: `worker-vm-${number}`,
+        rack: `rack-${number}`,
+        availabilityZone: ZONES[index % ZONES.length],
+        capacity: WORKER_CAPACITY,
+        entries: rotate(this.cell.endpoints, index)
+      }))
+    }
+    await Promise.all(this.workers.slice(-count).map(worker => worker.start()))
+  }
+
+  async startRunners (count: number, service: string, workMs = 5): Promise<void> {
+    for (let index = 0; index < count; index += 1) {
+      const number = this.runners.length + 1
+      this.runners.push(StandInRunner.create({
+        name: `runner-${number}`,
+        service,
+        slots: SLOTS,
+        connections: CONNECTIONS,
+        availabilityZone: ZONES[index % ZONES.length],
+        entries: rotate(this.cell.endpoints, index),
+        journal: this.journal.write,
+        plan: () => ({ behaviour: 'answer', workMs })
+      }))
+    }
+    await Promise.all(this.runners.slice(-count).map(runner => runner.start()))
+  }
+
+  async readWorkload (id: string): Promise<WorkloadStatus> {
+    const { status } = await this.call(OperatorService.method.getWorkload, create(GetWorkloadRequestSchema, { id }))
+    assert.ok(status)
+    return status
+  }
+
+  /** Sends one request and books what the caller was told. */
+  async submit (service: string, requestId: string, idempotent: boolean, deadlineMs = 10_000): Promise<ToldOutcome> {
+    const sent = `payload of ${requestId}`
+    const request = create(SubmitRequestSchema, {
+      service,
+      requestId,
+      idempotent,
+      deadlineMs,
+      createdMs: BigInt(Date.now()),
+      payload: new TextEncoder().encode(sent)
+    })
+    const told: ToldOutcome = { caller: 'feature', requestId, idempotent, kind: 'refused', body: '', sent }
+    try {
+      const { outcome } = await this.client.call(this.nextEndpoint(), CallerService.method.submit, request, { timeoutMs: deadlineMs + 5_000 })
+      told.kind = KINDS[outcome?.kind ?? 0] ?? 'none'
+      told.body = new TextDecoder().decode(outcome?.body)
+    } catch (thrown) {
+      told.body = toFailure(thrown).message
+    }
+    this.told.push(told)
+    return told
+  }
+
+  runs (): TaskRun[] {
+    return this.workers.flatMap(({ core }) => core.journal)
+  }
+
+  /** Every invariant that must hold at the end of every scenario. */
+  findFaults (): string[] {
+    const capacities = new Map(this.workers.map(({ core }) => [core.vm, WORKER_CAPACITY]))
+    return [
+      ...findOverlaps(this.runs()),
+      ...findOverloads(this.runs(), capacities),
+      ...findRepeats(this.journal.records, this.told),
+      ...findUntruths(this.journal.records, this.told),
+      ...findOversubscription(this.journal.records, SLOTS, CONNECTIONS)
+    ]
+  }
+}
+
+function rotate<T> (items: readonly T[], by: number): T[] {
+  const start = by % items.length
+  return [...items.slice(start), ...items.slice(0, start)]
+}
+
+setWorldConstructor(CellWorld)
