Split the part for requests, and judge runners by their own sessions only

Change: table, matching, endings, succession, records, history, entries and grants are modules of their own; requests that may use the same runners share a lane; failures count only against the session that they came from.

--- a/packages/callers/__tests__/faults.test.ts
+++ b/packages/callers/__tests__/faults.test.ts
@@ -23,7 +23,7 @@
 
 const entry = fc.nat(ENTRIES - 1)
 const requestId = fc.tuple(fc.constantFrom('i', 'n'), fc.nat(5)).map(([kind, number]) => `${kind}${number}`)
-const plan = fc.constantFrom<Plan>('answer', 'answer', 'slow', 'refuse', 'unsent', 'lostBefore', 'lostAfter', 'late')
+const plan = fc.constantFrom<Plan>('answer', 'answer', 'slow', 'refuse', 'unsent', 'lostBefore', 'lostAfter', 'late', 'far')
 const deadlineMs = fc.constantFrom(50, 300, 2_000)
 const urgency = fc.constantFrom(1, 2, 3)
 const skewMs = fc.integer({ min: -200, max: 200 })
--- a/packages/callers/__tests__/model.ts
+++ b/packages/callers/__tests__/model.ts
@@ -17,7 +17,7 @@
 
 export const START = 1_700_000_000_000
 export const SLOTS = 2
-export const CONNECTIONS = 6
+export const CONNECTIONS = 3
 export const ENTRIES = 3
 export const RUNNERS = 3
 const SERVICE = 'reports'
@@ -91,7 +91,7 @@
   }
 }
 
-export type Plan = 'answer' | 'slow' | 'refuse' | 'unsent' | 'lostBefore' | 'lostAfter' | 'late'
+export type Plan = 'answer' | 'slow' | 'refuse' | 'unsent' | 'lostBefore' | 'lostAfter' | 'late' | 'far'
 
 interface Begin { key: string, idempotent: boolean, at: number }
 
@@ -117,14 +117,14 @@
   private async take (run: Run, plan: Plan): Promise<RunEnd> {
     const { timers } = this.world
     if (plan === 'unsent') return { kind: 'notRun', reason: 'no connection' }
-    await timers.pause(5)
+    await timers.pause(plan === 'far' ? 200 : 5)
     if (plan === 'lostBefore') return { kind: 'lost', reason: 'cut' }
     if (plan === 'refuse' || run.grant.session !== this.session) return { kind: 'notRun', reason: 'refused' }
     this.running += 1
     assert.ok(this.running <= SLOTS, `${this.name} runs ${this.running} requests in ${SLOTS} slots`)
     const key = `${run.caller} ${run.requestId}`
     this.world.begins.push({ key, idempotent: run.requestId.startsWith('i'), at: timers.time })
-    const workMs = plan === 'slow' ? 700 : plan === 'late' ? run.deadlineMs : 20
+    const workMs = plan === 'slow' ? 700 : plan === 'late' || plan === 'far' ? run.deadlineMs : 20
     await timers.pause(Math.min(workMs, run.deadlineMs))
     this.running -= 1
     if (plan === 'lostAfter') return { kind: 'lost', reason: 'cut' }
@@ -134,6 +134,8 @@
 
   private connect (entry: number, change: number): void {
     this.open.set(entry, (this.open.get(entry) ?? 0) + change)
+    const share = Math.floor(CONNECTIONS / ENTRIES)
+    assert.ok((this.open.get(entry) ?? 0) <= share, `e${entry} has more than ${share} connections to ${this.name}`)
     let total = 0
     for (const count of this.open.values()) total += count
     assert.ok(total <= CONNECTIONS, `${this.name} has ${total} connections`)
--- a/packages/callers/src/core/submission.ts
+++ b/packages/callers/src/core/submission.ts
@@ -132,7 +132,7 @@
 
   private async send (grant: Grant): Promise<RunEnd> {
     const deadlineMs = Math.floor(Math.min(this.leftMs, grant.expiresInMs))
-    if (deadlineMs < 1 || this.isAnswered) return { kind: 'notRun', reason: 'its slot came after its deadline' }
+    if (deadlineMs < 1) return { kind: 'notRun', reason: 'its slot came after its deadline' }
     const { facts, payload, limits, runners } = this.options
     const { caller, requestId } = facts
     const giveUpMs = deadlineMs + limits.lateMs
--- a/packages/scheduler/__tests__/requests.test.ts
+++ b/packages/scheduler/__tests__/requests.test.ts
@@ -84,6 +84,10 @@
     return handle({ kind: 'settle', call, entry: 'e1', grant: grant.id, caller: 'ann', requestId, outcome, retry })
   }
 
+  function phaseOf (name: string): TargetPhase | undefined {
+    return scheduler.state.targets.get(name)?.phase
+  }
+
   beforeEach(() => {
     now = START
     call = 0
@@ -150,5 +154,103 @@
       const other = replies(acquire(facts('1', { idempotent: false, digest: 'e' })))
       assert.equal(other[0].kind === 'refuse' && other[0].error, 'conflict')
     })
+
+    it('are refused once they are forgotten, by a leader whose clock runs behind too', () => {
+      start(runner('a', 4))
+      settle(grantOf(acquire(facts('1', { idempotent: false }))), '1')
+      settle(grantOf(acquire(facts('2', { idempotent: false, createdMs: 0 }))), '2')
+      now += LIMITS.retentionMs
+      handle({ kind: 'tick' })
+      assert.equal(scheduler.state.requests.size, 0)
+      scheduler.lead(now - 300)
+      now -= 300
+      for (const request of [facts('1', { idempotent: false }), facts('2', { idempotent: false, createdMs: 0 })]) {
+        const refused = replies(acquire(request))
+        assert.equal(refused[0].kind === 'refuse' && refused[0].error, 'failedPrecondition')
+      }
+    })
+  })
+
+  describe('a new leader', () => {
+    it('gives out no slot that a silent entry may use, and every one that it is told to be free', () => {
+      start(runner('a', 2))
+      const grant = grantOf(acquire(facts('1')))
+      scheduler.lead(now)
+      assert.equal(replies(acquire(facts('2'), 'e2')).length, 0)
+      const held = { id: grant.id, runner: 'a', slot: 0, caller: 'ann', requestId: '1', expiresInMs: 5_000 }
+      const result = handle({ kind: 'grantsHeld', entry: 'e1', grants: [held] })
+      assert.equal(grantOf(result).runner, 'a')
+      assert.equal(replies(acquire(facts('3'), 'e2')).length, 0)
+      assert.equal(replies(settle(grant, '1')).length, 2)
+    })
+
+    it('waits out the grants of an entry that is never heard of', () => {
+      start(runner('a', 2))
+      acquire(facts('1', { deadlineMs: 1_000 }))
+      scheduler.lead(now)
+      assert.equal(replies(acquire(facts('2', { deadlineMs: 60_000 }), 'e2')).length, 0)
+      now += scheduler.state.grantHorizon - START + LIMITS.driftMs
+      assert.equal(grantOf(handle({ kind: 'tick' })).runner, 'a')
+    })
+  })
+
+  describe('a grant that never reached its entry', () => {
+    it('frees its slot when the entry says what it holds', () => {
+      start(runner('a'))
+      acquire(facts('1'))
+      const again = handle({ kind: 'grantsHeld', entry: 'e1', grants: [] })
+      assert.equal(replies(again).length, 0)
+      assert.equal(grantOf(acquire(facts('2'))).runner, 'a')
+    })
+  })
+
+  describe('overload', () => {
+    it('refuses at once what would get its turn too late, and says when to come back', () => {
+      start(runner('a'))
+      for (let index = 0; index < 30; index += 1) {
+        const grant = grantOf(acquire(facts(`${index}`)))
+        now += 100
+        settle(grant, `${index}`)
+      }
+      acquire(facts('running'))
+      for (let index = 0; index < 10; index += 1) acquire(facts(`queued ${index}`))
+      const shed = replies(acquire(facts('late', { deadlineMs: 500 })))[0]
+      assert.ok(shed.kind === 'reply' && shed.answer.kind === 'outcome')
+      assert.equal(shed.answer.outcome.kind, OutcomeKind.notRun)
+      assert.equal(shed.answer.outcome.retryAfterMs, 1_000)
+      const urgent = replies(acquire(facts('urgent', { deadlineMs: 500, urgency: Urgency.urgent })))
+      assert.equal(urgent.length, 0)
+    })
+  })
+
+  describe('a runner that fails what others answer', () => {
+    it('is suspected, probed with one idempotent request, and readmitted', () => {
+      start(runner('a', 2), runner('b', 2), runner('c', 2))
+      let failures = 0
+      for (let round = 0; round < 10 && phaseOf('a') === TargetPhase.ready; round += 1) {
+        const ids = [0, 1, 2, 3, 4].map(index => `${round} ${index}`)
+        const grants = ids.map(id => grantOf(acquire(facts(id))))
+        grants.forEach((grant, index) => {
+          if (grant.runner === 'a') failures += 1
+          settle(grant, ids[index], grant.runner === 'a' ? bare(OutcomeKind.unknown, 'failed') : done)
+        })
+      }
+      assert.equal(failures, 3)
+      for (let index = 0; index < 4; index += 1) assert.notEqual(grantOf(acquire(facts(`open ${index}`))).runner, 'a')
+      now += 2_000
+      assert.equal(replies(acquire(facts('claimed', { idempotent: false }))).length, 0)
+      const probe = grantOf(acquire(facts('probe')))
+      assert.equal(probe.runner, 'a')
+      settle(probe, 'probe')
+      assert.equal(phaseOf('a'), TargetPhase.ready)
+    })
+
+    it('is not suspected when all fail alike', () => {
+      start(runner('a', 2), runner('b', 2))
+      for (let index = 0; index < 20; index += 1) {
+        settle(grantOf(acquire(facts(`${index}`))), `${index}`, bare(OutcomeKind.unknown, 'failed'))
+      }
+      assert.deepEqual([phaseOf('a'), phaseOf('b')], [TargetPhase.ready, TargetPhase.ready])
+    })
   })
 })
--- /dev/null
+++ b/packages/scheduler/src/core/requests/endings.ts
@@ -0,0 +1,107 @@
+/**
+ * How grants end: by the report of their entry, or by time.
+ */
+
+import type { Event } from '../../types/events.js'
+import { OutcomeKind } from '../../types/requests.js'
+import { TargetPhase, type TargetState } from '../../types/targets.js'
+import { ErrorKind } from '../../utils/errors.js'
+import { requestKey } from '../apply.js'
+import type { Step } from '../step.js'
+import { bare, type HeldSlot, type LiveRequest } from './live.js'
+import type { RequestTable } from './request-table.js'
+import type { Service } from './service.js'
+
+type Settle = Extract<Event, { kind: 'settle' }>
+
+const RETRY_AFTER_MS = 1_000
+
+export class Endings {
+  static create (table: RequestTable, budgetsRetries: boolean): Endings {
+    return new Endings(table, budgetsRetries)
+  }
+
+  private constructor (private readonly table: RequestTable, private readonly budgetsRetries: boolean) {}
+
+  /** An entry tells how its grant ended. */
+  settleGrant (event: Settle, step: Step): void {
+    const held = this.table.grants.get(event.grant)
+    const key = requestKey(event.caller, event.requestId)
+    const live = this.table.live.get(key)
+    if (event.outcome.kind !== OutcomeKind.notRun) this.table.history.noteRun(key, step.now)
+    if (held !== undefined) this.learnEnd(held, live, event, step)
+    if (live?.held?.id === event.grant) return this.endGrant(live, event, step)
+    const record = step.state.requests.get(key)
+    if (record?.grant === event.grant) this.table.records.settleLate(key, record, event.outcome, step)
+    const isPending = record === undefined || record.outcome.kind === OutcomeKind.pending
+    if (event.retry && isPending) {
+      return step.refuse(event.call, ErrorKind.notFound, 'the grant is not in use')
+    }
+    const first = step.state.requests.get(key)
+    step.reply(event.call, { kind: 'outcome', outcome: first?.grant === event.grant ? first.outcome : event.outcome })
+  }
+
+  /** Frees the slots whose work must be over, and gives up what nobody reported on. */
+  endGrants (step: Step): void {
+    for (const held of this.table.grants.all) {
+      if (step.now < held.expiresAt + this.table.limits.driftMs) continue
+      this.table.release(held)
+      this.table.history.noteRun(held.key, step.now)
+      const live = this.table.live.get(held.key)
+      if (live?.held !== held) continue
+      this.table.finish(live, bare(OutcomeKind.unknown, 'nobody told how it ended'), step)
+    }
+  }
+
+  /** Settles a request whose grant was lost on the way and whose entry did not ask again. */
+  endUnused (live: LiveRequest, step: Step): void {
+    if (live.phase !== 'granted' || live.held !== undefined) return
+    if (live.deadlineAt + this.table.limits.lateMs > step.now) return
+    this.table.finish(live, bare(OutcomeKind.notRun, 'its grant was lost and never used', RETRY_AFTER_MS), step)
+  }
+
+  /** Frees the slot and learns from how the runner did. */
+  private learnEnd (held: HeldSlot, live: LiveRequest | undefined, { outcome, retry }: Settle, step: Step): void {
+    const runner = this.table.release(held)
+    if (runner?.target?.session !== held.session || live === undefined) return
+    const service = this.table.grants.service(live.facts.service)
+    if (outcome.kind === OutcomeKind.done) {
+      const ms = step.now - held.grantedAt
+      service.answered(runner, ms)
+      if (runner.target.phase === TargetPhase.suspect) this.setPhase(runner.target, TargetPhase.ready, step)
+      return
+    }
+    // A grant that came too late to be used says nothing of its runner.
+    if (outcome.kind === OutcomeKind.notRun && !retry) return
+    service.failed(runner)
+    if (runner.limiter.isSuspect && service.canSuspect(runner)) {
+      service.runners.delayProbe(runner, step.now)
+      this.setPhase(runner.target, TargetPhase.suspect, step)
+    }
+  }
+
+  private setPhase (target: TargetState, phase: TargetPhase, step: Step): void {
+    step.decide({ kind: 'targetPhaseSet', name: target.name, session: target.session, phase })
+  }
+
+  private endGrant (live: LiveRequest, event: Settle, step: Step): void {
+    const runner = live.held?.runner ?? ''
+    live.held = undefined
+    const mayRepeat = live.facts.idempotent || event.outcome.kind === OutcomeKind.notRun
+    if (event.outcome.kind === OutcomeKind.unknown) live.mayHaveRun = true
+    const service = this.table.grants.service(live.facts.service)
+    if (event.retry && mayRepeat && live.deadlineAt > step.now && this.takeRetry(service)) {
+      live.tried.push(runner)
+      if (service.hasUntried(live)) {
+        live.call = event.call
+        return this.table.wait(live, service)
+      }
+    }
+    live.call = event.call
+    this.table.finish(live, event.outcome, step)
+  }
+
+  private takeRetry (service: Service): boolean {
+    return !this.budgetsRetries || service.budget.take()
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/core/requests/grants.ts
@@ -0,0 +1,66 @@
+/**
+ * The grants in use and the services whose slots they hold.
+ */
+
+import type { HeldSlot } from './live.js'
+import type { Runner } from './runners.js'
+import { Service } from './service.js'
+
+export class Grants {
+  private readonly services = new Map<string, Service>()
+  private readonly byId = new Map<string, HeldSlot>()
+
+  static create (entryLimit: number): Grants {
+    return new Grants(entryLimit)
+  }
+
+  private constructor (private readonly entryLimit: number) {}
+
+  get allServices (): Iterable<Service> {
+    return this.services.values()
+  }
+
+  /** A copy, so that grants may end while it is gone through. */
+  get all (): HeldSlot[] {
+    return [...this.byId.values()]
+  }
+
+  service (name: string): Service {
+    let service = this.services.get(name)
+    if (service === undefined) {
+      service = Service.create(this.entryLimit)
+      this.services.set(name, service)
+    }
+    return service
+  }
+
+  get (id: string): HeldSlot | undefined {
+    return this.byId.get(id)
+  }
+
+  /** Counts a grant against its runner, or only remembers it when that is gone. */
+  hold (held: HeldSlot): void {
+    this.byId.set(held.id, held)
+    const service = this.serviceOf(held.runner)
+    const runner = service?.runners.get(held.runner)
+    if (service !== undefined && runner !== undefined) service.runners.hold(runner, held)
+  }
+
+  /** Frees the slot; returns the runner unless it is gone. */
+  release (held: HeldSlot): Runner | undefined {
+    this.byId.delete(held.id)
+    return this.serviceOf(held.runner)?.runners.release(held)
+  }
+
+  serviceOf (runner: string): Service | undefined {
+    for (const service of this.services.values()) {
+      if (service.runners.get(runner) !== undefined) return service
+    }
+    return undefined
+  }
+
+  /** Slots in use on a runner. */
+  inFlight (runner: string): number {
+    return this.serviceOf(runner)?.runners.get(runner)?.held.size ?? 0
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/core/requests/history.ts
@@ -0,0 +1,61 @@
+/**
+ * What is remembered of idempotent requests: recent outcomes, for repeats and
+ * fetches, and which ones may have run, so that none of them is said not to have.
+ */
+
+import type { Limits } from '../../types/limits.js'
+import { OutcomeKind, type Outcome } from '../../types/requests.js'
+import type { ClusterState } from '../../types/state.js'
+import type { LiveRequest } from './live.js'
+import { RecentOutcomes, type RecentOutcome } from './recent.js'
+import { CLOCK_AHEAD_MS } from './records.js'
+import { RunFilter } from './run-filter.js'
+
+export class History {
+  private readonly recent: RecentOutcomes
+  private readonly filter: RunFilter
+
+  static create (limits: Limits, state: ClusterState | undefined, now: number): History {
+    const wasGranted = state !== undefined && state.grantHorizon > 0
+    return new History(limits, wasGranted ? now + CLOCK_AHEAD_MS : 0, now)
+  }
+
+  private constructor (
+    private readonly limits: Limits,
+    /** What was made later than this was not granted by an earlier leader; 0 when there was none. */
+    private readonly knownSince: number,
+    now: number
+  ) {
+    this.recent = RecentOutcomes.create(limits.recentLimit)
+    this.filter = RunFilter.create(limits.retentionMs, now)
+  }
+
+  outcome (key: string): RecentOutcome | undefined {
+    return this.recent.get(key)
+  }
+
+  /** Keeps an outcome; one that is told to come back may do so under the same id. */
+  put (live: LiveRequest, outcome: Outcome): void {
+    if (outcome.kind !== OutcomeKind.notRun) this.recent.put(live.key, live.facts.digest, outcome)
+  }
+
+  /** Notes that a runner may have run a request. */
+  noteRun (key: string, now: number): void {
+    this.filter.add(key, now)
+  }
+
+  /** What did not run in the end may have run at an earlier try or under an earlier leader. */
+  truthful (live: LiveRequest, outcome: Outcome, state: ClusterState, now: number): Outcome {
+    const saysNotRun = outcome.kind === OutcomeKind.notRun || outcome.kind === OutcomeKind.cancelled
+    if (!saysNotRun || !(live.mayHaveRun || this.mayHaveRun(live, state, now))) return outcome
+    return { ...outcome, kind: OutcomeKind.unknown }
+  }
+
+  /** A request that is not idempotent has a record instead. */
+  private mayHaveRun ({ facts, key }: LiveRequest, state: ClusterState, now: number): boolean {
+    if (!facts.idempotent) return false
+    if (this.filter.mayHold(key)) return true
+    if (this.knownSince === 0 || facts.createdMs > this.knownSince) return false
+    return facts.createdMs > 0 || now < state.grantHorizon + this.limits.retentionMs
+  }
+}
--- a/packages/scheduler/src/core/requests/limiter.ts
+++ b/packages/scheduler/src/core/requests/limiter.ts
@@ -61,6 +61,11 @@
     return this.failures >= SUSPECT_FAILURES
   }
 
+  /** Its last request was answered. */
+  get isAnswering (): boolean {
+    return this.failures === 0 && this.latency.count > 0
+  }
+
   answered (ms: number, serviceMs: number): void {
     this.failures = 0
     this.latency.add(ms)
--- a/packages/scheduler/src/core/requests/queue.ts
+++ b/packages/scheduler/src/core/requests/queue.ts
@@ -1,6 +1,6 @@
 /**
- * The queue of one service. Each entry has one lane for each urgency, so that an
- * entry that may not use any free slot is passed over in one step. Among the
+ * The queue of one service. Requests that may use the same runners share a lane,
+ * so that those which may use no free slot are passed over in one step. Among the
  * heads of the lanes the lowest order goes first; the order is the time of
  * arrival put back by a fixed delay for each class, so that a request overtakes
  * only those of lower classes that came within that delay. This bounds how long
@@ -67,7 +67,7 @@
   }
 
   add (request: LiveRequest): void {
-    const name = `${request.facts.urgency} ${request.entry}`
+    const name = laneOf(request)
     let lane = this.lanes.get(name)
     if (lane === undefined) {
       lane = new Lane()
@@ -103,3 +103,7 @@
     for (const lane of this.lanes.values()) yield * lane.waiting()
   }
 }
+
+function laneOf ({ facts, entry, tried }: LiveRequest): string {
+  return `${facts.urgency} ${facts.idempotent ? 'again' : 'once'} ${tried.join(' ')} ${entry}`
+}
--- /dev/null
+++ b/packages/scheduler/src/core/requests/records.ts
@@ -0,0 +1,114 @@
+/**
+ * The durable records of requests that must not run twice: when one may be
+ * claimed, how it is settled, and when it may be forgotten. A forgotten request
+ * stays refused: by the time at which it was made, or by its fingerprint.
+ */
+
+import type { Limits } from '../../types/limits.js'
+import { OutcomeKind, type Outcome, type RequestFacts, type RequestState } from '../../types/requests.js'
+import type { ClusterState } from '../../types/state.js'
+import { ErrorKind, Failure } from '../../utils/errors.js'
+import { requestFingerprint } from '../apply.js'
+import type { Step } from '../step.js'
+import { bare, type HeldSlot, type LiveRequest } from './live.js'
+
+/** How far ahead of the cluster a caller's clock may run, in milliseconds. */
+export const CLOCK_AHEAD_MS = 60_000
+const RETRY_AFTER_MS = 1_000
+
+export class Records {
+  private bodyBytes = 0
+
+  static create (limits: Limits, state?: ClusterState): Records {
+    const records = new Records(limits)
+    for (const request of state?.requests.values() ?? []) records.bodyBytes += request.outcome.body.length
+    return records
+  }
+
+  private constructor (private readonly limits: Limits) {}
+
+  /** Why a request without a record can't be claimed; undefined when it can. */
+  refusal (facts: RequestFacts, key: string, state: ClusterState, now: number): Failure | undefined {
+    if (facts.createdMs > now + CLOCK_AHEAD_MS) {
+      return Failure.create(ErrorKind.invalidArgument, 'created_ms is in the future')
+    }
+    if (this.isForgotten(facts.createdMs, key, state, now)) {
+      const text = `the request is older than ${this.limits.retentionMs} ms; whether it ran is no longer known`
+      return Failure.create(ErrorKind.failedPrecondition, text)
+    }
+    if (facts.createdMs === 0 && state.forgottenRequests.size >= this.limits.forgottenLimit) {
+      return Failure.create(ErrorKind.failedPrecondition, 'state created_ms: no more requests without it can be remembered')
+    }
+    if (state.requests.size >= this.limits.requestLimit) {
+      return Failure.create(ErrorKind.resourceExhausted, 'too many requests are remembered', { retryAfterMs: RETRY_AFTER_MS })
+    }
+    return undefined
+  }
+
+  claim (live: LiveRequest, held: HeldSlot, step: Step): void {
+    step.decide({ kind: 'requestClaimed', request: createRecord(live, held, step.now) })
+  }
+
+  /** Records the outcome, also of a request that was never claimed. */
+  settle (live: LiveRequest, outcome: Outcome, step: Step): void {
+    if (step.state.requests.has(live.key)) return this.resolve(live.key, outcome, step)
+    const request = { ...createRecord(live, undefined, step.now), outcome, settledAt: step.now }
+    step.decide({ kind: 'requestClaimed', request })
+  }
+
+  /** An outcome that comes after the request was given up as unknown resolves it, once. */
+  settleLate (key: string, record: RequestState, outcome: Outcome, step: Step): void {
+    if (record.outcome.kind !== OutcomeKind.unknown) return
+    if (outcome.kind === OutcomeKind.done || outcome.kind === OutcomeKind.notRun) this.resolve(key, outcome, step)
+  }
+
+  /** Drops the records whose requests are refused by their age from now on. */
+  forget (step: Step): void {
+    for (const [key, request] of step.state.requests) {
+      if (request.outcome.kind === OutcomeKind.pending) continue
+      // Map order is order of claim, so that the first young one ends the search.
+      if (request.claimedAt + this.limits.retentionMs > step.now) return
+      const until = Math.max(request.createdMs, request.settledAt) + this.limits.retentionMs
+      if (until > step.now) continue
+      this.bodyBytes -= request.outcome.body.length
+      step.decide({ kind: 'requestForgotten', key })
+    }
+  }
+
+  private resolve (key: string, outcome: Outcome, step: Step): void {
+    step.decide({ kind: 'requestSettled', key, outcome: this.keepable(outcome), at: step.now })
+  }
+
+  private isForgotten (createdMs: number, key: string, state: ClusterState, now: number): boolean {
+    if (createdMs === 0) return state.forgottenRequests.has(requestFingerprint(key))
+    return createdMs <= state.requestFloor || createdMs + this.limits.retentionMs <= now
+  }
+
+  /** Drops a body for which there is no room; the digest still tells what it was. */
+  private keepable (outcome: Outcome): Outcome {
+    if (this.bodyBytes + outcome.body.length <= this.limits.bodyLimit) {
+      this.bodyBytes += outcome.body.length
+      return outcome
+    }
+    return { ...outcome, body: new Uint8Array(), reason: 'it ran, but there was no room to keep its answer' }
+  }
+}
+
+function createRecord (live: LiveRequest, held: HeldSlot | undefined, now: number): RequestState {
+  return {
+    caller: live.facts.caller,
+    requestId: live.facts.requestId,
+    digest: live.facts.digest,
+    service: live.facts.service,
+    runner: held?.runner ?? '',
+    session: held?.session ?? '',
+    grant: held?.id ?? '',
+    entry: held?.entry ?? '',
+    token: live.facts.token,
+    createdMs: live.facts.createdMs,
+    expiresAt: held?.expiresAt ?? 0,
+    outcome: bare(OutcomeKind.pending, ''),
+    claimedAt: now,
+    settledAt: 0
+  }
+}
--- a/packages/scheduler/src/core/requests/service.ts
+++ b/packages/scheduler/src/core/requests/service.ts
@@ -69,9 +69,9 @@
     let healthy = 0
     let total = 0
     for (const other of this.runners.all) {
-      if (other.target === undefined) continue
+      if (other === runner || other.target === undefined) continue
       total += 1
-      if (other.target.phase === TargetPhase.ready && !other.limiter.isSuspect) healthy += 1
+      if (other.target.phase === TargetPhase.ready && other.limiter.isAnswering) healthy += 1
     }
     return healthy * 2 > total
   }
--- /dev/null
+++ b/packages/scheduler/src/core/requests/succession.ts
@@ -0,0 +1,113 @@
+/**
+ * What changes hands: a new leader takes over the claims of the old one and hears
+ * from the entries which grants they hold; a lost entry leaves its requests behind.
+ */
+
+import { OutcomeKind, type HeldGrant, type RequestState } from '../../types/requests.js'
+import { Urgency } from '../../types/workloads.js'
+import { requestKey } from '../apply.js'
+import type { Step } from '../step.js'
+import { bare, createLiveRequest, type HeldSlot, type LiveRequest } from './live.js'
+import type { RequestTable } from './request-table.js'
+
+export class Succession {
+  static create (table: RequestTable): Succession {
+    return new Succession(table)
+  }
+
+  private constructor (private readonly table: RequestTable) {}
+
+  /** Takes over a claim of an earlier leader. */
+  restoreRequest (request: RequestState): void {
+    if (request.outcome.kind !== OutcomeKind.pending) return
+    const key = requestKey(request.caller, request.requestId)
+    const facts = {
+      caller: request.caller,
+      requestId: request.requestId,
+      service: request.service,
+      idempotent: false,
+      urgency: Urgency.normal,
+      deadlineMs: Math.max(0, request.expiresAt - this.table.limits.lateMs - request.claimedAt),
+      digest: request.digest,
+      createdMs: request.createdMs,
+      token: request.token
+    }
+    const live = createLiveRequest(key, facts, request.entry, 0, request.claimedAt)
+    live.phase = 'granted'
+    live.held = {
+      id: request.grant,
+      runner: request.runner,
+      session: request.session,
+      slot: 0,
+      entry: request.entry,
+      key,
+      grantedAt: request.claimedAt,
+      expiresAt: request.expiresAt
+    }
+    this.table.live.set(key, live)
+    this.table.grants.hold(live.held)
+  }
+
+  /** The first word of an entry to this leader. */
+  learnGrants (entry: string, grants: readonly HeldGrant[], step: Step): void {
+    this.table.entries.heardFrom(entry)
+    const reported = new Set(grants.map(grant => grant.id))
+    for (const held of this.table.grants.all) {
+      // A grant that its entry does not hold was lost on the way and never used.
+      if (held.entry === entry && !reported.has(held.id)) this.dropLost(held)
+    }
+    for (const grant of grants) {
+      if (this.table.grants.get(grant.id) === undefined) this.adopt(entry, grant, step)
+    }
+    for (const service of this.table.grants.allServices) this.table.changed.add(service)
+  }
+
+  /** Nobody waits any more behind a lost entry; its grants stay in use until they run out. */
+  loseEntry (entry: string, step: Step): void {
+    for (const live of [...this.table.live.values()]) {
+      live.waiters = live.waiters.filter(waiter => waiter.entry !== entry)
+      if (live.entry !== entry || live.phase !== 'waiting') continue
+      this.abandon(live, step)
+    }
+    for (const service of this.table.grants.allServices) this.table.changed.add(service)
+  }
+
+  private dropLost (held: HeldSlot): void {
+    this.table.release(held)
+    const live = this.table.live.get(held.key)
+    // The entry asks anew under the same token.
+    if (live?.held === held) live.held = undefined
+  }
+
+  private adopt (entry: string, grant: HeldGrant, step: Step): void {
+    this.table.grants.hold({
+      id: grant.id,
+      runner: grant.runner,
+      session: '',
+      slot: grant.slot,
+      entry,
+      key: requestKey(grant.caller, grant.requestId),
+      grantedAt: step.now,
+      expiresAt: step.now + grant.expiresInMs
+    })
+  }
+
+  /** Goes on for the next caller that waits, or drops a request for which nobody does. */
+  private abandon (live: LiveRequest, step: Step): void {
+    if (live.waiters.length === 0 && step.state.requests.has(live.key)) {
+      return this.table.finish(live, bare(OutcomeKind.notRun, 'its entry was lost before it was sent'), step)
+    }
+    live.phase = 'over'
+    this.table.live.delete(live.key)
+    const service = this.table.grants.service(live.facts.service)
+    service.queue.left()
+    const next = live.waiters.shift()
+    if (next === undefined) return
+    const deadlineMs = Math.max(0, next.deadlineAt - step.now)
+    const request = createLiveRequest(live.key, { ...live.facts, deadlineMs, token: next.token }, next.entry, next.call, step.now)
+    request.order = live.order
+    request.waiters = live.waiters
+    this.table.live.set(request.key, request)
+    this.table.wait(request, service)
+  }
+}
