--- /dev/null
+++ b/packages/controllers/__tests__/storage.test.ts
@@ -0,0 +1,167 @@
+/**
+ * The data folder: torn tails, damage, and what a start makes of them.
+ */
+
+import assert from 'node:assert/strict'
+import { cp, mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { after, before, describe, it } from 'node:test'
+import fc from 'fast-check'
+import { EntryKind, FolderDisk, inspectFolder, Store, type Entry, type Write } from '../src/index.js'
+
+const SEGMENT_BYTES = 1000
+const ENTRIES = 60
+const BATCH = 3
+
+function entry (index: number): Entry {
+  return { index, term: 1, kind: EntryKind.data, data: Buffer.from(`entry number ${index}`) }
+}
+
+/** Writes of entries 1 to ENTRIES, three to a batch, one after another. */
+async function fill (store: Store): Promise<void> {
+  for (let index = 1; index <= ENTRIES; index += BATCH) {
+    const entries = [entry(index), entry(index + 1), entry(index + 2)]
+    await store.write([{ kind: 'append', sequence: index, entries }])
+  }
+}
+
+describe('storage', () => {
+  let root: string
+  let made = 0
+
+  before(async () => { root = await mkdtemp(join(tmpdir(), 'flamingorouter-storage-')) })
+  after(async () => { await rm(root, { recursive: true }) })
+
+  async function openStore (folder: string, group = 'test'): Promise<Store> {
+    const disk = await FolderDisk.open(folder)
+    return await Store.open({ disk, group, id: 'a', newDisk: 'a1', segmentBytes: SEGMENT_BYTES })
+  }
+
+  async function filledFolder (): Promise<string> {
+    const folder = join(root, String(made++))
+    const store = await openStore(folder)
+    await fill(store)
+    await store.close()
+    return folder
+  }
+
+  async function copyOf (folder: string): Promise<string> {
+    const copy = join(root, String(made++))
+    await cp(folder, copy, { recursive: true })
+    return copy
+  }
+
+  it('gives back what was written, across segments', async () => {
+    const folder = await filledFolder()
+    const report = await inspectFolder(folder)
+    assert.ok(report.segments.length > 1)
+    assert.equal(report.lastIndex, ENTRIES)
+    const store = await openStore(folder)
+    assert.deepEqual(store.entries.map(({ index, data }) => [index, String(data)]),
+      Array.from({ length: ENTRIES }, (_, i) => [i + 1, `entry number ${i + 1}`]))
+    await store.close()
+  })
+
+  it('cuts a tail that is torn at any byte of the last batch, and nothing before it', async () => {
+    const folder = await filledFolder()
+    const name = (await inspectFolder(folder)).segments.at(-1)!.name
+    const content = await readFile(join(folder, name))
+    const lastBatch = content.readUInt32LE(content.lastIndexOf(Buffer.from([0xa6, 0xf1])) + 12)
+    const lastKept = ENTRIES - BATCH
+    for (let length = lastBatch; length < content.length; length += 5) {
+      const copy = await copyOf(folder)
+      await writeFile(join(copy, name), content.subarray(0, length))
+      const store = await openStore(copy)
+      assert.ok(store.entries.length >= lastKept && store.entries.length < ENTRIES)
+      const next = store.entries.length + 1
+      await store.write([{ kind: 'append', sequence: 1, entries: [entry(next)] }])
+      await store.close()
+      const report = await inspectFolder(copy)
+      assert.equal(report.lastIndex, next)
+      assert.deepEqual(report.damages, [])
+    }
+  })
+
+  it('refuses any flipped bit in front of the last batch, naming file and offset', async () => {
+    const folder = await filledFolder()
+    const { segments } = await inspectFolder(folder)
+    const contents = new Map<string, Buffer>()
+    for (const { name } of segments) contents.set(name, await readFile(join(folder, name)))
+    const last = contents.get(segments.at(-1)!.name)!
+    const lastBatch = last.readUInt32LE(last.lastIndexOf(Buffer.from([0xa6, 0xf1])) + 12)
+    const bits = segments.map(({ name, bytes }, position) => {
+      const end = position === segments.length - 1 ? lastBatch : bytes
+      return fc.record({ name: fc.constant(name), offset: fc.nat(end - 1), bit: fc.nat(7) })
+    })
+    await fc.assert(fc.asyncProperty(fc.oneof(...bits), async ({ name, offset, bit }) => {
+      const copy = await copyOf(folder)
+      const damaged = Buffer.from(contents.get(name)!)
+      damaged[offset] ^= 1 << bit
+      await writeFile(join(copy, name), damaged)
+      const { damages } = await inspectFolder(copy)
+      assert.equal(damages[0]?.file, name)
+      assert.ok(damages[0].offset <= offset)
+      await assert.rejects(openStore(copy), { kind: 'dataLoss', message: new RegExp(`${name} is damaged at offset`) })
+    }), { seed: 1, numRuns: 100 })
+  })
+
+  it('refuses a missing segment, a damaged hard state and a damaged snapshot', async () => {
+    const folder = await filledFolder()
+    const { segments } = await inspectFolder(folder)
+    for (const { name } of [segments[0], segments[1], segments.at(-1)!]) {
+      const copy = await copyOf(folder)
+      await rm(join(copy, name))
+      await assert.rejects(openStore(copy), { kind: 'dataLoss', message: new RegExp(name) })
+    }
+    const withoutHardState = await copyOf(folder)
+    await rm(join(withoutHardState, 'hard-state'))
+    await assert.rejects(openStore(withoutHardState), { kind: 'dataLoss', message: /hard-state/ })
+    const store = await openStore(folder)
+    const snapshot = { index: 30, term: 1, members: [], data: Buffer.from('state') }
+    await store.write([{ kind: 'snapshot', sequence: 1, snapshot, keepLog: true, firstIndex: 20 }])
+    await store.close()
+    const { snapshotIndex, damages } = await inspectFolder(folder)
+    assert.deepEqual({ snapshotIndex, damages }, { snapshotIndex: 30, damages: [] })
+    const name = 'snapshot-000000000030'
+    const content = await readFile(join(folder, name))
+    content[content.length - 1] ^= 1
+    await writeFile(join(folder, name), content)
+    await assert.rejects(openStore(folder), { kind: 'dataLoss', message: new RegExp(name) })
+  })
+
+  it('goes on after a snapshot that replaced a longer log', async () => {
+    const folder = await filledFolder()
+    const store = await openStore(folder)
+    const snapshot = { index: 40, term: 2, members: [], data: Buffer.from('state') }
+    const next: Entry = { ...entry(41), term: 2 }
+    const writes: Write[] = [
+      { kind: 'snapshot', sequence: 1, snapshot, keepLog: false, firstIndex: 41 },
+      { kind: 'append', sequence: 2, entries: [next] }
+    ]
+    assert.equal(await store.write(writes), 41)
+    await store.close()
+    const reopened = await openStore(folder)
+    assert.deepEqual(reopened.entries.map(({ index, term }) => [index, term]), [[41, 2]])
+    await reopened.close()
+  })
+
+  it('refuses a folder of another group or controller', async () => {
+    const folder = await filledFolder()
+    await assert.rejects(openStore(folder, 'other'), { kind: 'failedPrecondition', message: /group test, not other/ })
+    const disk = await FolderDisk.open(folder)
+    await assert.rejects(Store.open({ disk, group: 'test', id: 'b', newDisk: 'b1' }),
+      { kind: 'failedPrecondition', message: /controller a, not b/ })
+  })
+
+  it('inspects without changing anything', async () => {
+    const folder = await filledFolder()
+    const name = (await inspectFolder(folder)).segments.at(-1)!.name
+    const content = await readFile(join(folder, name))
+    await writeFile(join(folder, name), content.subarray(0, content.length - 1))
+    const report = await inspectFolder(folder)
+    assert.ok(report.tornBytes > 0)
+    assert.equal((await readFile(join(folder, name))).length, content.length - 1)
+    await assert.rejects(inspectFolder(join(root, 'none')), { kind: 'notFound' })
+  })
+})
--- /dev/null
+++ b/packages/controllers/__tests__/support/disk.ts
@@ -0,0 +1,154 @@
+/**
+ * A disk in memory that keeps what was synced and what was not apart, so that a
+ * crash loses or tears the rest.
+ */
+
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
+import { Disk } from '../../src/index.js'
+
+interface Inode {
+  data: Uint8Array
+  synced: Uint8Array
+}
+
+type Names = Map<string, Inode>
+
+/** The medium outlives the processes that use it. */
+export class Medium {
+  names: Names = new Map()
+  private durableNames: Names = new Map()
+  private journal: Array<(names: Names) => void> = []
+
+  static create (): Medium {
+    return new Medium()
+  }
+
+  /** Changes the folder now, and durably once the folder is synced. */
+  change (apply: (names: Names) => void): void {
+    apply(this.names)
+    this.journal.push(apply)
+  }
+
+  /** Number of changes of the folder so far not durable. */
+  get changes (): number {
+    return this.journal.length
+  }
+
+  syncFolder (changes: number): void {
+    for (const apply of this.journal.splice(0, changes)) apply(this.durableNames)
+  }
+
+  /** Loses a random part of what was not synced. */
+  crash (random: RandomGenerator): void {
+    this.syncFolder(uniformInt(random, 0, this.journal.length))
+    this.journal = []
+    this.names = new Map(this.durableNames)
+    for (const inode of this.names.values()) {
+      inode.data = tear(inode, random)
+      inode.synced = inode.data
+    }
+  }
+}
+
+function tear ({ data, synced }: Inode, random: RandomGenerator): Uint8Array {
+  const isAppended = data.length >= synced.length && Buffer.from(data.subarray(0, synced.length)).equals(synced)
+  if (!isAppended) return uniformInt(random, 0, 1) === 0 ? synced : data
+  const kept = Uint8Array.from(data.subarray(0, uniformInt(random, synced.length, data.length)))
+  // A page in the middle of what was not synced may be missing.
+  if (uniformInt(random, 0, 2) === 0) kept.fill(0, uniformInt(random, synced.length, kept.length))
+  return kept
+}
+
+/** A process's access to a medium; sync takes as long as `delay` says, in fake time. */
+export class FakeDisk extends Disk {
+  isFailing = false
+  private isDead = false
+  private constructor (
+    readonly medium: Medium,
+    private readonly delay: (done: () => void) => void
+  ) {
+    super()
+  }
+
+  static create (medium: Medium, delay: (done: () => void) => void = done => { done() }): FakeDisk {
+    return new FakeDisk(medium, delay)
+  }
+
+  /** The process died: nothing that it asked for happens any more. */
+  kill (): void {
+    this.isDead = true
+  }
+
+  async list (): Promise<string[]> {
+    return [...this.medium.names.keys()]
+  }
+
+  async read (name: string): Promise<Uint8Array> {
+    await this.check()
+    return this.inode(name).data
+  }
+
+  async write (name: string, data: Uint8Array): Promise<void> {
+    await this.check()
+    const inode: Inode = { data: Uint8Array.from(data), synced: new Uint8Array() }
+    this.medium.change(names => { names.set(name, inode) })
+  }
+
+  async append (name: string, data: Uint8Array): Promise<void> {
+    await this.check()
+    if (!this.medium.names.has(name)) await this.write(name, new Uint8Array())
+    const inode = this.inode(name)
+    inode.data = Buffer.concat([inode.data, data])
+  }
+
+  async truncate (name: string, length: number): Promise<void> {
+    await this.check()
+    const inode = this.inode(name)
+    inode.data = inode.data.subarray(0, length)
+  }
+
+  async sync (name: string): Promise<void> {
+    await this.check()
+    const inode = this.inode(name)
+    const { data } = inode
+    await this.wait()
+    inode.synced = data
+  }
+
+  async rename (from: string, to: string): Promise<void> {
+    await this.check()
+    const inode = this.inode(from)
+    this.medium.change(names => { names.delete(from); names.set(to, inode) })
+  }
+
+  async remove (name: string): Promise<void> {
+    await this.check()
+    this.medium.change(names => { names.delete(name) })
+  }
+
+  async syncFolder (): Promise<void> {
+    await this.check()
+    const changes = this.medium.changes
+    await this.wait()
+    this.medium.syncFolder(changes)
+  }
+
+  async close (): Promise<void> {}
+
+  private inode (name: string): Inode {
+    const inode = this.medium.names.get(name)
+    if (inode === undefined) throw new Error(`no file ${name}`)
+    return inode
+  }
+
+  private async wait (): Promise<void> {
+    await new Promise<void>(resolve => { this.delay(resolve) })
+    await this.check()
+  }
+
+  private async check (): Promise<void> {
+    if (this.isDead) await new Promise<void>(() => {})
+    if (this.isFailing) throw new Error('no space left on device')
+  }
+}
--- /dev/null
+++ b/packages/controllers/__tests__/support/schedule.ts
@@ -0,0 +1,191 @@
+/**
+ * Generated schedules of faults and operations, run on a cluster that is checked
+ * after every step and must make progress once all is healed.
+ */
+
+import assert from 'node:assert/strict'
+import fc from 'fast-check'
+import type { Coverage } from './checker.js'
+import { Cluster, factsOf } from './cluster.js'
+import type { TestNode } from './node.js'
+
+const IDS = ['a', 'b', 'c', 'd', 'e'] as const
+/** Time in which a healed cluster must elect a leader and commit, in milliseconds. */
+const HEALED_MS = 8000
+
+export interface Action {
+  kind: 'propose' | 'isolate' | 'cutWay' | 'heal' | 'lose' | 'pause' | 'resume' | 'crash' | 'start' | 'crashLeader' |
+  'isolateLeader' | 'pauseLeader' | 'loseDisk' | 'replace' | 'add' | 'remove' | 'transfer' | 'failDisk' | 'slowDisks'
+  node: string
+  other: string
+  /** Time to run after the action, in milliseconds. */
+  ms: number
+}
+
+export interface Schedule {
+  seed: number
+  actions: Action[]
+}
+
+const SINGLE_KINDS: Array<[Action['kind'], number]> = [
+  ['propose', 14], ['isolate', 3], ['cutWay', 5], ['heal', 7], ['lose', 2], ['pause', 3], ['resume', 5], ['crash', 4],
+  ['start', 8], ['crashLeader', 3], ['isolateLeader', 4], ['pauseLeader', 3], ['loseDisk', 1], ['replace', 4],
+  ['add', 4], ['remove', 4], ['transfer', 2], ['failDisk', 1], ['slowDisks', 1]
+]
+
+const id = fc.constantFrom(...IDS)
+const ms = fc.oneof(fc.integer({ min: 0, max: 60 }), fc.integer({ min: 100, max: 500 }))
+
+const single: fc.Arbitrary<Action[]> = fc.record({
+  kind: fc.oneof(...SINGLE_KINDS.map(([kind, weight]) => ({ arbitrary: fc.constant(kind), weight }))),
+  node: id,
+  other: id,
+  ms
+}).map(one => [one])
+
+/** A lost disk is replaced, and soon another node is lost, while faults may go on. */
+const repair: fc.Arbitrary<Action[]> = fc.record({
+  node: id,
+  other: id,
+  ms,
+  second: fc.constantFrom<Action['kind']>('loseDisk', 'crash', 'isolate', 'pause', 'crashLeader')
+}).map(({ node, other, ms, second }) => {
+  const then = (kind: Action['kind'], ms: number): Action => ({ kind, node, other, ms })
+  return [
+    then('heal', 0), then('start', 400), then('loseDisk', 300), then('propose', 100), then('replace', 200),
+    then('replace', ms), then('propose', ms), { kind: second, node: other, other: node, ms }
+  ]
+})
+
+/** The group grows, and shrinks again. */
+const resize: fc.Arbitrary<Action[]> = fc.record({ node: id, other: id, ms }).map(({ node, other, ms }) => {
+  const then = (kind: Action['kind'], ms: number): Action => ({ kind, node, other, ms })
+  return [
+    then('heal', 0), then('start', 400), then('propose', 50), then('add', ms), then('propose', ms),
+    then('remove', ms), then('propose', 50)
+  ]
+})
+
+export const schedule: fc.Arbitrary<Schedule> = fc.record({
+  seed: fc.integer({ min: 1, max: 2 ** 30 }),
+  actions: fc.array(fc.oneof(
+    { arbitrary: single, weight: 20 }, { arbitrary: repair, weight: 1 }, { arbitrary: resize, weight: 1 }
+  ), { minLength: 10, maxLength: 35, size: 'max' }).map(groups => groups.flat())
+})
+
+/** Runs a schedule; throws at the first promise that is broken. */
+export async function runSchedule ({ seed, actions }: Schedule, coverage: Coverage): Promise<void> {
+  const cluster = await Cluster.create(seed, coverage)
+  await cluster.runUntil(() => cluster.leader !== undefined, HEALED_MS)
+  for (const next of actions) {
+    act(cluster, next, coverage)
+    await cluster.run(next.ms)
+  }
+  await finish(cluster, coverage)
+}
+
+function act (cluster: Cluster, { kind, node: id, other }: Action, coverage: Coverage): void {
+  const node = cluster.node(id)
+  switch (kind) {
+    case 'propose': return propose(cluster)
+    case 'isolate': return cluster.isolate(id)
+    case 'cutWay': return cluster.cutWay(id, other)
+    case 'heal': return cluster.heal()
+    case 'lose': cluster.loss = 20; return
+    case 'pause': node.isPaused = node.replica !== undefined; return
+    case 'resume': return cluster.resume(node)
+    case 'crash': return cluster.crash(node)
+    case 'start': for (const stopped of cluster.nodes.values()) cluster.start(stopped); return
+    case 'crashLeader': return withLeader(cluster, leader => { cluster.crash(leader) })
+    case 'isolateLeader': return withLeader(cluster, leader => { cluster.isolate(leader.id) })
+    case 'pauseLeader': return withLeader(cluster, leader => { leader.isPaused = true })
+    case 'loseDisk': return loseDisk(cluster, node)
+    case 'replace': return replace(cluster, coverage)
+    case 'add': return add(cluster, id, coverage)
+    case 'remove': return remove(cluster, id, coverage)
+    case 'transfer': return withLeader(cluster, leader => { ignoreRefusal(() => { leader.replica!.transferLeadership() }) })
+    case 'failDisk': if (node.disk !== undefined) node.disk.isFailing = true; return
+    case 'slowDisks': cluster.syncMs = 300
+  }
+}
+
+/** Every node that believes that it leads proposes. */
+function propose (cluster: Cluster): void {
+  for (const node of cluster.nodes.values()) {
+    for (let count = 0; count < 5; count++) node.propose()
+  }
+}
+
+function withLeader (cluster: Cluster, use: (leader: TestNode) => void): void {
+  const { leader } = cluster
+  if (leader !== undefined) use(leader)
+}
+
+function ignoreRefusal (operate: () => void): void {
+  try {
+    operate()
+  } catch {
+    // Operators are refused often; that is no fault.
+  }
+}
+
+function loseDisk (cluster: Cluster, node: TestNode): void {
+  // With no first member left that knows the group, the same settings would form a new one.
+  const others = ['a', 'b', 'c'].filter(id => id !== node.id && !cluster.node(id).isBlank)
+  if (others.length > 0) cluster.loseDisk(node)
+}
+
+/** Adds the node, or if it is a member already the first one that is not. */
+function add (cluster: Cluster, wanted: string, coverage: Coverage): void {
+  withLeader(cluster, leader => {
+    const members = leader.raft.state.log.members.map(member => member.id)
+    const id = [wanted, ...IDS].find(id => !members.includes(id)) ?? wanted
+    leader.replica!.addMember(factsOf(id)).then(() => { coverage.membersAdded += 1 }, () => {})
+  })
+}
+
+function remove (cluster: Cluster, id: string, coverage: Coverage): void {
+  withLeader(cluster, leader => {
+    leader.replica!.removeMember(id).then(() => { coverage.membersRemoved += 1 }, () => {})
+  })
+}
+
+/** What an operator does for a member that lost its disk: remove it, then add it anew. */
+function replace (cluster: Cluster, coverage: Coverage): void {
+  withLeader(cluster, leader => {
+    const { log } = leader.raft.state
+    for (const node of cluster.nodes.values()) {
+      if (!node.isBlank) continue
+      cluster.start(node)
+      const member = log.members.find(member => member.id === node.id)
+      if (member === undefined) {
+        leader.replica!.addMember(factsOf(node.id)).then(() => {
+          node.isBlank = false
+          coverage.replacements += 1
+        }, () => {})
+      } else {
+        remove(cluster, node.id, coverage)
+      }
+      return
+    }
+  })
+}
+
+async function finish (cluster: Cluster, coverage: Coverage): Promise<void> {
+  cluster.heal()
+  for (const node of cluster.nodes.values()) {
+    cluster.resume(node)
+    if (node.disk?.isFailing === true) cluster.crash(node)
+    cluster.start(node)
+  }
+  await cluster.runUntil(() => [...cluster.nodes.values()].every(node => node.replica !== undefined), HEALED_MS)
+  if (!cluster.canMakeProgress) return
+  const before = cluster.checker.acknowledged
+  const isLive = await cluster.runUntil(() => {
+    propose(cluster)
+    return cluster.checker.acknowledged > before
+  }, HEALED_MS)
+  assert.ok(isLive, 'nothing is committed after all faults are healed')
+  await cluster.run(500)
+  coverage.liveEnds += 1
+}
--- a/packages/controllers/src/core/raft/leader.ts
+++ b/packages/controllers/src/core/raft/leader.ts
@@ -197,9 +197,12 @@
   private broadcast (now: number): void {
     this.heartbeatAt = now
     for (const [id, progress] of this.progress) {
-      if (now - progress.contactAt > this.state.timing.electionMs) progress.restartProbe()
-      if (progress.upload !== undefined) this.sendPart(id, progress, now)
-      else this.sendAppend(id, progress, now)
+      const { electionMs } = this.state.timing
+      const isSilent = now - progress.contactAt > electionMs
+      if (isSilent) progress.restartProbe()
+      if (progress.upload === undefined) this.sendAppend(id, progress, now)
+      // Parts are large; a silent member gets fewer.
+      else if (!isSilent || now - progress.sentAt >= electionMs) this.sendPart(id, progress, now)
     }
   }
 
--- a/packages/controllers/src/core/replica.ts
+++ b/packages/controllers/src/core/replica.ts
@@ -280,19 +280,23 @@
 
   private snapshotIfDue (): void {
     if (this.isStopped) return
-    const { raft } = this
-    const { state } = raft
-    if (this.held !== undefined && state.commitIndex >= this.held.index) {
-      raft.compact(this.held.index, this.held.data, this.options.snapshotEvery >> 1)
-      this.held = undefined
-      this.drain()
-    }
+    const { state, role } = this.raft
+    this.keepIfCommitted()
     const since = state.commitIndex - (state.log.snapshot?.index ?? 0)
     if (this.held !== undefined || since < this.options.snapshotEvery) return
     const isLeading = this.leadingTerm !== 0
     // A replica between two roles may hold entries that its owner has not seen.
-    if (isLeading !== (raft.role === 'leader')) return
+    if (isLeading !== (role === 'leader')) return
     this.held = { index: isLeading ? state.log.lastIndex : this.deliveredIndex, data: this.owner.snapshot() }
+    this.keepIfCommitted()
+  }
+
+  private keepIfCommitted (): void {
+    const { held } = this
+    if (held === undefined || held.index > this.raft.state.commitIndex) return
+    this.held = undefined
+    this.raft.compact(held.index, held.data, this.options.snapshotEvery >> 1)
+    this.drain()
   }
 
   /** Takes no part any more, after a failure of the disk or of a check. */
--- a/packages/controllers/src/core/storage/content.ts
+++ b/packages/controllers/src/core/storage/content.ts
@@ -23,6 +23,13 @@
   highestIndex: number
 }
 
+/** What the file of the hard state holds. */
+export interface HardStateHead {
+  hardState: HardState
+  /** Number of the newest segment that holds synced records; 0 when there was none yet. */
+  lastSegment: number
+}
+
 /** What a snapshot file tells before its content. */
 export interface SnapshotHead extends Omit<Snapshot, 'data'> {
   /** Number of the first segment that still counts. */
@@ -39,6 +46,7 @@
 export interface FolderContent {
   isEmpty: boolean
   hardState?: HardState
+  lastSegment: number
   snapshot?: Snapshot
   segments: Segment[]
   /** Entries after the snapshot. */
@@ -65,7 +73,7 @@
 export async function readContent (disk: Disk): Promise<FolderContent> {
   const names = (await disk.list()).sort()
   const content: FolderContent = {
-    isEmpty: true, segments: [], entries: [], nextSegment: 1, leftovers: [], damages: []
+    isEmpty: true, segments: [], entries: [], lastSegment: 0, nextSegment: 1, leftovers: [], damages: []
   }
   content.leftovers = names.filter(name => name.endsWith('.tmp'))
   await readHardState(disk, names, content)
@@ -81,9 +89,13 @@
 
 async function readHardState (disk: Disk, names: string[], content: FolderContent): Promise<void> {
   if (!names.includes(HARD_STATE_FILE)) return
-  const checked = decodeChecked<HardState>(await disk.read(HARD_STATE_FILE))
-  if (checked === undefined) content.damages.push({ file: HARD_STATE_FILE, offset: 0, reason: 'checksum differs' })
-  else content.hardState = checked.head
+  const checked = decodeChecked<HardStateHead>(await disk.read(HARD_STATE_FILE))
+  if (checked === undefined) {
+    content.damages.push({ file: HARD_STATE_FILE, offset: 0, reason: 'checksum differs' })
+    return
+  }
+  content.hardState = checked.head.hardState
+  content.lastSegment = checked.head.lastSegment
 }
 
 async function readSnapshot (disk: Disk, names: string[], content: FolderContent): Promise<void> {
@@ -108,6 +120,9 @@
     const isLast = name === counted.at(-1)
     readSegment(name, await disk.read(name), isLast, entries, content)
   }
+  if (content.nextSegment <= content.lastSegment) {
+    content.damages.push({ file: segmentName(content.nextSegment), offset: 0, reason: 'missing' })
+  }
   placeAfterSnapshot(entries, content)
 }
 
--- a/packages/controllers/src/core/storage/store.ts
+++ b/packages/controllers/src/core/storage/store.ts
@@ -7,7 +7,8 @@
 import type { Entry, HardState, Snapshot, Write } from '../../types/raft.js'
 import { encodeChecked, replaceFile } from './checked.js'
 import {
-  HARD_STATE_FILE, isSnapshotName, readContent, segmentName, snapshotName, type FolderContent, type Segment
+  HARD_STATE_FILE, isSnapshotName, readContent, segmentName, snapshotName, type FolderContent,
+  type HardStateHead, type Segment
 } from './content.js'
 import type { Disk } from './disk.js'
 import { encodeRecords } from './record.js'
@@ -31,7 +32,8 @@
     private readonly segmentBytes: number,
     private segments: Segment[],
     private nextSegment: number,
-    readonly hardState: HardState,
+    private lastSegment: number,
+    private latest: HardState,
     readonly snapshot: Snapshot | undefined,
     readonly entries: Entry[]
   ) {}
@@ -46,14 +48,17 @@
     for (const name of content.leftovers) await disk.remove(name)
     await cutTornTail(disk, content)
     const segmentBytes = options.segmentBytes ?? SEGMENT_BYTES
-    const { segments, nextSegment, snapshot, entries } = content
-    return new Store(disk, segmentBytes, segments, nextSegment, hardState, snapshot, entries)
+    const { segments, nextSegment, lastSegment, snapshot, entries } = content
+    return new Store(disk, segmentBytes, segments, nextSegment, lastSegment, hardState, snapshot, entries)
   }
 
   /** Makes writes durable, in order. Returns the index of the last entry that they leave, or 0. */
   async write (writes: readonly Write[]): Promise<number> {
     const hardState = writes.findLast(write => write.kind === 'hardState')
-    if (hardState?.kind === 'hardState') await replaceFile(this.disk, HARD_STATE_FILE, encodeChecked(hardState.hardState))
+    if (hardState?.kind === 'hardState') {
+      this.latest = hardState.hardState
+      await writeHardState(this.disk, { hardState: this.latest, lastSegment: this.lastSegment })
+    }
     let lastIndex = 0
     let entries: Entry[] = []
     for (const write of writes) {
@@ -71,6 +76,10 @@
     return lastIndex
   }
 
+  get hardState (): HardState {
+    return this.latest
+  }
+
   async close (): Promise<void> {
     await this.disk.close()
   }
@@ -78,17 +87,23 @@
   private async appendEntries (entries: readonly Entry[]): Promise<void> {
     if (entries.length === 0) return
     const segment = this.activeSegment()
-    const isNew = segment.bytes === 0
     const data = encodeRecords(entries, segment.bytes)
     await this.disk.append(segment.name, data)
     await this.disk.sync(segment.name)
-    if (isNew) await this.disk.syncFolder()
+    if (segment.number > this.lastSegment) await this.noteSegment(segment.number)
     segment.bytes += data.length
     segment.goodBytes = segment.bytes
     segment.entries += entries.length
     for (const entry of entries) segment.highestIndex = Math.max(segment.highestIndex, entry.index)
   }
 
+  /** Makes a new segment durable, and the fact that it must be there. */
+  private async noteSegment (number: number): Promise<void> {
+    await this.disk.syncFolder()
+    this.lastSegment = number
+    await writeHardState(this.disk, { hardState: this.latest, lastSegment: number })
+  }
+
   private activeSegment (): Segment {
     const last = this.segments.at(-1)
     if (last !== undefined && last.bytes < this.segmentBytes) return last
@@ -133,10 +148,14 @@
   const hardState: HardState = {
     group: options.group, id: options.id, disk: options.newDisk, term: 0, vote: '', members: [], disks: {}
   }
-  await replaceFile(options.disk, HARD_STATE_FILE, encodeChecked(hardState))
+  await writeHardState(options.disk, { hardState, lastSegment: 0 })
   return hardState
 }
 
+async function writeHardState (disk: Disk, head: HardStateHead): Promise<void> {
+  await replaceFile(disk, HARD_STATE_FILE, encodeChecked(head))
+}
+
 async function cutTornTail (disk: Disk, content: FolderContent): Promise<void> {
   const last = content.segments.at(-1)
   if (last === undefined || last.goodBytes === last.bytes) return
