--- a/packages/callers/src/internal.ts
+++ b/packages/callers/src/internal.ts
@@ -1,1 +1,12 @@
-export {}
+/**
+ * Re-exports every module of the package, so that import order is settled here.
+ */
+
+export * from './bindings/rules.js'
+export * from './bindings/jobs.js'
+export * from './types/clients.js'
+export * from './types/limits.js'
+export * from './core/byte-account.js'
+export * from './core/http-runner-client.js'
+export * from './core/submission.js'
+export * from './core/request-flow.js'
