--- a/packages/controllers/__tests__/replica.test.ts
+++ b/packages/controllers/__tests__/replica.test.ts
@@ -67,6 +67,14 @@
       assert.notEqual(cluster.leader, leader)
     })
 
+    it('steps down when it is heard but hears nobody', async () => {
+      const { cluster, leader, others } = await form(11)
+      for (const other of others) cluster.cutWay(other.id, leader.id)
+      assert.ok(await cluster.runUntil(() => leader.replica!.status().role !== 'leader', ELECTED_MS))
+      assert.ok(await cluster.runUntil(() => cluster.leader !== undefined, ELECTED_MS))
+      assert.notEqual(cluster.leader, leader)
+    })
+
     it('hands over without an election timeout', async () => {
       const { cluster, leader, others } = await form(5)
       leader.replica!.transferLeadership(others[1].id)
@@ -95,6 +103,17 @@
       assert.ok(await cluster.runUntil(() => cluster.checker.acknowledged > before, ELECTED_MS))
     })
 
+    it('keeps a learner from counting before it has caught up', async () => {
+      const { cluster, leader, others } = await form(12)
+      cluster.isolate('d')
+      await finished(cluster, leader.replica!.addMember(factsOf('d')))
+      cluster.crash(others[0])
+      const before = cluster.checker.acknowledged
+      leader.propose()
+      assert.ok(await cluster.runUntil(() => cluster.checker.acknowledged > before, ELECTED_MS))
+      assert.equal(leader.replica!.status().members.find(member => member.id === 'd')?.role, 'learner')
+    })
+
     it('refuses the removal of the last spare voter, of the leader, and a second change', async () => {
       const { cluster, leader, others } = await form(7)
       const refused = { kind: 'failedPrecondition' }
