Place by an indexed engine with fair queues, reservations and preemption

Change: workers are indexed by free room (buckets for the tightest fit, a tournament tree for first fit, zones and racks for spreading); demands of one shape leave the queue together when nothing fits and come back when room does; teams are served by weighted dominant share within urgency and priority; old work and gangs reserve the workers where they fit soonest; urgent work preempts the least costly work and holds its room; explain counts the VMs that fail each constraint. Checked: 500 generated histories for capacity, gangs, quotas, limits and drains, 500 for work left waiting beside free room, 60 streams against a gang, and single cases.

--- a/packages/scheduler/__tests__/placement.test.ts
+++ b/packages/scheduler/__tests__/placement.test.ts
@@ -6,74 +6,21 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { TargetPhase, TaskPhase, WorkloadKind, type Decision } from '../src/index.js'
-import { Cell, createResources, listPlaced } from './cell.js'
-import { checkCapacity, checkGangs, checkQuotas } from './placementChecks.js'
+import { checkFeasible, TargetPhase, TaskPhase, Urgency, UsageTable, WorkloadKind, type Decision, type WorkloadSpec } from '../src/index.js'
+import { Cell, createResources, createSpec, listPlaced } from './cell.js'
+import { checkCapacity, checkGangs, checkLimits, checkNothingIdle, checkQuotas } from './placementChecks.js'
+import { act, HISTORY, prepare } from './placementHistory.js'
 
 const SEED = 20_261_203
 
 describe('placement', () => {
   describe('over generated histories', () => {
-    const action = fc.oneof(
-      fc.record({
-        kind: fc.constant('apply' as const),
-        workload: fc.constantFrom(WorkloadKind.batch, WorkloadKind.gang, WorkloadKind.service),
-        tasks: fc.integer({ min: 1, max: 12 }),
-        cores: fc.integer({ min: 1, max: 20 }),
-        gib: fc.integer({ min: 1, max: 80 }),
-        accelerators: fc.integer({ min: 0, max: 2 }),
-        urgency: fc.constantFrom(1 as const, 2 as const, 3 as const),
-        team: fc.constantFrom('free', 'bound')
-      }),
-      fc.record({ kind: fc.constantFrom('announce' as const, 'lose' as const, 'drain' as const), worker: fc.integer({ min: 0, max: 5 }) }),
-      fc.record({ kind: fc.constantFrom('end' as const, 'start' as const), pick: fc.nat() }),
-      fc.record({ kind: fc.constantFrom('wait' as const, 'restart' as const) })
-    )
-
-    it('keeps capacity, gangs and quotas after every step', () => {
-      fc.assert(fc.property(fc.array(action, { minLength: 5, maxLength: 60 }), actions => {
-        const cell = Cell.create()
-        cell.step({
-          kind: 'teamPut',
-          team: { name: 'bound', firm: 'firm', quota: createResources(24, 0, 1), weight: 100, version: 1 }
-        })
-        for (const [number, next] of actions.entries()) {
-          const decisions: Decision[] = []
-          if (next.kind === 'apply') {
-            decisions.push(cell.applied(`w${number}`, {
-              kind: next.workload,
-              taskCount: next.tasks,
-              resources: createResources(next.cores, next.gib, next.accelerators),
-              urgency: next.urgency,
-              team: next.team
-            }))
-          } else if (next.kind === 'announce') {
-            const name = `worker-${next.worker}`
-            if (!cell.state.targets.has(name)) {
-              decisions.push(cell.announced({
-                name,
-                vm: `vm-${next.worker >> 1}`,
-                rack: `rack-${next.worker >> 2}`,
-                capacity: createResources(32, 128, next.worker % 3)
-              }))
-            }
-          } else if (next.kind === 'lose') {
-            const target = cell.state.targets.get(`worker-${next.worker}`)
-            if (target !== undefined) decisions.push({ kind: 'targetPhaseSet', name: target.name, session: target.session, phase: TargetPhase.lost })
-          } else if (next.kind === 'drain') {
-            decisions.push({ kind: 'vmDrained', vm: `vm-${next.worker >> 1}`, reason: 'test' })
-          } else if (next.kind === 'end' || next.kind === 'start') {
-            const held = Array.from(cell.state.workloads.values(), workload => workload.tasks
-              .filter(task => task.target !== '')
-              .map(task => [workload.id, task.index] as const)).flat()
-            if (held.length > 0) {
-              const [id, index] = held[next.pick % held.length]
-              decisions.push(next.kind === 'end' ? cell.ended(id, index) : cell.started(id, index))
-            }
-          } else if (next.kind === 'restart') {
-            cell.restart()
-          }
-          for (const decision of listPlaced(cell.advance(100, ...decisions))) {
+    it('keeps capacity, gangs, quotas, limits and drains after every step', () => {
+      fc.assert(fc.property(HISTORY, actions => {
+        const cell = Cell.create({ reservation: { gangAfterMs: 500, otherAfterMs: 2_000 } })
+        prepare(cell)
+        for (const [number, action] of actions.entries()) {
+          for (const decision of listPlaced(cell.advance(100, ...act(cell, action, number)))) {
             const target = cell.state.targets.get(decision.target)
             assert.equal(target?.phase, TargetPhase.ready)
             assert.ok(!cell.state.drainedVms.has(target.vm))
@@ -81,8 +28,21 @@
           checkCapacity(cell.state)
           checkGangs(cell.state)
           checkQuotas(cell.state)
+          checkLimits(cell.state)
+        }
+      }), { seed: SEED, numRuns: 500 })
+    })
+
+    it('leaves no task waiting that fits, where nothing is held', () => {
+      fc.assert(fc.property(HISTORY, actions => {
+        const cell = Cell.create({ reservation: { gangAfterMs: Infinity, otherAfterMs: Infinity } })
+        prepare(cell)
+        for (const [number, action] of actions.entries()) {
+          const plain = action.kind === 'apply' && action.urgency === 3 ? { ...action, urgency: 2 as const } : action
+          cell.advance(100, ...act(cell, plain, number))
+          checkNothingIdle(cell.state, cell.now)
         }
-      }), { seed: SEED, numRuns: 300 })
+      }), { seed: SEED, numRuns: 500 })
     })
   })
 
@@ -97,4 +57,148 @@
       assert.equal(listPlaced(cell.step(cell.ended('first', 0, TaskPhase.cancelled)))[0].id, 'second')
     })
   })
+
+  describe('the queue', () => {
+    it('takes the more urgent first, then the higher priority, then the team with the smaller share', () => {
+      const cell = Cell.create()
+      cell.step(
+        cell.applied('bulk', { urgency: Urgency.bulk, priority: 9 }),
+        cell.applied('low', { team: 'one' }),
+        cell.applied('one', { team: 'one', priority: 1 }),
+        cell.applied('more', { team: 'one', priority: 1 }),
+        cell.applied('other', { team: 'other', priority: 1 }),
+        cell.applied('urgent', { urgency: Urgency.urgent })
+      )
+      const placed = listPlaced(cell.step(cell.announced({ name: 'worker' })))
+      assert.deepEqual(placed.map(({ id }) => id), ['urgent', 'one', 'other', 'more', 'low', 'bulk'])
+    })
+
+    it('shares a contended cell by the weights of the teams', () => {
+      const cell = Cell.create()
+      const team = { firm: 'firm', quota: createResources(0, 0), version: 1 }
+      cell.step({ kind: 'teamPut', team: { ...team, name: 'single', weight: 100 } })
+      cell.step({ kind: 'teamPut', team: { ...team, name: 'triple', weight: 300 } })
+      for (const name of ['single', 'triple']) cell.step(cell.applied(name, { team: name, taskCount: 100 }))
+      const placed = listPlaced(cell.step(cell.announced({ name: 'worker' })))
+      assert.equal(placed.filter(({ id }) => id === 'triple').length, 24)
+      assert.equal(placed.filter(({ id }) => id === 'single').length, 8)
+    })
+
+    it('is not held up by work that no worker could hold', () => {
+      const cell = Cell.create()
+      cell.step(cell.announced({ name: 'worker' }), cell.applied('huge', { urgency: Urgency.urgent, resources: createResources(99, 1) }))
+      assert.equal(listPlaced(cell.step(cell.applied('small')))[0].id, 'small')
+    })
+
+    it('leaves a task alone until its back-off is over', () => {
+      const cell = Cell.create()
+      cell.step(cell.announced({ name: 'worker' }), cell.applied('flaky'))
+      const requeued = cell.requeued('flaky', 0, true)
+      assert.ok(requeued.kind === 'taskRequeued')
+      assert.equal(listPlaced(cell.step({ ...requeued, notBefore: 500 })).length, 0)
+      assert.equal(listPlaced(cell.advance(499)).length, 0)
+      assert.equal(listPlaced(cell.advance(1)).length, 1)
+    })
+
+    it('tries work at the limit of its policy again when a task of it ends elsewhere', () => {
+      const cell = Cell.create()
+      cell.step(
+        { kind: 'policyPut', policy: { name: 'two', kind: '', firm: '', strategy: 'spread', maxPerVm: 1, maxPerRack: 0, preempts: false, version: 1 } },
+        cell.announced({ name: 'a', vm: 'vm' }),
+        cell.announced({ name: 'b', vm: 'vm' }),
+        cell.applied('limited', { taskCount: 2, policy: 'two' })
+      )
+      const first = cell.task('limited', 0).target
+      const other = first === 'a' ? 'b' : 'a'
+      // The worker that the first task leaves is full again at once.
+      cell.step(cell.applied('rest', { resources: createResources(31, 127), priority: 9, team: 'else' }))
+      const placed = listPlaced(cell.step(cell.applied('one', { priority: 50 }), cell.ended('limited', 0)))
+      assert.equal(placed.filter(({ id }) => id === 'limited').length, 1)
+      assert.ok([first, other].includes(cell.task('limited', 1).target))
+    })
+  })
+
+  describe('strategies', () => {
+    it('spread a service over zones, then racks, then VMs', () => {
+      const cell = Cell.create()
+      for (const zone of [0, 1]) {
+        for (const rack of [0, 1]) {
+          for (const vm of [0, 1]) {
+            cell.step(cell.announced({ name: `${zone}${rack}${vm}`, rack: `${zone}${rack}`, availabilityZone: `${zone}` }))
+          }
+        }
+      }
+      const placed = listPlaced(cell.step(cell.applied('service', { kind: WorkloadKind.service, taskCount: 8 })))
+      const targets = placed.map(({ target }) => target)
+      assert.equal(new Set(targets.slice(0, 2).map(name => name[0])).size, 2)
+      assert.equal(new Set(targets.slice(0, 4).map(name => name.slice(0, 2))).size, 4)
+      assert.equal(new Set(targets).size, 8)
+    })
+
+    it('fill the worker that a task fits tightest', () => {
+      const cell = Cell.create()
+      cell.step(cell.announced({ name: 'large' }), cell.announced({ name: 'small', capacity: createResources(4, 16) }))
+      assert.equal(listPlaced(cell.step(cell.applied('batch', { resources: createResources(4, 4) })))[0].target, 'small')
+    })
+  })
+
+  describe('workers', () => {
+    it('on probation take one task only, and none that is urgent', () => {
+      const cell = Cell.create()
+      cell.step(cell.announced({ name: 'worker', phase: TargetPhase.probing }))
+      assert.equal(listPlaced(cell.step(cell.applied('urgent', { urgency: Urgency.urgent }))).length, 0)
+      assert.equal(listPlaced(cell.step(cell.applied('batch', { taskCount: 5 }))).length, 1)
+    })
+
+    it('keep room for tasks that use more than they declared', () => {
+      const usage = UsageTable.create()
+      const cell = Cell.create({ usage })
+      cell.step(cell.announced({ name: 'worker', capacity: createResources(4, 4) }), cell.applied('grown'))
+      cell.step(cell.started('grown', 0))
+      usage.report('grown/0', 1, createResources(1, 4), cell.now)
+      for (let tick = 0; tick < 20; tick += 1) cell.advance(100)
+      assert.equal(listPlaced(cell.step(cell.applied('next'))).length, 0)
+      assert.equal(listPlaced(cell.step(cell.ended('grown', 0))).length, 1)
+    })
+  })
+
+  describe('checkFeasible', () => {
+    const cases: Array<[string, Partial<WorkloadSpec>, RegExp]> = [
+      ['too much memory', { resources: createResources(1, 999) }, /memoryMib, the largest/],
+      ['an unknown zone', { availabilityZones: ['moon'] }, /no worker in the availability zones moon/],
+      ['a gang larger than the cell', { kind: WorkloadKind.gang, taskCount: 3, resources: createResources(20, 1) }, /holds 2 of the 3/],
+      ['a gang over the quota', { kind: WorkloadKind.gang, taskCount: 5, team: 'bound' }, /over the quota/],
+      ['an unknown policy', { policy: 'missing' }, /no policy/]
+    ]
+    const cell = Cell.create()
+    cell.step(cell.announced({ name: 'a' }), cell.announced({ name: 'b' }))
+    cell.step({ kind: 'teamPut', team: { name: 'bound', firm: '', quota: createResources(4, 0), weight: 1, version: 1 } })
+    for (const [name, spec, reason] of cases) {
+      it(`refuses ${name}`, () => assert.match(checkFeasible(cell.state, createSpec(spec)), reason))
+    }
+
+    it('accepts what fits, and anything while there is no worker', () => {
+      assert.equal(checkFeasible(cell.state, createSpec()), '')
+      assert.equal(checkFeasible(Cell.create().state, createSpec({ resources: createResources(999, 1) })), '')
+    })
+  })
+
+  describe('explain', () => {
+    it('counts the VMs that fail each constraint, and tells the place in the queue', () => {
+      const cell = Cell.create()
+      cell.step(
+        cell.announced({ name: 'full', capacity: createResources(4, 99) }),
+        cell.announced({ name: 'small', capacity: createResources(1, 1) }),
+        cell.announced({ name: 'drained' }),
+        { kind: 'vmDrained', vm: 'drained', reason: 'test' }
+      )
+      cell.step(cell.applied('holder', { resources: createResources(3, 3) }))
+      cell.step(cell.applied('first', { resources: createResources(2, 2) }), cell.applied('second', { resources: createResources(2, 2) }))
+      const answer = cell.explain('second')
+      assert.ok(answer?.kind === 'explained')
+      const failing = Object.fromEntries(answer.constraints.map(({ name, failingVms }) => [name, failingVms]))
+      assert.deepEqual(failing, { outOfUse: 1, size: 1, millicores: 1, queue: 0 })
+      assert.match(answer.constraints.at(-1)?.detail ?? '', /^1 workload/)
+    })
+  })
 })
--- a/packages/scheduler/__tests__/placementChecks.ts
+++ b/packages/scheduler/__tests__/placementChecks.ts
@@ -4,7 +4,7 @@
  */
 
 import assert from 'node:assert/strict'
-import type { ClusterState, Resources, WorkloadState } from '../src/index.js'
+import type { ClusterState, Resources, TargetState, WorkloadState } from '../src/index.js'
 
 /** No worker holds more than its capacity, in any dimension. */
 export function checkCapacity (state: ClusterState): void {
@@ -65,3 +65,70 @@
     }
   }
 }
+
+/** No task that could start now is left waiting, where nothing is held for others. */
+export function checkNothingIdle (state: ClusterState, now: number): void {
+  for (const workload of state.workloads.values()) {
+    if (workload.ended || workload.spec.kind === 'gang') continue
+    const task = workload.tasks.find(candidate => candidate.phase === 'waiting' && candidate.notBefore <= now)
+    if (task === undefined || isOverQuota(state, workload)) continue
+    for (const target of state.targets.values()) {
+      assert.ok(!canTake(state, target, workload), `${workload.id}/${task.index} waits though ${target.name} has room`)
+    }
+  }
+}
+
+function isOverQuota (state: ClusterState, workload: WorkloadState): boolean {
+  const { team, resources } = workload.spec
+  const quota = state.teams.get(team)?.quota
+  if (quota === undefined) return false
+  let millicores = resources.millicores
+  let accelerators = resources.accelerators
+  for (const other of state.workloads.values()) {
+    if (other.spec.team !== team) continue
+    millicores += countHeld(other) * other.spec.resources.millicores
+    accelerators += countHeld(other) * other.spec.resources.accelerators
+  }
+  return (quota.millicores > 0 && millicores > quota.millicores) ||
+    (quota.accelerators > 0 && accelerators > quota.accelerators)
+}
+
+function canTake (state: ClusterState, target: TargetState, workload: WorkloadState): boolean {
+  if (target.phase !== 'ready' || state.drainedVms.has(target.vm)) return false
+  const { availabilityZones, resources, policy: policyName } = workload.spec
+  if (availabilityZones.length > 0 && !availabilityZones.includes(target.availabilityZone)) return false
+  const { millicores, memoryMib, accelerators } = target.capacity
+  const left = { millicores, memoryMib, accelerators }
+  for (const [name, need] of listHeld(state)) {
+    if (name !== target.name) continue
+    left.millicores -= need.millicores
+    left.memoryMib -= need.memoryMib
+    left.accelerators -= need.accelerators
+  }
+  if (left.millicores < resources.millicores || left.memoryMib < resources.memoryMib) return false
+  if (left.accelerators < resources.accelerators) return false
+  const policy = state.policies.get(policyName)
+  if (policy === undefined) return true
+  const places = workload.tasks.map(task => state.targets.get(task.target)).filter(place => place !== undefined)
+  const onVm = places.filter(place => place.vm === target.vm).length
+  const inRack = places.filter(place => place.rack === target.rack).length
+  return (policy.maxPerVm === 0 || onVm < policy.maxPerVm) && (policy.maxPerRack === 0 || inRack < policy.maxPerRack)
+}
+
+/** No workload has more tasks on one VM or in one rack than its policy allows. */
+export function checkLimits (state: ClusterState): void {
+  for (const workload of state.workloads.values()) {
+    const policy = state.policies.get(workload.spec.policy)
+    if (policy === undefined) continue
+    const perVm = new Map<string, number>()
+    const perRack = new Map<string, number>()
+    for (const task of workload.tasks) {
+      const target = state.targets.get(task.target)
+      if (target === undefined) continue
+      perVm.set(target.vm, (perVm.get(target.vm) ?? 0) + 1)
+      perRack.set(target.rack, (perRack.get(target.rack) ?? 0) + 1)
+    }
+    if (policy.maxPerVm > 0) assert.ok(Math.max(0, ...perVm.values()) <= policy.maxPerVm, `${workload.id} over its limit for a VM`)
+    if (policy.maxPerRack > 0) assert.ok(Math.max(0, ...perRack.values()) <= policy.maxPerRack, `${workload.id} over its limit for a rack`)
+  }
+}
--- /dev/null
+++ b/packages/scheduler/__tests__/preemption.test.ts
@@ -0,0 +1,94 @@
+/**
+ * Preemption: urgent work in a full cell.
+ */
+
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { TargetPhase, Urgency, WorkloadKind } from '../src/index.js'
+import { Cell, createResources, listPlaced, listStopping } from './cell.js'
+
+const BULK = { urgency: Urgency.bulk, resources: createResources(2, 2) }
+const URGENT = { urgency: Urgency.urgent, resources: createResources(2, 2), preemptible: false }
+
+/** Two workers, each full with four bulk tasks, and more bulk tasks that wait. */
+function createFullCell (): Cell {
+  const cell = Cell.create()
+  for (const name of ['a', 'b']) cell.step(cell.announced({ name, capacity: createResources(8, 8) }))
+  cell.step(cell.applied('bulk', { ...BULK, taskCount: 20 }))
+  return cell
+}
+
+describe('preemption', () => {
+  it('stops one task for one urgent task at once and keeps its room for it', () => {
+    const cell = createFullCell()
+    const stopping = listStopping(cell.advance(10, cell.applied('urgent', URGENT)))
+    assert.equal(stopping.length, 1)
+    assert.equal(stopping[0].stopping, 'preempt')
+    const { target } = cell.task('bulk', stopping[0].index)
+    assert.deepEqual(listPlaced(cell.advance(500)), [])
+    const placed = listPlaced(cell.advance(500, cell.requeued('bulk', stopping[0].index)))
+    assert.deepEqual(placed.map(({ id, target }) => [id, target]), [['urgent', target]])
+  })
+
+  it('does not lead to further stops, and asks for no second one while the first goes on', () => {
+    const cell = createFullCell()
+    const first = listStopping(cell.step(cell.applied('urgent', { ...URGENT, taskCount: 2 })))
+    assert.equal(first.length, 2)
+    for (let at = 0; at < 30; at += 1) assert.equal(listStopping(cell.advance(100)).length, 0)
+    const requeued = first.map(({ index }) => cell.requeued('bulk', index))
+    assert.equal(listStopping(cell.advance(100, ...requeued)).length, 0)
+    for (let at = 0; at < 30; at += 1) assert.equal(listStopping(cell.advance(100)).length, 0)
+  })
+
+  it('never lets preempted work preempt in its turn', () => {
+    const cell = Cell.create()
+    const whole = { resources: createResources(4, 4) }
+    cell.step(
+      { kind: 'policyPut', policy: { name: 'pushes', kind: '', firm: '', strategy: 'best-fit', maxPerVm: 0, maxPerRack: 0, preempts: true, version: 1 } },
+      cell.announced({ name: 'a', availabilityZone: 'a', capacity: createResources(4, 4) }),
+      cell.announced({ name: 'b', availabilityZone: 'b', capacity: createResources(4, 4) })
+    )
+    cell.step(cell.applied('normal', { ...whole, policy: 'pushes', availabilityZones: ['a'] }), cell.applied('bulk', { ...BULK, ...whole }))
+    cell.step(cell.applied('normal', { ...whole, policy: 'pushes' }))
+    const [stopping] = listStopping(cell.step(cell.applied('urgent', { ...URGENT, ...whole, availabilityZones: ['a'] })))
+    assert.equal(stopping.id, 'normal')
+    const decisions = cell.step(cell.requeued('normal', 0))
+    assert.equal(listPlaced(decisions)[0].id, 'urgent')
+    assert.deepEqual(listStopping(decisions), [])
+    for (let at = 0; at < 10; at += 1) assert.deepEqual(listStopping(cell.advance(100)), [])
+  })
+
+  it('spares work that may not be preempted or is as urgent', () => {
+    const cell = Cell.create()
+    cell.step(cell.announced({ name: 'a', capacity: createResources(4, 4) }))
+    cell.step(cell.applied('fixed', { ...BULK, preemptible: false }), cell.applied('peer', { ...URGENT, preemptible: true }))
+    assert.deepEqual(listStopping(cell.step(cell.applied('urgent', URGENT))), [])
+  })
+
+  it('stops as little as it can, and all of a gang or none of it', () => {
+    const cell = Cell.create()
+    cell.step(cell.announced({ name: 'a', capacity: createResources(8, 8) }), cell.announced({ name: 'b', capacity: createResources(8, 8) }))
+    cell.step(cell.applied('gang', { ...BULK, kind: WorkloadKind.gang, taskCount: 4, resources: createResources(4, 4) }))
+    const stopping = listStopping(cell.step(cell.applied('urgent', URGENT)))
+    assert.equal(stopping.length, 4)
+    assert.equal(listStopping(cell.advance(1_000)).length, 0)
+  })
+
+  it('turns to another worker when the one with the held room is lost', () => {
+    const cell = createFullCell()
+    const [stopping] = listStopping(cell.step(cell.applied('urgent', URGENT)))
+    const lost = cell.state.targets.get(cell.task('bulk', stopping.index).target)
+    assert.ok(lost !== undefined)
+    const again = listStopping(cell.advance(200, { kind: 'targetPhaseSet', name: lost.name, session: lost.session, phase: TargetPhase.lost }))
+    assert.equal(again.length, 1)
+    assert.notEqual(cell.task('bulk', again[0].index).target, lost.name)
+  })
+
+  it('asks for no further stop after a new leader took over', () => {
+    const cell = createFullCell()
+    const [stopping] = listStopping(cell.step(cell.applied('urgent', URGENT)))
+    cell.restart()
+    assert.deepEqual(listStopping(cell.advance(100)), [])
+    assert.equal(listPlaced(cell.advance(100, cell.requeued('bulk', stopping.index)))[0].id, 'urgent')
+  })
+})
--- /dev/null
+++ b/packages/scheduler/__tests__/reservations.test.ts
@@ -0,0 +1,110 @@
+/**
+ * Reservations: gangs and old work get their room in bounded time, and what
+ * starts meanwhile can't delay them.
+ */
+
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { Urgency, WorkloadKind } from '../src/index.js'
+import { Cell, createResources } from './cell.js'
+import { Life } from './cellLife.js'
+import { checkCapacity, checkGangs } from './placementChecks.js'
+
+const SEED = 20_261_204
+const STEP_MS = 250
+const GANG_AFTER_MS = 1_000
+const OTHER_AFTER_MS = 2_000
+const LONGEST_RUN_MS = 8_000
+
+function createCell (workers: number, otherAfterMs = OTHER_AFTER_MS): Cell {
+  const cell = Cell.create({ reservation: { gangAfterMs: GANG_AFTER_MS, otherAfterMs } })
+  for (let at = 0; at < workers; at += 1) cell.step(cell.announced({ name: `worker-${at}`, capacity: createResources(8, 8) }))
+  return cell
+}
+
+describe('reservations', () => {
+  const streams = fc.record({
+    workers: fc.integer({ min: 2, max: 6 }),
+    gangSize: fc.integer({ min: 2, max: 6 }),
+    gangCores: fc.integer({ min: 4, max: 8 }),
+    runs: fc.array(fc.integer({ min: 500, max: LONGEST_RUN_MS }), { minLength: 20, maxLength: 20 }),
+    cores: fc.array(fc.integer({ min: 1, max: 4 }), { minLength: 20, maxLength: 20 })
+  }).filter(({ workers, gangSize, gangCores }) => gangSize <= workers * Math.floor(8 / gangCores))
+
+  it('start a gang once the tasks that ran when it reserved have ended, whatever comes later', () => {
+    fc.assert(fc.property(streams, stream => {
+      const cell = createCell(stream.workers, Infinity)
+      const life = Life.create(cell, { stopMs: 500, runMs: (_, index) => stream.runs[index % stream.runs.length] })
+      let number = 0
+      // More small work of a higher priority arrives than the cell can run.
+      const arrive = () => Array.from({ length: 2 * stream.workers }, () => {
+        number += 1
+        return cell.applied(`small-${number}`, { taskCount: 2, priority: 9, estimateMs: 1, resources: createResources(stream.cores[number % 20], 1) })
+      })
+      for (let at = 0; at < 8; at += 1) life.advance(STEP_MS, ...arrive())
+      const gang = { kind: WorkloadKind.gang, taskCount: stream.gangSize, resources: createResources(stream.gangCores, 1) }
+      const appliedAt = cell.now
+      life.advance(STEP_MS, cell.applied('gang', gang), ...arrive())
+      const latest = appliedAt + GANG_AFTER_MS + LONGEST_RUN_MS + 3 * STEP_MS
+      while (cell.task('gang', 0).attempt === 0) {
+        assert.ok(cell.now <= latest, `the gang waits for ${cell.now - appliedAt} ms`)
+        life.advance(STEP_MS, ...arrive())
+        checkCapacity(cell.state)
+        checkGangs(cell.state)
+      }
+    }), { seed: SEED, numRuns: 60 })
+  })
+
+  it('let two gangs that need most of the cell run one after the other', () => {
+    const cell = createCell(4)
+    const life = Life.create(cell, { stopMs: 500, runMs: () => 2_000 })
+    const gang = { kind: WorkloadKind.gang, taskCount: 3, resources: createResources(8, 8) }
+    life.advance(STEP_MS, ...Array.from({ length: 8 }, (_, at) => cell.applied(`small-${at}`, { resources: createResources(4, 4) })))
+    life.advance(STEP_MS, cell.applied('one', gang), cell.applied('other', gang))
+    for (let at = 0; at < 60; at += 1) {
+      life.advance(STEP_MS)
+      checkGangs(cell.state)
+    }
+    assert.ok([0, 1, 2].every(index => cell.task('one', index).phase === 'succeeded'))
+    assert.ok([0, 1, 2].every(index => cell.task('other', index).phase === 'succeeded'))
+  })
+
+  const old = [
+    { name: 'task', spec: { urgency: Urgency.bulk, resources: createResources(8, 8) } },
+    { name: 'gang', spec: { kind: WorkloadKind.gang, taskCount: 6, urgency: Urgency.bulk, resources: createResources(8, 8) } }
+  ]
+  for (const { name, spec } of old) {
+    it(`give the oldest ${name} its turn under an endless stream of more urgent work`, () => {
+      const cell = createCell(6)
+      const longestRunMs = 10_000
+      const life = Life.create(cell, { stopMs: 500, runMs: id => longestRunMs - Number(id.slice('stream-'.length)) * 37 % 29 * STEP_MS })
+      let number = 0
+      const arrive = () => Array.from({ length: 16 }, () => {
+        number += 1
+        return cell.applied(`stream-${number}`, { urgency: Urgency.urgent, preemptible: false, resources: createResources(5, 5) })
+      })
+      for (let at = 0; at < 8; at += 1) life.advance(STEP_MS, ...arrive())
+      const appliedAt = cell.now
+      life.advance(STEP_MS, cell.applied('old', spec))
+      while (cell.task('old', 0).attempt === 0) {
+        // 128 tasks are older and six run at a time; the room is then held for one run more.
+        assert.ok(cell.now <= appliedAt + OTHER_AFTER_MS + (128 / 6 + 2) * (longestRunMs + STEP_MS), `the old ${name} starves`)
+        life.advance(STEP_MS, ...arrive())
+        checkGangs(cell.state)
+      }
+    })
+  }
+
+  it('take only what the gang needs: other work runs beside it', () => {
+    const cell = createCell(2)
+    const life = Life.create(cell, { stopMs: 500, runMs: id => id === 'long' ? 60_000 : 1_000 })
+    life.advance(STEP_MS, cell.applied('long', { resources: createResources(4, 4) }))
+    const gang = { kind: WorkloadKind.gang, taskCount: 2, resources: createResources(6, 6) }
+    life.advance(STEP_MS, cell.applied('gang', gang))
+    for (let at = 0; at < 8; at += 1) life.advance(STEP_MS)
+    life.advance(STEP_MS, cell.applied('small', { resources: createResources(2, 2) }))
+    assert.equal(cell.task('gang', 0).attempt, 0)
+    assert.equal(cell.task('small', 0).attempt, 1)
+  })
+})
--- a/packages/scheduler/src/core/placement/demand.ts
+++ b/packages/scheduler/src/core/placement/demand.ts
@@ -4,40 +4,36 @@
  */
 
 import type { Resources } from '../../types/resources.js'
-import { startableAt, TaskPhase, type TaskState, type WorkloadState } from '../../types/workloads.js'
+import { TaskPhase, Urgency, WorkloadKind, type TaskState, type WorkloadState } from '../../types/workloads.js'
 import { isZoneAllowed } from './feasibility.js'
-import type { Worker } from './fleet.js'
 import type { EffectivePolicy } from './policy.js'
-
-/** Room that one attempt of a task holds on a worker until its end is decided. */
-export interface Holding {
-  readonly demand: Demand
-  readonly index: number
-  readonly worker: Worker
-  /** Room reserved, at least what was declared. */
-  size: Resources
-  /** When it was placed, in milliseconds of cluster time. */
-  readonly since: number
-}
+import type { ShapeLine } from './queue.js'
+import type { Hold, Holding, Worker } from './worker.js'
 
 export class Demand {
   readonly holdings = new Map<number, Holding>()
-  /** Order of arrival. */
-  readonly order: number
-  workload: WorkloadState
-  policy: EffectivePolicy
+  /** Room kept for waiting tasks. */
+  readonly holds = new Map<Worker, Hold>()
+  heldCount = 0
+  /** Where it stands in the queue; undefined while nothing of it waits there. */
+  line: ShapeLine | undefined
+  /** Tasks that were preempted, with how often; they preempt nobody themselves. */
+  readonly preempted = new Map<number, number>()
   private queue: number[] = []
   private head = 0
-  private readonly waitingTasks = new Set<number>()
+  private readonly waiting = new Set<number>()
+  /** Tasks that wait for the end of their back-off. */
+  private readonly delayed = new Set<number>()
   private readonly perVm = new Map<string, number>()
   private readonly perRack = new Map<string, number>()
   private readonly perZone = new Map<string, number>()
 
-  private constructor (workload: WorkloadState, policy: EffectivePolicy, order: number) {
-    this.workload = workload
-    this.policy = policy
-    this.order = order
-  }
+  private constructor (
+    public workload: WorkloadState,
+    public policy: EffectivePolicy,
+    /** Order of arrival. */
+    readonly order: number
+  ) {}
 
   static create (workload: WorkloadState, policy: EffectivePolicy, order: number): Demand {
     return new Demand(workload, policy, order)
@@ -51,54 +47,98 @@
     return this.workload.spec.resources
   }
 
+  get isGang (): boolean {
+    return this.workload.spec.kind === WorkloadKind.gang
+  }
+
+  /** Tasks that wait and may be placed now. */
   get waitingCount (): number {
-    return this.workload.ended ? 0 : this.waitingTasks.size
+    return this.isClosed ? 0 : this.waiting.size
+  }
+
+  get delayedCount (): number {
+    return this.delayed.size
+  }
+
+  /** True once no task of it may start any more. */
+  get isClosed (): boolean {
+    return this.workload.ended || this.workload.stopping !== ''
+  }
+
+  /** When the task that goes next began to wait; Infinity when none waits. */
+  get waitingSince (): number {
+    return this.nextWaiting()?.waitingSince ?? Infinity
+  }
+
+  /** Tasks that wait and were not preempted: only for them may others be preempted. */
+  get preemptorCount (): number {
+    let displaced = 0
+    for (const index of this.preempted.keys()) {
+      if (this.waiting.has(index)) displaced += 1
+    }
+    return Math.max(0, this.waitingCount - displaced)
+  }
+
+  /** True when all of a gang waits, so that it may be placed as a whole. */
+  get isWholeGang (): boolean {
+    return this.delayed.size === 0 && this.holdings.size === 0
   }
 
   /** Notes that a task waits; telling twice is once. */
   addWaiting (index: number): void {
-    if (this.waitingTasks.has(index)) return
-    this.waitingTasks.add(index)
+    this.delayed.delete(index)
+    if (this.waiting.has(index)) return
+    this.waiting.add(index)
     this.queue.push(index)
   }
 
+  addDelayed (index: number): void {
+    this.waiting.delete(index)
+    this.delayed.add(index)
+  }
+
+  isDelayed (index: number): boolean {
+    return this.delayed.has(index)
+  }
+
   removeWaiting (index: number): void {
-    this.waitingTasks.delete(index)
+    this.waiting.delete(index)
+    this.delayed.delete(index)
   }
 
-  /** The first task that waits and whose back-off is over, or undefined. */
-  nextWaiting (now: number): TaskState | undefined {
-    this.dropStale()
-    for (let at = this.head; at < this.queue.length; at += 1) {
-      const index = this.queue[at]
-      if (!this.waitingTasks.has(index)) continue
+  /** The first task that waits. */
+  nextWaiting (): TaskState | undefined {
+    while (this.head < this.queue.length) {
+      const index = this.queue[this.head]
       const task = this.workload.tasks[index]
-      if (task.phase === TaskPhase.waiting && isDue(this.workload, task, now)) return task
+      if (this.waiting.has(index) && task?.phase === TaskPhase.waiting) return task
+      this.head += 1
     }
+    this.queue = []
+    this.head = 0
     return undefined
   }
 
-  /** All tasks that wait, due or not. */
   listWaiting (): TaskState[] {
-    return Array.from(this.waitingTasks, index => this.workload.tasks[index])
+    return Array.from(this.waiting, index => this.workload.tasks[index])
   }
 
-  /** Notes that a task took room on a worker. */
   addHolding (holding: Holding): void {
-    const { vm, rack, availabilityZone } = holding.worker.target
     this.holdings.set(holding.index, holding)
-    count(this.perVm, vm, 1)
-    count(this.perRack, rack, 1)
-    count(this.perZone, availabilityZone, 1)
+    this.countPlace(holding.worker, 1)
   }
 
-  /** Notes that the room of a task is free again. */
   removeHolding (holding: Holding): void {
-    const { vm, rack, availabilityZone } = holding.worker.target
     this.holdings.delete(holding.index)
-    count(this.perVm, vm, -1)
-    count(this.perRack, rack, -1)
-    count(this.perZone, availabilityZone, -1)
+    this.countPlace(holding.worker, -1)
+  }
+
+  /** Counts tasks for the limits of the policy and for spreading. */
+  countPlace (worker: Worker, by: number): void {
+    const { vm, rack, availabilityZone } = worker.target
+    count(this.perVm, vm, by)
+    count(this.perRack, rack, by)
+    count(this.perZone, availabilityZone, by)
   }
 
   countOnVm (vm: string): number {
@@ -115,25 +155,19 @@
 
   /** True when zones and the limits of the policy let one more task onto the worker. */
   isAllowed (worker: Worker): boolean {
-    const { vm, rack, availabilityZone } = worker.target
+    const { vm, rack, availabilityZone, phase } = worker.target
     if (!isZoneAllowed(this.workload.spec, availabilityZone)) return false
+    if (phase !== 'ready' && !this.isProbe) return false
     if (this.policy.maxPerVm > 0 && this.countOnVm(vm) >= this.policy.maxPerVm) return false
     return this.policy.maxPerRack === 0 || this.countInRack(rack) < this.policy.maxPerRack
   }
 
-  private dropStale (): void {
-    while (this.head < this.queue.length && !this.waitingTasks.has(this.queue[this.head])) this.head += 1
-    if (this.head < 1_000 || this.head * 2 < this.queue.length) return
-    this.queue = this.queue.slice(this.head)
-    this.head = 0
+  /** True when its tasks may try out a worker that failed others. */
+  get isProbe (): boolean {
+    return this.workload.spec.kind === WorkloadKind.batch && this.workload.spec.urgency !== Urgency.urgent
   }
 }
 
-/** True when the back-off of a waiting task is over. */
-export function isDue (workload: WorkloadState, task: TaskState, now: number): boolean {
-  return startableAt(workload, task) <= now
-}
-
 function count (counts: Map<string, number>, key: string, by: number): void {
   const next = (counts.get(key) ?? 0) + by
   if (next > 0) counts.set(key, next)
--- /dev/null
+++ b/packages/scheduler/src/core/placement/reservations.ts
@@ -0,0 +1,196 @@
+/**
+ * Reservations for work that waited long: the workers where it fits soonest are
+ * held for it, so that what ends there is kept for it and nothing that starts
+ * later can delay it (the reservation of EASY backfilling, Lifka 1995; here the
+ * others may only take room beyond the held, so that a wrong estimate delays
+ * nobody).
+ */
+
+import type { Resources } from '../../types/resources.js'
+import { WorkloadKind } from '../../types/workloads.js'
+import type { Estimates } from '../health/estimates.js'
+import type { Demand } from './demand.js'
+import { isZoneAllowed } from './feasibility.js'
+import type { Fleet } from './fleet.js'
+import type { Holds } from './holds.js'
+import type { Ledger } from './ledger.js'
+import { addSize, copySize, countWithin } from './sizes.js'
+import type { Holding, Worker } from './worker.js'
+
+/** How long a gang, and any other work, waits before room is reserved, in milliseconds. */
+export interface ReservationOptions {
+  gangAfterMs: number
+  otherAfterMs: number
+}
+
+export const DEFAULT_RESERVATION: Readonly<ReservationOptions> = Object.freeze({
+  gangAfterMs: 5_000,
+  otherAfterMs: 30_000
+})
+
+/** Reservations at one time for work other than gangs; gangs have one at a time. */
+const MOST_OTHERS = 4
+/** Demands for which a reservation is tried in one round. */
+const MOST_TRIES = 8
+/** Delay before a reservation that found no room is planned again, in milliseconds. */
+const RETRY_MS = 5_000
+/** Expected time left for a task of which nothing is known, in milliseconds. */
+const UNKNOWN_MS = 60_000
+
+export interface Reservation {
+  readonly demand: Demand
+  /** Expected start in milliseconds of cluster time. */
+  readonly expectedAt: number
+}
+
+interface Opening { readonly worker: Worker, readonly at: number }
+interface End { readonly holding: Holding, readonly at: number }
+
+export class Reservations {
+  readonly made = new Map<Demand, Reservation>()
+  private readonly retryAt = new WeakMap<Demand, number>()
+
+  private constructor (
+    private readonly fleet: Fleet,
+    private readonly holds: Holds,
+    private readonly ledger: Ledger,
+    private readonly estimates: Estimates,
+    private readonly options: ReservationOptions
+  ) {}
+
+  static create (
+    fleet: Fleet,
+    holds: Holds,
+    ledger: Ledger,
+    estimates: Estimates,
+    options: ReservationOptions
+  ): Reservations {
+    return new Reservations(fleet, holds, ledger, estimates, options)
+  }
+
+  /** Drops a reservation and the room that it holds. */
+  cancel (demand: Demand): void {
+    if (this.made.delete(demand)) this.holds.releaseAll(demand)
+  }
+
+  /** Ends the reservations that are fulfilled or void, and makes new ones for the oldest. */
+  update (demands: Iterable<Demand>, now: number): void {
+    for (const demand of Array.from(this.made.keys())) {
+      if (demand.heldCount === 0 || demand.waitingCount === 0) this.cancel(demand)
+    }
+    let gangs = 0
+    for (const demand of this.made.keys()) gangs += demand.isGang ? 1 : 0
+    const free = { gangs: 1 - gangs, others: MOST_OTHERS - (this.made.size - gangs) }
+    if (free.gangs <= 0 && free.others <= 0) return
+    for (const demand of this.listAged(demands, now)) {
+      const left = demand.isGang ? 'gangs' : 'others'
+      if (free[left] <= 0) continue
+      if (this.reserve(demand, now)) {
+        free[left] -= 1
+      } else if (this.fitsWithoutHolds(demand, now)) {
+        // Nobody younger may reserve before it, or it could wait for ever.
+        return
+      } else {
+        this.retryAt.set(demand, now + RETRY_MS)
+      }
+    }
+  }
+
+  /** The few demands that wait longest, oldest first. */
+  private listAged (demands: Iterable<Demand>, now: number): Demand[] {
+    const oldest: Demand[] = []
+    for (const demand of demands) {
+      const last = oldest[MOST_TRIES - 1]
+      if (last !== undefined && compareAge(demand, last) >= 0) continue
+      if (!this.isAged(demand, now)) continue
+      oldest.push(demand)
+      oldest.sort(compareAge)
+      oldest.length = Math.min(oldest.length, MOST_TRIES)
+    }
+    return oldest
+  }
+
+  private isAged (demand: Demand, now: number): boolean {
+    const afterMs = demand.isGang ? this.options.gangAfterMs : this.options.otherAfterMs
+    if (now - demand.waitingSince < afterMs || demand.heldCount > 0) return false
+    return (this.retryAt.get(demand) ?? 0) <= now && this.ledger.isAllowed(demand)
+  }
+
+  private reserve (demand: Demand, now: number): boolean {
+    const count = demand.isGang ? demand.waitingCount : 1
+    const openings = this.listOpenings(demand, count, now)
+    let expectedAt = now
+    for (const { worker, at } of openings) {
+      if (demand.heldCount >= count) break
+      if (!demand.isAllowed(worker)) continue
+      this.holds.keep(demand, worker)
+      expectedAt = Math.max(expectedAt, at)
+    }
+    if (demand.heldCount < count) {
+      this.holds.releaseAll(demand)
+      return false
+    }
+    this.retryAt.delete(demand)
+    this.made.set(demand, { demand, expectedAt })
+    return true
+  }
+
+  /** True when only what is held for others keeps the demand from a reservation. */
+  private fitsWithoutHolds (demand: Demand, now: number): boolean {
+    const count = demand.isGang ? demand.waitingCount : 1
+    return this.listOpenings(demand, count, now, true).length >= count
+  }
+
+  /** Where and when room for one task each opens, soonest first. */
+  private listOpenings (demand: Demand, most: number, now: number, ignoresHolds = false): Opening[] {
+    const openings: Opening[] = []
+    for (const worker of this.fleet.workers.values()) {
+      if (!worker.usable || !isZoneAllowed(demand.workload.spec, worker.target.availabilityZone)) continue
+      const room = copySize(worker.free)
+      if (ignoresHolds) addSize(room, worker.held)
+      this.addOpenings(openings, worker, room, demand, most, now)
+    }
+    return openings.sort((one, other) => one.at - other.at)
+  }
+
+  private addOpenings (
+    openings: Opening[],
+    worker: Worker,
+    room: Resources,
+    demand: Demand,
+    most: number,
+    now: number
+  ): void {
+    let count = Math.min(most, countWithin(demand.need, room))
+    for (let added = 0; added < count; added += 1) openings.push({ worker, at: now })
+    for (const { holding, at } of this.listEnds(worker, now)) {
+      if (count >= most) return
+      addSize(room, holding.size)
+      const next = Math.min(most, countWithin(demand.need, room))
+      for (; count < next; count += 1) openings.push({ worker, at })
+    }
+  }
+
+  /** The tasks of a worker that end, in the order in which they are expected to. */
+  private listEnds (worker: Worker, now: number): End[] {
+    const ends: End[] = []
+    for (const holding of worker.holdings) {
+      const isEndless = holding.demand.workload.spec.kind === WorkloadKind.service && !holding.stopping
+      if (!isEndless) ends.push({ holding, at: this.expectEnd(holding, now) })
+    }
+    return ends.sort((one, other) => one.at - other.at)
+  }
+
+  /** A task that overran its estimate is expected to run as long again. */
+  private expectEnd (holding: Holding, now: number): number {
+    if (holding.stopping) return now
+    const elapsed = now - holding.since
+    const expected = this.estimates.expectedMs(holding.demand.workload.spec)
+    if (expected === 0) return now + Math.max(UNKNOWN_MS, elapsed)
+    return elapsed < expected ? holding.since + expected : now + elapsed
+  }
+}
+
+function compareAge (one: Demand, other: Demand): number {
+  return one.waitingSince - other.waitingSince || one.order - other.order
+}
--- a/packages/scheduler/src/core/placement/sizes.ts
+++ b/packages/scheduler/src/core/placement/sizes.ts
@@ -30,15 +30,6 @@
   sum.accelerators += amount.accelerators * times
 }
 
-/** The larger of two amounts in each dimension. */
-export function largerSize (one: Resources, other: Resources): Resources {
-  return {
-    millicores: Math.max(one.millicores, other.millicores),
-    memoryMib: Math.max(one.memoryMib, other.memoryMib),
-    accelerators: Math.max(one.accelerators, other.accelerators)
-  }
-}
-
 /** How many times the need goes into the room; Infinity for a need of nothing. */
 export function countWithin (need: Resources, room: Resources): number {
   let count = Infinity
--- /dev/null
+++ b/packages/scheduler/src/core/placement/timers.ts
@@ -0,0 +1,58 @@
+/**
+ * Items that become due at a time: a binary heap, earliest first.
+ */
+
+interface Timed<Item> { readonly at: number, readonly item: Item }
+
+export class Timers<Item> {
+  private readonly heap: Array<Timed<Item>> = []
+
+  private constructor () {}
+
+  static create<Item> (): Timers<Item> {
+    return new Timers()
+  }
+
+  /** Adds an item that is due at a time in milliseconds. */
+  add (at: number, item: Item): void {
+    let position = this.heap.length
+    this.heap.push({ at, item })
+    while (position > 0) {
+      const parent = (position - 1) >> 1
+      if (this.heap[parent].at <= this.heap[position].at) return
+      this.swap(parent, position)
+      position = parent
+    }
+  }
+
+  /** Takes the earliest item that is due. */
+  take (now: number): Item | undefined {
+    const first = this.heap[0]
+    if (first === undefined || first.at > now) return undefined
+    const last = this.heap.pop()
+    if (last !== undefined && this.heap.length > 0) {
+      this.heap[0] = last
+      this.sink()
+    }
+    return first.item
+  }
+
+  private sink (): void {
+    let position = 0
+    for (;;) {
+      const left = position * 2 + 1
+      if (left >= this.heap.length) return
+      const right = left + 1
+      const least = right < this.heap.length && this.heap[right].at < this.heap[left].at ? right : left
+      if (this.heap[position].at <= this.heap[least].at) return
+      this.swap(position, least)
+      position = least
+    }
+  }
+
+  private swap (one: number, other: number): void {
+    const kept = this.heap[one]
+    this.heap[one] = this.heap[other]
+    this.heap[other] = kept
+  }
+}
