--- /dev/null
+++ b/packages/controllers/src/types/methods.ts
@@ -0,0 +1,66 @@
+/**
+ * Names and bodies of the calls between the system's own processes. Calls of the
+ * published schema travel under their full RPC name.
+ */
+
+import type { Command, CommandResult, Event } from '@flamingorouter/scheduler'
+
+export const InternalMethod = Object.freeze({
+  /** Entry to leader: says that the entry lives and what it has in force. */
+  heartbeat: 'internal/heartbeat',
+  /** Entry to leader: reads all configuration. */
+  configuration: 'internal/configuration',
+  /** Entry to leader: an event of the request flow. */
+  request: 'internal/request',
+  /** Leader to entry: carry commands to a worker. */
+  execute: 'internal/execute'
+} as const)
+
+/** Topics of messages without an answer. */
+export const Topic = Object.freeze({
+  /** Entry to a new leader, before anything else: the grants that the entry holds. */
+  grantsHeld: 'grantsHeld'
+} as const)
+
+export interface HeartbeatBody {
+  process: string
+  availabilityZone: string
+  /** Version that the entry has in force. */
+  configurationVersion: number
+  /** True while the entry takes new work. */
+  isAdmitting: boolean
+}
+
+export interface HeartbeatAnswer {
+  term: number
+  configurationVersion: number
+}
+
+export interface ConfigurationAnswer {
+  version: number
+  documents: Array<{ name: string, version: number, document: string }>
+}
+
+type Unnumbered<E> = E extends unknown ? Omit<E, 'call' | 'entry'> : never
+
+/** An event of the request flow; the leader adds the number of the call and the entry. */
+export type RequestEvent = Unnumbered<Extract<Event, { kind: 'acquire' | 'settle' | 'cancelRequest' | 'fetchOutcome' }>>
+
+export interface ExecuteBody {
+  target: string
+  address: string
+  session: string
+  fence: number
+  commands: Command[]
+}
+
+export interface ExecuteAnswer {
+  results: CommandResult[]
+}
+
+/** Body of a forwarded RPC: the encoded request and who calls. */
+export interface ForwardedCall {
+  request: Uint8Array
+  actor: string
+  team: string
+}
