--- a/packages/scheduler/src/core/placement/demand.ts
+++ b/packages/scheduler/src/core/placement/demand.ts
@@ -81,7 +81,7 @@
 
   /** True when all of a gang waits, so that it may be placed as a whole. */
   get isWholeGang (): boolean {
-    return this.delayed.size === 0 && this.holdings.size === 0
+    return this.waiting.size === this.workload.spec.taskCount
   }
 
   /** Notes that a task waits; telling twice is once. */
--- a/packages/scheduler/src/core/placement/placer.ts
+++ b/packages/scheduler/src/core/placement/placer.ts
@@ -136,20 +136,36 @@
     let left = PREEMPTIONS_PER_ROUND
     const lines = Array.from(this.indexes.queue.preemptors).sort((one, other) => other.rank - one.rank)
     for (const line of lines) {
-      if (step.now < line.nextPreemptionAt) continue
-      for (const demand of line.list()) {
-        if (left <= 0) return
-        left -= this.preemptFor(demand, left, step)
-      }
-      line.nextPreemptionAt = step.now + PREEMPTION_RETRY_MS
+      if (left <= 0) return
+      if (step.now >= line.nextPreemptionAt) left -= this.preemptForLine(line, left, step)
+    }
+  }
+
+  /** Its demands need the same, so that the first that finds nothing to stop speaks for all after it. */
+  private preemptForLine (line: ShapeLine, most: number, step: Step): number {
+    let made = 0
+    line.lacksVictims = false
+    for (const demand of line.list()) {
+      if (made >= most) return made
+      const wanted = this.countPreemptions(demand, most - made)
+      if (wanted <= 0) continue
+      const count = this.preemption.preempt(demand, wanted, step)
+      made += count
+      if (count === wanted) continue
+      line.lacksVictims = true
+      break
     }
+    line.nextPreemptionAt = step.now + PREEMPTION_RETRY_MS
+    return made
   }
 
-  private preemptFor (demand: Demand, most: number, step: Step): number {
+  /** For how many tasks others may be preempted: those of a gang together. */
+  private countPreemptions (demand: Demand, most: number): number {
     const account = this.indexes.ledger.get(demand.workload.spec.team)
-    const allowed = account.countAllowed(demand.need) - demand.heldCount
-    if (demand.isGang) return allowed >= demand.waitingCount ? this.preemption.preempt(demand, demand.waitingCount, step) : 0
-    return this.preemption.preempt(demand, Math.min(most, allowed), step)
+    const wanted = demand.preemptorCount - demand.heldCount
+    const allowed = Math.min(wanted, account.countAllowed(demand.need) - demand.heldCount)
+    if (demand.isGang) return allowed + demand.heldCount === demand.waitingCount ? allowed : 0
+    return Math.min(most, allowed)
   }
 
   private reserve (step: Step): void {
--- a/packages/scheduler/src/core/placement/preemption.ts
+++ b/packages/scheduler/src/core/placement/preemption.ts
@@ -40,10 +40,8 @@
     return new Preemption(fleet, holds)
   }
 
-  /** Makes room for up to `most` tasks of a demand; returns for how many it did. */
-  preempt (demand: Demand, most: number, step: Step): number {
-    const wanted = Math.min(most, demand.preemptorCount - demand.heldCount)
-    if (wanted <= 0) return 0
+  /** Makes room for some tasks of a demand, all or none of a gang; returns for how many it did. */
+  preempt (demand: Demand, wanted: number, step: Step): number {
     this.workers = Array.from(this.fleet.workers.values())
     const choices: Choice[] = []
     while (choices.length < wanted) {
@@ -52,7 +50,7 @@
       this.take(demand, choice)
       choices.push(choice)
     }
-    if (demand.isGang && choices.length < demand.waitingCount) {
+    if (demand.isGang && choices.length < wanted) {
       this.undo(demand, choices)
       return 0
     }
@@ -66,8 +64,9 @@
   }
 
   private undo (demand: Demand, choices: readonly Choice[]): void {
-    this.holds.releaseAll(demand)
     for (const choice of choices) {
+      const hold = demand.holds.get(choice.worker)
+      if (hold !== undefined) this.holds.release(hold)
       for (const victim of choice.victims) this.fleet.setStopping(victim, false)
     }
   }
--- a/packages/scheduler/src/core/placement/queue.ts
+++ b/packages/scheduler/src/core/placement/queue.ts
@@ -32,6 +32,8 @@
   state: LineState = LineState.empty
   /** Time before which no preemption is tried for it, in milliseconds. */
   nextPreemptionAt = 0
+  /** True when the last preemption for it found nothing to stop. */
+  lacksVictims = false
   /** Demands that stand here; the array also has some that left. */
   private standing = 0
   private demands: Demand[] = []
@@ -127,7 +129,7 @@
     if (demand.waitingCount === 0) return undefined
     const line = demand.line ?? this.findLine(demand)
     line.add(demand)
-    line.nextPreemptionAt = 0
+    if (!line.lacksVictims) line.nextPreemptionAt = 0
     if (line.state === LineState.empty) this.setState(line, line.shape.isBlocked ? LineState.blocked : LineState.ready)
     return line
   }
