--- /dev/null
+++ b/packages/scheduler/__tests__/health.test.ts
@@ -0,0 +1,106 @@
+/**
+ * Bad workers, bad work, and tasks that use more than they declared.
+ */
+
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { Estimates, UsageTable } from '../src/index.js'
+import { createJob, size, World } from './support/world.js'
+
+function createCell (workers: number): World {
+  const world = World.create(7)
+  for (let at = 0; at < workers; at++) world.addWorker(`w${at}`, size(4, 8))
+  world.advance(2_000)
+  world.runMsOf = () => 2_000
+  return world
+}
+
+function submitEvery (world: World, ms: number, count: number, name: (at: number) => string): string[] {
+  return Array.from({ length: count }, (_, at) => {
+    const id = world.submit({ name: name(at), retryLimit: 20 })
+    world.advance(ms)
+    return id
+  })
+}
+
+function phasesOf (world: World): string[] {
+  return [...world.state.targets.values()].filter(target => target.phase !== 'ready').map(target => `${target.name} ${target.phase}`)
+}
+
+describe('health', () => {
+  describe('a worker that fails all it starts', () => {
+    it('is found within a few starts, probed, and ready again once it works', () => {
+      const world = createCell(4)
+      submitEvery(world, 100, 20, at => `work-${at % 4}`)
+      const bad = world.workers[0]
+      bad.flaw = 'fails'
+      const before = world.journal.runs.length
+      const ids = submitEvery(world, 500, 30, at => `work-${at % 4}`)
+      const failed = world.journal.runs.slice(before).filter(run => run.result === 'failed')
+      assert.ok(failed.length >= 3 && failed.length <= 8, `${failed.length} starts failed`)
+      assert.ok(failed.every(run => run.worker === bad.name))
+      assert.deepEqual(phasesOf(world).map(phase => phase.split(' ')[0]), [bad.name])
+      bad.flaw = ''
+      submitEvery(world, 1_000, 60, at => `work-${at % 4}`)
+      world.advance(10_000)
+      assert.deepEqual(phasesOf(world), [])
+      assert.ok(ids.every(id => world.task(id).phase === 'succeeded'))
+    })
+  })
+
+  describe('work that fails everywhere', () => {
+    it('is held back, longer each time, and makes no worker suspect', () => {
+      const world = createCell(4)
+      submitEvery(world, 100, 20, at => `work-${at % 4}`)
+      world.failing = task => world.state.workloads.get(task.split('/')[0])?.spec.name === 'bad'
+      const id = world.submit({ name: 'bad', taskCount: 4, retryLimit: 1_000 })
+      submitEvery(world, 500, 120, at => `work-${at % 4}`)
+      const delays = world.committed.flatMap(decision => decision.kind === 'workloadDelayed' && decision.id === id ? [decision.notBefore] : [])
+      const gaps = delays.slice(1).map((at, index) => at - delays[index])
+      assert.ok(gaps.length >= 3 && gaps.every((gap, at) => at === 0 || gap > gaps[at - 1]), gaps.join())
+      assert.ok(!world.committed.some(decision => decision.kind === 'targetPhaseSet' && decision.phase === 'suspect'))
+      // Without backoff four tasks of 2 s would have run about 120 times.
+      const runs = world.journal.runs.filter(run => run.task.startsWith(`${id}/`))
+      assert.ok(runs.length < 50, `${runs.length} runs`)
+    })
+  })
+
+  describe('tasks that use more than their worker has', () => {
+    it('are throttled for processors, and the least important is stopped for memory', () => {
+      const world = createCell(1)
+      world.runMsOf = () => 60_000
+      const low = world.submit({ resources: size(1, 1), priority: 1 })
+      const high = world.submit({ resources: size(1, 1), priority: 9 })
+      world.advance(1_000)
+      world.workers[0].useFactor = 3
+      world.advance(30_000)
+      assert.ok(world.workers[0].throttled.includes(`${low}/0#1`))
+      assert.equal(world.task(low).phase, 'running')
+      world.workers[0].useFactor = 6
+      world.advance(30_000)
+      assert.ok(world.task(low).attempt > 1)
+      assert.equal(world.task(high).attempt, 1)
+    })
+  })
+
+  describe('what is learnt', () => {
+    it('reserves the larger of declared and used', () => {
+      const usage = UsageTable.create()
+      usage.report('job-1/0', 1, size(2, 1), 0)
+      assert.deepEqual(usage.reservation('job-1/0', size(1, 4)), size(2, 4))
+      usage.report('job-1/0', 1, size(8, 1), 1_000)
+      const { millicores } = usage.reservation('job-1/0', size(1, 4))
+      assert.ok(millicores > 2_000 && millicores < 3_000, `${millicores}`)
+    })
+
+    it('replaces a declared run time that is ten times off', () => {
+      const estimates = Estimates.create()
+      const spec = createJob({ estimateMs: 10_000 })
+      for (const runMs of [900, 1_100]) estimates.learn(spec, runMs)
+      assert.equal(estimates.expectedMs(spec), 10_000)
+      for (const runMs of [1_000, 950, 1_050]) estimates.learn(spec, runMs)
+      assert.ok(Math.abs(estimates.expectedMs(spec) - 1_000) < 50)
+      assert.ok(estimates.upperMs(spec) > 1_000 && estimates.upperMs(spec) < 1_200)
+    })
+  })
+})
--- /dev/null
+++ b/packages/scheduler/__tests__/tasks.test.ts
@@ -0,0 +1,283 @@
+/**
+ * Tasks on fake workers under one fault at a time: what the state says, what the
+ * workers ran, and what they were asked.
+ */
+
+import assert from 'node:assert/strict'
+import { beforeEach, describe, it } from 'node:test'
+import { createControlParts, DEFAULT_LIMITS, Scheduler, type WorkloadSpec } from '../src/index.js'
+import { createJob, origin, size, type CommandEffect, World } from './support/world.js'
+
+const LEASE_OVER_MS = DEFAULT_LIMITS.leaseMs + DEFAULT_LIMITS.driftMs
+
+let world: World
+
+function starts (effects: readonly CommandEffect[], task: string): string[] {
+  return effects.flatMap(({ target, commands }) =>
+    commands.filter(command => command.task === task && command.action.kind === 'start').map(({ attempt }) => `${target}#${attempt}`))
+}
+
+/** Submits a job and lets it start, before anything goes wrong. */
+function started (spec: Partial<WorkloadSpec> = {}): { id: string, worker: ReturnType<World['worker']> } {
+  const id = world.submit(spec)
+  world.advance(300)
+  assert.equal(world.task(id).phase, 'running')
+  return { id, worker: world.worker(world.task(id).target) }
+}
+
+describe('tasks', () => {
+  beforeEach(() => {
+    world = World.create()
+    for (const name of ['w0', 'w1']) world.addWorker(name)
+    world.advance(2_000)
+  })
+
+  describe('starting', () => {
+    it('sends a start again when its answer is lost, to the same worker, and it runs once', () => {
+      world.weather.lossPercent = 100
+      const id = world.submit({})
+      world.carry = (_effect, deliver) => { deliver() }
+      world.advance(2_500)
+      assert.equal(world.task(id).phase, 'placed')
+      const sent = starts(world.commands, `${id}/0`)
+      assert.ok(sent.length > 3 && new Set(sent).size === 1, sent.join())
+      world.weather.lossPercent = 0
+      world.advance(5_000)
+      assert.equal(world.task(id).phase, 'succeeded')
+      assert.equal(world.journal.of(`${id}/0`).length, 1)
+    })
+
+    it('never runs a start that arrives after its stop', () => {
+      const late: Array<() => void> = []
+      world.carry = (effect, deliver) => {
+        if (effect.commands.some(command => command.action.kind === 'start')) late.push(deliver)
+        else deliver()
+      }
+      const id = world.submit({})
+      world.advance(200)
+      world.cancel(id)
+      world.advance(2_000)
+      assert.equal(world.task(id).phase, 'cancelled')
+      for (const deliver of late) deliver()
+      world.advance(2_000)
+      assert.ok(late.length > 0)
+      assert.equal(world.journal.runs.length, 0)
+    })
+
+    it('never runs a start that arrives after the session it was for', () => {
+      const late: Array<() => void> = []
+      world.carry = (_effect, deliver) => { late.push(deliver) }
+      const id = world.submit({ idempotent: false })
+      world.advance(200)
+      const worker = world.worker(world.task(id).target)
+      worker.crash()
+      worker.restart()
+      world.advance(2_000)
+      // Nobody knows whether the start had arrived.
+      assert.equal(world.task(id).phase, 'unknown')
+      for (const deliver of late) deliver()
+      world.advance(2_000)
+      assert.ok(late.length > 0)
+      assert.equal(world.journal.runs.length, 0)
+    })
+
+    it('takes a refused start as one that never ran, and places it again after a backoff', () => {
+      for (const worker of world.workers) worker.flaw = 'refuses'
+      const id = world.submit({ idempotent: false })
+      world.advance(1_000)
+      assert.equal(world.journal.runs.length, 0)
+      assert.ok(world.task(id).attempt > 1)
+      const { waitingSince, notBefore } = world.state.workloads.get(id)?.tasks[0] ?? assert.fail()
+      assert.equal(notBefore - waitingSince, DEFAULT_LIMITS.backoffBaseMs)
+      for (const worker of world.workers) worker.flaw = ''
+      world.advance(20_000)
+      assert.equal(world.task(id).phase, 'succeeded')
+    })
+  })
+
+  describe('a new leader', () => {
+    it('asks again for a start that the former one had decided', () => {
+      world.carry = () => {}
+      const id = world.submit({})
+      world.advance(100)
+      world.changeLeader()
+      world.carry = undefined
+      world.advance(8_000)
+      assert.equal(world.task(id).phase, 'succeeded')
+      assert.deepEqual(world.journal.of(`${id}/0`).map(run => run.attempt), [1])
+    })
+
+    it('takes every lease as renewed just before it took over', () => {
+      const { id, worker } = started({ idempotent: false })
+      world.runMsOf = () => 60_000
+      worker.isCut = true
+      world.advance(LEASE_OVER_MS - 1_000)
+      world.changeLeader()
+      world.advance(LEASE_OVER_MS - 500)
+      assert.equal(world.task(id).phase, 'running')
+      world.advance(1_500)
+      assert.equal(world.task(id).phase, 'unknown')
+    })
+  })
+
+  describe('a worker that is cut off', () => {
+    it('loses its tasks only after lease and drift, and idempotent ones run elsewhere', () => {
+      world.runMsOf = () => 20_000
+      const { id, worker } = started()
+      worker.isCut = true
+      // The last renewal came up to one interval before the cut.
+      world.advance(LEASE_OVER_MS - DEFAULT_LIMITS.renewEveryMs - 200)
+      assert.equal(world.task(id).target, worker.name)
+      world.advance(DEFAULT_LIMITS.renewEveryMs + 1_000)
+      assert.notEqual(world.task(id).target, worker.name)
+      assert.deepEqual(world.violations(), [])
+      assert.equal(world.journal.of(`${id}/0`).length, 2)
+    })
+
+    it('keeps its capacity reserved until then', () => {
+      world.runMsOf = () => 3_000
+      const filler = size(4, 8)
+      const first = world.submit({ resources: filler })
+      const second = world.submit({ resources: filler })
+      world.advance(300)
+      const worker = world.worker(world.task(first).target)
+      worker.isCut = true
+      const third = world.submit({ resources: filler })
+      world.advance(2_000)
+      assert.equal(world.task(third).phase, 'waiting')
+      world.advance(6_000)
+      assert.equal(world.task(second).phase, 'succeeded')
+      assert.deepEqual(world.violations(), [])
+    })
+
+    it('ends a task that must run once as unknown, and never runs it again', () => {
+      world.runMsOf = () => 30_000
+      const { id, worker } = started({ idempotent: false })
+      worker.isCut = true
+      world.advance(20_000)
+      worker.isCut = false
+      world.advance(20_000)
+      assert.equal(world.task(id).phase, 'unknown')
+      assert.equal(world.state.workloads.get(id)?.ended, true)
+      assert.equal(world.journal.of(`${id}/0`).length, 1)
+    })
+  })
+
+  describe('clocks and pauses', () => {
+    it('stay within the bound: a clock that is 9 % slow and a pause give no overlap', () => {
+      const slow = world.addWorker('slow', size(8, 16), 0.91)
+      world.advance(2_000)
+      world.runMsOf = () => 30_000
+      const id = world.submit({ resources: size(5, 1) })
+      world.advance(500)
+      slow.isCut = true
+      const wide = world.addWorker('wide', size(8, 16))
+      world.advance(LEASE_OVER_MS + 2_000)
+      assert.equal(world.task(id).target, wide.name)
+      assert.deepEqual(world.violations(), [])
+      wide.pause()
+      slow.isCut = false
+      world.advance(LEASE_OVER_MS + 2_000)
+      assert.equal(world.task(id).target, slow.name)
+      wide.resume()
+      world.advance(2_000)
+      assert.deepEqual(world.violations(), [])
+      assert.equal(world.journal.of(`${id}/0`).length, 3)
+    })
+
+    it('do not cost the sessions of others when the leader itself stood still', () => {
+      const { id } = started()
+      world.workers.forEach(worker => { worker.isCut = true })
+      world.scheduler.handle({ kind: 'tick' }, world.now + 60_000)
+      world.workers.forEach(worker => { worker.isCut = false })
+      assert.equal(world.scheduler.state.workloads.get(id)?.tasks[0].phase, 'running')
+    })
+  })
+
+  describe('a cancel', () => {
+    it('ends a waiting task at once, which then never starts', () => {
+      const blocked = world.submit({ resources: size(64, 1) })
+      world.cancel(blocked)
+      assert.equal(world.task(blocked).phase, 'cancelled')
+      assert.equal(world.state.workloads.get(blocked)?.ended, true)
+      world.addWorker('large', size(64, 64))
+      world.advance(3_000)
+      assert.equal(world.journal.runs.length, 0)
+    })
+
+    it('loses the race against an end that the worker has seen already', () => {
+      const { id, worker } = started({ idempotent: false })
+      const run = world.journal.of(`${id}/0`)[0]
+      world.advance(run.from + 5_000 - world.now)
+      assert.equal(worker.running.size, 0)
+      world.cancel(id)
+      world.advance(3_000)
+      assert.equal(world.task(id).phase, 'succeeded')
+    })
+
+    it('of a wave of 10,000 decides on what it selects and nothing else', () => {
+      const scheduler = Scheduler.create(createControlParts(DEFAULT_LIMITS))
+      const submit = (wave: string): void => {
+        scheduler.handle({ kind: 'submitJob', call: 1, origin: origin(), spec: createJob({ labels: { wave, day: '1' } }) }, 0)
+      }
+      submit('no')
+      for (let at = 0; at < 10_000; at++) submit('yes')
+      const { decisions, effects } = scheduler.handle({ kind: 'cancelJobs', call: 2, origin: origin(), id: '', selector: { wave: 'yes' } }, 0)
+      assert.deepEqual(effects, [{ kind: 'reply', call: 2, answer: { kind: 'cancelled', count: 10_000 } }])
+      // For each job: the stop, its task, its end; and one entry of the audit trail.
+      assert.equal(decisions.length, 3 * 10_000 + 1)
+      const live = [...scheduler.state.workloads.values()].filter(workload => !workload.ended)
+      assert.deepEqual(live.map(workload => workload.spec.labels.wave), ['no'])
+    })
+  })
+
+  describe('a gang', () => {
+    it('starts over as a whole when the worker of one task is lost', () => {
+      world.runMsOf = () => 8_000
+      const id = world.submit({ kind: 'gang', taskCount: 2, resources: size(3, 1) })
+      world.advance(1_000)
+      world.worker('w1').crash()
+      world.worker('w1').restart()
+      world.advance(30_000)
+      const tasks = world.state.workloads.get(id)?.tasks ?? []
+      assert.deepEqual(tasks.map(task => task.phase), ['succeeded', 'succeeded'])
+      assert.deepEqual(tasks.map(task => task.attempt), [2, 2])
+      const [first, second] = [0, 1].map(index => world.journal.of(`${id}/${index}`)[1])
+      assert.ok(first.from < second.to && second.from < first.to, 'both ran together')
+    })
+
+    it('ends as a whole when it may not run twice', () => {
+      world.runMsOf = () => 8_000
+      const id = world.submit({ kind: 'gang', taskCount: 2, resources: size(3, 1), idempotent: false })
+      world.advance(1_000)
+      world.worker('w1').crash()
+      world.advance(30_000)
+      const phases = (world.state.workloads.get(id)?.tasks ?? []).map(task => task.phase).sort()
+      assert.deepEqual(phases, ['cancelled', 'unknown'])
+      assert.equal(world.journal.runs.length, 2)
+    })
+  })
+
+  describe('a worker that drains', () => {
+    it('gives up a service a task at a time, and keeps work that can not move', () => {
+      world.runMsOf = task => task.startsWith('job') ? 6_000 : 600_000
+      const { id, worker } = started()
+      const other = world.workers.find(({ name }) => name !== worker.name)
+      const spec = createJob({ name: 'web', kind: 'service', taskCount: 4 })
+      world.ask({ kind: 'applyWorkload', call: 0, origin: origin(), id: 'web', spec, expectedVersion: 0 })
+      world.advance(1_000)
+      assert.equal(worker.running.size, 4)
+      world.ask({ kind: 'drain', call: 0, origin: origin(), vm: worker.vm, target: '', reason: 'repair' })
+      let least = 4
+      for (let round = 0; round < 200; round++) {
+        world.advance(50)
+        const running = world.workers.flatMap(({ running }) => [...running.keys()]).filter(key => key.startsWith('web'))
+        least = Math.min(least, running.length)
+      }
+      assert.equal(least, 3)
+      assert.equal(world.task(id).phase, 'succeeded')
+      assert.equal(worker.running.size, 0)
+      assert.equal(other?.running.size, 4)
+    })
+  })
+})
--- a/packages/targets/src/standin/worker-core.ts
+++ b/packages/targets/src/standin/worker-core.ts
@@ -4,7 +4,7 @@
  * start, and no start after a stop of the same attempt.
  */
 
-import type { Command, CommandResult, Resources, TaskEnd, TaskUsage } from '@flamingorouter/scheduler'
+import { ErrorKind, fail, type Command, type CommandResult, type Resources, type TaskEnd, type TaskUsage } from '@flamingorouter/scheduler'
 
 /** One run of one attempt, for checkers that read the journal afterwards. */
 export interface TaskRun {
@@ -89,9 +89,16 @@
     return this.session !== '' && now >= this.leaseUntil
   }
 
+  /**
+   * Fails as a whole when the commands are for another session: a refusal of a
+   * single start promises that this attempt never runs here, which does not hold
+   * for commands that came before the answer to the announcement.
+   */
   execute (session: string, fence: number, commands: readonly Command[], now: number): CommandResult[] {
+    const refusal = this.refuse(session, fence, now)
+    if (refusal !== '') fail(ErrorKind.failedPrecondition, refusal)
     return commands.map(command => {
-      const reason = this.refuse(session, fence, now) || this.act(command, now)
+      const reason = this.act(command, now)
       return { task: command.task, attempt: command.attempt, accepted: reason === '', reason }
     })
   }
