Wire the parts of the scheduler to each other in one place

Cause: placement and tasks each had a table of usage and run times of their own, infeasible work was accepted, and a leave answered no requests in flight. Change: createParts shares them, and the controller uses it.

--- a/packages/cli/src/runtime/controller-node.ts
+++ b/packages/cli/src/runtime/controller-node.ts
@@ -9,7 +9,7 @@
   type HelloFrame, type LinkHandlers, type MemberFacts, type Timing
 } from '@flamingorouter/controllers'
 import type { Binding } from '@flamingorouter/rpc'
-import { createControlParts, Placement, Requests, Scheduler, type Limits, type Part } from '@flamingorouter/scheduler'
+import { createParts, Scheduler, type Limits } from '@flamingorouter/scheduler'
 import { Controller } from './controller.js'
 import { ControllerLinks } from './links.js'
 import { createLocalMethods } from './local-methods.js'
@@ -125,11 +125,6 @@
   }
 }
 
-/** All parts of the scheduler, in the order in which they see an event. */
-function createParts (limits: Limits): Part[] {
-  return [...createControlParts(limits), Placement.create(), Requests.create(limits)]
-}
-
 function createHandlers (controller: Controller, replica: Replica, links: ControllerLinks): LinkHandlers {
   return {
     opened: link => {
--- a/packages/scheduler/__tests__/support/worker.ts
+++ b/packages/scheduler/__tests__/support/worker.ts
@@ -23,7 +23,8 @@
   flaw: '' | 'fails' | 'refuses' = ''
   /** How much of its declaration a task uses. */
   useFactor = 1
-  readonly throttled: string[] = []
+  /** Throttled attempts, with their processor limit and when it lapses. */
+  readonly throttled = new Map<string, { millicores: number, until: number }>()
   readonly running = new Map<string, Running>()
   private readonly seen = new Map<string, number>()
   private readonly refused = new Set<string>()
@@ -72,6 +73,13 @@
     this.incarnation += 1
   }
 
+  /** Loses a task without a word, which the contract forbids. */
+  forget (key: string): void {
+    const running = this.running.get(key)
+    if (running !== undefined) this.closeRun(running, '')
+    this.running.delete(key)
+  }
+
   restart (): void {
     this.isDown = false
   }
@@ -108,7 +116,7 @@
   private renew (): void {
     const sentAt = this.local()
     const { session, name } = this
-    const running = [...this.running.values()].map(({ task, attempt, resources }) => ({ task, attempt, usage: scale(resources, this.useFactor) }))
+    const running = [...this.running.values()].map(({ task, attempt, resources }) => ({ task, attempt, usage: this.use(`${task}#${attempt}`, resources) }))
     const ended = [...this.ended.values()]
     this.call({ kind: 'renew', call: 0, entry: 'entry', name, session, running, ended }, answer => {
       if (answer.kind !== 'renewed' || session !== this.session) return
@@ -150,6 +158,12 @@
     this.session = ''
   }
 
+  private use (key: string, { millicores, memoryMib, accelerators }: Resources): Resources {
+    const throttle = this.throttled.get(key)
+    const limit = throttle !== undefined && this.local() < throttle.until ? throttle.millicores : Infinity
+    return { millicores: Math.min(limit, millicores * this.useFactor), memoryMib: memoryMib * this.useFactor, accelerators }
+  }
+
   private obey (command: Command): CommandResult {
     const { task, attempt, action } = command
     const key = `${task}#${attempt}`
@@ -158,8 +172,9 @@
       if (attempt > (this.seen.get(task) ?? 0)) this.start(task, attempt, action.resources)
       return { ...accepted, accepted: !this.refused.has(key) }
     }
-    if (action.kind === 'throttle') this.throttled.push(key)
-    else this.stop(task, attempt, action.kind === 'checkpoint' ? TaskResult.checkpointed : TaskResult.stopped)
+    if (action.kind === 'throttle') {
+      this.throttled.set(key, { millicores: action.millicores, until: this.local() + DEFAULT_LIMITS.leaseMs })
+    } else this.stop(task, attempt, action.kind === 'checkpoint' ? TaskResult.checkpointed : TaskResult.stopped)
     return accepted
   }
 
@@ -232,8 +247,3 @@
     running.run.result = result
   }
 }
-
-function scale (resources: Resources, factor: number): Resources {
-  const { millicores, memoryMib, accelerators } = resources
-  return { millicores: millicores * factor, memoryMib: memoryMib * factor, accelerators }
-}
--- /dev/null
+++ b/packages/scheduler/src/core/parts.ts
@@ -0,0 +1,26 @@
+/**
+ * All parts of the scheduler, wired to each other, in the order in which they see
+ * an event.
+ */
+
+import type { Limits } from '../types/limits.js'
+import { createControlParts } from './control.js'
+import { Estimates } from './health/estimates.js'
+import { UsageTable } from './health/usage.js'
+import type { Part } from './part.js'
+import { checkFeasible } from './placement/feasibility.js'
+import { Placement } from './placement/placement.js'
+import { Requests } from './requests/requests.js'
+
+/** Creates the parts of one scheduler. */
+export function createParts (limits: Limits): Part[] {
+  const usage = UsageTable.create()
+  const estimates = Estimates.create()
+  const requests = Requests.create(limits)
+  const requestsInFlight = (runner: string): number => requests.inFlight(runner)
+  return [
+    ...createControlParts(limits, { usage, estimates, requestsInFlight, infeasibility: checkFeasible }),
+    Placement.create({ usage, estimates }),
+    requests
+  ]
+}
--- a/packages/scheduler/src/core/tasks/workloads.ts
+++ b/packages/scheduler/src/core/tasks/workloads.ts
@@ -19,7 +19,7 @@
 
 export interface WorkloadOptions {
   /** Why no VM could ever hold a task; empty when one could. */
-  infeasibility?: (spec: WorkloadSpec) => string
+  infeasibility?: (state: ClusterState, spec: WorkloadSpec) => string
 }
 
 export class Workloads extends Part {
@@ -93,7 +93,7 @@
     if (!this.isVersionRight(step, change, existing, event.expectedVersion)) return
     const forbidden = existing === undefined ? '' : changeFault(existing, event.spec)
     if (forbidden !== '') return this.ledger.refuse(step, change, ErrorKind.failedPrecondition, forbidden)
-    const reason = this.options.infeasibility?.(event.spec) ?? ''
+    const reason = this.options.infeasibility?.(step.state, event.spec) ?? ''
     if (reason !== '') return this.ledger.refuse(step, change, ErrorKind.infeasible, reason)
     const before = existing === undefined ? '' : describeSpec(existing.spec)
     if (existing !== undefined) this.labels.remove(existing)
@@ -124,7 +124,7 @@
     const { spec } = event
     const fault = spec.kind === WorkloadKind.service ? 'a job is of kind batch or gang' : specFault(spec)
     if (fault !== '') return this.ledger.refuse(step, change, ErrorKind.invalidArgument, fault)
-    const reason = this.options.infeasibility?.(spec) ?? ''
+    const reason = this.options.infeasibility?.(step.state, spec) ?? ''
     if (reason !== '') return this.ledger.refuse(step, change, ErrorKind.infeasible, reason)
     step.decide({ kind: 'workloadApplied', id, owner: event.origin.actor, spec, version: 1, at: step.now })
     this.ledger.accept(step, change, { kind: 'applied', id, version: 1 }, '', summarizeSpec(spec))
