Add the bench, and serve reopened shapes without moving their lines

Cause: in a full cell of 1,000 workers with 5,000 tasks waiting, freeing room moved the lines of all 210 teams in and out of the queue, each reservation looked at every worker, and each tick at a tenth of all tasks. Change: bench/ with a registry of measures, a table beside an earlier result, and three measures of the engine. Lines of a shape that a few workers may have room for are served where they are; a reservation compares a sample of openings; usage is taken in over 50 ticks rather than 10, since it is smoothed over 10 s (the test of it waits for one pass).

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,60 @@
+/**
+ * The bench: runs the measures, shows them beside an earlier result, and fails
+ * when a bound is broken.
+ */
+
+import { binary, command, flag, number, option, optional, run, string } from 'cmd-ts'
+import { MEASURES } from './measures/index.js'
+import { type Measure, type RunOptions, Verdict } from './registry.js'
+import { createReport, createResult, formatReport, readReport, type Report, writeReport } from './report.js'
+
+const RESULTS = new URL('./results/', import.meta.url).pathname
+const DEFAULT_SEED = 20_261_203
+
+const bench = command({
+  name: 'bench',
+  description: 'Measures the system against its bounds',
+  args: {
+    list: flag({ long: 'list', description: 'List the measures and exit' }),
+    quick: flag({ long: 'quick', description: 'Shorter runs, under a minute in all' }),
+    seed: option({ long: 'seed', type: number, defaultValue: () => DEFAULT_SEED, description: 'Seed of the generated load' }),
+    only: option({ long: 'only', type: optional(string), description: 'Measures to run: part of their name' }),
+    save: option({ long: 'save', type: optional(string), description: 'Keep the result under bench/results/ by this name' }),
+    earlier: option({ long: 'earlier', type: string, defaultValue: () => 'full', description: 'Name of the earlier result to show' }),
+    json: flag({ long: 'json', description: 'Print the result as JSON' })
+  },
+  handler: async ({ list, quick, seed, only, save, earlier, json }) => {
+    const measures = MEASURES.filter(({ name }) => only === undefined || name.includes(only))
+    if (list) {
+      for (const { name, title, unit, bound, aim } of measures) {
+        process.stdout.write(`${name}: ${title} [${unit}] bound ${bound ?? 'none'}, aim ${aim ?? 'none'}\n`)
+      }
+      return
+    }
+    const report = await runAll(measures, seed, quick)
+    const before = readReport(`${RESULTS}${quick ? 'quick' : earlier}.json`)
+    if (save !== undefined) writeReport(`${RESULTS}${save}.json`, report)
+    const text = json ? JSON.stringify(report, undefined, 2) : formatReport(report, measures, before)
+    process.stdout.write(`${text}\n`)
+    if (report.results.some(({ verdict }) => verdict === Verdict.broken)) process.exitCode = 1
+  }
+})
+
+async function runAll (measures: readonly Measure[], seed: number, quick: boolean): Promise<Report> {
+  const report = createReport(seed, quick)
+  for (const [at, measure] of measures.entries()) {
+    const label = `[${at + 1}/${measures.length}] ${measure.name}`
+    process.stderr.write(`${label}\n`)
+    const options: RunOptions = { seed, quick, progress: text => showProgress(label, text) }
+    const began = performance.now()
+    const outcome = await measure.run(options)
+    report.results.push(createResult(measure, outcome, (performance.now() - began) / 1_000))
+  }
+  return report
+}
+
+function showProgress (label: string, text: string): void {
+  if (process.stderr.isTTY) process.stderr.write(`\r${label}: ${text}\x1b[K\r`)
+}
+
+await run(binary(bench), process.argv)
--- /dev/null
+++ b/bench/measures/placement.ts
@@ -0,0 +1,106 @@
+/**
+ * The speed of the placement: placements a second, the time of one decision, and
+ * how it grows with the cell.
+ */
+
+import { build as createHistogram, type Histogram } from 'hdr-histogram-js'
+import { Better, type Measure, type Outcome, type RunOptions } from '../registry.js'
+import { createLargeShape } from '../support/cells.js'
+import { Churn } from '../support/churn.js'
+import { Random } from '../support/random.js'
+
+const WORKERS = 1_000
+const RUNNING = 9_200
+/** Tasks that wait in a cell without room. */
+const BACKLOG = 5_000
+const SIZES = [30, 100, 300, 1_000]
+const MICROSECONDS = 1_000
+
+export const placementRate: Measure = {
+  name: 'placement-rate',
+  title: 'placements a second in the engine, 1,000 workers, 9,200 running',
+  unit: '1/s',
+  better: Better.higher,
+  bound: 2_000,
+  aim: 20_000,
+  run: ({ seed, quick, progress }) => {
+    const churn = Churn.create(createLargeShape(WORKERS), Random.create(seed))
+    churn.fill(RUNNING)
+    const single = measureRate(churn, quick ? 200 : 1_000, 50, 1, progress)
+    const batched = measureRate(churn, quick ? 200 : 1_000, 50, 50, progress)
+    return {
+      value: single.rate,
+      details: { running: churn.runningCount, 'in batches of 50 (1/s)': batched.rate, 'processor per placement (µs)': 1e6 / single.rate }
+    }
+  }
+}
+
+export const decisionTime: Measure = {
+  name: 'decision-time',
+  title: 'one decision, p99, 1,000 full workers, 5,000 tasks waiting',
+  unit: 'ms',
+  better: Better.lower,
+  bound: 5,
+  aim: 1,
+  run: ({ seed, quick, progress }) => {
+    const steps = quick ? 5_000 : 20_000
+    const churn = Churn.create(createLargeShape(WORKERS), Random.create(seed))
+    churn.fill(RUNNING)
+    const open = measureSteps(churn, steps, progress)
+    churn.fill(Infinity)
+    churn.step(0, BACKLOG)
+    const full = measureSteps(churn, steps, progress)
+    return {
+      value: Math.max(open.getValueAtPercentile(99), full.getValueAtPercentile(99)) / MICROSECONDS,
+      details: { ...describe('with room', open), ...describe('full', full) }
+    }
+  }
+}
+
+export const placementGrowth: Measure = {
+  name: 'placement-growth',
+  title: 'cost of a placement with 1,000 workers over that with 30',
+  unit: 'times',
+  better: Better.lower,
+  bound: WORKERS / 30,
+  aim: 2,
+  run: ({ seed, quick, progress }): Outcome => {
+    const costs = SIZES.map(workers => {
+      const churn = Churn.create(createLargeShape(workers), Random.create(seed))
+      churn.fill(Math.round(RUNNING * workers / WORKERS))
+      measureRate(churn, quick ? 500 : 2_000, 5, 1, progress)
+      return 1e6 / measureRate(churn, quick ? 1_000 : 4_000, 5, 1, progress).rate
+    })
+    const details = Object.fromEntries(SIZES.map((workers, at) => [`${workers} workers (µs)`, costs[at]]))
+    return { value: costs[costs.length - 1] / costs[0], details }
+  }
+}
+
+function measureRate (churn: Churn, steps: number, perStep: number, tasks: number, progress: RunOptions['progress']): { rate: number } {
+  churn.reset()
+  for (let at = 0; at < steps; at += 1) {
+    churn.step(perStep, perStep, tasks)
+    if (at % 100 === 0) progress(`${at} of ${steps} steps`)
+  }
+  return { rate: churn.placements / churn.busyMs * 1_000 }
+}
+
+/** One task ends and one arrives in each step. */
+function measureSteps (churn: Churn, steps: number, progress: RunOptions['progress']): Histogram {
+  const histogram = createHistogram({ numberOfSignificantValueDigits: 3 })
+  for (let at = 0; at < steps; at += 1) {
+    const tookMs = churn.step(at % 2, 1 - at % 2)
+    histogram.recordValue(Math.max(1, Math.round(tookMs * MICROSECONDS)))
+    if (at % 1_000 === 0) progress(`${at} of ${steps} decisions`)
+  }
+  return histogram
+}
+
+function describe (name: string, histogram: Histogram): Record<string, number> {
+  return {
+    [`${name}: p50 (µs)`]: histogram.getValueAtPercentile(50),
+    [`${name}: p99 (µs)`]: histogram.getValueAtPercentile(99),
+    [`${name}: p99.9 (µs)`]: histogram.getValueAtPercentile(99.9),
+    [`${name}: most (µs)`]: histogram.maxValue
+  }
+}
--- /dev/null
+++ b/bench/support/cells.ts
@@ -0,0 +1,35 @@
+/**
+ * Cells of the sizes that the users have, and larger ones.
+ */
+
+import type { Resources } from '../../packages/scheduler/src/index.js'
+import { Cell, createResources } from '../../packages/scheduler/__tests__/support/cell.js'
+
+export interface CellShape {
+  workers: number
+  capacity: Resources
+  perRack: number
+  zones: number
+}
+
+export const COASTLINE: Readonly<CellShape> = Object.freeze({ workers: 30, capacity: createResources(64, 128), perRack: 6, zones: 4 })
+export const CONSORTIUM: Readonly<CellShape> = Object.freeze({ workers: 30, capacity: createResources(32, 128), perRack: 8, zones: 3 })
+
+/** The size of two years from now. */
+export function createLargeShape (workers: number): CellShape {
+  return { ...COASTLINE, workers }
+}
+
+export function createCell (shape: CellShape): Cell {
+  const cell = Cell.create()
+  for (let at = 0; at < shape.workers; at += 1) {
+    const rack = Math.floor(at / shape.perRack)
+    cell.step(cell.announced({
+      name: `worker-${at}`,
+      rack: `rack-${rack}`,
+      availabilityZone: `zone-${rack % shape.zones}`,
+      capacity: shape.capacity
+    }))
+  }
+  return cell
+}
--- a/packages/scheduler/__tests__/preemption.test.ts
+++ b/packages/scheduler/__tests__/preemption.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { TargetPhase, Urgency, WorkloadKind } from '../src/index.js'
-import { Cell, createResources, listPlaced, listStopping } from './cell.js'
+import { Cell, createResources, listPlaced, listStopping } from './support/cell.js'
 
 const BULK = { urgency: Urgency.bulk, resources: createResources(2, 2) }
 const URGENT = { urgency: Urgency.urgent, resources: createResources(2, 2), preemptible: false }
--- a/packages/scheduler/__tests__/reservations.test.ts
+++ b/packages/scheduler/__tests__/reservations.test.ts
@@ -7,9 +7,9 @@
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
 import { Urgency, WorkloadKind } from '../src/index.js'
-import { Cell, createResources } from './cell.js'
-import { Life } from './cellLife.js'
-import { checkCapacity, checkGangs } from './placementChecks.js'
+import { Cell, createResources } from './support/cell.js'
+import { Life } from './support/cellLife.js'
+import { checkCapacity, checkGangs } from './support/placementChecks.js'
 
 const SEED = 20_261_204
 const STEP_MS = 250
--- a/packages/scheduler/__tests__/cell.ts
+++ b/packages/scheduler/__tests__/support/cell.ts
@@ -17,6 +17,7 @@
   WorkloadKind,
   type Answer,
   type Decision,
+  type Event,
   type EventKind,
   type PlacementOptions,
   type Resources,
@@ -24,11 +25,13 @@
   type TargetState,
   type TaskState,
   type WorkloadSpec
-} from '../src/index.js'
+} from '../../src/index.js'
 
-/** Decides what a test tells it to, and notes what is decided. */
+const TICK_MS = 100
+
+/** Decides what a test tells it to. The event that leads to it stands for any other. */
 class Script extends Part {
-  override readonly handles: readonly EventKind[] = []
+  override readonly handles: readonly EventKind[] = ['entryLost']
   pending: Decision[] = []
 
   static create (): Script {
@@ -36,9 +39,8 @@
   }
 
   override reset (): void {}
-  override handle (): void {}
 
-  override tick (step: Step): void {
+  override handle (_event: Event, step: Step): void {
     const decisions = this.pending
     this.pending = []
     for (const decision of decisions) step.decide(decision)
@@ -53,6 +55,7 @@
   private readonly script: Script
   private readonly scheduler: Scheduler
   private fences = 0
+  private nextTickAt = 0
 
   private constructor (options: PlacementOptions) {
     this.script = Script.create()
@@ -71,6 +74,12 @@
   /** Decides at the present time, and returns everything decided with it. */
   step (...decisions: Decision[]): Decision[] {
     this.script.pending.push(...decisions)
+    const decided = this.scheduler.handle({ kind: 'entryLost', entry: '' }, this.now).decisions
+    return this.now < this.nextTickAt ? decided : [...decided, ...this.tick()]
+  }
+
+  private tick (): Decision[] {
+    this.nextTickAt = this.now + TICK_MS
     return this.scheduler.handle({ kind: 'tick' }, this.now).decisions
   }
 
--- a/packages/scheduler/__tests__/cellLife.ts
+++ b/packages/scheduler/__tests__/support/cellLife.ts
@@ -3,7 +3,7 @@
  * is asked to stop waits again after the time that a checkpoint takes.
  */
 
-import { type Decision, Timers } from '../src/index.js'
+import { type Decision, Timers } from '../../src/index.js'
 import type { Cell, Placed } from './cell.js'
 
 export interface LifeOptions {
--- a/packages/scheduler/__tests__/placementChecks.ts
+++ b/packages/scheduler/__tests__/support/placementChecks.ts
@@ -4,7 +4,7 @@
  */
 
 import assert from 'node:assert/strict'
-import type { ClusterState, Resources, TargetState, WorkloadState } from '../src/index.js'
+import type { ClusterState, Resources, TargetState, WorkloadState } from '../../src/index.js'
 
 /** No worker holds more than its capacity, in any dimension. */
 export function checkCapacity (state: ClusterState): void {
--- a/packages/scheduler/__tests__/placementHistory.ts
+++ b/packages/scheduler/__tests__/support/placementHistory.ts
@@ -4,7 +4,7 @@
  */
 
 import fc from 'fast-check'
-import { TargetPhase, TaskPhase, WorkloadKind, type Decision, type TaskState } from '../src/index.js'
+import { TargetPhase, TaskPhase, WorkloadKind, type Decision, type TaskState } from '../../src/index.js'
 import { type Cell, createResources } from './cell.js'
 
 const WORKERS = 6
--- a/packages/scheduler/src/core/placement/explain.ts
+++ b/packages/scheduler/src/core/placement/explain.ts
@@ -105,10 +105,11 @@
 function explainPosition (demand: Demand, indexes: Indexes): Constraint {
   const rank = rankOf(demand.workload.spec)
   let ahead = 0
-  for (const other of indexes.queue.list()) {
-    if (other === demand) continue
-    const otherRank = rankOf(other.workload.spec)
-    if (otherRank > rank || (otherRank === rank && isAhead(other, demand, indexes))) ahead += 1
+  for (const line of indexes.queue.list()) {
+    if (line.rank < rank) continue
+    for (const other of line.list()) {
+      if (other !== demand && (line.rank > rank || isAhead(other, demand, indexes))) ahead += 1
+    }
   }
   return { name: 'queue', failingVms: 0, detail: `${ahead} workloads go before it` }
 }
--- a/packages/scheduler/src/core/placement/placer.ts
+++ b/packages/scheduler/src/core/placement/placer.ts
@@ -53,7 +53,7 @@
   private serveQueue (step: Step): void {
     while (this.left > 0) {
       this.reopenShapes()
-      const line = this.indexes.queue.next()
+      const line = this.indexes.queue.next(this.indexes.shapes.listReopened())
       const demand = line?.peek()
       if (line === undefined || demand === undefined) return
       if (!this.indexes.ledger.isAllowed(demand)) {
@@ -66,8 +66,13 @@
     }
   }
 
+  /** Puts the lines of shapes back that may search the whole fleet again. */
   private reopenShapes (): void {
-    for (const shape of this.indexes.shapes.takeReopened()) this.indexes.queue.reopen(shape)
+    for (const shape of this.indexes.shapes.listReopened()) {
+      if (shape.openWorkers !== undefined) continue
+      this.indexes.shapes.settle(shape)
+      this.indexes.queue.reopen(shape)
+    }
   }
 
   private placeOne (line: ShapeLine, demand: Demand, step: Step): void {
--- a/packages/scheduler/src/core/placement/queue.ts
+++ b/packages/scheduler/src/core/placement/queue.ts
@@ -30,6 +30,8 @@
 /** Demands of one rank, team and shape in order of arrival. */
 export class ShapeLine {
   state: LineState = LineState.empty
+  /** Position among the ready lines of the team; -1 when not ready. */
+  readyAt = -1
   /** Time before which no preemption is tried for it, in milliseconds. */
   nextPreemptionAt = 0
   /** True when the last preemption for it found nothing to stop. */
@@ -92,6 +94,8 @@
 export class TeamLine {
   readonly lines = new Map<Shape, ShapeLine>()
   readonly ready: ShapeLine[] = []
+  /** Position among the teams of the level with ready lines; -1 without one. */
+  readyAt = -1
 
   private constructor (readonly level: Level, readonly account: Account) {}
 
@@ -141,8 +145,21 @@
     if (line.isEmpty) this.setState(line, LineState.empty)
   }
 
-  /** The line whose first demand goes next. */
-  next (): ShapeLine | undefined {
+  /**
+   * The line whose first demand goes next, among those that are ready and those
+   * of blocked shapes that a few workers may have room for.
+   */
+  next (reopened: Iterable<Shape>): ShapeLine | undefined {
+    let first = this.firstReady()
+    for (const shape of reopened) {
+      for (const line of shape.lines) {
+        if (line.state === LineState.blocked && (first === undefined || isBefore(line, first))) first = line
+      }
+    }
+    return first
+  }
+
+  private firstReady (): ShapeLine | undefined {
     for (const level of this.levels) {
       if (level.ready.length > 0) return findOldest(findPoorest(level.ready))
     }
@@ -152,12 +169,12 @@
   setState (line: ShapeLine, state: LineState): void {
     if (line.state === state) return
     const { team } = line
-    if (line.state === LineState.ready) drop(team.ready, line)
+    if (line.state === LineState.ready) takeOut(team.ready, line)
     if (line.state === LineState.overQuota) team.account.overQuota.delete(line)
     this.preemptors.delete(line)
     line.state = state
     if (state === LineState.blocked && line.shape.preempts) this.preemptors.add(line)
-    if (state === LineState.ready) team.ready.push(line)
+    if (state === LineState.ready) putIn(team.ready, line)
     if (state === LineState.overQuota) team.account.overQuota.add(line)
     if (state === LineState.empty) this.dropLine(line)
     this.updateLevel(team)
@@ -184,12 +201,10 @@
     }
   }
 
-  /** All demands that stand in line. */
-  * list (): Generator<Demand> {
+  /** All lines with a demand in them. */
+  * list (): Generator<ShapeLine> {
     for (const level of this.levels) {
-      for (const team of level.teams.values()) {
-        for (const line of team.lines.values()) yield * line.list()
-      }
+      for (const team of level.teams.values()) yield * team.lines.values()
     }
   }
 
@@ -229,11 +244,11 @@
 
   private updateLevel (team: TeamLine): void {
     const { level } = team
-    const at = level.ready.indexOf(team)
-    if (team.ready.length > 0 && at < 0) level.ready.push(team)
-    if (team.ready.length === 0 && at >= 0) drop(level.ready, team)
-    if (team.lines.size === 0) level.teams.delete(team.account.team)
-    if (level.teams.size === 0) drop(this.levels, level)
+    if (team.ready.length > 0) putIn(level.ready, team)
+    else takeOut(level.ready, team)
+    if (team.lines.size > 0) return
+    level.teams.delete(team.account.team)
+    if (level.teams.size === 0) this.levels.splice(this.levels.indexOf(level), 1)
   }
 }
 
@@ -258,7 +273,27 @@
   return oldest
 }
 
-function drop<Item> (items: Item[], item: Item): void {
-  const at = items.indexOf(item)
-  if (at >= 0) items.splice(at, 1)
+/** True when the first demand of one line goes before that of the other. */
+function isBefore (one: ShapeLine, other: ShapeLine): boolean {
+  if (one.rank !== other.rank) return one.rank > other.rank
+  const [share, otherShare] = [one.team.account.share, other.team.account.share]
+  if (share !== otherShare) return share < otherShare
+  return (one.peek()?.order ?? Infinity) < (other.peek()?.order ?? Infinity)
+}
+
+interface Ready { readyAt: number }
+
+function putIn<Item extends Ready> (items: Item[], item: Item): void {
+  if (item.readyAt >= 0) return
+  item.readyAt = items.length
+  items.push(item)
+}
+
+function takeOut<Item extends Ready> (items: Item[], item: Item): void {
+  if (item.readyAt < 0) return
+  const last = items[items.length - 1]
+  items[item.readyAt] = last
+  last.readyAt = item.readyAt
+  items.pop()
+  item.readyAt = -1
 }
--- a/packages/scheduler/src/core/placement/reservations.ts
+++ b/packages/scheduler/src/core/placement/reservations.ts
@@ -14,6 +14,7 @@
 import type { Fleet } from './fleet.js'
 import type { Holds } from './holds.js'
 import type { Ledger } from './ledger.js'
+import type { ShapeLine } from './queue.js'
 import { addSize, copySize, countWithin } from './sizes.js'
 import type { Holding, Worker } from './worker.js'
 
@@ -32,6 +33,9 @@
 const MOST_OTHERS = 4
 /** Demands for which a reservation is tried in one round. */
 const MOST_TRIES = 8
+/** Openings that are compared, at least, and for each task. */
+const SAMPLE = 64
+const OPENINGS_PER_TASK = 4
 /** Delay before a reservation that found no room is planned again, in milliseconds. */
 const RETRY_MS = 5_000
 /** Expected time left for a task of which nothing is known, in milliseconds. */
@@ -74,7 +78,7 @@
   }
 
   /** Ends the reservations that are fulfilled or void, and makes new ones for the oldest. */
-  update (demands: Iterable<Demand>, now: number): void {
+  update (lines: Iterable<ShapeLine>, now: number): void {
     for (const demand of Array.from(this.made.keys())) {
       if (demand.heldCount === 0 || demand.waitingCount === 0) this.cancel(demand)
     }
@@ -82,7 +86,7 @@
     for (const demand of this.made.keys()) gangs += demand.isGang ? 1 : 0
     const free = { gangs: 1 - gangs, others: MOST_OTHERS - (this.made.size - gangs) }
     if (free.gangs <= 0 && free.others <= 0) return
-    for (const demand of this.listAged(demands, now)) {
+    for (const demand of this.listAged(lines, now)) {
       const left = demand.isGang ? 'gangs' : 'others'
       if (free[left] <= 0) continue
       if (this.reserve(demand, now)) {
@@ -96,12 +100,13 @@
     }
   }
 
-  /** The few demands that wait longest, oldest first. */
-  private listAged (demands: Iterable<Demand>, now: number): Demand[] {
+  /** The few demands that wait longest, oldest first: the heads of their lines. */
+  private listAged (lines: Iterable<ShapeLine>, now: number): Demand[] {
     const oldest: Demand[] = []
-    for (const demand of demands) {
+    for (const line of lines) {
+      const demand = line.peek()
       const last = oldest[MOST_TRIES - 1]
-      if (last !== undefined && compareAge(demand, last) >= 0) continue
+      if (demand === undefined || (last !== undefined && compareAge(demand, last) >= 0)) continue
       if (!this.isAged(demand, now)) continue
       oldest.push(demand)
       oldest.sort(compareAge)
@@ -144,7 +149,9 @@
   /** Where and when room for one task each opens, soonest first. */
   private listOpenings (demand: Demand, most: number, now: number, ignoresHolds = false): Opening[] {
     const openings: Opening[] = []
+    const enough = Math.max(SAMPLE, most * OPENINGS_PER_TASK)
     for (const worker of this.fleet.workers.values()) {
+      if (openings.length >= enough) break
       if (!worker.usable || !isZoneAllowed(demand.workload.spec, worker.target.availabilityZone)) continue
       const room = copySize(worker.free)
       if (ignoresHolds) addSize(room, worker.held)
--- a/packages/scheduler/src/core/placement/shapes.ts
+++ b/packages/scheduler/src/core/placement/shapes.ts
@@ -50,7 +50,8 @@
   private readonly shapes = new Map<string, Shape>()
   /** Shapes for which a search of the whole fleet failed. */
   private readonly scarce = new Set<Shape>()
-  private readonly reopened: Shape[] = []
+  /** Shapes that may be searched again. */
+  private readonly reopened = new Set<Shape>()
 
   private constructor () {}
 
@@ -70,6 +71,7 @@
     if (shape.lines.size > 0) return
     this.shapes.delete(shape.key)
     this.scarce.delete(shape)
+    this.reopened.delete(shape)
   }
 
   /** A worker for one task of the demand; the shape is blocked when there is none. */
@@ -84,12 +86,13 @@
   block (shape: Shape): void {
     shape.openWorkers = new Set()
     this.scarce.add(shape)
+    this.reopened.delete(shape)
   }
 
   /** Lets a shape search the whole fleet again. */
   open (shape: Shape): void {
     if (shape.openWorkers === undefined) return
-    if (shape.isBlocked) this.reopened.push(shape)
+    this.reopened.add(shape)
     shape.openWorkers = undefined
     this.scarce.delete(shape)
   }
@@ -109,7 +112,7 @@
   addRoom (worker: Worker): void {
     for (const shape of this.scarce) {
       if (shape.gang !== undefined || !isOpenFor(shape, worker)) continue
-      if (shape.isBlocked) this.reopened.push(shape)
+      this.reopened.add(shape)
       shape.openWorkers?.add(worker)
       if ((shape.openWorkers?.size ?? 0) > MOST_OPEN_WORKERS) this.open(shape)
     }
@@ -126,9 +129,14 @@
     }
   }
 
-  /** The shapes that were blocked and are no longer; each call empties the list. */
-  takeReopened (): Shape[] {
-    return this.reopened.splice(0)
+  /** The shapes that may be searched again, until their search fails. */
+  listReopened (): ReadonlySet<Shape> {
+    return this.reopened
+  }
+
+  /** Notes that the lines of a shape are in the queue again. */
+  settle (shape: Shape): void {
+    this.reopened.delete(shape)
   }
 
   private findOpen (shape: Shape, demand: Demand, fleet: Fleet): Worker | undefined {
@@ -139,6 +147,7 @@
       if (worker.hasRoom(demand.need) && demand.isAllowed(worker)) candidates.push(worker)
       else open.delete(worker)
     }
+    if (candidates.length === 0) this.reopened.delete(shape)
     return getStrategy(demand.policy.strategy).choose(candidates, demand, fleet)
   }
 }
--- a/packages/scheduler/src/core/placement/usageWatch.ts
+++ b/packages/scheduler/src/core/placement/usageWatch.ts
@@ -8,8 +8,8 @@
 import type { Fleet } from './fleet.js'
 import type { Holding, Worker } from './worker.js'
 
-/** Ticks in which the whole fleet is looked at once. */
-const TICKS_PER_PASS = 10
+/** Ticks in which the whole fleet is looked at once; usage is smoothed over longer. */
+const TICKS_PER_PASS = 50
 
 export class UsageWatch {
   private turn = 0
