Write log lines that cannot be forged, and metrics for a scraper

Cause: values of callers went into log lines with their own line ends and keys unescaped, and nothing measured waiting, packing or what the control costs. Change: formatRecord escapes, bounds and orders one line an event; Metrics records calls, steps, commits, task and request waits in HDR histograms over the last one to two minutes, and reads packing, replica, traffic, processor time and anonymous memory at each scrape.

--- a/packages/cli/src/internal.ts
+++ b/packages/cli/src/internal.ts
@@ -3,6 +3,11 @@
  */
 
 export * from './types/settings.js'
+export * from './utils/log-line.js'
+export * from './metrics/window.js'
+export * from './metrics/summary.js'
+export * from './metrics/process.js'
+export * from './metrics/metrics.js'
 export * from './core/settings-rules.js'
 export * from './core/settings.js'
 export * from './core/cell-client.js'
--- /dev/null
+++ b/packages/cli/src/metrics/process.ts
@@ -0,0 +1,37 @@
+/**
+ * What the process itself costs.
+ */
+
+import { readFileSync } from 'node:fs'
+
+const BYTES_PER_KIB = 1_024
+const MICROSECONDS_PER_SECOND = 1_000_000
+
+export interface ProcessCost {
+  /** Processor time since the start. */
+  cpuSeconds: number
+  residentBytes: number
+  /** Memory of its own, not backed by files; 0 where the system does not tell. */
+  anonymousBytes: number
+  heapBytes: number
+}
+
+export function readProcessCost (): ProcessCost {
+  const { user, system } = process.cpuUsage()
+  const { rss, heapUsed } = process.memoryUsage()
+  return {
+    cpuSeconds: (user + system) / MICROSECONDS_PER_SECOND,
+    residentBytes: rss,
+    anonymousBytes: readAnonymousBytes(),
+    heapBytes: heapUsed
+  }
+}
+
+function readAnonymousBytes (): number {
+  try {
+    const found = /^RssAnon:\s+(\d+) kB$/m.exec(readFileSync('/proc/self/status', 'utf8'))
+    return Number(found?.[1] ?? 0) * BYTES_PER_KIB
+  } catch {
+    return 0
+  }
+}
--- a/packages/cli/src/runtime/runtime-log.ts
+++ b/packages/cli/src/runtime/runtime-log.ts
@@ -4,6 +4,7 @@
 
 import bunyan from 'bunyan'
 import type { LogLevel } from '../types/settings.js'
+import { formatRecord } from '../utils/log-line.js'
 
 export type LogFields = Record<string, string | number | boolean>
 
@@ -50,27 +51,6 @@
   }
 }
 
-/** Members of a record of bunyan that are written under other names or not at all. */
-const OWN_MEMBERS: ReadonlySet<string> = new Set(['name', 'hostname', 'pid', 'level', 'msg', 'time', 'v'])
-
-const PLAIN = /^[\w.:/@-]+$/
-
 function writeRecord (record: Record<string, unknown>): void {
-  const { time, level, name, msg } = record
-  const pairs = [
-    `time=${(time as Date).toISOString()}`,
-    `level=${bunyan.nameFromLevel[level as number]}`,
-    `process=${formatValue(name)}`,
-    `event=${formatValue(msg)}`
-  ]
-  for (const [key, value] of Object.entries(record)) {
-    if (!OWN_MEMBERS.has(key)) pairs.push(`${key}=${formatValue(value)}`)
-  }
-  process.stdout.write(`${pairs.join(' ')}\n`)
-}
-
-/** Quotes what is not plain, so that no value can be taken for another pair or line. */
-function formatValue (value: unknown): string {
-  const text = String(value)
-  return PLAIN.test(text) ? text : JSON.stringify(text)
+  process.stdout.write(`${formatRecord(record)}\n`)
 }
