--- /dev/null
+++ b/features/membership.feature
@@ -0,0 +1,20 @@
+Feature: Controllers are replaced while the cell serves
+
+  Scenario: A controller loses its disk and is replaced, and then a second one is lost
+    Given a cell of 3 controllers and 2 entries
+    And 2 workers
+    When an operator applies the service "gauge-intake" of 2 tasks
+    Then all tasks of "gauge-intake" run
+    When a controller that follows loses its disk and comes back
+    Then it does not vote
+    When an operator removes it and adds "controller-4" in its place
+    Then "controller-4" becomes a voter
+    When the leader is killed
+    And an operator applies the batch "rainfall" of 6 tasks that run 200 ms
+    Then all tasks of "rainfall" succeed
+    And all tasks of "gauge-intake" run
+
+  Scenario: The last safe removal is refused with the reason
+    Given a cell of 3 controllers and 1 entries
+    When an operator removes a controller that follows
+    Then the next removal is refused with the reason
--- /dev/null
+++ b/features/one-place.feature
@@ -0,0 +1,31 @@
+Feature: A task runs in one place only
+
+  Background:
+    Given a cell of 3 controllers and 2 entries
+    And 3 workers behind proxies
+
+  Scenario: A worker is cut off until its lease is over
+    When an operator applies the service "gauge-intake" of 6 tasks
+    Then all tasks of "gauge-intake" run
+    When the worker "worker-1" is cut off
+    And 9 s pass
+    Then the worker "worker-1" runs nothing
+    And all tasks of "gauge-intake" run
+    When the worker "worker-1" is connected again
+    And an operator applies the batch "rainfall" of 20 tasks that run 200 ms
+    Then all tasks of "rainfall" succeed
+
+  Scenario: Commands reach a worker and its answers are lost
+    When answers of the worker "worker-2" are swallowed
+    And an operator applies the batch "rainfall" of 24 tasks that run 300 ms
+    And 3 s pass
+    And the worker "worker-2" is connected again
+    Then all tasks of "rainfall" succeed
+
+  Scenario: Commands reach a worker late
+    When commands to the worker "worker-3" are delayed by 1200 ms
+    And an operator applies the batch "rainfall" of 24 tasks that run 300 ms
+    And 3 s pass
+    And the leader is killed
+    And the worker "worker-3" is connected again
+    Then all tasks of "rainfall" succeed
--- /dev/null
+++ b/features/steps/membership.ts
@@ -0,0 +1,73 @@
+/**
+ * Steps that change the controllers of a cell.
+ */
+
+import assert from 'node:assert/strict'
+import { create } from '@bufbuild/protobuf'
+import { Then, When } from '@cucumber/cucumber'
+import { toFailure } from '@flamingorouter/scheduler'
+import {
+  AddMemberRequestSchema, ListMembersRequestSchema, OperatorService, RemoveMemberRequestSchema, type Member
+} from '@flamingorouter/schema'
+import { waitFor } from '../support/real-cell.js'
+import type { CellWorld } from '../support/world.js'
+
+const PROMOTION_TIMEOUT_MS = 15_000
+
+async function listMembers (world: CellWorld): Promise<Member[]> {
+  return (await world.call(OperatorService.method.listMembers, create(ListMembersRequestSchema))).members
+}
+
+async function findFollower (world: CellWorld): Promise<string> {
+  const follower = (await listMembers(world)).find(({ leader }) => !leader)
+  assert.ok(follower)
+  return follower.id
+}
+
+async function remove (world: CellWorld, id: string): Promise<void> {
+  await world.call(OperatorService.method.removeMember, create(RemoveMemberRequestSchema, { requestId: `remove-${id}`, id }))
+}
+
+When('a controller that follows loses its disk and comes back', async function (this: CellWorld) {
+  this.lost = await findFollower(this)
+  await this.cell.kill(this.lost)
+  this.cell.loseDisk(this.lost)
+  await this.cell.launch(this.lost)
+})
+
+Then('it does not vote', async function (this: CellWorld) {
+  const leader = (await listMembers(this)).find(({ leader }) => leader)
+  assert.ok(leader)
+  const before = (await listMembers(this)).find(({ id }) => id === this.lost)?.matchIndex
+  await new Promise(resolve => { setTimeout(resolve, 1_000) })
+  const after = (await listMembers(this)).find(({ id }) => id === this.lost)?.matchIndex
+  assert.equal(after, before, 'a lost disk acknowledges nothing under its old identity')
+})
+
+When('an operator removes it and adds {string} in its place', async function (this: CellWorld, added: string) {
+  await this.cell.kill(this.lost)
+  const { zone } = this.cell.get(this.lost)
+  await remove(this, this.lost)
+  const state = await this.cell.declareController(Number(added.split('-')[1]))
+  await this.cell.launch(added)
+  await this.call(OperatorService.method.addMember, create(AddMemberRequestSchema, {
+    requestId: `add-${added}`, id: added, address: `127.0.0.1:${state.port}`, availabilityZone: zone
+  }))
+})
+
+Then('{string} becomes a voter', async function (this: CellWorld, id: string) {
+  await waitFor(`${id} is a voter`, PROMOTION_TIMEOUT_MS, async () =>
+    (await listMembers(this)).some(member => member.id === id && member.role === 'voter'))
+})
+
+When('an operator removes a controller that follows', async function (this: CellWorld) {
+  await remove(this, await findFollower(this))
+})
+
+Then('the next removal is refused with the reason', async function (this: CellWorld) {
+  const id = await findFollower(this)
+  await assert.rejects(remove(this, id), thrown => {
+    const failure = toFailure(thrown)
+    return failure.kind === 'failedPrecondition' && failure.message.length > 0
+  })
+})
--- /dev/null
+++ b/features/steps/targets.ts
@@ -0,0 +1,49 @@
+/**
+ * Steps of faults between targets and entries.
+ */
+
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { waitFor } from '../support/real-cell.js'
+import { SLOTS, type CellWorld } from '../support/world.js'
+
+const DRAIN_BOUND_MS = 2_000
+const STOP_TIMEOUT_MS = 10_000
+
+Given('{int} workers behind proxies', async function (this: CellWorld, count: number) {
+  await this.startWorkers(count, true)
+})
+
+When('the worker {string} is cut off', function (this: CellWorld, name: string) {
+  for (const proxy of this.proxiesOf(name)) proxy.set({ isCut: true })
+})
+
+When('the worker {string} is connected again', function (this: CellWorld, name: string) {
+  for (const proxy of this.proxiesOf(name)) proxy.heal()
+})
+
+When('answers of the worker {string} are swallowed', function (this: CellWorld, name: string) {
+  this.commandProxy(name).set({ swallowsBack: true })
+})
+
+When('commands to the worker {string} are delayed by {int} ms', function (this: CellWorld, name: string, delayMs: number) {
+  this.commandProxy(name).set({ delayMs })
+})
+
+Then('the worker {string} runs nothing', async function (this: CellWorld, name: string) {
+  const worker = this.workers.find(({ core }) => core.name === name)
+  await waitFor(`${name} runs nothing`, STOP_TIMEOUT_MS, () => worker?.core.runningCount === 0)
+})
+
+When('a runner leaves', function (this: CellWorld) {
+  this.leftAt = Date.now()
+  this.pending.push(this.runners[0].leave('planned stop'))
+})
+
+Then('the runner that left began nothing from 2 s after it said so', function (this: CellWorld) {
+  const late = this.journal.records.filter(({ runner, event, at }) =>
+    runner === 'runner-1' && event === 'begin' && at > this.leftAt + DRAIN_BOUND_MS)
+  assert.deepEqual(late, [])
+  const others = this.journal.records.filter(({ runner, event, at }) => runner !== 'runner-1' && event === 'begin' && at > this.leftAt)
+  assert.ok(others.length > SLOTS, 'the other runners went on')
+})
--- a/features/steps/work.ts
+++ b/features/steps/work.ts
@@ -67,6 +67,16 @@
   }
 })
 
+Given('callers that honour readiness send {int} requests a second to {string} for {int} s',
+  function (this: CellWorld, rate: number, service: string, seconds: number) {
+    const count = rate * seconds
+    for (let index = 0; index < count; index += 1) {
+      this.pending.push(new Promise(resolve => { setTimeout(resolve, index * 1_000 / rate) })
+        .then(() => this.readyEndpoint())
+        .then(endpoint => this.submit(service, `request-${index}`, index % 2 === 0, endpoint)))
+    }
+  })
+
 Then('every caller has its final answer', async function (this: CellWorld) {
   await Promise.all(this.pending)
   assert.ok(this.told.length > 0)
--- a/features/support/world.ts
+++ b/features/support/world.ts
@@ -9,18 +9,20 @@
 import { RpcClient } from '@flamingorouter/rpc'
 import { toFailure } from '@flamingorouter/scheduler'
 import {
-  CallerService, GetWorkloadRequestSchema, OperatorService, OutcomeKind, SubmitRequestSchema, type WorkloadStatus
+  CallerService, GetWorkloadRequestSchema, OperatorService, OutcomeKind, SubmitRequestSchema,
+  type PutConfigurationRequest, type WorkloadStatus
 } from '@flamingorouter/schema'
 import { MemoryJournal, StandInRunner, StandInWorker, type TaskRun } from '@flamingorouter/targets'
 import {
   findOverlaps, findOverloads, findOversubscription, findRepeats, findUntruths, type Capacity, type ToldOutcome
 } from './checkers.js'
 import { RealCell } from './real-cell.js'
-import type { FaultProxy } from './fault-proxy.js'
+import { FaultProxy } from './fault-proxy.js'
 
 export const WORKER_CAPACITY: Capacity = { millicores: 8_000, memoryMib: 16_384, accelerators: 1 }
 export const SLOTS = 8
 export const CONNECTIONS = 64
+const DEADLINE_MS = 10_000
 const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const
 
 const KINDS: Readonly<Record<number, string>> = {
@@ -42,6 +44,14 @@
   readonly targetProxies = new Map<string, FaultProxy>()
   /** Calls and other work that a step began and a later one waits for. */
   readonly pending: Array<Promise<unknown>> = []
+  /** When a target said that it leaves, in milliseconds since 1970. */
+  leftAt = 0
+  /** The change that an operator sent last. */
+  change: PutConfigurationRequest | undefined
+  /** What operators were answered, in order. */
+  readonly answers: string[] = []
+  /** Name of a controller that lost its disk. */
+  lost = ''
   private turn = 0
 
   nextEndpoint (): string {
@@ -66,21 +76,57 @@
     }
   }
 
-  async startWorkers (count: number): Promise<void> {
+  /** Starts workers; behind proxies, all that passes between each and the entries can be disturbed. */
+  async startWorkers (count: number, behindProxies = false): Promise<void> {
     for (let index = 0; index < count; index += 1) {
       const number = this.workers.length + 1
+      const name = `worker-${number}`
+      const entries = rotate(this.cell.endpoints, index)
+      const proxies = behindProxies ? await this.openProxies(name, entries) : undefined
       this.workers.push(StandInWorker.create({
-        name: `worker-${number}`,
+        name,
         vm: `worker-vm-${number}`,
         rack: `rack-${number}`,
         availabilityZone: ZONES[index % ZONES.length],
         capacity: WORKER_CAPACITY,
-        entries: rotate(this.cell.endpoints, index)
+        entries: proxies?.entries ?? entries,
+        advertise: proxies?.advertise
       }))
     }
     await Promise.all(this.workers.slice(-count).map(worker => worker.start()))
   }
 
+  /** The proxies of what a worker calls and of what it is called by. */
+  proxiesOf (name: string): FaultProxy[] {
+    return [...this.targetProxies].filter(([key]) => key.startsWith(`${name} `)).map(([, proxy]) => proxy)
+  }
+
+  /** The proxy of the commands to a worker. */
+  commandProxy (name: string): FaultProxy {
+    const proxy = this.targetProxies.get(`${name} commands`)
+    assert.ok(proxy)
+    return proxy
+  }
+
+  private async openProxies (name: string, entries: readonly string[]): Promise<{ entries: string[], advertise: (address: string) => string }> {
+    const opened: string[] = []
+    for (const entry of entries) {
+      const proxy = await FaultProxy.start(() => entry)
+      this.targetProxies.set(`${name} ${entry}`, proxy)
+      opened.push(proxy.address)
+    }
+    let served = ''
+    const commands = await FaultProxy.start(() => served)
+    this.targetProxies.set(`${name} commands`, commands)
+    return {
+      entries: opened,
+      advertise: address => {
+        served = address
+        return commands.address
+      }
+    }
+  }
+
   async startRunners (count: number, service: string, workMs = 5): Promise<void> {
     for (let index = 0; index < count; index += 1) {
       const number = this.runners.length + 1
@@ -104,8 +150,18 @@
     return status
   }
 
+  /** An entry whose readiness the balancer has seen. */
+  async readyEndpoint (): Promise<string> {
+    for (;;) {
+      const endpoint = this.nextEndpoint()
+      const answer = await fetch(`http://${endpoint}/readyz`).catch(() => undefined)
+      if (answer?.ok === true) return endpoint
+    }
+  }
+
   /** Sends one request and books what the caller was told. */
-  async submit (service: string, requestId: string, idempotent: boolean, deadlineMs = 10_000): Promise<ToldOutcome> {
+  async submit (service: string, requestId: string, idempotent: boolean, endpoint = this.nextEndpoint()): Promise<ToldOutcome> {
+    const deadlineMs = DEADLINE_MS
     const sent = `payload of ${requestId}`
     const request = create(SubmitRequestSchema, {
       service,
@@ -117,7 +173,7 @@
     })
     const told: ToldOutcome = { caller: 'feature', requestId, idempotent, kind: 'refused', body: '', sent }
     try {
-      const { outcome } = await this.client.call(this.nextEndpoint(), CallerService.method.submit, request, { timeoutMs: deadlineMs + 5_000 })
+      const { outcome } = await this.client.call(endpoint, CallerService.method.submit, request, { timeoutMs: deadlineMs + 5_000 })
       told.kind = KINDS[outcome?.kind ?? 0] ?? 'none'
       told.body = new TextDecoder().decode(outcome?.body)
     } catch (thrown) {
--- a/packages/targets/src/standin/worker.ts
+++ b/packages/targets/src/standin/worker.ts
@@ -38,6 +38,8 @@
   /** Addresses of entries; one is taken after the other. */
   entries: readonly string[]
   headers?: Readonly<Record<string, string>>
+  /** Turns the address that is served into the one that is announced. */
+  advertise?: (address: string) => string
   /** Told of each run as it begins and as it ends. */
   recorded?: (record: TaskRun) => void
 }
@@ -72,7 +74,8 @@
   /** Serves commands and begins to announce itself. */
   async start (host = '127.0.0.1', port = 0): Promise<void> {
     const bound = await this.server.listen({ host, port })
-    this.address = `${host}:${bound}`
+    const address = `${host}:${bound}`
+    this.address = this.options.advertise?.(address) ?? address
     this.beat()
   }
 
