--- a/packages/cli/src/runtime/controller-node.ts
+++ b/packages/cli/src/runtime/controller-node.ts
@@ -9,11 +9,10 @@
   type HelloFrame, type LinkHandlers, type MemberFacts, type Timing
 } from '@flamingorouter/controllers'
 import type { Binding } from '@flamingorouter/rpc'
-import type { Limits } from '@flamingorouter/scheduler'
+import { createParts, Scheduler, type Limits } from '@flamingorouter/scheduler'
 import { Controller } from './controller.js'
 import { ControllerLinks } from './links.js'
 import { createLocalMethods } from './local-methods.js'
-import { createScheduler } from './parts.js'
 import type { RuntimeLog } from './runtime-log.js'
 
 /** Time between two ticks of the replica and the scheduler, in milliseconds. */
@@ -62,7 +61,7 @@
     const { id, group, availabilityZone } = settings
     const hello: HelloFrame = { kind: 'hello', group, process: id, role: 'controller', availabilityZone }
     const controller = Controller.create({
-      scheduler: createScheduler(settings.limits),
+      scheduler: Scheduler.create(createParts(settings.limits)),
       bindings: context.bindings,
       localMethods: createLocalMethods(),
       log: context.log,
