Give a runner that leaves no more requests

Cause: applying an announcement copies its target, and the request queue kept the copy in the decision, whose phase never changes; a runner got up to 25 requests after its leave had been answered.

Change: the queue takes the target from the state. A test of all parts together fails without it.

--- a/packages/scheduler/src/core/requests/requests.ts
+++ b/packages/scheduler/src/core/requests/requests.ts
@@ -112,7 +112,7 @@
 
   override observe (decision: Decision, state: ClusterState, _now: number): void {
     switch (decision.kind) {
-      case 'targetAnnounced': return this.putRunner(decision.target, state)
+      case 'targetAnnounced': return this.putRunner(state.targets.get(decision.target.name) ?? decision.target, state)
       case 'targetPhaseSet': return this.markChanged(state.targets.get(decision.name))
       case 'targetRemoved':
         for (const service of this.services.values()) service.runners.remove(decision.name)
