Reserve for lines that got nothing, and measure packing, waiting and fairness

Change: a reservation goes to the line (team, shape, rank) that was placed nothing for longest. New measures: packing by strategy, urgent start, waiting in the load shapes of both deployments, fairness of 210 teams. The fake life of a task now keeps what ran before a checkpoint, as preemption promises, so the waiting figures before and after are not compared.

--- a/bench/measures/index.ts
+++ b/bench/measures/index.ts
@@ -3,10 +3,17 @@
  */
 
 import type { Measure } from '../registry.js'
+import { packing } from './packing.js'
 import { decisionTime, placementGrowth, placementRate } from './placement.js'
+import { fairness, urgentStart, waitingCoastline, waitingConsortium } from './waiting.js'
 
 export const MEASURES: readonly Measure[] = [
   placementRate,
   decisionTime,
-  placementGrowth
+  placementGrowth,
+  ...packing,
+  urgentStart,
+  waitingCoastline,
+  waitingConsortium,
+  fairness
 ]
--- /dev/null
+++ b/bench/measures/packing.ts
@@ -0,0 +1,89 @@
+/**
+ * Packing: how full the workers are under batch work that always waits, against
+ * the relaxed bound, by which the scarcest dimension could be all in use.
+ */
+
+import { StrategyName, Urgency } from '../../packages/scheduler/src/index.js'
+import { createResources } from '../../packages/scheduler/__tests__/support/cell.js'
+import { Better, type Measure, type RunOptions, type Outcome } from '../registry.js'
+import { CONSORTIUM, createCell } from '../support/cells.js'
+import { Load, type WorkClass } from '../support/load.js'
+import { Random } from '../support/random.js'
+
+const CORES = [1, 1, 2, 2, 3, 4, 6, 8, 12, 16]
+/** GiB a core; a worker has 4. */
+const MEMORY_RATIOS = [1, 2, 3, 4, 6, 8]
+/** Tasks that wait at any time. */
+const BACKLOG = 300
+const STEP_MS = 500
+const LARGE_CORES = 12
+
+export const packing: readonly Measure[] = Object.values(StrategyName)
+  .filter(name => name !== StrategyName.spread)
+  .map(createMeasure)
+
+function createMeasure (strategy: StrategyName): Measure {
+  const isDefault = strategy === StrategyName.bestFit
+  return {
+    name: `packing-${strategy}`,
+    title: `packing of steady batch load by ${strategy} against the relaxed bound, scarcest dimension`,
+    unit: '%',
+    better: Better.higher,
+    bound: isDefault ? 85 : undefined,
+    aim: 95,
+    run: options => measurePacking(strategy, options)
+  }
+}
+
+function measurePacking (strategy: StrategyName, { seed, quick, progress }: RunOptions): Outcome {
+  const random = Random.create(seed)
+  const cell = createCell(CONSORTIUM)
+  cell.step({ kind: 'policyPut', policy: { name: 'all', kind: 'batch', firm: '', strategy, maxPerVm: 0, maxPerRack: 0, preempts: false, version: 1 } })
+  const small = createClass('small', CORES.filter(cores => cores < LARGE_CORES))
+  const large = createClass('large', CORES.filter(cores => cores >= LARGE_CORES))
+  const load = Load.create(cell, [small, large], random)
+  const steps = quick ? 600 : 3_000
+  const warmUp = steps / 5
+  for (let at = 0; at < steps; at += 1) {
+    const missing = BACKLOG - countWaiting(cell.state.workloads.values())
+    const arrivals = Array.from({ length: Math.max(0, missing) }, () => load.arrive(random.pick(CORES) < LARGE_CORES ? small : large))
+    load.step(STEP_MS, at >= warmUp, ...arrivals)
+    if (at % 100 === 0) progress(`${at} of ${steps} steps`)
+  }
+  const { millicores, memoryMib } = load.fullness
+  return {
+    value: 100 * Math.max(millicores, memoryMib),
+    details: {
+      'processors (%)': 100 * millicores,
+      'memory (%)': 100 * memoryMib,
+      'small: wait p50 (ms)': load.waits.get('small')?.getValueAtPercentile(50) ?? 0,
+      'large: wait p50 (ms)': load.waits.get('large')?.getValueAtPercentile(50) ?? 0,
+      'large: wait p99 (ms)': load.waits.get('large')?.getValueAtPercentile(99) ?? 0
+    }
+  }
+}
+
+function createClass (name: string, cores: readonly number[]): WorkClass {
+  return {
+    name,
+    rate: 0,
+    runMs: 60_000,
+    deviation: 0.7,
+    create: random => {
+      const size = random.pick(cores)
+      return {
+        urgency: Urgency.normal,
+        team: `team-${random.whole(1, 20)}`,
+        resources: createResources(size, size * random.pick(MEMORY_RATIOS))
+      }
+    }
+  }
+}
+
+function countWaiting (workloads: Iterable<{ tasks: ReadonlyArray<{ phase: string }> }>): number {
+  let count = 0
+  for (const { tasks } of workloads) {
+    for (const { phase } of tasks) count += phase === 'waiting' ? 1 : 0
+  }
+  return count
+}
--- /dev/null
+++ b/bench/measures/waiting.ts
@@ -0,0 +1,213 @@
+/**
+ * Waiting: urgent work in full cells, the load shapes of both deployments, and
+ * how fairly 210 teams share.
+ */
+
+import { Urgency, WorkloadKind } from '../../packages/scheduler/src/index.js'
+import { createResources } from '../../packages/scheduler/__tests__/support/cell.js'
+import { Better, type Measure, type Outcome, type RunOptions } from '../registry.js'
+import { type CellShape, COASTLINE, CONSORTIUM, createCell, createLargeShape } from '../support/cells.js'
+import { describeWaits, Load, type WorkClass } from '../support/load.js'
+import { Random } from '../support/random.js'
+
+const TEAMS = 210
+const STEP_MS = 50
+const SECOND = 1_000
+const MINUTE = 60 * SECOND
+
+const alert: WorkClass = {
+  name: 'alert',
+  rate: 20,
+  runMs: 3 * SECOND,
+  deviation: 0.5,
+  create: random => ({
+    urgency: Urgency.urgent,
+    preemptible: false,
+    team: `team-${random.whole(1, TEAMS)}`,
+    resources: createResources(2, 4)
+  })
+}
+
+const reconciliation: WorkClass = {
+  name: 'reconciliation',
+  rate: 2.6,
+  runMs: 2 * MINUTE,
+  deviation: 0.7,
+  create: random => ({
+    urgency: Urgency.bulk,
+    idempotent: false,
+    preemptible: true,
+    team: `team-${random.whole(1, TEAMS)}`,
+    resources: createResources(2, random.pick([4, 4, 8]))
+  })
+}
+
+const rebuild: WorkClass = {
+  name: 'rebuild',
+  rate: 1 / 72,
+  runMs: 5 * MINUTE,
+  deviation: 0.7,
+  create: random => ({
+    taskCount: 40,
+    team: `team-${random.whole(1, TEAMS)}`,
+    resources: createResources(4, 8)
+  })
+}
+
+const lookup: WorkClass = { ...alert, name: 'lookup', rate: 5, runMs: 2 * SECOND, create: random => ({ ...alert.create(random), resources: createResources(1, 1) }) }
+
+const reconstruction: WorkClass = {
+  name: 'reconstruction',
+  rate: 1 / 200,
+  runMs: 10 * MINUTE,
+  deviation: 0.5,
+  create: random => ({
+    kind: WorkloadKind.gang,
+    taskCount: random.pick([8, 12, 16]),
+    team: `team-${random.whole(1, TEAMS)}`,
+    resources: createResources(8, 24)
+  })
+}
+
+export const urgentStart: Measure = {
+  name: 'urgent-start',
+  title: 'urgent start in a full cell, worst, stops confirmed after 0.3 s',
+  unit: 's',
+  better: Better.lower,
+  bound: 2.6,
+  aim: 0.5,
+  run: options => {
+    const small = measureUrgent(COASTLINE, options)
+    const large = measureUrgent(createLargeShape(1_000), options)
+    return {
+      value: Math.max(small.worst, large.worst),
+      details: {
+        '30 workers: worst (s)': small.worst,
+        '30 workers: alerts': small.count,
+        '30 workers: preempted': small.preempted,
+        '1,000 workers: worst (s)': large.worst,
+        '1,000 workers: preempted': large.preempted
+      }
+    }
+  }
+}
+
+export const waitingCoastline: Measure = {
+  name: 'waiting-coastline',
+  title: 'waiting of lookups among rebuilds and reconciliations, p99, 30 workers of 64 cores',
+  unit: 'ms',
+  better: Better.lower,
+  bound: 2_600,
+  aim: 500,
+  run: options => measureWaiting(COASTLINE, [lookup, rebuild, reconciliation], 8, options)
+}
+
+export const waitingConsortium: Measure = {
+  name: 'waiting-consortium',
+  title: 'waiting of alerts in a storm with gangs and reconciliations, p99, 30 workers of 32 cores',
+  unit: 'ms',
+  better: Better.lower,
+  bound: 2_600,
+  aim: 500,
+  run: options => measureWaiting(CONSORTIUM, [{ ...alert, rate: 8 }, reconstruction, { ...reconciliation, rate: 1.3 }], 4, options)
+}
+
+export const fairness: Measure = {
+  name: 'fairness',
+  title: 'fairness among 210 teams of weights 50 to 400 that all want more, Jain index of what each got for its weight',
+  unit: '',
+  better: Better.higher,
+  bound: 0.9,
+  aim: 0.99,
+  run: measureFairness
+}
+
+function measureUrgent (shape: CellShape, { seed, quick, progress }: RunOptions): { worst: number, count: number, preempted: number } {
+  const random = Random.create(seed)
+  const bulk: WorkClass = { ...reconciliation, rate: 0, runMs: 60 * MINUTE, create: () => ({ urgency: Urgency.bulk, taskCount: shape.workers * 20, resources: createResources(4, 8) }) }
+  const load = Load.create(createCell(shape), [alert], random)
+  load.step(STEP_MS, false, load.arrive(bulk), load.arrive(bulk))
+  for (let at = 0; at < 100; at += 1) load.life.advance(STEP_MS)
+  const seconds = quick ? 10 : 30
+  for (let at = 0; at < seconds; at += 1) {
+    load.run(SECOND, STEP_MS, true)
+    progress(`${at} of ${seconds} s`)
+  }
+  const waits = load.waits.get('alert')
+  return { worst: (waits?.maxValue ?? Infinity) / SECOND, count: waits?.totalCount ?? 0, preempted: load.life.preemptions }
+}
+
+function measureWaiting (shape: CellShape, classes: readonly WorkClass[], serviceCores: number, { seed, quick, progress }: RunOptions): Outcome {
+  const random = Random.create(seed)
+  const load = Load.create(createCell(shape), classes, random)
+  load.cell.step(load.cell.applied('service', {
+    kind: WorkloadKind.service,
+    taskCount: 30,
+    preemptible: false,
+    resources: createResources(serviceCores, serviceCores * 2)
+  }))
+  const minutes = quick ? 15 : 60
+  const warmUp = minutes / 3
+  for (let at = 0; at < minutes; at += 1) {
+    load.run(MINUTE, 2 * STEP_MS, at >= warmUp)
+    progress(`${at} of ${minutes} min`)
+  }
+  const urgent = load.waits.get(classes[0].name)
+  return {
+    value: urgent?.getValueAtPercentile(99) ?? Infinity,
+    details: {
+      ...describeWaits(load),
+      'processors held (%)': 100 * load.fullness.millicores,
+      'memory held (%)': 100 * load.fullness.memoryMib,
+      preempted: load.life.preemptions
+    }
+  }
+}
+
+function measureFairness ({ seed, quick, progress }: RunOptions): Outcome {
+  const random = Random.create(seed)
+  const cell = createCell(COASTLINE)
+  const weights = Array.from({ length: TEAMS }, () => random.pick([50, 100, 100, 200, 400]))
+  const runs: number[] = []
+  for (const [at, weight] of weights.entries()) {
+    cell.step({ kind: 'teamPut', team: { name: `team-${at}`, firm: '', quota: createResources(0, 0), weight, version: 1 } })
+    runs.push(random.whole(5, 20) * SECOND)
+  }
+  const classes = weights.map((_, at): WorkClass => ({
+    name: `team-${at}`,
+    rate: 0,
+    runMs: runs[at],
+    deviation: 0.3,
+    create: () => ({ team: `team-${at}`, taskCount: 95, resources: createResources(random.pick([1, 2, 4]), random.pick([2, 4])) })
+  }))
+  const load = Load.create(cell, classes, random)
+  const served = weights.map(() => 0)
+  const minutes = quick ? 2 : 6
+  for (let at = 0; at < minutes * 60; at += 1) {
+    const refill = at % 60 === 0 ? classes.flatMap(workClass => [load.arrive(workClass), load.arrive(workClass)]) : []
+    load.step(SECOND, false, ...refill)
+    if (at >= 30) addServed(served, cell.state.workloads.values())
+    progress(`${at} of ${minutes * 60} s`)
+  }
+  const shares = served.map((amount, at) => amount / weights[at])
+  const sum = shares.reduce((total, share) => total + share, 0)
+  const squares = shares.reduce((total, share) => total + share * share, 0)
+  return {
+    value: sum * sum / (shares.length * squares),
+    details: { 'least over mean': Math.min(...shares) * TEAMS / sum, 'most over mean': Math.max(...shares) * TEAMS / sum }
+  }
+}
+
+/** Adds the dominant share that each team holds now. */
+function addServed (served: number[], workloads: Iterable<{ spec: { team: string, resources: { millicores: number, memoryMib: number } }, tasks: ReadonlyArray<{ target: string }> }>): void {
+  const cores = COASTLINE.workers * COASTLINE.capacity.millicores
+  const memory = COASTLINE.workers * COASTLINE.capacity.memoryMib
+  const held = served.map(() => [0, 0])
+  for (const { spec, tasks } of workloads) {
+    const count = tasks.filter(({ target }) => target !== '').length
+    const team = held[Number(spec.team.slice('team-'.length))]
+    team[0] += count * spec.resources.millicores / cores
+    team[1] += count * spec.resources.memoryMib / memory
+  }
+  for (const [at, [processors, amount]] of held.entries()) served[at] += Math.max(processors, amount)
+}
--- a/packages/scheduler/__tests__/support/cellLife.ts
+++ b/packages/scheduler/__tests__/support/cellLife.ts
@@ -7,7 +7,7 @@
 import type { Cell, Placed } from './cell.js'
 
 export interface LifeOptions {
-  /** Run time of a task in milliseconds. */
+  /** Run time of a task in milliseconds; a checkpoint keeps what was done of it. */
   runMs: (id: string, index: number) => number
   /** From the request to stop until the task is known to have stopped. */
   stopMs: number
@@ -19,6 +19,8 @@
   /** When each task was last placed, by `id/index`. */
   readonly placedAt = new Map<string, number>()
   preemptions = 0
+  /** Run time that is left after a checkpoint, by `id/index`. */
+  private readonly leftMs = new Map<string, number>()
   private readonly due = Timers.create<Due>()
 
   private constructor (private readonly cell: Cell, private readonly options: LifeOptions) {}
@@ -45,8 +47,18 @@
   }
 
   private place ({ id, index, attempt }: Placed): void {
-    this.placedAt.set(`${id}/${index}`, this.cell.now)
-    this.due.add(this.cell.now + this.options.runMs(id, index), { id, index, attempt, stopped: false })
+    const key = `${id}/${index}`
+    const leftMs = this.leftMs.get(key) ?? this.options.runMs(id, index)
+    this.placedAt.set(key, this.cell.now)
+    this.leftMs.set(key, leftMs)
+    this.due.add(this.cell.now + leftMs, { id, index, attempt, stopped: false })
+  }
+
+  private checkpoint ({ id, index }: Due): Decision {
+    const key = `${id}/${index}`
+    const ranMs = this.cell.now - (this.placedAt.get(key) ?? 0)
+    this.leftMs.set(key, Math.max(0, (this.leftMs.get(key) ?? 0) - ranMs))
+    return this.cell.requeued(id, index)
   }
 
   private takeDue (): Decision[] {
@@ -59,7 +71,8 @@
       const task = this.cell.task(due.id, due.index)
       if (task.attempt !== due.attempt || task.target === '' || ended.has(key)) continue
       ended.add(key)
-      decisions.push(due.stopped ? this.cell.requeued(due.id, due.index) : this.cell.ended(due.id, due.index))
+      decisions.push(due.stopped ? this.checkpoint(due) : this.cell.ended(due.id, due.index))
+      if (!due.stopped) this.leftMs.delete(key)
     }
   }
 }
--- a/packages/scheduler/src/core/placement/indexes.ts
+++ b/packages/scheduler/src/core/placement/indexes.ts
@@ -149,6 +149,7 @@
     const demand = this.demands.get(decision.id)
     const task = demand?.workload.tasks[decision.index]
     if (demand === undefined || task === undefined) return
+    if (demand.line !== undefined) demand.line.lastPlacedAt = now
     demand.removeWaiting(task.index)
     this.hold(demand, task, now)
     this.enqueue(demand)
--- a/packages/scheduler/src/core/placement/queue.ts
+++ b/packages/scheduler/src/core/placement/queue.ts
@@ -36,6 +36,8 @@
   nextPreemptionAt = 0
   /** True when the last preemption for it found nothing to stop. */
   lacksVictims = false
+  /** When a task of it was last placed, in milliseconds of cluster time. */
+  lastPlacedAt = 0
   /** Demands that stand here; the array also has some that left. */
   private standing = 0
   private demands: Demand[] = []
@@ -83,6 +85,11 @@
     return undefined
   }
 
+  /** Since when nothing of it was placed though its first demand waited; Infinity when empty. */
+  get starvedSince (): number {
+    return Math.max(this.lastPlacedAt, this.peek()?.waitingSince ?? Infinity)
+  }
+
   * list (): Generator<Demand> {
     for (let at = this.head; at < this.demands.length; at += 1) {
       if (this.demands[at].line === this) yield this.demands[at]
--- a/packages/scheduler/src/core/placement/reservations.ts
+++ b/packages/scheduler/src/core/placement/reservations.ts
@@ -31,7 +31,7 @@
 
 /** Reservations at one time for work other than gangs; gangs have one at a time. */
 const MOST_OTHERS = 4
-/** Demands for which a reservation is tried in one round. */
+/** Lines for which a reservation is tried in one round. */
 const MOST_TRIES = 8
 /** Openings that are compared, at least, and for each task. */
 const SAMPLE = 64
@@ -86,7 +86,9 @@
     for (const demand of this.made.keys()) gangs += demand.isGang ? 1 : 0
     const free = { gangs: 1 - gangs, others: MOST_OTHERS - (this.made.size - gangs) }
     if (free.gangs <= 0 && free.others <= 0) return
-    for (const demand of this.listAged(lines, now)) {
+    for (const line of this.listStarved(lines, now)) {
+      const demand = line.peek()
+      if (demand === undefined) continue
       const left = demand.isGang ? 'gangs' : 'others'
       if (free[left] <= 0) continue
       if (this.reserve(demand, now)) {
@@ -100,24 +102,25 @@
     }
   }
 
-  /** The few demands that wait longest, oldest first: the heads of their lines. */
-  private listAged (lines: Iterable<ShapeLine>, now: number): Demand[] {
-    const oldest: Demand[] = []
+  /** The few lines that got nothing for longest, first. */
+  private listStarved (lines: Iterable<ShapeLine>, now: number): ShapeLine[] {
+    const starved: ShapeLine[] = []
     for (const line of lines) {
-      const demand = line.peek()
-      const last = oldest[MOST_TRIES - 1]
-      if (demand === undefined || (last !== undefined && compareAge(demand, last) >= 0)) continue
-      if (!this.isAged(demand, now)) continue
-      oldest.push(demand)
-      oldest.sort(compareAge)
-      oldest.length = Math.min(oldest.length, MOST_TRIES)
+      const last = starved[MOST_TRIES - 1]
+      if (last !== undefined && compareStarved(line, last) >= 0) continue
+      if (!this.isStarved(line, now)) continue
+      starved.push(line)
+      starved.sort(compareStarved)
+      starved.length = Math.min(starved.length, MOST_TRIES)
     }
-    return oldest
+    return starved
   }
 
-  private isAged (demand: Demand, now: number): boolean {
+  private isStarved (line: ShapeLine, now: number): boolean {
+    const demand = line.peek()
+    if (demand === undefined || demand.heldCount > 0) return false
     const afterMs = demand.isGang ? this.options.gangAfterMs : this.options.otherAfterMs
-    if (now - demand.waitingSince < afterMs || demand.heldCount > 0) return false
+    if (now - line.starvedSince < afterMs) return false
     return (this.retryAt.get(demand) ?? 0) <= now && this.ledger.isAllowed(demand)
   }
 
@@ -198,6 +201,6 @@
   }
 }
 
-function compareAge (one: Demand, other: Demand): number {
-  return one.waitingSince - other.waitingSince || one.order - other.order
+function compareStarved (one: ShapeLine, other: ShapeLine): number {
+  return one.starvedSince - other.starvedSince || (one.peek()?.order ?? 0) - (other.peek()?.order ?? 0)
 }
