--- /dev/null
+++ b/bench/measures/index.ts
@@ -0,0 +1,19 @@
+/**
+ * All measures, in the order in which they run.
+ */
+
+import type { Measure } from '../registry.js'
+import { packing } from './packing.js'
+import { decisionTime, placementGrowth, placementRate } from './placement.js'
+import { fairness, urgentStart, waitingCoastline, waitingConsortium } from './waiting.js'
+
+export const MEASURES: readonly Measure[] = [
+  placementRate,
+  decisionTime,
+  placementGrowth,
+  ...packing,
+  urgentStart,
+  waitingCoastline,
+  waitingConsortium,
+  fairness
+]
--- a/packages/scheduler/src/core/placement/reservations.ts
+++ b/packages/scheduler/src/core/placement/reservations.ts
@@ -14,6 +14,7 @@
 import type { Fleet } from './fleet.js'
 import type { Holds } from './holds.js'
 import type { Ledger } from './ledger.js'
+import type { ShapeLine } from './queue.js'
 import { addSize, copySize, countWithin } from './sizes.js'
 import type { Holding, Worker } from './worker.js'
 
@@ -30,8 +31,11 @@
 
 /** Reservations at one time for work other than gangs; gangs have one at a time. */
 const MOST_OTHERS = 4
-/** Demands for which a reservation is tried in one round. */
+/** Lines for which a reservation is tried in one round. */
 const MOST_TRIES = 8
+/** Openings that are compared, at least, and for each task. */
+const SAMPLE = 64
+const OPENINGS_PER_TASK = 4
 /** Delay before a reservation that found no room is planned again, in milliseconds. */
 const RETRY_MS = 5_000
 /** Expected time left for a task of which nothing is known, in milliseconds. */
@@ -74,7 +78,7 @@
   }
 
   /** Ends the reservations that are fulfilled or void, and makes new ones for the oldest. */
-  update (demands: Iterable<Demand>, now: number): void {
+  update (lines: Iterable<ShapeLine>, now: number): void {
     for (const demand of Array.from(this.made.keys())) {
       if (demand.heldCount === 0 || demand.waitingCount === 0) this.cancel(demand)
     }
@@ -82,7 +86,9 @@
     for (const demand of this.made.keys()) gangs += demand.isGang ? 1 : 0
     const free = { gangs: 1 - gangs, others: MOST_OTHERS - (this.made.size - gangs) }
     if (free.gangs <= 0 && free.others <= 0) return
-    for (const demand of this.listAged(demands, now)) {
+    for (const line of this.listStarved(lines, now)) {
+      const demand = line.peek()
+      if (demand === undefined) continue
       const left = demand.isGang ? 'gangs' : 'others'
       if (free[left] <= 0) continue
       if (this.reserve(demand, now)) {
@@ -96,23 +102,25 @@
     }
   }
 
-  /** The few demands that wait longest, oldest first. */
-  private listAged (demands: Iterable<Demand>, now: number): Demand[] {
-    const oldest: Demand[] = []
-    for (const demand of demands) {
-      const last = oldest[MOST_TRIES - 1]
-      if (last !== undefined && compareAge(demand, last) >= 0) continue
-      if (!this.isAged(demand, now)) continue
-      oldest.push(demand)
-      oldest.sort(compareAge)
-      oldest.length = Math.min(oldest.length, MOST_TRIES)
+  /** The few lines that got nothing for longest, first. */
+  private listStarved (lines: Iterable<ShapeLine>, now: number): ShapeLine[] {
+    const starved: ShapeLine[] = []
+    for (const line of lines) {
+      const last = starved[MOST_TRIES - 1]
+      if (last !== undefined && compareStarved(line, last) >= 0) continue
+      if (!this.isStarved(line, now)) continue
+      starved.push(line)
+      starved.sort(compareStarved)
+      starved.length = Math.min(starved.length, MOST_TRIES)
     }
-    return oldest
+    return starved
   }
 
-  private isAged (demand: Demand, now: number): boolean {
+  private isStarved (line: ShapeLine, now: number): boolean {
+    const demand = line.peek()
+    if (demand === undefined || demand.heldCount > 0) return false
     const afterMs = demand.isGang ? this.options.gangAfterMs : this.options.otherAfterMs
-    if (now - demand.waitingSince < afterMs || demand.heldCount > 0) return false
+    if (now - line.starvedSince < afterMs) return false
     return (this.retryAt.get(demand) ?? 0) <= now && this.ledger.isAllowed(demand)
   }
 
@@ -144,7 +152,9 @@
   /** Where and when room for one task each opens, soonest first. */
   private listOpenings (demand: Demand, most: number, now: number, ignoresHolds = false): Opening[] {
     const openings: Opening[] = []
+    const enough = Math.max(SAMPLE, most * OPENINGS_PER_TASK)
     for (const worker of this.fleet.workers.values()) {
+      if (openings.length >= enough) break
       if (!worker.usable || !isZoneAllowed(demand.workload.spec, worker.target.availabilityZone)) continue
       const room = copySize(worker.free)
       if (ignoresHolds) addSize(room, worker.held)
@@ -191,6 +201,6 @@
   }
 }
 
-function compareAge (one: Demand, other: Demand): number {
-  return one.waitingSince - other.waitingSince || one.order - other.order
+function compareStarved (one: ShapeLine, other: ShapeLine): number {
+  return one.starvedSince - other.starvedSince || (one.peek()?.order ?? 0) - (other.peek()?.order ?? 0)
 }
