Check that votes and committed entries are on the disk when they count

Change: when a vote is sent its hard state must be synced, and when a leader commits an entry it must be synced on a quorum of the disks. Idle steps of the fake time are skipped.

--- a/packages/controllers/__tests__/support/checker.ts
+++ b/packages/controllers/__tests__/support/checker.ts
@@ -5,7 +5,7 @@
 
 import assert from 'node:assert/strict'
 import { createHash } from 'node:crypto'
-import type { Entry, Member, Message } from '../../src/index.js'
+import type { Entry, HardState, Member, Message } from '../../src/index.js'
 
 export interface Coverage {
   elections: number
@@ -64,6 +64,7 @@
 export class Checker {
   /** Highest index that a leader acknowledged to a client. */
   acknowledged = 0
+  private readonly memberships = new WeakSet<readonly Member[]>()
   private readonly voters = new Set<string>()
   private readonly leaders = new Map<number, string>()
   private readonly digests = new Map<number, string>([[0, '']])
@@ -88,6 +89,16 @@
     this.leaders.set(message.term, sender)
   }
 
+  /** A vote was given, or asked for, with this hard state on the disk: it must outlast a crash. */
+  voted (message: Message, to: string, onDisk: () => HardState | undefined): void {
+    if ((message.kind !== 'voteRequest' && message.kind !== 'voteAnswer') || message.pre) return
+    if (message.kind === 'voteAnswer' && !message.granted) return
+    const durable = onDisk()
+    assert.ok(durable !== undefined && durable.term >= message.term, `term ${message.term} is not durable`)
+    if (durable.term > message.term || message.kind === 'voteRequest') return
+    assert.ok(durable.vote.startsWith(`${to}/`), `the vote of term ${message.term} for ${to} is not durable`)
+  }
+
   /** No committed entry changes, and all are applied once and in order. */
   applied (state: Applied, isOwn: boolean): void {
     const digest = this.digests.get(state.index)
@@ -124,6 +135,8 @@
 
   /** Takes note of a committed membership. */
   members (members: readonly Member[]): void {
+    if (this.memberships.has(members)) return
+    this.memberships.add(members)
     for (const { role, id, disk } of members) {
       const key = `${id}/${disk}`
       if (role !== 'voter' || this.voters.has(key)) continue
--- a/packages/controllers/__tests__/support/cluster.ts
+++ b/packages/controllers/__tests__/support/cluster.ts
@@ -3,16 +3,22 @@
  * delay, double and reorder messages, and to stop, pause and damage nodes.
  */
 
+import assert from 'node:assert/strict'
 import { decode, encode } from 'cbor-x'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
-import { Transport, type Entry, type MemberFacts, type Message } from '../../src/index.js'
+import {
+  decodeChecked, HARD_STATE_FILE, isVoter, quorumOf, readContent, Transport,
+  type Entry, type HardState, type HardStateHead, type Member, type MemberFacts, type Message
+} from '../../src/index.js'
 import { Checker, type Coverage } from './checker.js'
-import { Medium } from './disk.js'
+import { FakeDisk, Medium } from './disk.js'
 import { CLOCK_RATE_BOUND, TestNode, type Surroundings } from './node.js'
 
 const STEP_MS = 5
+/** Time between two ticks of a node, in milliseconds. */
+const TICK_MS = 10
 const PERCENT = 100
 
 interface Letter {
@@ -39,6 +45,8 @@
   private failure: unknown
   private letters: Letter[] = []
   private timers: Timer[] = []
+  /** Highest commit index checked, by term. */
+  private readonly durableIndexes = new Map<number, number>()
   private readonly cut = new Set<string>()
   private readonly random: RandomGenerator
 
@@ -134,13 +142,17 @@
 
   private async step (): Promise<void> {
     this.now += STEP_MS
+    const isTick = this.now % TICK_MS === 0
     const due = this.letters.filter(letter => letter.due <= this.now).sort((a, b) => a.due - b.due)
+    const expired = this.timers.filter(timer => timer.due <= this.now)
+    if (!isTick && due.length === 0 && expired.length === 0) return
     this.letters = this.letters.filter(letter => letter.due > this.now)
-    for (const timer of this.timers.filter(timer => timer.due <= this.now)) timer.done()
     this.timers = this.timers.filter(timer => timer.due > this.now)
+    for (const timer of expired) timer.done()
     for (const letter of due) this.deliver(letter)
-    for (const node of this.nodes.values()) if (node.isRunning) node.replica!.tick()
+    if (isTick) for (const node of this.nodes.values()) if (node.isRunning) node.replica!.tick()
     await settled()
+    await this.checkDurable()
     this.check()
   }
 
@@ -156,6 +168,34 @@
     }
   }
 
+  /** What a leader commits is synced on a quorum of the disks at that moment. */
+  private async checkDurable (): Promise<void> {
+    for (const node of this.nodes.values()) {
+      if (!node.isRunning || node.raft.role !== 'leader') continue
+      const { commitIndex, term, log } = node.raft.state
+      if (commitIndex <= (this.durableIndexes.get(term) ?? 0)) continue
+      this.durableIndexes.set(term, commitIndex)
+      // A change of membership may have been proposed since, in the same step.
+      const isHeld = await this.isHeldByQuorum(log.members, commitIndex) ||
+        await this.isHeldByQuorum(log.membersAt(commitIndex), commitIndex)
+      assert.ok(isHeld, `entry ${commitIndex} is committed, but not synced on a quorum of the disks`)
+    }
+  }
+
+  private async isHeldByQuorum (members: readonly Member[], index: number): Promise<boolean> {
+    const voters = members.filter(isVoter)
+    let holding = 0
+    for (const voter of voters) if (await this.holds(voter, index)) holding += 1
+    return holding >= quorumOf(voters.length)
+  }
+
+  /** True when a voter has an entry on its disk. What it acknowledged under a disk that is lost by now counts. */
+  private async holds ({ id, disk }: Member, index: number): Promise<boolean> {
+    const content = await readContent(FakeDisk.create(this.node(id).medium.syncedCopy()))
+    if (content.hardState?.disk !== disk) return true
+    return (content.entries.at(-1)?.index ?? content.snapshot?.index ?? 0) >= index
+  }
+
   private deliver (letter: Letter): void {
     const node = this.node(letter.to)
     // What reaches a paused process waits in its sockets.
@@ -165,6 +205,7 @@
 
   private send (from: string, to: string, message: Message): void {
     this.checker.sent(from, message)
+    this.checker.voted(message, to, () => this.hardStateOf(from))
     if (this.cut.has(`${from} ${to}`) || !this.nodes.has(to) || this.draw(1, PERCENT) <= this.loss) return
     const bytes = encode(message)
     const copies = this.draw(1, PERCENT) <= 3 ? 2 : 1
@@ -188,6 +229,11 @@
     }
   }
 
+  private hardStateOf (id: string): HardState | undefined {
+    const file = this.node(id).medium.syncedFile(HARD_STATE_FILE)
+    return file === undefined ? undefined : decodeChecked<HardStateHead>(file)?.head.hardState
+  }
+
   private draw (from: number, to: number): number {
     return uniformInt(this.random, from, to)
   }
--- a/packages/controllers/__tests__/support/disk.ts
+++ b/packages/controllers/__tests__/support/disk.ts
@@ -39,6 +39,18 @@
     for (const apply of this.journal.splice(0, changes)) apply(this.durableNames)
   }
 
+  /** What would be left of a file if all that is not synced were lost. */
+  syncedFile (name: string): Uint8Array | undefined {
+    return this.durableNames.get(name)?.synced
+  }
+
+  /** A medium that holds only what is synced. */
+  syncedCopy (): Medium {
+    const copy = Medium.create()
+    for (const [name, { synced }] of this.durableNames) copy.names.set(name, { data: synced, synced })
+    return copy
+  }
+
   /** Loses a random part of what was not synced. */
   crash (random: RandomGenerator): void {
     this.syncFolder(uniformInt(random, 0, this.journal.length))
