Let entries report by process and by token what they hold

Cause: a grant that its entry did not report was taken for lost. That is false while its answer is on its way on the same link, and false for a restarted entry, which knows nothing of the grants of the process before: its slots would be given out while in use, and its requests be told notRun. Change: each process of an entry has an instance; a report names the tokens of all requests that the process still works on, and a grant is dropped only when neither it nor its token is named by the same instance. Horizons and shares of slots count by instance.

--- a/packages/callers/src/core/request-flow.ts
+++ b/packages/callers/src/core/request-flow.ts
@@ -7,7 +7,7 @@
 import { createHash, randomUUID } from 'node:crypto'
 import type { SubmitRequest } from '@flamingorouter/schema'
 import {
-  ErrorKind, Failure, Urgency, fail, type HeldGrant, type Outcome, type RequestFacts
+  ErrorKind, Failure, Urgency, fail, type EntryReport, type Outcome, type RequestFacts
 } from '@flamingorouter/scheduler'
 import type { Leader, RunnerClient } from '../types/clients.js'
 import {
@@ -29,6 +29,7 @@
   private readonly bytes: ByteAccount
   private readonly limits: FlowLimits
   private readonly timers: Timers
+  private readonly instance = randomUUID()
   private isDraining = false
   private drained: Array<() => void> = []
 
@@ -59,7 +60,7 @@
    */
   async submit (caller: string, request: SubmitRequest, closed?: Promise<unknown>): Promise<Outcome> {
     this.refuseWhenDraining()
-    const facts = readFacts(caller, request)
+    const facts = readFacts(caller, request, this.instance)
     this.bytes.take(request.payload.length)
     const submission = Submission.create({ ...this.options, limits: this.limits, timers: this.timers, facts, payload: request.payload })
     this.submissions.add(submission)
@@ -69,14 +70,15 @@
     return outcome
   }
 
-  /** The grants that a new leader has to know of, sent to it before anything else. */
-  held (): HeldGrant[] {
-    const held: HeldGrant[] = []
+  /** What a leader has to know of, told to it before it is asked for anything. */
+  report (): EntryReport {
+    const report: EntryReport = { instance: this.instance, grants: [], tokens: [] }
     for (const submission of this.submissions) {
       const grant = submission.held()
-      if (grant !== undefined) held.push(grant)
+      if (grant !== undefined) report.grants.push(grant)
+      report.tokens.push(submission.token)
     }
-    return held
+    return report
   }
 
   /** Takes no more requests; resolves when none is in flight. */
@@ -107,7 +109,7 @@
   }
 }
 
-function readFacts (caller: string, request: SubmitRequest): RequestFacts {
+function readFacts (caller: string, request: SubmitRequest, instance: string): RequestFacts {
   const idLength = request.requestId.length
   if (request.service === '') fail(ErrorKind.invalidArgument, 'service: expected a name')
   if (idLength < 1 || idLength > REQUEST_ID_LIMIT) {
@@ -128,6 +130,7 @@
     deadlineMs: request.deadlineMs,
     digest: contentDigest(request),
     createdMs: Number(request.createdMs),
+    instance,
     token: randomUUID()
   }
 }
--- a/packages/callers/src/core/submission.ts
+++ b/packages/callers/src/core/submission.ts
@@ -55,6 +55,10 @@
     this.over = this.run()
   }
 
+  get token (): string {
+    return this.options.facts.token
+  }
+
   /** The grant in use, as a new leader has to know it. */
   held (): HeldGrant | undefined {
     if (this.grant === undefined) return undefined
--- a/packages/cli/src/runtime/controller.ts
+++ b/packages/cli/src/runtime/controller.ts
@@ -12,7 +12,7 @@
 } from '@flamingorouter/controllers'
 import type { Binding, CallContext } from '@flamingorouter/rpc'
 import {
-  createClusterState, ErrorKind, fail, toFailure, type ClusterState, type Failure, type Decision, type Effect, type Event, type HeldGrant, type Scheduler
+  createClusterState, ErrorKind, fail, toFailure, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type Scheduler
 } from '@flamingorouter/scheduler'
 import { Calls } from './calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
@@ -159,7 +159,7 @@
   /** A message of an entry without an answer. */
   noticed (link: Link, topic: string, body: unknown): void {
     if (!this.isAuthoritative || topic !== Topic.grantsHeld) return
-    this.feed({ kind: 'grantsHeld', entry: link.peer?.process ?? '', grants: body as HeldGrant[] })
+    this.feed({ kind: 'grantsHeld', report: body as EntryReport })
   }
 
   // Calls of entries.
--- a/packages/cli/src/runtime/entry-node.ts
+++ b/packages/cli/src/runtime/entry-node.ts
@@ -51,7 +51,7 @@
     const workers = RpcClient.create()
     const entry = Entry.create({ hello, controllers: settings.controllers, methods: context.methods, workers, log: context.log })
     const requests = createRequestRole(entry)
-    entry.heldGrants = () => requests.flow.held()
+    entry.reportGrants = () => requests.flow.report()
     const server = RpcServer.create({
       methods: context.methods,
       handlers: entry.createHandlers(requests.handlers),
--- a/packages/cli/src/runtime/entry.ts
+++ b/packages/cli/src/runtime/entry.ts
@@ -10,7 +10,7 @@
 } from '@flamingorouter/controllers'
 import type { MethodRules, RpcCall, RpcClient, RpcHandler, RpcResult } from '@flamingorouter/rpc'
 import { methodName } from '@flamingorouter/rpc'
-import { ErrorKind, fail, Failure, type HeldGrant } from '@flamingorouter/scheduler'
+import { ErrorKind, fail, Failure, type EntryReport } from '@flamingorouter/scheduler'
 import { monotonicNow } from './clock.js'
 import { Freshness } from './freshness.js'
 import { AfterLoss, HEARTBEAT_MS, LeaderClient, type Pulse } from './leader-client.js'
@@ -37,7 +37,7 @@
   readonly leader: LeaderClient
   readonly freshness: Freshness
   /** Tells the grants in use; set by the request flow. */
-  heldGrants: () => HeldGrant[] = () => []
+  reportGrants: () => EntryReport = () => ({ instance: '', grants: [], tokens: [] })
   private isDraining = false
   private inFlight = 0
 
@@ -107,7 +107,7 @@
   }
 
   found (link: Link): void {
-    link.send({ kind: 'notice', topic: Topic.grantsHeld, body: this.heldGrants() })
+    link.send({ kind: 'notice', topic: Topic.grantsHeld, body: this.reportGrants() })
   }
 
   private async fetchConfiguration (): Promise<ConfigurationAnswer> {
--- a/packages/scheduler/src/core/apply.ts
+++ b/packages/scheduler/src/core/apply.ts
@@ -43,10 +43,10 @@
     case 'requestSettled': return settleRequest(state, decision)
     case 'requestForgotten': return forgetRequest(state, decision.key)
     case 'entryExtended':
-      state.entries.set(decision.entry.name, decision.entry)
+      state.entries.set(decision.entry.instance, decision.entry)
       state.grantHorizon = Math.max(state.grantHorizon, decision.entry.horizon)
       return
-    case 'entryForgotten': state.entries.delete(decision.name); return
+    case 'entryForgotten': state.entries.delete(decision.instance); return
     case 'teamPut':
       state.teams.set(decision.team.name, decision.team)
       state.configurationVersion += 1
--- a/packages/scheduler/src/core/requests/entries.ts
+++ b/packages/scheduler/src/core/requests/entries.ts
@@ -1,7 +1,8 @@
 /**
- * The entries that hold grants. The durable state keeps a horizon for each, after
- * which none of its grants is in use, so that a new leader knows which entries it
- * must hear from, or wait out, before it gives out their slots.
+ * The processes of entries that hold grants. The durable state keeps a horizon for
+ * each, after which none of its grants is in use, so that a new leader knows which
+ * it must hear from, or wait out, before it gives out their slots. A restarted
+ * entry is another process, which knows nothing of the grants of the one before.
  */
 
 import type { Limits } from '../../types/limits.js'
@@ -14,7 +15,7 @@
 const IDLE_CONNECTION_MS = 5_000
 
 export class Entries {
-  /** Entries that have not told what they hold, and until when they may hold it. */
+  /** Instances that have not told what they hold, and until when they may hold it. */
   private readonly silent = new Map<string, number>()
   /** Tells the grants of this term from those of others; 0 until the term has decided something. */
   private epoch = 0
@@ -22,9 +23,9 @@
 
   static create (limits: Limits, state?: ClusterState, now = 0): Entries {
     const entries = new Entries(limits)
-    for (const { name, horizon } of state?.entries.values() ?? []) {
+    for (const { instance, horizon } of state?.entries.values() ?? []) {
       const until = horizon + limits.driftMs
-      if (until > now) entries.silent.set(name, until)
+      if (until > now) entries.silent.set(instance, until)
     }
     return entries
   }
@@ -35,17 +36,17 @@
     return this.silent.size
   }
 
-  heardFrom (entry: string): void {
-    this.silent.delete(entry)
+  heardFrom (instance: string): void {
+    this.silent.delete(instance)
   }
 
   /** Makes sure that a later leader waits for a grant; false when there are too many entries. */
-  extend (entry: string, until: number, step: Step): boolean {
+  extend (instance: string, until: number, step: Step): boolean {
     const { entries } = step.state
-    const horizon = entries.get(entry)?.horizon ?? 0
+    const horizon = entries.get(instance)?.horizon ?? 0
     if (horizon === 0 && entries.size >= this.limits.entryLimit) return false
     if (horizon >= until && this.epoch > 0) return true
-    step.decide({ kind: 'entryExtended', entry: { name: entry, horizon: Math.max(horizon, until + HORIZON_STEP_MS) } })
+    step.decide({ kind: 'entryExtended', entry: { instance, horizon: Math.max(horizon, until + HORIZON_STEP_MS) } })
     // The log holds this decision, so that no other leader can reach the same number.
     if (this.epoch === 0) this.epoch = step.state.change
     return true
@@ -58,12 +59,12 @@
   }
 
   tick (step: Step): void {
-    for (const [entry, until] of this.silent) {
-      if (step.now >= until) this.silent.delete(entry)
+    for (const [instance, until] of this.silent) {
+      if (step.now >= until) this.silent.delete(instance)
     }
-    for (const { name, horizon } of step.state.entries.values()) {
+    for (const { instance, horizon } of step.state.entries.values()) {
       if (step.now < horizon + this.limits.driftMs + IDLE_CONNECTION_MS) continue
-      step.decide({ kind: 'entryForgotten', name })
+      step.decide({ kind: 'entryForgotten', instance })
     }
   }
 }
--- a/packages/scheduler/src/core/requests/live.ts
+++ b/packages/scheduler/src/core/requests/live.ts
@@ -13,7 +13,9 @@
   runner: string
   session: string
   slot: number
-  entry: string
+  instance: string
+  /** Empty when the entry reported it to a new leader. */
+  token: string
   key: string
   grantedAt: number
   /** Cluster time after which the runner is done with it, whatever happened. */
@@ -24,6 +26,7 @@
 export interface Waiter {
   call: number
   entry: string
+  instance: string
   token: string
   deadlineAt: number
 }
--- a/packages/scheduler/src/core/requests/matching.ts
+++ b/packages/scheduler/src/core/requests/matching.ts
@@ -40,7 +40,7 @@
   }
 
   private extend (request: LiveRequest, step: Step): boolean {
-    return this.table.entries.extend(request.entry, request.deadlineAt + this.table.limits.lateMs, step)
+    return this.table.entries.extend(request.facts.instance, request.deadlineAt + this.table.limits.lateMs, step)
   }
 
   private grant (service: Service, runner: Runner, target: TargetState, request: LiveRequest, step: Step): void {
@@ -50,7 +50,8 @@
       runner: runner.name,
       session: target.session,
       slot: lowestSlot(runner),
-      entry: request.entry,
+      instance: request.facts.instance,
+      token: request.facts.token,
       key: request.key,
       grantedAt: step.now,
       expiresAt: request.deadlineAt + this.table.limits.lateMs
--- a/packages/scheduler/src/core/requests/queue.ts
+++ b/packages/scheduler/src/core/requests/queue.ts
@@ -104,6 +104,6 @@
   }
 }
 
-function laneOf ({ facts, entry, tried }: LiveRequest): string {
-  return `${facts.urgency} ${facts.idempotent ? 'again' : 'once'} ${tried.join(' ')} ${entry}`
+function laneOf ({ facts, tried }: LiveRequest): string {
+  return `${facts.urgency} ${facts.idempotent ? 'again' : 'once'} ${tried.join(' ')} ${facts.instance}`
 }
--- a/packages/scheduler/src/core/requests/records.ts
+++ b/packages/scheduler/src/core/requests/records.ts
@@ -103,7 +103,7 @@
     runner: held?.runner ?? '',
     session: held?.session ?? '',
     grant: held?.id ?? '',
-    entry: held?.entry ?? '',
+    instance: held?.instance ?? '',
     token: live.facts.token,
     createdMs: live.facts.createdMs,
     expiresAt: held?.expiresAt ?? 0,
--- a/packages/scheduler/src/core/requests/requests.ts
+++ b/packages/scheduler/src/core/requests/requests.ts
@@ -73,7 +73,7 @@
       case 'settle': return this.endings.settleGrant(event, step)
       case 'cancelRequest': return this.cancel(event, step)
       case 'fetchOutcome': return this.fetch(event, step)
-      case 'grantsHeld': return this.succession.learnGrants(event.entry, event.grants, step)
+      case 'grantsHeld': return this.succession.learnGrants(event.report, step)
       case 'entryLost': return this.succession.loseEntry(event.entry, step)
     }
   }
@@ -139,7 +139,7 @@
     if (live.facts.digest !== facts.digest) return this.refuseConflict(call, step)
     if (live.facts.token !== facts.token) {
       live.waiters = live.waiters.filter(waiter => waiter.token !== facts.token)
-      live.waiters.push({ call, entry, token: facts.token, deadlineAt: step.now + facts.deadlineMs })
+      live.waiters.push({ call, entry, instance: facts.instance, token: facts.token, deadlineAt: step.now + facts.deadlineMs })
       return
     }
     live.call = call
@@ -149,6 +149,7 @@
     live.held = undefined
     live.deadlineAt = step.now + facts.deadlineMs
     live.facts = facts
+    live.entry = entry
     this.table.wait(live, this.table.grants.service(facts.service))
   }
 
--- a/packages/scheduler/src/core/requests/runners.ts
+++ b/packages/scheduler/src/core/requests/runners.ts
@@ -19,7 +19,7 @@
   isDrained: boolean
   /** By slot number. */
   held: Map<number, HeldSlot>
-  byEntry: Map<string, number>
+  byInstance: Map<string, number>
   limiter: Limiter
   /** Next time at which a suspect one is tried. */
   probeAt: number
@@ -53,7 +53,7 @@
       target,
       isDrained,
       held: existing?.held ?? new Map(),
-      byEntry: existing?.byEntry ?? new Map(),
+      byInstance: existing?.byInstance ?? new Map(),
       limiter: isNew ? Limiter.create(usableSlots(target)) : existing.limiter,
       probeAt: isNew ? 0 : existing.probeAt,
       probeMs: isNew ? FIRST_PROBE_MS : existing.probeMs
@@ -84,15 +84,15 @@
     while (runner.held.has(slot)) slot += 1
     held.slot = slot
     runner.held.set(slot, held)
-    runner.byEntry.set(held.entry, (runner.byEntry.get(held.entry) ?? 0) + 1)
+    runner.byInstance.set(held.instance, (runner.byInstance.get(held.instance) ?? 0) + 1)
   }
 
   release (held: HeldSlot): Runner | undefined {
     const runner = this.byName.get(held.runner)
     if (runner === undefined || !runner.held.delete(held.slot)) return runner
-    const left = (runner.byEntry.get(held.entry) ?? 1) - 1
-    if (left > 0) runner.byEntry.set(held.entry, left)
-    else runner.byEntry.delete(held.entry)
+    const left = (runner.byInstance.get(held.instance) ?? 1) - 1
+    if (left > 0) runner.byInstance.set(held.instance, left)
+    else runner.byInstance.delete(held.instance)
     this.dropUnused(runner)
     return runner
   }
@@ -154,7 +154,7 @@
     if (target === undefined || request.tried.includes(runner.name)) return false
     // A probe may fail, so that only a request that can be sent again is one.
     if (target.phase === TargetPhase.suspect && !request.facts.idempotent) return false
-    return (runner.byEntry.get(request.entry) ?? 0) < this.slotShare(target)
+    return (runner.byInstance.get(request.facts.instance) ?? 0) < this.slotShare(target)
   }
 
   private score (runner: Runner): number {
--- a/packages/scheduler/src/core/requests/succession.ts
+++ b/packages/scheduler/src/core/requests/succession.ts
@@ -3,7 +3,7 @@
  * from the entries which grants they hold; a lost entry leaves its requests behind.
  */
 
-import { OutcomeKind, type HeldGrant, type RequestState } from '../../types/requests.js'
+import { OutcomeKind, type EntryReport, type HeldGrant, type RequestState } from '../../types/requests.js'
 import { Urgency } from '../../types/workloads.js'
 import { requestKey } from '../apply.js'
 import type { Step } from '../step.js'
@@ -30,16 +30,18 @@
       deadlineMs: Math.max(0, request.expiresAt - this.table.limits.lateMs - request.claimedAt),
       digest: request.digest,
       createdMs: request.createdMs,
+      instance: request.instance,
       token: request.token
     }
-    const live = createLiveRequest(key, facts, request.entry, 0, request.claimedAt)
+    const live = createLiveRequest(key, facts, '', 0, request.claimedAt)
     live.phase = 'granted'
     live.held = {
       id: request.grant,
       runner: request.runner,
       session: request.session,
       slot: 0,
-      entry: request.entry,
+      instance: request.instance,
+      token: request.token,
       key,
       grantedAt: request.claimedAt,
       expiresAt: request.expiresAt
@@ -49,15 +51,16 @@
   }
 
   /** The first word of an entry to this leader. */
-  learnGrants (entry: string, grants: readonly HeldGrant[], step: Step): void {
-    this.table.entries.heardFrom(entry)
-    const reported = new Set(grants.map(grant => grant.id))
+  learnGrants ({ instance, grants, tokens }: EntryReport, step: Step): void {
+    this.table.entries.heardFrom(instance)
+    const known = new Set([...grants.map(grant => grant.id), ...tokens])
     for (const held of this.table.grants.all) {
-      // A grant that its entry does not hold was lost on the way and never used.
-      if (held.entry === entry && !reported.has(held.id)) this.dropLost(held)
+      if (held.instance !== instance || known.has(held.id) || known.has(held.token)) continue
+      // Its answer was lost on the way, and nothing waits for it any more.
+      this.dropLost(held)
     }
     for (const grant of grants) {
-      if (this.table.grants.get(grant.id) === undefined) this.adopt(entry, grant, step)
+      if (this.table.grants.get(grant.id) === undefined) this.adopt(instance, grant, step)
     }
     for (const service of this.table.grants.allServices) this.table.changed.add(service)
   }
@@ -75,17 +78,17 @@
   private dropLost (held: HeldSlot): void {
     this.table.release(held)
     const live = this.table.live.get(held.key)
-    // The entry asks anew under the same token.
     if (live?.held === held) live.held = undefined
   }
 
-  private adopt (entry: string, grant: HeldGrant, step: Step): void {
+  private adopt (instance: string, grant: HeldGrant, step: Step): void {
     this.table.grants.hold({
       id: grant.id,
       runner: grant.runner,
       session: '',
       slot: grant.slot,
-      entry,
+      instance,
+      token: '',
       key: requestKey(grant.caller, grant.requestId),
       grantedAt: step.now,
       expiresAt: step.now + grant.expiresInMs
@@ -104,7 +107,8 @@
     const next = live.waiters.shift()
     if (next === undefined) return
     const deadlineMs = Math.max(0, next.deadlineAt - step.now)
-    const request = createLiveRequest(live.key, { ...live.facts, deadlineMs, token: next.token }, next.entry, next.call, step.now)
+    const facts = { ...live.facts, deadlineMs, instance: next.instance, token: next.token }
+    const request = createLiveRequest(live.key, facts, next.entry, next.call, step.now)
     request.order = live.order
     request.waiters = live.waiters
     this.table.live.set(request.key, request)
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -37,7 +37,7 @@
   | { kind: 'requestSettled', key: string, outcome: Outcome, at: number }
   | { kind: 'requestForgotten', key: string }
   | { kind: 'entryExtended', entry: EntryState }
-  | { kind: 'entryForgotten', name: string }
+  | { kind: 'entryForgotten', instance: string }
   | { kind: 'teamPut', team: TeamState }
   | { kind: 'policyPut', policy: PolicyState }
   | { kind: 'documentPut', document: DocumentState }
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -4,7 +4,7 @@
  */
 
 import type { DocumentState, PolicyState, TeamState } from './configuration.js'
-import type { HeldGrant, Outcome, RequestFacts } from './requests.js'
+import type { EntryReport, Outcome, RequestFacts } from './requests.js'
 import type { Resources } from './resources.js'
 import type { TargetKind } from './targets.js'
 import type { WorkloadSpec } from './workloads.js'
@@ -75,7 +75,7 @@
   | { kind: 'cancelRequest', call: number, caller: string, requestId: string }
   | { kind: 'fetchOutcome', call: number, caller: string, requestId: string }
   /** The grants that an entry holds; its first message to each new leader. */
-  | { kind: 'grantsHeld', entry: string, grants: HeldGrant[] }
+  | { kind: 'grantsHeld', report: EntryReport }
   /** An entry stopped answering; its grants may still be in use. */
   | { kind: 'entryLost', entry: string }
 
--- a/packages/scheduler/src/types/requests.ts
+++ b/packages/scheduler/src/types/requests.ts
@@ -39,9 +39,11 @@
    * clock; 0 when it does not say. A repeat carries the same value.
    */
   createdMs: number
+  /** Names one process of an entry, from its start to its end. */
+  instance: string
   /**
-   * Names one execution of Submit in one process of an entry. An acquire with a
-   * token says that this execution holds no grant for the request.
+   * Names one execution of Submit. An acquire with a token says that this
+   * execution holds no grant for the request.
    */
   token: string
 }
@@ -57,8 +59,8 @@
   session: string
   /** Identity of the grant; empty when it was settled unclaimed. */
   grant: string
-  /** Entry and token that hold the grant. */
-  entry: string
+  /** Instance and token that hold the grant. */
+  instance: string
   token: string
   /** See RequestFacts. */
   createdMs: number
@@ -96,9 +98,17 @@
   expiresInMs: number
 }
 
-/** What the durable state holds of an entry, so that a new leader knows whom to wait for. */
+/** What an entry tells a leader before it asks for anything, and whenever it finds it again. */
+export interface EntryReport {
+  instance: string
+  grants: HeldGrant[]
+  /** Tokens of all requests that it still works on; any of them may get a grant from an answer on its way. */
+  tokens: string[]
+}
+
+/** What the durable state holds of one process of an entry, so that a new leader knows whom to wait for. */
 export interface EntryState {
-  name: string
+  instance: string
   /** Cluster time in milliseconds after which none of its grants is in use. */
   horizon: number
 }
--- a/packages/scheduler/src/types/state.ts
+++ b/packages/scheduler/src/types/state.ts
@@ -32,7 +32,7 @@
   requestFloor: number
   /** Fingerprints of forgotten requests that had no time of their own. */
   forgottenRequests: Map<string, number>
-  /** Entries that may hold grants. */
+  /** Processes of entries that may hold grants, by instance. */
   entries: Map<string, EntryState>
   /** The latest horizon that any entry ever had; 0 when no request was ever granted. */
   grantHorizon: number
