--- a/packages/scheduler/__tests__/leaving.test.ts
+++ b/packages/scheduler/__tests__/leaving.test.ts
@@ -47,6 +47,7 @@
       deadlineMs: 10_000,
       digest: requestId,
       createdMs: this.now,
+      instance: 'e1',
       token: requestId
     }
     const [effect] = this.feed({ kind: 'acquire', call: ++this.call, entry: 'entry', facts })
