--- a/packages/cli/src/commands/process.ts
+++ b/packages/cli/src/commands/process.ts
@@ -47,7 +47,8 @@
   args: { file: settingsFile, output: outputOption },
   examples: [{ description: 'Check one of the examples', command: 'flamingorouter check-settings examples/consortium/entry-1.json' }],
   handler: async ({ file, output }) => {
-    const { readSettings, formatIssue } = await import('../core/settings.js')
+    const { readSettings } = await import('../core/settings.js')
+    const { formatIssue } = await import('../utils/schema-check.js')
     const { settings, errors, warnings } = readSettings(file)
     if (output === OutputFormat.json) {
       printJson({ settings, errors, warnings })
--- a/packages/cli/src/core/cell-client.ts
+++ b/packages/cli/src/core/cell-client.ts
@@ -31,8 +31,9 @@
   ) {}
 
   static create (options: CellClientOptions): CellClient {
-    const { headers } = options
-    return new CellClient(RpcClient.create({ connections: 2, headers }), options)
+    const { headers, authority } = options
+    const tls = authority === undefined ? undefined : { authority }
+    return new CellClient(RpcClient.create({ connections: 2, headers, tls }), options)
   }
 
   /**
--- a/packages/cli/src/core/settings-rules.ts
+++ b/packages/cli/src/core/settings-rules.ts
@@ -3,14 +3,15 @@
  */
 
 import { isLoopback } from '@flamingorouter/rpc'
-import type { ControllerAddress, Settings, SettingsIssue } from '../types/settings.js'
+import type { Issue } from '../types/issue.js'
+import type { ControllerAddress, Settings } from '../types/settings.js'
 
 const MAX_PORT = 65_535
 const MIN_BEATS_PER_ELECTION = 3
 const MIN_RENEWALS_PER_LEASE = 2
 
 /** What keeps the process from starting. */
-export function findConflicts (settings: Settings): SettingsIssue[] {
+export function findConflicts (settings: Settings): Issue[] {
   return [
     ...findRoleConflicts(settings),
     ...findAddressConflicts(settings),
@@ -21,8 +22,8 @@
 }
 
 /** What works, but does not survive what the system should survive. */
-export function findWarnings ({ controllers }: Settings): SettingsIssue[] {
-  const warnings: SettingsIssue[] = []
+export function findWarnings ({ controllers }: Settings): Issue[] {
+  const warnings: Issue[] = []
   if (controllers.length % 2 === 0 && controllers.length > 0) {
     warnings.push({ path: 'controllers', expected: 'an odd number of controllers', found: String(controllers.length) })
   }
@@ -36,8 +37,8 @@
   return warnings
 }
 
-function findRoleConflicts (settings: Settings): SettingsIssue[] {
-  const issues: SettingsIssue[] = []
+function findRoleConflicts (settings: Settings): Issue[] {
+  const issues: Issue[] = []
   if (settings.controller === undefined && settings.entry === undefined) {
     issues.push({ path: 'controller', expected: 'the controller role, the entry role, or both', found: 'neither' })
   }
@@ -50,7 +51,7 @@
   return issues
 }
 
-function findAddressConflicts (settings: Settings): SettingsIssue[] {
+function findAddressConflicts (settings: Settings): Issue[] {
   const addresses: [string, string | undefined][] = [
     ['controller.listen', settings.controller?.listen],
     ['controller.advertise', settings.controller?.advertise],
@@ -58,7 +59,7 @@
     ['observe.listen', settings.observe?.listen],
     ...settings.controllers.map(({ address }, index): [string, string] => [`controllers[${index}].address`, address])
   ]
-  const issues: SettingsIssue[] = []
+  const issues: Issue[] = []
   for (const [path, address] of addresses) {
     if (address === undefined || portOf(address) <= MAX_PORT) continue
     issues.push({ path, expected: `a port up to ${MAX_PORT}`, found: address })
@@ -66,8 +67,8 @@
   return issues
 }
 
-function findMemberConflicts (settings: Settings): SettingsIssue[] {
-  const issues: SettingsIssue[] = []
+function findMemberConflicts (settings: Settings): Issue[] {
+  const issues: Issue[] = []
   const ids = new Set<string>()
   const addresses = new Set<string>()
   settings.controllers.forEach(({ id, address, availabilityZone }, index) => {
@@ -86,8 +87,8 @@
   return issues
 }
 
-function findTimeConflicts ({ timing, limits }: Settings): SettingsIssue[] {
-  const issues: SettingsIssue[] = []
+function findTimeConflicts ({ timing, limits }: Settings): Issue[] {
+  const issues: Issue[] = []
   const least = timing.heartbeatMs * MIN_BEATS_PER_ELECTION
   if (timing.electionMs < least) {
     issues.push({ path: 'timing.electionMs', expected: `${least} or more, ${MIN_BEATS_PER_ELECTION} times heartbeatMs`, found: String(timing.electionMs) })
@@ -105,14 +106,14 @@
 }
 
 /** Ports without TLS stay on the loopback interface unless the settings say otherwise. */
-function findExposure (settings: Settings): SettingsIssue[] {
+function findExposure (settings: Settings): Issue[] {
   if (settings.allowPlaintext) return []
   const ports: [string, string | undefined][] = [
     ['controller.listen', settings.controller?.listen],
     ['observe.listen', settings.observe?.listen],
     ['entry.listen', settings.tls === undefined ? settings.entry?.listen : undefined]
   ]
-  const issues: SettingsIssue[] = []
+  const issues: Issue[] = []
   for (const [path, address] of ports) {
     if (address === undefined || isLoopback(hostOf(address))) continue
     issues.push({ path, expected: 'a loopback address, or allowPlaintext, since this port has no TLS', found: address })
--- a/packages/cli/src/internal.ts
+++ b/packages/cli/src/internal.ts
@@ -2,7 +2,9 @@
  * Re-exports every module of the package, so that import order is settled here.
  */
 
+export * from './types/issue.js'
 export * from './types/settings.js'
+export * from './utils/schema-check.js'
 export * from './utils/log-line.js'
 export * from './metrics/window.js'
 export * from './metrics/summary.js'
--- a/packages/cli/src/types/settings.ts
+++ b/packages/cli/src/types/settings.ts
@@ -6,6 +6,7 @@
 import type { Timing } from '@flamingorouter/controllers'
 import type { RpcLimits } from '@flamingorouter/rpc'
 import type { Limits } from '@flamingorouter/scheduler'
+import type { Issue } from './issue.js'
 
 export interface Settings {
   /** Unique in the group, and stable over restarts. */
@@ -67,17 +68,9 @@
 } as const)
 export type LogLevel = typeof LogLevel[keyof typeof LogLevel]
 
-/** Something wrong, or worth a warning, in a settings file. */
-export interface SettingsIssue {
-  /** Path in the file, as in controllers[2].address. */
-  path: string
-  expected: string
-  found: string
-}
-
 export interface CheckedSettings {
   /** With defaults; undefined when there are errors. */
   settings?: Settings
-  errors: SettingsIssue[]
-  warnings: SettingsIssue[]
+  errors: Issue[]
+  warnings: Issue[]
 }
--- a/packages/rpc/src/core/client.ts
+++ b/packages/rpc/src/core/client.ts
@@ -30,6 +30,8 @@
   responseBytes?: number
   /** Sent with each call. */
   headers?: Readonly<Record<string, string>>
+  /** Calls by TLS, where an address is no URL; its certificates must come from this authority. */
+  tls?: { authority: string, certificate?: string, key?: string }
 }
 
 export interface CallOptions {
@@ -42,21 +44,23 @@
 export class RpcClient {
   private constructor (
     private readonly agent: Agent,
+    private readonly scheme: 'http' | 'https',
     private readonly headers: Readonly<Record<string, string>>
   ) {}
 
   static create (options: RpcClientOptions = {}): RpcClient {
+    const { tls } = options
     const agent = new Agent({
       connections: options.connections ?? DEFAULT_CONNECTIONS,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: { timeout: CONNECT_TIMEOUT_MS, ca: tls?.authority, cert: tls?.certificate, key: tls?.key },
       maxResponseSize: options.responseBytes ?? DEFAULT_RESPONSE_BYTES,
       // Each call has its own time limit below.
       headersTimeout: 0,
       bodyTimeout: 0
     })
-    return new RpcClient(agent, options.headers ?? {})
+    return new RpcClient(agent, tls === undefined ? 'http' : 'https', options.headers ?? {})
   }
 
   /**
@@ -113,7 +117,7 @@
     headers: Readonly<Record<string, string>> | undefined
   ): Promise<Uint8Array> {
     const request: Dispatcher.RequestOptions = {
-      origin: address.includes('://') ? address : `http://${address}`,
+      origin: address.includes('://') ? address : `${this.scheme}://${address}`,
       path: `/${name}`,
       method: 'POST',
       headers: {
--- a/packages/rpc/src/core/server.ts
+++ b/packages/rpc/src/core/server.ts
@@ -8,12 +8,15 @@
  * Nothing of a body is read before the caller is known.
  */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer as createHttpServer, type IncomingMessage, type Server, type ServerOptions, type ServerResponse } from 'node:http'
+import { createServer as createHttpsServer, type Server as HttpsServer } from 'node:https'
 import type { AddressInfo, Socket } from 'node:net'
+import type { SecureContextOptions } from 'node:tls'
 import { H3, HTTPResponse, toNodeHandler, type H3Event } from 'h3'
 import { toBinary, type Message } from '@bufbuild/protobuf'
 import { ERROR_ANSWERS, ErrorKind, Failure, fail, toFailure } from '@flamingorouter/scheduler'
 import { methodName, type MethodRules, type RpcHandler } from '../types/call.js'
+import type { Keys } from '../types/keys.js'
 import { DEFAULT_RPC_LIMITS, type RpcLimits } from '../types/limits.js'
 import type { Authenticate, Principal } from '../types/principal.js'
 import type { Violation } from '../types/violation.js'
@@ -49,28 +52,29 @@
   pages?: ReadonlyMap<string, () => PlainAnswer | Promise<PlainAnswer>>
   /** Told of each answered call. */
   observe?: (record: CallRecord) => void
+  /** Serves TLS with these keys; plain HTTP when absent. */
+  keys?: Keys
 }
 
+/** Bytes over all connections since the start. */
+export interface ServerTraffic { received: number, sent: number }
+
 export class RpcServer {
   private readonly server: Server
+  private readonly sockets = new Set<Socket>()
+  private readonly ended: ServerTraffic = { received: 0, sent: 0 }
   private closing = false
 
   private constructor (
     private readonly options: RpcServerOptions,
     private readonly limits: RpcLimits
   ) {
-    this.server = createServer({
-      maxHeaderSize: limits.headerBytes,
-      headersTimeout: limits.headersTimeoutMs,
-      requestTimeout: limits.requestTimeoutMs,
-      keepAliveTimeout: limits.keepAliveMs,
-      connectionsCheckingInterval: CHECK_CONNECTIONS_MS,
-      noDelay: true
-    }, toNodeHandler(this.createApplication()))
+    this.server = this.createServer()
     // One more than the limit, so that an excess is seen and refused rather than cut off.
     this.server.maxHeadersCount = limits.headerCount + 1
     this.server.maxConnections = limits.connections
     this.server.on('clientError', (error, socket) => { refuseConnection(error, socket as Socket) })
+    this.server.on('connection', socket => { this.opened(socket) })
   }
 
   static create (options: RpcServerOptions): RpcServer {
@@ -97,6 +101,45 @@
     clearTimeout(timer)
   }
 
+  /** Serves new connections with other keys; open ones go on with theirs. */
+  replaceKeys (keys: Keys): void {
+    (this.server as HttpsServer).setSecureContext(toSecureOptions(keys))
+  }
+
+  get traffic (): ServerTraffic {
+    const { received, sent } = this.ended
+    const sum = { received, sent }
+    for (const socket of this.sockets) addTraffic(sum, socket)
+    return sum
+  }
+
+  private opened (socket: Socket): void {
+    this.sockets.add(socket)
+    socket.once('close', () => {
+      this.sockets.delete(socket)
+      addTraffic(this.ended, socket)
+    })
+  }
+
+  private createServer (): Server {
+    const { limits, options } = this
+    const common: ServerOptions = {
+      maxHeaderSize: limits.headerBytes,
+      headersTimeout: limits.headersTimeoutMs,
+      requestTimeout: limits.requestTimeoutMs,
+      keepAliveTimeout: limits.keepAliveMs,
+      connectionsCheckingInterval: CHECK_CONNECTIONS_MS,
+      noDelay: true
+    }
+    const listener = toNodeHandler(this.createApplication())
+    if (options.keys === undefined) return createHttpServer(common, listener)
+    return createHttpsServer({
+      ...common,
+      ...toSecureOptions(options.keys),
+      handshakeTimeout: limits.headersTimeoutMs
+    }, listener)
+  }
+
   private createApplication (): H3 {
     const app = new H3({ silent: true })
     for (const [path, page] of this.options.pages ?? []) {
@@ -210,6 +253,15 @@
   }
 }
 
+function toSecureOptions ({ certificate, key, authority }: Keys): SecureContextOptions & { requestCert: boolean } {
+  return { cert: certificate, key, ca: authority, requestCert: authority !== undefined, minVersion: 'TLSv1.2' }
+}
+
+function addTraffic (sum: ServerTraffic, socket: Socket): void {
+  sum.received += socket.bytesRead
+  sum.sent += socket.bytesWritten
+}
+
 function checkRequest (rules: MethodRules, type: ContentType, bytes: Uint8Array): Message {
   const request = decodeMessage(rules.method.input, type, bytes)
   const violations: Violation[] = []
