--- a/packages/rpc/src/core/server.ts
+++ b/packages/rpc/src/core/server.ts
@@ -22,6 +22,8 @@
 import type { Violation } from '../types/violation.js'
 import { readBody } from '../utils/body.js'
 import { ContentType, decodeMessage, encodeResult, parseContentType } from '../utils/codec.js'
+import { withNotice } from '../utils/notice.js'
+import { refuseConnection } from '../utils/unreadable.js'
 import { failViolations, toWireError } from '../utils/wire.js'
 
 /** How often open connections are checked against the time limits, in milliseconds. */
@@ -74,7 +76,8 @@
     this.server.maxHeadersCount = limits.headerCount + 1
     this.server.maxConnections = limits.connections
     this.server.on('clientError', (error, socket) => { refuseConnection(error, socket as Socket) })
-    this.server.on('connection', socket => { this.opened(socket) })
+    const opened = options.keys === undefined ? 'connection' : 'secureConnection'
+    this.server.on(opened, (socket: Socket) => { this.opened(socket) })
   }
 
   static create (options: RpcServerOptions): RpcServer {
@@ -101,7 +104,10 @@
     clearTimeout(timer)
   }
 
-  /** Serves new connections with other keys; open ones go on with theirs. */
+  /**
+   * Serves new connections with other keys; open ones go on with theirs. Whether
+   * clients show certificates stays as it was at the start.
+   */
   replaceKeys (keys: Keys): void {
     (this.server as HttpsServer).setSecureContext(toSecureOptions(keys))
   }
@@ -151,10 +157,15 @@
     for (const rules of this.options.methods) {
       app.all(`/${methodName(rules.method)}`, event => this.answer(event, rules))
     }
-    app.all('/**', event => this.refuse(Failure.create(ErrorKind.unimplemented, `no method at ${event.url.pathname}`)))
+    app.all('/**', event => this.refusePath(event))
     return app
   }
 
+  private refusePath (event: H3Event): HTTPResponse {
+    const { req } = event.runtime?.node as { req: IncomingMessage }
+    return this.refuse(Failure.create(ErrorKind.unimplemented, `no method at ${event.url.pathname}`), !req.complete)
+  }
+
   private async answer (event: H3Event, rules: MethodRules): Promise<HTTPResponse> {
     const startedAt = performance.now()
     const { req, res } = event.runtime?.node as { req: IncomingMessage, res: ServerResponse }
@@ -276,53 +287,3 @@
   if (!(timeoutMs > 0)) fail(ErrorKind.invalidArgument, `connect-timeout-ms ${String(header)}; use 1 to 9999999999`)
   return Math.min(timeoutMs, MAX_TIMEOUT_MS)
 }
-
-/** Runs a call with a signal that aborts when the other end hangs up or its time is over. */
-async function withNotice<T> (
-  res: ServerResponse,
-  timeoutMs: number,
-  run: (signal: AbortSignal) => Promise<T>
-): Promise<T> {
-  const controller = new AbortController()
-  const hangUp = (): void => { controller.abort(Failure.create(ErrorKind.cancelled, 'the caller hung up')) }
-  res.once('close', hangUp)
-  if (timeoutMs === 0) {
-    return await run(controller.signal).finally(() => { res.off('close', hangUp) })
-  }
-  const late = Failure.create(ErrorKind.deadlineExceeded, `not answered within ${timeoutMs} ms`)
-  return await new Promise<T>((resolve, reject) => {
-    const timer = setTimeout(() => {
-      controller.abort(late)
-      reject(late)
-    }, timeoutMs)
-    run(controller.signal).then(resolve, reject).finally(() => {
-      clearTimeout(timer)
-      res.off('close', hangUp)
-    })
-  })
-}
-
-/** Answers what node:http could not read as a request, and closes that connection alone. */
-function refuseConnection (error: Error & { code?: string }, socket: Socket): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy()
-    return
-  }
-  const failure = describeClientError(error)
-  const body = JSON.stringify(toWireError(failure))
-  const { httpStatus } = ERROR_ANSWERS[failure.kind]
-  socket.end([
-    `HTTP/1.1 ${httpStatus} ${failure.kind}`,
-    `content-type: ${ContentType.json}`,
-    `content-length: ${Buffer.byteLength(body)}`,
-    'connection: close',
-    '',
-    body
-  ].join('\r\n'), () => { socket.destroy() })
-}
-
-function describeClientError (error: Error & { code?: string }): Failure {
-  if (error.code === 'HPE_HEADER_OVERFLOW') return Failure.create(ErrorKind.payloadTooLarge, 'the headers are too large')
-  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') return Failure.create(ErrorKind.deadlineExceeded, 'the request took too long to arrive')
-  return Failure.create(ErrorKind.invalidArgument, 'not an HTTP request')
-}
--- /dev/null
+++ b/packages/rpc/src/utils/unreadable.ts
@@ -0,0 +1,33 @@
+/**
+ * Connections whose bytes are no HTTP request.
+ */
+
+import type { Socket } from 'node:net'
+import { ERROR_ANSWERS, ErrorKind, Failure } from '@flamingorouter/scheduler'
+import { ContentType } from './codec.js'
+import { toWireError } from './wire.js'
+
+/** Answers what node:http could not read as a request, and closes that connection alone. */
+export function refuseConnection (error: Error & { code?: string }, socket: Socket): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const failure = describeClientError(error)
+  const body = JSON.stringify(toWireError(failure))
+  const { httpStatus } = ERROR_ANSWERS[failure.kind]
+  socket.end([
+    `HTTP/1.1 ${httpStatus} ${failure.kind}`,
+    `content-type: ${ContentType.json}`,
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+    '',
+    body
+  ].join('\r\n'), () => { socket.destroy() })
+}
+
+function describeClientError (error: Error & { code?: string }): Failure {
+  if (error.code === 'HPE_HEADER_OVERFLOW') return Failure.create(ErrorKind.payloadTooLarge, 'the headers are too large')
+  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') return Failure.create(ErrorKind.deadlineExceeded, 'the request took too long to arrive')
+  return Failure.create(ErrorKind.invalidArgument, 'not an HTTP request')
+}
