--- a/packages/cli/src/metrics/metrics.ts
+++ b/packages/cli/src/metrics/metrics.ts
@@ -50,6 +50,11 @@
   private readonly stepSeconds: Summary<'event'>
   private readonly commitSeconds: Summary<never>
 
+  private readonly traffic = new Map<string, () => Traffic>()
+  private readCell: (() => CellLoad | undefined) | undefined
+  /** As of the scrape that is under way. */
+  private load: CellLoad | undefined
+
   private constructor (process: string, private readonly now: () => number) {
     this.registry.setDefaultLabels({ process })
     this.callSeconds = this.summary('call_seconds', 'From the head of a call to its answer.')
@@ -105,28 +110,29 @@
     this.requestSeconds.record({ urgency: urgencyName(urgency) }, durationMs)
   }
 
-  /** Reads the load of the cell at each scrape; undefined while this process does not lead. */
+  /** Reads the load of the cell once at each scrape; undefined while this process does not lead. */
   observeCell (read: () => CellLoad | undefined): void {
+    this.readCell = read
     this.gauge('tasks', 'Live tasks by phase.', ['phase'], gauge => {
-      const load = read()
+      const { load } = this
       if (load === undefined) return
       gauge.set({ phase: 'waiting' }, load.tasksWaiting)
       gauge.set({ phase: 'running' }, load.tasksRunning)
     })
     this.gauge('targets', 'Targets by kind.', ['kind'], gauge => {
-      const load = read()
+      const { load } = this
       if (load === undefined) return
       gauge.set({ kind: 'worker' }, load.workers)
       gauge.set({ kind: 'runner' }, load.runners)
     })
     this.gauge('capacity', 'Capacity of all workers by dimension, in its own unit.', ['dimension'], gauge => {
-      setDimensions(gauge, read()?.capacity)
+      setDimensions(gauge, this.load?.capacity)
     })
     this.gauge('reserved', 'What tasks hold of the capacity by dimension.', ['dimension'], gauge => {
-      setDimensions(gauge, read()?.reserved)
+      setDimensions(gauge, this.load?.reserved)
     })
     this.gauge('packing_ratio', 'Share of the capacity that tasks hold by dimension, 0 to 1.', ['dimension'], gauge => {
-      const load = read()
+      const { load } = this
       if (load === undefined) return
       for (const dimension of DIMENSIONS) {
         if (load.capacity[dimension] > 0) gauge.set({ dimension }, load.reserved[dimension] / load.capacity[dimension])
@@ -152,11 +158,10 @@
 
   /** The page that a scraper reads. */
   async render (): Promise<PlainAnswer> {
+    this.load = this.readCell?.()
     return { status: 200, type: this.registry.contentType, body: await this.registry.metrics() }
   }
 
-  private readonly traffic = new Map<string, () => Traffic>()
-
   private addProcessCost (): void {
     this.pulledCounter('cpu_seconds_total', 'Processor time of this process.', [], counter => {
       counter.inc(readProcessCost().cpuSeconds)
--- a/packages/cli/src/runtime/controller-node.ts
+++ b/packages/cli/src/runtime/controller-node.ts
@@ -13,6 +13,7 @@
 import { Controller } from './controller.js'
 import { ControllerLinks } from './links.js'
 import { createLocalMethods } from './local-methods.js'
+import type { Metrics } from '../metrics/metrics.js'
 import type { RuntimeLog } from './runtime-log.js'
 
 /** Time between two ticks of the replica and the scheduler, in milliseconds. */
@@ -42,6 +43,7 @@
 export interface ControllerContext {
   bindings: readonly Binding[]
   log: RuntimeLog
+  metrics?: Metrics
   /** The controller cannot go on; the process should end. */
   faulted: (reason: string) => void
 }
@@ -65,6 +67,7 @@
       bindings: context.bindings,
       localMethods: createLocalMethods(),
       log: context.log,
+      metrics: context.metrics,
       faulted: context.faulted
     })
     const members = (): readonly MemberFacts[] => {
--- a/packages/cli/src/runtime/controller.ts
+++ b/packages/cli/src/runtime/controller.ts
@@ -17,6 +17,7 @@
 import { Calls } from './calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
 import { EntryTable } from './liveness.js'
+import type { Metrics } from '../metrics/metrics.js'
 import type { LocalMethod } from './local-methods.js'
 import { Proposals } from './proposals.js'
 import type { RuntimeLog } from './runtime-log.js'
@@ -31,6 +32,7 @@
   /** Methods that need more than the state, such as membership. */
   localMethods: ReadonlyMap<string, LocalMethod>
   log: RuntimeLog
+  metrics?: Metrics
   /** This controller cannot go on. */
   faulted: (reason: string) => void
 }
@@ -62,7 +64,8 @@
     const failed = (thrown: unknown): void => {
       this.options.log.warn('propose_failed', { error: toFailure(thrown).message })
     }
-    this.attached = { replica, proposals: Proposals.create(replica, release, failed) }
+    const committed = (durationMs: number): void => { this.options.metrics?.recordCommit(durationMs) }
+    this.attached = { replica, proposals: Proposals.create(replica, { release, failed, committed }) }
   }
 
   get isAttached (): boolean {
@@ -192,10 +195,15 @@
   }
 
   private async answerRequest (entry: string, event: RequestEvent): Promise<unknown> {
-    return await this.calls.open(call => {
+    const startedAt = monotonicNow()
+    const answer = await this.calls.open(call => {
       const numbered = event.kind === 'acquire' || event.kind === 'settle' ? { ...event, call, entry } : { ...event, call }
       this.feed(numbered)
     })
+    if (event.kind === 'acquire' && answer.kind === 'granted') {
+      this.options.metrics?.recordRequestWait(event.facts.urgency, monotonicNow() - startedAt)
+    }
+    return answer
   }
 
   private async answerRpc (entry: string, method: string, body: ForwardedCall): Promise<Uint8Array> {
@@ -242,7 +250,13 @@
   }
 
   private feed (event: Event): void {
-    this.proposals.add(this.options.scheduler.handle(event, clusterNow()))
+    const { scheduler, metrics } = this.options
+    const now = clusterNow()
+    const startedAt = monotonicNow()
+    const result = scheduler.handle(event, now)
+    metrics?.recordStep(event.kind, monotonicNow() - startedAt)
+    metrics?.recordDecisions(result.decisions, scheduler.state, now)
+    this.proposals.add(result)
   }
 
   // Effects whose decisions are committed.
--- a/packages/cli/src/runtime/entry-node.ts
+++ b/packages/cli/src/runtime/entry-node.ts
@@ -3,9 +3,13 @@
  */
 
 import type { HelloFrame } from '@flamingorouter/controllers'
-import { RpcClient, RpcServer, type Authenticate, type CallRecord, type MethodRules, type PlainAnswer } from '@flamingorouter/rpc'
+import {
+  RpcClient, RpcServer, type Authenticate, type CallRecord, type Keys, type MethodRules, type PlainAnswer,
+  type RpcLimits, type ServerTraffic
+} from '@flamingorouter/rpc'
 import { Entry } from './entry.js'
 import { createRequestRole, type RequestRole } from './request-handlers.js'
+import type { Metrics } from '../metrics/metrics.js'
 import type { RuntimeLog } from './runtime-log.js'
 
 /** How long an entry stays open after its readiness fell, in milliseconds. */
@@ -31,6 +35,10 @@
   authenticate: Authenticate
   log: RuntimeLog
   observe?: (record: CallRecord) => void
+  limits?: Partial<RpcLimits>
+  /** Serves TLS with these keys. */
+  keys?: Keys
+  metrics?: Metrics
   pages?: ReadonlyMap<string, () => PlainAnswer | Promise<PlainAnswer>>
 }
 
@@ -50,13 +58,15 @@
     const hello: HelloFrame = { kind: 'hello', group, process, role: 'entry', availabilityZone }
     const workers = RpcClient.create()
     const entry = Entry.create({ hello, controllers: settings.controllers, methods: context.methods, workers, log: context.log })
-    const requests = createRequestRole(entry)
+    const requests = createRequestRole(entry, context.metrics)
     entry.heldGrants = () => requests.flow.held()
     const server = RpcServer.create({
       methods: context.methods,
       handlers: entry.createHandlers(requests.handlers),
       authenticate: context.authenticate,
       observe: context.observe,
+      limits: context.limits,
+      keys: context.keys,
       pages: new Map([
         ...context.pages ?? [],
         ['/livez', () => ({ status: 200, type: 'text/plain', body: 'live\n' })],
@@ -67,6 +77,16 @@
     return new EntryNode(entry, server, workers, requests, settings, port)
   }
 
+  /** Serves new connections with other keys. */
+  replaceKeys (keys: Keys): void {
+    this.server.replaceKeys(keys)
+  }
+
+  /** Bytes over the HTTP port. */
+  get traffic (): ServerTraffic {
+    return this.server.traffic
+  }
+
   /** A planned stop: readiness falls first, then calls in flight end, then the port closes. */
   async stop (): Promise<void> {
     this.entry.drain()
--- a/packages/cli/src/runtime/local-methods.ts
+++ b/packages/cli/src/runtime/local-methods.ts
@@ -4,9 +4,10 @@
  */
 
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
-import type { CallContext } from '@flamingorouter/rpc'
+import { describeCell } from '@flamingorouter/operators'
+import { requireAllTeams, type CallContext } from '@flamingorouter/rpc'
 import {
-  GetConfigurationStatusResponseSchema, ListMembersResponseSchema, OperatorService, type Member
+  GetConfigurationStatusResponseSchema, GetStatusResponseSchema, ListMembersResponseSchema, OperatorService, type Member
 } from '@flamingorouter/schema'
 import type { ReplicaStatus } from '@flamingorouter/controllers'
 import type { Controller } from './controller.js'
@@ -49,7 +50,8 @@
   }))
 }
 
-async function answerAddMember (bytes: Uint8Array, _context: CallContext, controller: Controller): Promise<Uint8Array> {
+async function answerAddMember (bytes: Uint8Array, context: CallContext, controller: Controller): Promise<Uint8Array> {
+  requireAllTeams(context)
   const request = fromBinary(OperatorService.method.addMember.input, bytes)
   await controller.replica.addMember({
     id: request.id,
@@ -60,7 +62,8 @@
   return await answerMembers(controller)
 }
 
-async function answerRemoveMember (bytes: Uint8Array, _context: CallContext, controller: Controller): Promise<Uint8Array> {
+async function answerRemoveMember (bytes: Uint8Array, context: CallContext, controller: Controller): Promise<Uint8Array> {
+  requireAllTeams(context)
   const request = fromBinary(OperatorService.method.removeMember.input, bytes)
   await controller.replica.removeMember(request.id)
   return await answerMembers(controller)
@@ -86,6 +89,20 @@
   }))
 }
 
+async function answerStatus (_bytes: Uint8Array, _context: CallContext, controller: Controller): Promise<Uint8Array> {
+  const status = controller.replica.status()
+  const now = monotonicNow()
+  const cell = describeCell(controller.state, {
+    leader: status.leader,
+    term: status.term,
+    committed: status.commitIndex,
+    entries: controller.entries.list().filter(entry => controller.entries.isLive(entry, now)).length,
+    warnings: listMemberWarnings(status)
+  })
+  await controller.barrier()
+  return toBinary(GetStatusResponseSchema, cell)
+}
+
 /** All local methods by their full RPC name. */
 export function createLocalMethods (): Map<string, LocalMethod> {
   const service = OperatorService.typeName
@@ -93,6 +110,7 @@
     [`${service}/ListMembers`, async (_bytes, _context, controller) => await answerMembers(controller)],
     [`${service}/AddMember`, answerAddMember],
     [`${service}/RemoveMember`, answerRemoveMember],
-    [`${service}/GetConfigurationStatus`, answerConfigurationStatus]
+    [`${service}/GetConfigurationStatus`, answerConfigurationStatus],
+    [`${service}/GetStatus`, answerStatus]
   ])
 }
--- a/packages/cli/src/runtime/proposals.ts
+++ b/packages/cli/src/runtime/proposals.ts
@@ -6,17 +6,26 @@
 
 import { encodeValue, type Replica } from '@flamingorouter/controllers'
 import type { Decision, Effect, StepResult } from '@flamingorouter/scheduler'
+import { monotonicNow } from './clock.js'
 
 /** Decisions after which an entry is closed and the next one begun. */
 const DECISIONS_PER_ENTRY = 512
 
 interface Held {
   index: number
+  /** Monotonic time in milliseconds. */
+  proposedAt: number
   effects: Effect[]
 }
 
-/** What is done with an effect once it may be seen. */
-export type Release = (effect: Effect) => void
+/** Whom the proposals tell. */
+export interface ProposalsOwner {
+  /** The effect may be seen now. */
+  release: (effect: Effect) => void
+  failed: (thrown: unknown) => void
+  /** An entry was committed, so many milliseconds after it was proposed. */
+  committed: (durationMs: number) => void
+}
 
 export class Proposals {
   private decisions: Decision[] = []
@@ -27,12 +36,11 @@
 
   private constructor (
     private readonly replica: Replica,
-    private readonly release: Release,
-    private readonly failed: (thrown: unknown) => void
+    private readonly owner: ProposalsOwner
   ) {}
 
-  static create (replica: Replica, release: Release, failed: (thrown: unknown) => void): Proposals {
-    return new Proposals(replica, release, failed)
+  static create (replica: Replica, owner: ProposalsOwner): Proposals {
+    return new Proposals(replica, owner)
   }
 
   /** Number of entries that wait for their commit. */
@@ -55,7 +63,10 @@
   committed (index: number): void {
     let released = 0
     while (released < this.held.length && this.held[released].index <= index) released += 1
-    for (const { effects } of this.held.splice(0, released)) this.releaseAll(effects)
+    for (const { effects, proposedAt } of this.held.splice(0, released)) {
+      this.owner.committed(monotonicNow() - proposedAt)
+      this.releaseAll(effects)
+    }
   }
 
   /** Leadership is lost: nothing held may be released any more. */
@@ -77,9 +88,9 @@
     }
     try {
       const index = this.replica.propose(encodeValue(decisions))
-      this.held.push({ index, effects })
+      this.held.push({ index, effects, proposedAt: monotonicNow() })
     } catch (thrown) {
-      this.failed(thrown)
+      this.owner.failed(thrown)
     }
   }
 
@@ -91,6 +102,6 @@
   }
 
   private releaseAll (effects: Effect[]): void {
-    for (const effect of effects) this.release(effect)
+    for (const effect of effects) this.owner.release(effect)
   }
 }
--- a/packages/cli/src/runtime/request-handlers.ts
+++ b/packages/cli/src/runtime/request-handlers.ts
@@ -6,7 +6,7 @@
 import { create } from '@bufbuild/protobuf'
 import { HttpRunnerClient, Leader, RequestFlow, type LeaderCall } from '@flamingorouter/callers'
 import { InternalMethod } from '@flamingorouter/controllers'
-import { methodName, type RpcHandler } from '@flamingorouter/rpc'
+import { methodName, toUrgency, type RpcHandler } from '@flamingorouter/rpc'
 import {
   ErrorKind, Failure, OutcomeKind as Kind, fail, toFailure, type Answer, type Outcome
 } from '@flamingorouter/scheduler'
@@ -14,7 +14,9 @@
   CallerService, CancelRequestResponseSchema, FetchOutcomeResponseSchema, OutcomeKind, SubmitResponseSchema,
   type CancelRequestRequest, type FetchOutcomeRequest, type Outcome as OutcomeMessage, type SubmitRequest
 } from '@flamingorouter/schema'
+import { monotonicNow } from './clock.js'
 import type { Entry } from './entry.js'
+import type { Metrics } from '../metrics/metrics.js'
 import { AfterLoss } from './leader-client.js'
 
 /** How long a question of the request flow waits for the leader, in milliseconds. */
@@ -54,7 +56,7 @@
   close: () => Promise<void>
 }
 
-export function createRequestRole (entry: Entry): RequestRole {
+export function createRequestRole (entry: Entry, metrics?: Metrics): RequestRole {
   const leader = EntryLeader.create(entry)
   const runners = HttpRunnerClient.create()
   const flow = RequestFlow.create({ leader, runners })
@@ -62,7 +64,10 @@
   const handlers = new Map<string, RpcHandler>([
     [methodName(submit), async call => {
       entry.requireFresh()
-      const outcome = await flow.submit(call.principal.name, call.request as SubmitRequest, call.closed)
+      const startedAt = monotonicNow()
+      const request = call.request as SubmitRequest
+      const outcome = await flow.submit(call.principal.name, request, call.closed)
+      metrics?.recordRequest(toUrgency(request.urgency), outcome.kind, monotonicNow() - startedAt)
       return create(SubmitResponseSchema, { outcome: toMessage(outcome) })
     }],
     [methodName(fetchOutcome), async call => {
--- a/packages/cli/src/runtime/serve.ts
+++ b/packages/cli/src/runtime/serve.ts
@@ -2,7 +2,10 @@
  * Runs the roles that the settings name, until a signal ends the process.
  */
 
-import { admitLoopback } from '@flamingorouter/rpc'
+import { describeCell, NO_FACTS } from '@flamingorouter/operators'
+import { RpcServer, type CallRecord } from '@flamingorouter/rpc'
+import { AccessControl } from '../core/access-control.js'
+import { Metrics } from '../metrics/metrics.js'
 import type { Settings } from '../types/settings.js'
 import { ControllerNode } from './controller-node.js'
 import { EntryNode } from './entry-node.js'
--- a/packages/operators/src/core/cell.ts
+++ b/packages/operators/src/core/cell.ts
@@ -28,7 +28,8 @@
   warnings: string[]
 }
 
-const NO_FACTS: Readonly<CellFacts> = Object.freeze({ leader: '', term: 0, committed: 0, entries: 0, warnings: [] })
+/** Of a process that knows the state alone. */
+export const NO_FACTS: Readonly<CellFacts> = Object.freeze({ leader: '', term: 0, committed: 0, entries: 0, warnings: [] })
 
 const drain: EventBinding<typeof DrainRequestSchema, typeof DrainResponseSchema> = {
   kind: 'event',
