--- a/packages/rpc/src/core/server.ts
+++ b/packages/rpc/src/core/server.ts
@@ -195,8 +195,9 @@
     record: CallRecord
   ): Promise<HTTPResponse> {
     const type = this.checkHead(req)
-    const principal = this.admit(req, rules)
+    const principal = this.identify(req)
     record.principal = principal.name
+    requireRole(principal, rules)
     const handler = this.options.handlers.get(record.name)
     if (handler === undefined) fail(ErrorKind.unimplemented, `${record.name} is not served here`)
     const timeoutMs = parseTimeout(req.headers['connect-timeout-ms'])
@@ -228,14 +229,12 @@
     return type
   }
 
-  private admit (req: IncomingMessage, rules: MethodRules): Principal {
-    const principal = this.options.authenticate({
+  private identify (req: IncomingMessage): Principal {
+    return this.options.authenticate({
       authorization: req.headers.authorization ?? '',
       claimedName: String(req.headers['x-flamingorouter-principal'] ?? ''),
       remoteAddress: req.socket.remoteAddress ?? ''
     })
-    if (rules.roles.some(role => principal.roles.includes(role))) return principal
-    fail(ErrorKind.permissionDenied, `${principal.name} is none of: ${rules.roles.join(', ')}`)
   }
 
   private readRequest (req: IncomingMessage): Promise<Uint8Array> {
@@ -268,6 +267,11 @@
   return { cert: certificate, key, ca: authority, requestCert: authority !== undefined, minVersion: 'TLSv1.2' }
 }
 
+function requireRole (principal: Principal, rules: MethodRules): void {
+  if (rules.roles.some(role => principal.roles.includes(role))) return
+  fail(ErrorKind.permissionDenied, `${principal.name} is none of: ${rules.roles.join(', ')}`)
+}
+
 function addTraffic (sum: ServerTraffic, socket: Socket): void {
   sum.received += socket.bytesRead
   sum.sent += socket.bytesWritten
