--- a/packages/cli/src/runtime/entry-node.ts
+++ b/packages/cli/src/runtime/entry-node.ts
@@ -58,7 +58,7 @@
     const workers = RpcClient.create()
     const entry = Entry.create({ hello, controllers: settings.controllers, methods: context.methods, workers, log: context.log })
     const requests = createRequestRole(entry, context.metrics)
-    entry.heldGrants = () => requests.flow.held()
+    entry.reportGrants = () => requests.flow.report()
     const server = RpcServer.create({
       methods: context.methods,
       handlers: entry.createHandlers(requests.handlers),
