Let an operator readmit a suspect, and split long modules

Cause: readmitting a suspect worker did nothing, and EventOf stood five times. Change: a readmission ends suspicion and clears the evidence; stops and evidence have modules of their own; EventOf and DecisionOf stand with their types.

--- a/packages/scheduler/__tests__/health.test.ts
+++ b/packages/scheduler/__tests__/health.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { Estimates, UsageTable } from '../src/index.js'
-import { createJob, size, World } from './support/world.js'
+import { createJob, origin, size, World } from './support/world.js'
 
 function createCell (workers: number): World {
   const world = World.create(7)
@@ -49,6 +49,18 @@
     })
   })
 
+  describe('a suspect', () => {
+    it('is ready at once when an operator readmits it', () => {
+      const world = createCell(2)
+      const [{ name, vm }] = world.workers
+      world.workers[0].flaw = 'refuses'
+      submitEvery(world, 100, 60, at => `work-${at % 4}`)
+      assert.notEqual(world.state.targets.get(name)?.phase, 'ready')
+      world.ask({ kind: 'readmit', call: 0, origin: origin(), vm, target: '' })
+      assert.equal(world.state.targets.get(name)?.phase, 'ready')
+    })
+  })
+
   describe('work that fails everywhere', () => {
     it('is held back, longer each time, and makes no worker suspect', () => {
       const world = createCell(4)
--- a/packages/scheduler/src/core/apply.ts
+++ b/packages/scheduler/src/core/apply.ts
@@ -4,7 +4,7 @@
  */
 
 import { createHash } from 'node:crypto'
-import type { Decision } from '../types/decisions.js'
+import type { Decision, DecisionOf } from '../types/decisions.js'
 import type { ClusterState } from '../types/state.js'
 import { isLive, TaskPhase, type TaskState, WorkloadKind, type WorkloadSpec } from '../types/workloads.js'
 
@@ -95,7 +95,7 @@
   }
 }
 
-function applyWorkload (state: ClusterState, decision: Extract<Decision, { kind: 'workloadApplied' }>): void {
+function applyWorkload (state: ClusterState, decision: DecisionOf<'workloadApplied'>): void {
   const existing = state.workloads.get(decision.id)
   const spec: WorkloadSpec = decision.spec
   const tasks = existing?.tasks ?? []
@@ -124,7 +124,7 @@
   }
 }
 
-function stopWorkload (state: ClusterState, decision: Extract<Decision, { kind: 'workloadStopping' }>): void {
+function stopWorkload (state: ClusterState, decision: DecisionOf<'workloadStopping'>): void {
   const workload = state.workloads.get(decision.id)
   if (workload === undefined) return
   workload.stopping = decision.reason
@@ -172,7 +172,7 @@
   workload.change = state.change
 }
 
-function placeTask (state: ClusterState, decision: Extract<Decision, { kind: 'taskPlaced' }>): void {
+function placeTask (state: ClusterState, decision: DecisionOf<'taskPlaced'>): void {
   const workload = state.workloads.get(decision.id)
   const task = workload?.tasks[decision.index]
   if (workload === undefined || task === undefined) return
@@ -185,14 +185,14 @@
   workload.change = state.change
 }
 
-function endTask (state: ClusterState, decision: Extract<Decision, { kind: 'taskEnded' }>): void {
+function endTask (state: ClusterState, decision: DecisionOf<'taskEnded'>): void {
   changeTask(state, decision, task => {
     releaseTask(task, decision.reason)
     task.phase = decision.phase
   })
 }
 
-function requeueTask (state: ClusterState, decision: Extract<Decision, { kind: 'taskRequeued' }>): void {
+function requeueTask (state: ClusterState, decision: DecisionOf<'taskRequeued'>): void {
   changeTask(state, decision, task => {
     releaseTask(task, decision.reason)
     task.phase = TaskPhase.waiting
@@ -209,13 +209,13 @@
   task.reason = reason
 }
 
-function setTargetPhase (state: ClusterState, decision: Extract<Decision, { kind: 'targetPhaseSet' }>): void {
+function setTargetPhase (state: ClusterState, decision: DecisionOf<'targetPhaseSet'>): void {
   const target = state.targets.get(decision.name)
   if (target === undefined || target.session !== decision.session) return
   target.phase = decision.phase
 }
 
-function settleRequest (state: ClusterState, decision: Extract<Decision, { kind: 'requestSettled' }>): void {
+function settleRequest (state: ClusterState, decision: DecisionOf<'requestSettled'>): void {
   const request = state.requests.get(decision.key)
   if (request === undefined) return
   request.outcome = decision.outcome
--- a/packages/scheduler/src/core/configuration/configuration.ts
+++ b/packages/scheduler/src/core/configuration/configuration.ts
@@ -4,15 +4,13 @@
  */
 
 import type { PolicyState, TeamState } from '../../types/configuration.js'
-import type { Event } from '../../types/events.js'
+import type { Event, EventOf } from '../../types/events.js'
 import type { Limits } from '../../types/limits.js'
 import { ErrorKind } from '../../utils/errors.js'
 import { type Change, ChangeLedger } from '../changes/ledger.js'
 import { Part } from '../part.js'
 import type { Step } from '../step.js'
 
-type EventOf<K extends Event['kind']> = Extract<Event, { kind: K }>
-
 const WEIGHT_MAX = 1_000
 const WEIGHT_DEFAULT = 100
 const DOCUMENT_MAX_CHARACTERS = 1_048_576
--- a/packages/scheduler/src/core/health/health.ts
+++ b/packages/scheduler/src/core/health/health.ts
@@ -2,14 +2,9 @@
  * Health of workers and of work. A worker that fails what others run is suspect:
  * it gets no new work but one probe after a backoff, and is ready again once a
  * probe succeeds. Work that fails on worker after worker is held back itself.
- *
- * The test is a cumulative sum of log-likelihood ratios (Page, "Continuous
- * inspection schemes", 1954): each end on a worker is weighed by how much likelier
- * it is on a worker that fails nearly all than on one that fails this work as often
- * as the other workers do.
  */
 
-import type { Decision } from '../../types/decisions.js'
+import type { Decision, DecisionOf } from '../../types/decisions.js'
 import type { Event } from '../../types/events.js'
 import type { Limits } from '../../types/limits.js'
 import type { ClusterState } from '../../types/state.js'
@@ -18,16 +13,9 @@
 import { Part } from '../part.js'
 import type { Step } from '../step.js'
 import { exponentialMs } from '../tasks/backoff.js'
-import { failureRateElsewhere, startsElsewhere, type WorkRecord, WorkRecords } from './records.js'
-
-/** Failure rate of a worker that fails nearly all. */
-const BAD_RATE = 0.95
-/** Evidence at which a worker is suspect: a thousand to one. */
-const SUSPECT_EVIDENCE = Math.log(1_000)
-/** Starts elsewhere without which one kind of work is no full proof. */
-const ELSEWHERE_MIN = 3
-/** Share of the evidence needed that one kind of work may bring by itself. */
-const ALONE_SHARE = 0.5
+import { Evidence } from './evidence.js'
+import { type WorkRecord, WorkRecords } from './records.js'
+
 /** At most one worker in so many is suspect: when more fail, the cause is elsewhere. */
 const SUSPECT_SHARE = 3
 /** Workers on which work has to fail before it is held back. */
@@ -38,9 +26,7 @@
 const PROBE_RUN_MS = 10_000
 
 interface WorkerHealth {
-  evidence: number
-  /** Evidence from work that is not known elsewhere, by the name of the work. */
-  alone: Map<WorkRecord, number>
+  evidence: Evidence
   suspicions: number
   /** When a suspect may be probed, in milliseconds of cluster time. */
   probeAt: number
@@ -49,8 +35,8 @@
 
 interface Probe { id: string, index: number, attempt: number, startedAt: number }
 
-type End = Extract<Decision, { kind: 'taskEnded' | 'taskRequeued' }>
-type Placed = Extract<Decision, { kind: 'taskPlaced' }>
+type End = DecisionOf<'taskEnded' | 'taskRequeued'>
+type Placed = DecisionOf<'taskPlaced'>
 
 export class Health extends Part {
   readonly handles = [] as const
@@ -90,6 +76,11 @@
         if (decision.target !== '') this.ends.push(decision)
         return
       case 'targetReadmitted': this.workers.delete(decision.name); return
+      case 'vmReadmitted':
+        for (const target of state.targets.values()) {
+          if (target.vm === decision.vm) this.workers.delete(target.name)
+        }
+        return
       case 'targetRemoved': this.workers.delete(decision.name)
     }
   }
@@ -133,21 +124,9 @@
       else if (!isFailure) this.restore(step, target)
       return
     }
-    this.weigh(this.health(target.name), record, target.name, isFailure)
-    if (this.health(target.name).evidence >= SUSPECT_EVIDENCE) this.suspect(step, target)
-  }
-
-  private weigh (health: WorkerHealth, record: WorkRecord, worker: string, isFailure: boolean): void {
-    const rate = Math.min(failureRateElsewhere(record, worker), BAD_RATE)
-    const ratio = isFailure ? BAD_RATE / rate : (1 - BAD_RATE) / (1 - rate)
-    let evidence = Math.log(ratio)
-    if (isFailure && startsElsewhere(record, worker) < ELSEWHERE_MIN) {
-      const before = health.alone.get(record) ?? 0
-      evidence = Math.min(evidence, SUSPECT_EVIDENCE * ALONE_SHARE - before)
-      health.alone.set(record, before + evidence)
-    }
-    health.evidence = Math.max(0, health.evidence + evidence)
-    if (health.evidence === 0) health.alone.clear()
+    const { evidence } = this.health(target.name)
+    evidence.weigh(record, target.name, isFailure)
+    if (evidence.isEnough) this.suspect(step, target)
   }
 
   private suspect (step: Step, target: TargetState): void {
@@ -192,7 +171,7 @@
   private health (name: string): WorkerHealth {
     const known = this.workers.get(name)
     if (known !== undefined) return known
-    const health = { evidence: 0, alone: new Map(), suspicions: 0, probeAt: 0, probe: undefined }
+    const health = { evidence: Evidence.create(), suspicions: 0, probeAt: 0, probe: undefined }
     this.workers.set(name, health)
     return health
   }
--- a/packages/scheduler/src/core/placement/indexes.ts
+++ b/packages/scheduler/src/core/placement/indexes.ts
@@ -4,7 +4,7 @@
  * decisions of all parts.
  */
 
-import type { Decision } from '../../types/decisions.js'
+import type { Decision, DecisionOf } from '../../types/decisions.js'
 import type { ClusterState } from '../../types/state.js'
 import { startableAt, TaskPhase, type TaskState, type WorkloadState } from '../../types/workloads.js'
 import { Demand } from './demand.js'
@@ -19,7 +19,6 @@
 import { Timers } from './timers.js'
 import type { Holding, Worker } from './worker.js'
 
-type DecisionOf<Kind extends Decision['kind']> = Extract<Decision, { kind: Kind }>
 interface Backoff { readonly demand: Demand, readonly index: number }
 
 export class Indexes {
--- a/packages/scheduler/src/core/sessions/drains.ts
+++ b/packages/scheduler/src/core/sessions/drains.ts
@@ -3,7 +3,7 @@
  * platform.
  */
 
-import type { Event } from '../../types/events.js'
+import type { Event, EventOf } from '../../types/events.js'
 import type { Limits } from '../../types/limits.js'
 import type { ClusterState } from '../../types/state.js'
 import { TargetPhase, type TargetState } from '../../types/targets.js'
@@ -13,11 +13,12 @@
 import type { Step } from '../step.js'
 import { isDrained } from './announcements.js'
 
-type EventOf<K extends Event['kind']> = Extract<Event, { kind: K }>
-
 /** Phases that a drain overrides. */
 const DRAINABLE: readonly TargetPhase[] = [TargetPhase.ready, TargetPhase.suspect, TargetPhase.probing]
 
+/** Phases that a readmission ends. */
+const READMITTABLE: readonly TargetPhase[] = [TargetPhase.draining, TargetPhase.suspect, TargetPhase.probing]
+
 export class Drains extends Part {
   readonly handles = ['drain', 'readmit', 'vmGone'] as const
   private readonly ledger: ChangeLedger
@@ -66,7 +67,7 @@
     if (event.vm !== '') step.decide({ kind: 'vmReadmitted', vm: event.vm })
     else step.decide({ kind: 'targetReadmitted', name: event.target })
     for (const target of targets) {
-      if (target.phase !== TargetPhase.draining || isDrained(step.state, target)) continue
+      if (!READMITTABLE.includes(target.phase) || isDrained(step.state, target)) continue
       setPhase(step, target, TargetPhase.ready)
     }
     this.ledger.accept(step, change, { kind: 'targets', count: targets.length }, 'drained', 'in use')
--- a/packages/scheduler/src/core/sessions/sessions.ts
+++ b/packages/scheduler/src/core/sessions/sessions.ts
@@ -5,7 +5,7 @@
  * platform says that its VM is gone.
  */
 
-import type { Announcement, Event } from '../../types/events.js'
+import type { Announcement, Event, EventOf } from '../../types/events.js'
 import type { Decision } from '../../types/decisions.js'
 import type { Limits } from '../../types/limits.js'
 import type { ClusterState } from '../../types/state.js'
@@ -17,8 +17,6 @@
 import { announcementFault, isSameAnnouncement, phaseAtAnnouncement } from './announcements.js'
 import { Leases } from './leases.js'
 
-type EventOf<K extends Event['kind']> = Extract<Event, { kind: K }>
-
 export interface SessionOptions {
   /** Requests in flight on a runner, for the answer to its leave. */
   requestsInFlight?: (runner: string) => number
--- a/packages/scheduler/src/core/tasks/specs.ts
+++ b/packages/scheduler/src/core/tasks/specs.ts
@@ -62,3 +62,14 @@
 function isWhole (value: number, least: number, most: number): boolean {
   return Number.isInteger(value) && value >= least && value <= most
 }
+
+/** The specification for the audit trail, with the payload as its size. */
+export function describeSpec (spec: WorkloadSpec): string {
+  return JSON.stringify({ ...spec, payload: `${spec.payload.length} bytes` })
+}
+
+/** A caller's job in the audit trail: there are many, so it is short. */
+export function summarizeSpec (spec: WorkloadSpec): string {
+  const { millicores, memoryMib, accelerators } = spec.resources
+  return `${spec.kind} ${spec.name} ${spec.taskCount}x${millicores}m/${memoryMib}MiB/${accelerators} team=${spec.team}`
+}
--- a/packages/scheduler/src/core/tasks/tasks.ts
+++ b/packages/scheduler/src/core/tasks/tasks.ts
@@ -4,8 +4,8 @@
  * that the attempt is over, or after the session of the worker is over.
  */
 
-import type { Decision } from '../../types/decisions.js'
-import type { Event, TaskEnd, TaskUsage } from '../../types/events.js'
+import type { Decision, DecisionOf } from '../../types/decisions.js'
+import type { Event, EventOf, TaskEnd, TaskUsage } from '../../types/events.js'
 import type { Limits } from '../../types/limits.js'
 import type { ClusterState } from '../../types/state.js'
 import { TargetKind, TargetPhase } from '../../types/targets.js'
@@ -23,8 +23,6 @@
 import { Outbox } from './outbox.js'
 import { judgeEnd } from './verdict.js'
 
-type EventOf<K extends Event['kind']> = Extract<Event, { kind: K }>
-
 /** Renewals that may leave out a running task before its worker is asked to stop it. */
 const MISSING_RENEWALS = 3
 
@@ -199,7 +197,7 @@
     }
   }
 
-  private placed (decision: Extract<Decision, { kind: 'taskPlaced' }>, now: number): void {
+  private placed (decision: DecisionOf<'taskPlaced'>, now: number): void {
     const { id, index, attempt, target, session } = decision
     const key = taskKey(id, index)
     this.held.remove(key)
@@ -207,14 +205,14 @@
     this.outbox.add(target, 'start', key, attempt)
   }
 
-  private started (decision: Extract<Decision, { kind: 'taskStarted' }>, now: number): void {
+  private started (decision: DecisionOf<'taskStarted'>, now: number): void {
     const held = this.held.get(taskKey(decision.id, decision.index))
     if (held?.attempt !== decision.attempt) return
     held.seenAt = now
     this.outbox.remove(held.target, 'start', held.key, held.attempt)
   }
 
-  private stopping (decision: Extract<Decision, { kind: 'taskStopping' }>, state: ClusterState): void {
+  private stopping (decision: DecisionOf<'taskStopping'>, state: ClusterState): void {
     const held = this.held.get(taskKey(decision.id, decision.index))
     if (held?.attempt !== decision.attempt) return
     this.askToStop(held, state, decision.stopping)
@@ -227,7 +225,7 @@
     this.outbox.add(held.target, canCheckpoint ? 'checkpoint' : 'stop', held.key, held.attempt)
   }
 
-  private over (decision: Extract<Decision, { kind: 'taskEnded' | 'taskRequeued' }>, state: ClusterState): void {
+  private over (decision: DecisionOf<'taskEnded' | 'taskRequeued'>, state: ClusterState): void {
     const held = this.held.get(taskKey(decision.id, decision.index))
     if (held?.attempt === decision.attempt) {
       this.held.remove(held.key)
--- a/packages/scheduler/src/core/tasks/workloads.ts
+++ b/packages/scheduler/src/core/tasks/workloads.ts
@@ -4,18 +4,17 @@
  */
 
 import type { Decision } from '../../types/decisions.js'
-import type { Event } from '../../types/events.js'
+import type { Event, EventOf } from '../../types/events.js'
 import type { Limits } from '../../types/limits.js'
 import type { ClusterState } from '../../types/state.js'
-import { EndCause, isHeld, isLive, TaskPhase, WorkloadKind, type WorkloadSpec, type WorkloadState } from '../../types/workloads.js'
+import { EndCause, isLive, WorkloadKind, type WorkloadSpec, type WorkloadState } from '../../types/workloads.js'
 import { ErrorKind } from '../../utils/errors.js'
 import { type Change, ChangeLedger } from '../changes/ledger.js'
 import { Part } from '../part.js'
 import type { Step } from '../step.js'
 import { LabelIndex } from './labels.js'
-import { changeFault, idFault, JOB_PREFIX, specFault } from './specs.js'
-
-type EventOf<K extends Event['kind']> = Extract<Event, { kind: K }>
+import { changeFault, describeSpec, idFault, JOB_PREFIX, specFault, summarizeSpec } from './specs.js'
+import { stopAll, stopTask } from './stops.js'
 
 export interface WorkloadOptions {
   /** Why no VM could ever hold a task; empty when one could. */
@@ -225,38 +224,6 @@
   }
 }
 
-/** Ends the tasks that wait, and has the others stopped. */
-function stopAll (step: Step, workload: WorkloadState, reason: string): void {
-  // A new version, so that an earlier change that comes late finds another one.
-  step.decide({ kind: 'workloadStopping', id: workload.id, version: workload.version + 1, reason })
-  for (const task of workload.tasks) stopTask(step, workload, task.index, reason)
-  // A service without tasks has nothing to wait for.
-  if (!workload.tasks.some(isLive)) step.decide({ kind: 'workloadEnded', id: workload.id, reason })
-}
-
-function stopTask (step: Step, workload: WorkloadState, index: number, reason: string): void {
-  const { id } = workload
-  const task = workload.tasks[index]
-  const { attempt } = task
-  if (task.phase === TaskPhase.waiting) {
-    const phase = TaskPhase.cancelled
-    step.decide({ kind: 'taskEnded', id, index, attempt, target: '', phase, cause: EndCause.cancelled, reason })
-  } else if (isHeld(task) && task.stopping !== 'cancel') {
-    step.decide({ kind: 'taskStopping', id, index, attempt, stopping: 'cancel' })
-  }
-}
-
 function mayCancel (job: WorkloadState, team: string | undefined): boolean {
   return team === undefined || team === '' || job.spec.team === team
 }
-
-/** The specification for the audit trail, with the payload as its size. */
-function describeSpec (spec: WorkloadSpec): string {
-  return JSON.stringify({ ...spec, payload: `${spec.payload.length} bytes` })
-}
-
-/** A caller's job in the audit trail: there are many, so it is short. */
-function summarizeSpec (spec: WorkloadSpec): string {
-  const { millicores, memoryMib, accelerators } = spec.resources
-  return `${spec.kind} ${spec.name} ${spec.taskCount}x${millicores}m/${memoryMib}MiB/${accelerators} team=${spec.team}`
-}
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -47,3 +47,6 @@
   | { kind: 'changeForgotten', key: string }
 
 export type DecisionKind = Decision['kind']
+
+/** The decisions of one kind, or of several. */
+export type DecisionOf<K extends DecisionKind> = Extract<Decision, { kind: K }>
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -81,6 +81,9 @@
 
 export type EventKind = Event['kind']
 
+/** The events of one kind, or of several. */
+export type EventOf<K extends EventKind> = Extract<Event, { kind: K }>
+
 export interface Command {
   task: string
   attempt: number
