--- /dev/null
+++ b/packages/operators/__tests__/bindings.test.ts
@@ -0,0 +1,232 @@
+/**
+ * Every method has its rules and its way to an answer, and a team sees and
+ * changes its own work alone.
+ */
+
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { create, type MessageInitShape } from '@bufbuild/protobuf'
+import { callerBindings, callerMethods } from '@flamingorouter/callers'
+import { platformBindings, platformMethods } from '@flamingorouter/platform'
+import { methodName, type Binding, type CallContext, type Violation } from '@flamingorouter/rpc'
+import {
+  createClusterState, DEFAULT_LIMITS, ErrorKind, Failure, NO_RESOURCES, Scheduler, createParts, type ClusterState, type Event
+} from '@flamingorouter/scheduler'
+import {
+  CallerService, OperatorService, PlatformService, TargetService, VmNotice, WorkloadKind, type ListAuditResponse,
+  type ListWorkloadsResponse, type WorkloadSpecSchema
+} from '@flamingorouter/schema'
+import { targetBindings, targetMethods } from '@flamingorouter/targets'
+import { operatorBindings, operatorMethods } from '../src/index.js'
+
+const RULES = [...callerMethods, ...operatorMethods, ...targetMethods, ...platformMethods]
+const BINDINGS = [...callerBindings, ...operatorBindings, ...targetBindings, ...platformBindings]
+
+/** Served from more than the state, so that they have no binding. */
+const SERVED_APART = ['Submit', 'FetchOutcome', 'CancelRequest', 'GetConfigurationStatus', 'ListMembers', 'AddMember', 'RemoveMember']
+
+const ALL_TEAMS: CallContext = { call: 1, actor: 'on-call', team: '', entry: 'entry-1', now: 1_000, digest: 'd' }
+const DISPATCH: CallContext = { ...ALL_TEAMS, actor: 'desk', team: 'dispatch' }
+
+type Spec = MessageInitShape<typeof WorkloadSpecSchema>
+const SPEC: Spec = { name: 'rebuild', kind: WorkloadKind.BATCH, taskCount: 2, resources: { millicores: 500 }, labels: { region: 'island' } }
+
+function bindingOf (method: { name: string }): Binding {
+  return BINDINGS.find(binding => binding.method.name === method.name) ?? assert.fail(`no binding of ${method.name}`)
+}
+
+/** The event that a request becomes, once it passed the rules. */
+function toEvent (method: any, init: object, context = ALL_TEAMS): Event {
+  const binding = bindingOf(method)
+  assert.ok(binding.kind === 'event')
+  return binding.toEvent(create(method.input, init), context)
+}
+
+function read (method: any, init: object, context: CallContext, state: ClusterState): any {
+  const binding = bindingOf(method)
+  assert.ok(binding.kind === 'read')
+  return binding.read(create(method.input, init), context, state)
+}
+
+function violatedPaths (method: any, init: object): string[] {
+  const report: Violation[] = []
+  RULES.find(rules => rules.method === method)?.check(create(method.input, init), '', report)
+  return report.map(({ path }) => path)
+}
+
+function isKind (kind: ErrorKind): (error: unknown) => boolean {
+  return error => error instanceof Failure && error.kind === kind
+}
+
+/** A cell into which two teams have put a job each. */
+function createCell (): Scheduler {
+  const scheduler = Scheduler.create(createParts(DEFAULT_LIMITS), createClusterState())
+  scheduler.lead(1_000)
+  for (const team of ['dispatch', 'reconciliation']) {
+    const init = { requestId: team, spec: { ...SPEC, team } }
+    scheduler.handle(toEvent(CallerService.method.submitJob, init, { ...ALL_TEAMS, digest: team }), 1_000)
+  }
+  return scheduler
+}
+
+describe('methods', () => {
+  const described = [CallerService, OperatorService, TargetService, PlatformService].flatMap(service => service.methods)
+
+  it('have rules each, and a binding unless they are served apart', () => {
+    assert.deepEqual(RULES.map(({ method }) => methodName(method)).sort(), described.map(method => methodName(method as never)).sort())
+    const bound = BINDINGS.map(({ method }) => method.name)
+    assert.deepEqual([...bound, ...SERVED_APART].sort(), described.map(({ name }) => name).sort())
+  })
+})
+
+describe('rules', () => {
+  it('name every field at fault of a specification', () => {
+    const spec = {
+      name: 'two words',
+      taskCount: 10_001,
+      resources: {},
+      priority: 101,
+      retryLimit: 101,
+      estimateMs: 2n ** 62n,
+      labels: { 'bad key': 'x' },
+      payload: new Uint8Array(65_537)
+    }
+    assert.deepEqual(violatedPaths(OperatorService.method.applyWorkload, { spec, expectedVersion: 2n ** 60n }), [
+      'spec.name', 'spec.kind', 'spec.taskCount', 'spec.resources.millicores', 'spec.priority', 'spec.estimateMs',
+      'spec.retryLimit', 'spec.labels."bad key"', 'spec.payload', 'expectedVersion'
+    ])
+  })
+
+  const cases: { name: string, method: any, init: object, paths: string[] }[] = [
+    { name: 'a drain of a VM and a target at once', method: OperatorService.method.drain, init: { vm: 'a', target: 'b' }, paths: ['vm'] },
+    { name: 'a drain of nothing', method: OperatorService.method.drain, init: {}, paths: ['vm'] },
+    { name: 'a cancel of one job and a selector', method: CallerService.method.cancelJobs, init: { id: 'a', selector: { a: 'b' } }, paths: ['id'] },
+    { name: 'a service as a job', method: CallerService.method.submitJob, init: { spec: { ...SPEC, kind: WorkloadKind.SERVICE } }, paths: ['spec.kind'] },
+    { name: 'a strategy that is not known', method: OperatorService.method.putPolicy, init: { policy: { name: 'p', strategy: 'fastest' } }, paths: ['policy.strategy'] },
+    { name: 'a document that is no object', method: OperatorService.method.putConfiguration, init: { name: 'n', document: '[1]' }, paths: ['document'] },
+    { name: 'a target that is both kinds', method: TargetService.method.announce, init: { name: 'w', vm: 'v', availabilityZone: 'z', address: 'h:1', worker: { capacity: { millicores: 1 } }, runner: { service: 's', slots: 8, connections: 64 } }, paths: ['worker'] },
+    { name: 'a target without an address', method: TargetService.method.announce, init: { name: 'w', vm: 'v', availabilityZone: 'z', address: 'h:0', worker: { capacity: { millicores: 1 } } }, paths: ['address'] },
+    { name: 'a notice of nothing', method: PlatformService.method.notifyVm, init: { vm: 'v' }, paths: ['notice'] }
+  ]
+  for (const { name, method, init, paths } of cases) {
+    it(`refuse ${name}`, () => { assert.deepEqual(violatedPaths(method, init), paths) })
+  }
+})
+
+describe('a team', () => {
+  it('reads its own work alone', () => {
+    const { state } = createCell()
+    const [own, other] = [...state.workloads.values()]
+    const list: ListWorkloadsResponse = read(OperatorService.method.listWorkloads, {}, DISPATCH, state)
+    assert.deepEqual(list.workloads.map(({ id }) => id), [own.id])
+    assert.equal(read(CallerService.method.watchJob, { id: own.id }, DISPATCH, state).status.id, own.id)
+    for (const method of [CallerService.method.watchJob, OperatorService.method.getWorkload]) {
+      assert.throws(() => read(method, { id: other.id }, DISPATCH, state), isKind(ErrorKind.notFound))
+    }
+    assert.equal(read(OperatorService.method.watchWorkloads, {}, DISPATCH, state).workloads.length, 1)
+  })
+
+  it('submits under its own name alone, which is also the default', () => {
+    const event = toEvent(CallerService.method.submitJob, { spec: SPEC }, DISPATCH)
+    assert.ok(event.kind === 'submitJob' && event.spec.team === 'dispatch')
+    const stolen = { spec: { ...SPEC, team: 'reconciliation' } }
+    assert.throws(() => toEvent(CallerService.method.submitJob, stolen, DISPATCH), isKind(ErrorKind.permissionDenied))
+    assert.throws(() => toEvent(OperatorService.method.applyWorkload, stolen, DISPATCH), isKind(ErrorKind.permissionDenied))
+  })
+
+  it('cancels its own work alone, by id and by selector', () => {
+    const scheduler = createCell()
+    const [own, other] = [...scheduler.state.workloads.keys()]
+    const bySelector = createCell()
+    bySelector.handle(toEvent(CallerService.method.cancelJobs, { selector: { region: 'island' } }, DISPATCH), 1_000)
+    assert.deepEqual([...bySelector.state.workloads.values()].map(({ ended }) => ended), [true, false])
+    const cancelOther = toEvent(CallerService.method.cancelJobs, { id: other }, DISPATCH)
+    assert.deepEqual(scheduler.handle(cancelOther, 1_000).effects.map(({ kind }) => kind), ['refuse'])
+    scheduler.handle(toEvent(CallerService.method.cancelJobs, { id: own }, DISPATCH), 1_000)
+    assert.equal(scheduler.state.workloads.get(own)?.ended, true)
+    assert.equal(scheduler.state.workloads.get(other)?.ended, false)
+  })
+
+  it('changes nothing that concerns all', () => {
+    const changes: [any, object][] = [
+      [OperatorService.method.putTeam, { team: { name: 'dispatch' } }],
+      [OperatorService.method.putPolicy, { policy: { name: 'p', strategy: 'spread' } }],
+      [OperatorService.method.putConfiguration, { name: 'n', document: '{}' }],
+      [OperatorService.method.drain, { vm: 'v' }],
+      [OperatorService.method.readmit, { vm: 'v' }],
+      [OperatorService.method.deleteWorkload, { id: 'w' }],
+      [PlatformService.method.notifyVm, { vm: 'v', notice: VmNotice.GONE }]
+    ]
+    for (const [method, init] of changes) {
+      assert.throws(() => toEvent(method, init, DISPATCH), isKind(ErrorKind.permissionDenied))
+    }
+    assert.throws(() => read(OperatorService.method.listAudit, {}, DISPATCH, createClusterState()), isKind(ErrorKind.permissionDenied))
+  })
+})
+
+describe('a target', () => {
+  const announcement = { vm: 'v', availabilityZone: 'z', address: 'h:1', worker: { capacity: { millicores: 1 } } }
+
+  it('speaks for itself or for the fleet of its token alone', () => {
+    const context = { ...ALL_TEAMS, actor: 'fleet' }
+    for (const name of ['fleet', 'fleet-7', 'fleet.a']) {
+      assert.equal(toEvent(TargetService.method.announce, { ...announcement, name }, context).kind, 'announce')
+    }
+    for (const name of ['fleet7', 'other', 'flee']) {
+      assert.throws(() => toEvent(TargetService.method.announce, { ...announcement, name }, context), isKind(ErrorKind.permissionDenied))
+      assert.throws(() => toEvent(TargetService.method.renew, { name, session: 's' }, context), isKind(ErrorKind.permissionDenied))
+      assert.throws(() => toEvent(TargetService.method.leave, { name, session: 's' }, context), isKind(ErrorKind.permissionDenied))
+    }
+  })
+})
+
+describe('pages', () => {
+  it('of workloads follow each other by id without a gap', () => {
+    const state = createClusterState()
+    const ids = Array.from({ length: 25 }, (_, index) => `w${String((index * 7) % 25).padStart(2, '0')}`)
+    const [sample] = createCell().state.workloads.values()
+    for (const id of ids) state.workloads.set(id, { ...sample, id })
+    const seen: string[] = []
+    for (let afterId = ''; ;) {
+      const page: ListWorkloadsResponse = read(OperatorService.method.listWorkloads, { limit: 4, afterId }, ALL_TEAMS, state)
+      if (page.workloads.length === 0) break
+      seen.push(...page.workloads.map(({ id }) => id))
+      afterId = seen[seen.length - 1]
+    }
+    assert.deepEqual(seen, [...ids].sort())
+  })
+
+  it('of the audit trail start at the front or end at the last entry', () => {
+    const state = createClusterState()
+    const entry = { timeMs: 1, actor: 'a', method: 'Drain', subject: 'v', before: '', after: '', refusal: '', requestId: '' }
+    state.audit = Array.from({ length: 9 }, (_, index) => ({ ...entry, number: index + 1, actor: index % 2 === 0 ? 'a' : 'b' }))
+    const numbers = (init: object): number[] => {
+      const { entries }: ListAuditResponse = read(OperatorService.method.listAudit, init, ALL_TEAMS, state)
+      return entries.map(({ number }) => Number(number))
+    }
+    assert.deepEqual(numbers({ limit: 2 }), [1, 2])
+    assert.deepEqual(numbers({ limit: 2, after: 4n }), [5, 6])
+    assert.deepEqual(numbers({ limit: 2, latest: true }), [8, 9])
+    assert.deepEqual(numbers({ actor: 'b', limit: 3, latest: true }), [4, 6, 8])
+  })
+})
+
+describe('the status of the cell', () => {
+  it('counts what tasks hold, and nothing of what has ended', () => {
+    const state = createClusterState()
+    const worker = {
+      name: 'w', kind: 'worker', vm: 'v', rack: 'r', availabilityZone: 'z', phase: 'ready', capacity: { ...NO_RESOURCES, millicores: 4_000 }
+    }
+    state.targets.set('w', worker as never)
+    const tasks = ['running', 'placed', 'waiting', 'succeeded'].map((phase, index) => ({ index, phase, target: index < 2 ? 'w' : '' }))
+    const workload = { spec: { team: 'dispatch', resources: { ...NO_RESOURCES, millicores: 500 } }, tasks, ended: false }
+    state.workloads.set('a', workload as never)
+    state.workloads.set('b', { ...workload, ended: true } as never)
+    const status = read(OperatorService.method.getStatus, {}, ALL_TEAMS, state)
+    assert.deepEqual([status.tasksRunning, status.tasksWaiting, status.workers, status.runners], [1, 1, 1, 0])
+    assert.equal(status.reserved.millicores, 1_000)
+    assert.deepEqual([status.targets[0].tasks, status.targets[0].reserved.millicores], [2, 1_000])
+    state.teams.set('dispatch', { name: 'dispatch', firm: '', quota: NO_RESOURCES, weight: 1, version: 1 })
+    assert.equal(read(OperatorService.method.listTeams, {}, ALL_TEAMS, state).teams[0].dominantShare, 0.25)
+  })
+})
--- a/packages/rpc/__tests__/server.test.ts
+++ b/packages/rpc/__tests__/server.test.ts
@@ -20,6 +20,7 @@
 import { admitLoopback, isUnsent, RpcClient, RpcServer, type CallRecord, type RpcHandler } from '../src/index.js'
 
 const SUBMIT = 'flamingorouter.callers.v1.CallerService/Submit'
+const SUBMIT_JOB = 'flamingorouter.callers.v1.CallerService/SubmitJob'
 const PAYLOAD_LIMIT = 1024 * 1024
 
 const VALID = { service: 'dispatch', requestId: 'r-1', deadlineMs: 500, payload: new Uint8Array([1, 2, 3]) }
@@ -39,10 +40,10 @@
   before(async () => {
     server = RpcServer.create({
       methods: [...callerMethods, ...operatorMethods],
-      handlers: new Map([[SUBMIT, async call => {
+      handlers: new Map([SUBMIT, SUBMIT_JOB].map(name => [name, async call => {
         handled.push(call.request)
         return await handle(call)
-      }]]),
+      }])),
       authenticate: admitLoopback(),
       limits: { headersTimeoutMs: 1_000, requestTimeoutMs: 1_000 },
       pages: new Map([['/livez', () => ({ status: 200, type: 'text/plain', body: 'ok' })]]),
@@ -175,6 +176,17 @@
       assert.deepEqual(answer.debug.violations.map(violation => violation.path), ['service', 'requestId', 'deadlineMs'])
     })
 
+    it('names every place where JSON is not of the schema at once', async () => {
+      const answer = await post(JSON.stringify({
+        requestId: 'r',
+        spec: { taskCount: -1, urgency: 'PANIC', resources: { millicores: '4 cores' }, labels: { region: 7 }, availabilityZones: 'a', payload: '?' },
+        force: true
+      }), {}, `/${SUBMIT_JOB}`)
+      assert.deepEqual(answer.debug.violations.map(violation => violation.path), [
+        'spec.taskCount', 'spec.urgency', 'spec.resources.millicores', 'spec.labels.region', 'spec.availabilityZones', 'spec.payload', 'force'
+      ])
+    })
+
     it('refuses headers past their size and goes on', async () => {
       const answer = await exchange(`POST /${SUBMIT} HTTP/1.1\r\nhost: a\r\nx-long: ${'a'.repeat(40_000)}\r\n\r\n`)
       assert.match(answer, /^HTTP\/1.1 413 .*"payloadTooLarge"/s)
--- a/packages/rpc/src/utils/codec.ts
+++ b/packages/rpc/src/utils/codec.ts
@@ -5,12 +5,13 @@
  */
 
 import {
-  fromBinary, fromJsonString, isMessage, toBinary, toJsonString,
-  type DescField, type DescMessage, type Message
+  fromBinary, fromJson, isMessage, toBinary, toJsonString,
+  type DescField, type DescMessage, type JsonValue, type Message
 } from '@bufbuild/protobuf'
 import { ErrorKind, Failure } from '@flamingorouter/scheduler'
 import type { RpcResult } from '../types/call.js'
 import type { Violation } from '../types/violation.js'
+import { findShapeViolations } from './json-shape.js'
 import { failViolations } from './wire.js'
 
 export const ContentType = Object.freeze({ json: 'application/json', proto: 'application/proto' } as const)
@@ -43,13 +44,24 @@
 }
 
 function decodeJson (schema: DescMessage, bytes: Uint8Array): Message {
+  const json = parseJson(bytes)
   try {
-    return fromJsonString(schema, utf8.decode(bytes), { ignoreUnknownFields: false })
+    return fromJson(schema, json, { ignoreUnknownFields: false })
   } catch (error) {
+    const violations = findShapeViolations(schema, json)
+    if (violations.length > 0) failViolations(violations)
     throw refusal('the body is not a JSON message of this method', error)
   }
 }
 
+function parseJson (bytes: Uint8Array): JsonValue {
+  try {
+    return JSON.parse(utf8.decode(bytes)) as JsonValue
+  } catch (error) {
+    throw refusal('the body is not JSON', error)
+  }
+}
+
 function decodeBinary (schema: DescMessage, bytes: Uint8Array): Message {
   try {
     return fromBinary(schema, bytes)
