--- /dev/null
+++ b/packages/cli/__tests__/cell-client.test.ts
@@ -0,0 +1,72 @@
+/**
+ * Calls of the command line to several entries.
+ */
+
+import assert from 'node:assert/strict'
+import { afterEach, describe, it } from 'node:test'
+import { create } from '@bufbuild/protobuf'
+import { operatorMethods } from '@flamingorouter/operators'
+import { admitLoopback, RpcServer, type RpcHandler } from '@flamingorouter/rpc'
+import { ErrorKind, Failure } from '@flamingorouter/scheduler'
+import { ApplyWorkloadResponseSchema, OperatorService, WorkloadKind, type ApplyWorkloadRequest } from '@flamingorouter/schema'
+import { CellClient } from '../src/index.js'
+
+const APPLY = 'flamingorouter.operators.v1.OperatorService/ApplyWorkload'
+const REQUEST = {
+  requestId: 'r-1',
+  spec: { name: 'w', kind: WorkloadKind.BATCH, taskCount: 1, resources: { millicores: 1 } }
+}
+
+describe('the client of a cell', () => {
+  const servers: RpcServer[] = []
+  let client: CellClient
+
+  async function serve (handler: RpcHandler): Promise<string> {
+    const server = RpcServer.create({ methods: operatorMethods, handlers: new Map([[APPLY, handler]]), authenticate: admitLoopback() })
+    servers.push(server)
+    return `127.0.0.1:${await server.listen({ host: '127.0.0.1', port: 0 })}`
+  }
+
+  async function apply (endpoints: string[], timeoutMs = 5_000): Promise<unknown> {
+    client = CellClient.create({ endpoints, headers: {}, timeoutMs })
+    return await client.call(OperatorService.method.applyWorkload, REQUEST)
+  }
+
+  afterEach(async () => {
+    await client.close()
+    await Promise.all(servers.splice(0).map(server => server.close()))
+  })
+
+  it('goes on to the next entry under the same request id while a repeat may succeed', async () => {
+    const seen: string[] = []
+    const answer = (failure?: Failure): RpcHandler => async call => {
+      seen.push((call.request as ApplyWorkloadRequest).requestId)
+      if (failure !== undefined) throw failure
+      return create(ApplyWorkloadResponseSchema, { id: 'w', version: 1n })
+    }
+    const endpoints = [
+      '127.0.0.1:1',
+      await serve(answer(Failure.create(ErrorKind.unavailable, 'no leader'))),
+      await serve(answer(Failure.create(ErrorKind.resourceExhausted, 'full', { retryAfterMs: 5 }))),
+      await serve(answer())
+    ]
+    assert.equal((await apply(endpoints) as { version: bigint }).version, 1n)
+    assert.deepEqual(seen, ['r-1', 'r-1', 'r-1'])
+  })
+
+  it('does not repeat what was refused for good', async () => {
+    let calls = 0
+    const endpoint = await serve(async () => {
+      calls += 1
+      throw Failure.create(ErrorKind.conflict, 'version 2 is in force')
+    })
+    await assert.rejects(apply([endpoint, endpoint]), (error: Failure) => error.kind === ErrorKind.conflict)
+    assert.equal(calls, 1)
+  })
+
+  it('says how to ask again when the time is over and the outcome is open', async () => {
+    const endpoint = await serve(() => new Promise(() => {}))
+    await assert.rejects(apply([endpoint], 60),
+      (error: Failure) => error.kind === ErrorKind.deadlineExceeded && error.message.includes('--request-id r-1'))
+  })
+})
--- /dev/null
+++ b/packages/cli/src/commands/token.ts
@@ -0,0 +1,34 @@
+/**
+ * The command that makes tokens.
+ */
+
+import { array, command, multioption, oneOf, option, positional, string, subcommands } from 'cmd-ts'
+import { Role } from '@flamingorouter/rpc'
+import { ErrorKind, fail } from '@flamingorouter/scheduler'
+import { outputOption } from '../utils/options.js'
+import { OutputFormat, printJson } from '../utils/output.js'
+
+const createCommand = command({
+  name: 'create',
+  description: 'Make a token, and print it with the entry for the tokens file; nothing is kept',
+  args: {
+    name: positional({ type: string, displayName: 'NAME', description: 'who shows the token' }),
+    roles: multioption({ type: array(oneOf(Object.values(Role))), long: 'role', description: 'caller, operator, target or platform' }),
+    team: option({ type: string, long: 'team', defaultValue: () => '', description: 'the only team that it may act for' }),
+    output: outputOption
+  },
+  examples: [{ description: 'For a dispatch desk', command: 'flamingorouter token create dispatch-desk --role caller --team dispatch' }],
+  handler: async ({ name, roles, team, output }) => {
+    if (roles.length === 0) fail(ErrorKind.invalidArgument, '--role names no role')
+    const { createToken } = await import('../core/tokens.js')
+    const { token, entry } = createToken(name, roles, team)
+    if (output === OutputFormat.json) return printJson({ token, entry })
+    process.stdout.write(`${token}\n${JSON.stringify(entry)}\n`)
+  }
+})
+
+export const tokenCommand = subcommands({
+  name: 'token',
+  description: 'Tokens of callers, operators, targets and the platform',
+  cmds: { create: createCommand }
+})
--- a/packages/cli/src/core/documents.ts
+++ b/packages/cli/src/core/documents.ts
@@ -1,10 +1,10 @@
 /**
  * Files that the commands read: JSON in the form of a message, with short names
- * for its enums.
+ * for its enums, and with bytes as a JSON object or in base64.
  */
 
 import { readFileSync } from 'node:fs'
-import { fromJson, type DescEnum, type DescMessage, type JsonObject, type MessageShape } from '@bufbuild/protobuf'
+import { fromJson, ScalarType, type DescEnum, type DescMessage, type JsonObject, type MessageShape } from '@bufbuild/protobuf'
 import { ErrorKind, fail } from '@flamingorouter/scheduler'
 
 /** Reads a message from a file, or from standard input for `-`. */
@@ -16,7 +16,7 @@
   try {
     const parsed: unknown = JSON.parse(text)
     if (typeof parsed !== 'object' || parsed === null || Array.isArray(parsed)) throw new Error('expected a JSON object')
-    return fromJson(schema, lengthenEnums(schema, parsed as JsonObject))
+    return fromJson(schema, toWireForm(schema, parsed as JsonObject))
   } catch (error) {
     fail(ErrorKind.invalidArgument, `${file}: ${error instanceof Error ? error.message : String(error)}`)
   }
@@ -46,12 +46,15 @@
   return number === 0 ? '' : short.toLowerCase()
 }
 
-function lengthenEnums (schema: DescMessage, json: JsonObject): JsonObject {
-  const long: JsonObject = { ...json }
+function toWireForm (schema: DescMessage, json: JsonObject): JsonObject {
+  const wire: JsonObject = { ...json }
   for (const field of schema.fields) {
     const value = json[field.jsonName]
-    if (field.fieldKind !== 'enum' || typeof value !== 'string') continue
-    long[field.jsonName] = enumNumber(field.enum, value)
+    if (field.fieldKind === 'enum' && typeof value === 'string') {
+      wire[field.jsonName] = enumNumber(field.enum, value)
+    } else if (field.fieldKind === 'scalar' && field.scalar === ScalarType.BYTES && typeof value === 'object' && value !== null) {
+      wire[field.jsonName] = Buffer.from(JSON.stringify(value)).toString('base64')
+    }
   }
-  return long
+  return wire
 }
--- a/packages/cli/src/core/settings-rules.ts
+++ b/packages/cli/src/core/settings-rules.ts
@@ -54,7 +54,6 @@
 function findAddressConflicts (settings: Settings): Issue[] {
   const addresses: [string, string | undefined][] = [
     ['controller.listen', settings.controller?.listen],
-    ['controller.advertise', settings.controller?.advertise],
     ['entry.listen', settings.entry?.listen],
     ['observe.listen', settings.observe?.listen],
     ...settings.controllers.map(({ address }, index): [string, string] => [`controllers[${index}].address`, address])
--- a/packages/cli/src/core/watching.ts
+++ b/packages/cli/src/core/watching.ts
@@ -5,12 +5,14 @@
 import {
   CallerService, OperatorService, WatchJobResponseSchema, type ListWorkloadsResponse, type TaskCounts, type WorkloadStatus
 } from '@flamingorouter/schema'
-import { ERROR_ANSWERS, ErrorKind } from '@flamingorouter/scheduler'
+import { ERROR_ANSWERS, ErrorKind, toFailure } from '@flamingorouter/scheduler'
 import { printMessage } from '../utils/messages.js'
 import { OutputFormat, printable, printJson } from '../utils/output.js'
 import type { CellClient } from './cell-client.js'
 
 const WAIT_MS = 10_000
+/** Failed reads in a row after which a watch ends. */
+const MAX_FAILURES = 5
 const BAR_CELLS = 24
 const CLEAR_LINE = '\r\u001b[2K'
 
@@ -18,7 +20,7 @@
 export async function watchJob (cell: CellClient, id: string, output: OutputFormat): Promise<void> {
   let afterChange = 0n
   for (;;) {
-    const response = await cell.call(CallerService.method.watchJob, { id, afterChange, waitMs: WAIT_MS }, WAIT_MS)
+    const response = await persist(() => cell.call(CallerService.method.watchJob, { id, afterChange, waitMs: WAIT_MS }, WAIT_MS))
     const status = response.status as WorkloadStatus
     const isNew = response.change > afterChange
     afterChange = response.change
@@ -38,7 +40,7 @@
   for (;;) {
     const waitMs = afterChange === 0n ? 0 : WAIT_MS
     const request = { afterChange, waitMs }
-    const response: ListWorkloadsResponse = await cell.call(OperatorService.method.watchWorkloads, request, waitMs)
+    const response: ListWorkloadsResponse = await persist(() => cell.call(OperatorService.method.watchWorkloads, request, waitMs))
     afterChange = response.change
     for (const status of response.workloads) {
       if (output === OutputFormat.json) printJson({ id: status.id, counts: status.counts, ended: status.ended })
@@ -47,6 +49,20 @@
   }
 }
 
+/** Reads again while the cell is out of reach for a while, as when its leader changes. */
+async function persist<T> (read: () => Promise<T>): Promise<T> {
+  for (let failures = 1; ; failures += 1) {
+    try {
+      return await read()
+    } catch (thrown) {
+      const { kind, message } = toFailure(thrown)
+      const mayPass = ERROR_ANSWERS[kind].retryable || kind === ErrorKind.deadlineExceeded
+      if (!mayPass || failures === MAX_FAILURES) throw thrown
+      process.stderr.write(`${printable(message)}; trying again\n`)
+    }
+  }
+}
+
 function writeProgress (status: WorkloadStatus): void {
   const line = describeProgress(status)
   process.stdout.write(process.stdout.isTTY ? `${CLEAR_LINE}${line}` : `${line}\n`)
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,6 +7,7 @@
 import { auditCommand, drainCommand, membersCommand, readmitCommand, statusCommand, topCommand } from './commands/cell.js'
 import { configCommand, policyCommand, teamCommand } from './commands/configuration.js'
 import { checkSettingsCommand, devCommand, serveCommand, stateCommand } from './commands/process.js'
+import { tokenCommand } from './commands/token.js'
 import { callCommand, cancelCommand, outcomeCommand } from './commands/requests.js'
 import {
   applyCommand, deleteCommand, explainCommand, getCommand, submitCommand, watchCommand
@@ -41,7 +42,8 @@
     members: membersCommand,
     status: statusCommand,
     top: topCommand,
-    audit: auditCommand
+    audit: auditCommand,
+    token: tokenCommand
   },
   examples: [
     { description: 'Try a small cell in this process', command: 'flamingorouter dev' },
--- a/packages/cli/src/types/settings.ts
+++ b/packages/cli/src/types/settings.ts
@@ -41,8 +41,6 @@
   dataFolder: string
   /** host:port */
   listen: string
-  /** host:port at which others reach it. */
-  advertise?: string
   snapshotEvery: number
 }
 
