Refuse requests at once by the load that will overtake them

Change: a request needs the mean time of a request and twice its deviation, at most half of its own deadline; the turn of a class is estimated by the share of capacity that higher classes take.

--- a/bench/measures/index.ts
+++ b/bench/measures/index.ts
@@ -6,6 +6,8 @@
 import { packing } from './packing.js'
 import { decisionTime, placementGrowth, placementRate } from './placement.js'
 import { fairness, urgentStart, waitingCoastline, waitingConsortium } from './waiting.js'
+import { entryRate } from './flow.js'
+import { requestWaiting, retryStorm } from './requests.js'
 
 export const MEASURES: readonly Measure[] = [
   placementRate,
@@ -15,5 +17,8 @@
   urgentStart,
   waitingCoastline,
   waitingConsortium,
-  fairness
+  fairness,
+  requestWaiting,
+  retryStorm,
+  entryRate
 ]
--- /dev/null
+++ b/packages/scheduler/src/core/requests/arrivals.ts
@@ -0,0 +1,44 @@
+/**
+ * How often requests of each class arrive: an average in which older arrivals
+ * count exponentially less.
+ */
+
+import { Urgency } from '../../types/workloads.js'
+
+/** Milliseconds over which the weight of an arrival falls to 1/e. */
+const MEMORY_MS = 2_000
+
+interface Rate { perMs: number, at: number }
+
+export class Arrivals {
+  private readonly rates: Record<Urgency, Rate> = {
+    [Urgency.bulk]: { perMs: 0, at: 0 },
+    [Urgency.normal]: { perMs: 0, at: 0 },
+    [Urgency.urgent]: { perMs: 0, at: 0 }
+  }
+
+  static create (): Arrivals {
+    return new Arrivals()
+  }
+
+  private constructor () {}
+
+  add (urgency: Urgency, now: number): void {
+    const rate = this.rates[urgency]
+    rate.perMs = decayed(rate, now) + 1 / MEMORY_MS
+    rate.at = now
+  }
+
+  /** Arrivals a millisecond of all classes above one. */
+  above (urgency: Urgency, now: number): number {
+    let total = 0
+    for (const other of Object.values(Urgency)) {
+      if (other > urgency) total += decayed(this.rates[other], now)
+    }
+    return total
+  }
+}
+
+function decayed ({ perMs, at }: Rate, now: number): number {
+  return perMs * Math.exp((at - now) / MEMORY_MS)
+}
--- a/packages/scheduler/src/core/requests/endings.ts
+++ b/packages/scheduler/src/core/requests/endings.ts
@@ -94,7 +94,7 @@
       live.tried.push(runner)
       if (service.hasUntried(live)) {
         live.call = event.call
-        return this.table.wait(live, service)
+        return this.table.wait(live, service, step.now)
       }
     }
     live.call = event.call
--- a/packages/scheduler/src/core/requests/limiter.ts
+++ b/packages/scheduler/src/core/requests/limiter.ts
@@ -6,6 +6,7 @@
  */
 
 const SMOOTHING = 0.1
+const MOST_DEVIATIONS = 2
 /** Slower than the service by this factor cuts the limit. */
 const SLOW_FACTOR = 2
 const SLOW_CUT = 0.9
@@ -15,6 +16,7 @@
 
 export class Latency {
   private smoothed = 0
+  private deviation = 0
   private samples = 0
 
   static create (): Latency {
@@ -28,6 +30,11 @@
     return this.smoothed
   }
 
+  /** Milliseconds within which nearly all are done: the mean and twice the deviation (as in RFC 6298). */
+  get most (): number {
+    return this.smoothed + MOST_DEVIATIONS * this.deviation
+  }
+
   get count (): number {
     return this.samples
   }
@@ -35,6 +42,7 @@
   add (ms: number): void {
     this.samples += 1
     const weight = Math.max(SMOOTHING, 1 / this.samples)
+    this.deviation += (Math.abs(ms - this.smoothed) - this.deviation) * weight
     this.smoothed += (ms - this.smoothed) * weight
   }
 }
--- a/packages/scheduler/src/core/requests/request-table.ts
+++ b/packages/scheduler/src/core/requests/request-table.ts
@@ -37,9 +37,9 @@
   }
 
   /** Puts a request into the queue of its service. */
-  wait (request: LiveRequest, service: Service): void {
+  wait (request: LiveRequest, service: Service, now: number): void {
     request.phase = 'waiting'
-    service.queue.add(request)
+    service.add(request, now)
     this.changed.add(service)
   }
 
--- a/packages/scheduler/src/core/requests/requests.ts
+++ b/packages/scheduler/src/core/requests/requests.ts
@@ -130,7 +130,7 @@
     const refusal = service.refusal(request, step.now, this.limits.queueLimit)
     if (refusal !== undefined) return this.table.finish(request, refusal, step)
     this.table.live.set(key, request)
-    this.table.wait(request, service)
+    this.table.wait(request, service, step.now)
   }
 
   /** A repeat of a request that waits or runs. */
@@ -150,7 +150,7 @@
     live.deadlineAt = step.now + facts.deadlineMs
     live.facts = facts
     live.entry = entry
-    this.table.wait(live, this.table.grants.service(facts.service))
+    this.table.wait(live, this.table.grants.service(facts.service), step.now)
   }
 
   private repeat (first: { digest: string, outcome: Outcome }, digest: string, call: number, step: Step): void {
--- a/packages/scheduler/src/core/requests/service.ts
+++ b/packages/scheduler/src/core/requests/service.ts
@@ -5,6 +5,8 @@
 
 import { OutcomeKind, type Outcome } from '../../types/requests.js'
 import { TargetPhase } from '../../types/targets.js'
+import type { Urgency } from '../../types/workloads.js'
+import { Arrivals } from './arrivals.js'
 import { RetryBudget } from './budget.js'
 import { bare, type LiveRequest } from './live.js'
 import { RequestQueue } from './queue.js'
@@ -12,8 +14,10 @@
 
 /** Answers after which the mean time of a request is trusted. */
 const TRUSTED_SAMPLES = 20
-/** A request with less than this share of the mean time left is not started. */
-const HOPELESS_SHARE = 0.5
+/** With this share of its whole time left, a request is always worth a try. */
+const ENOUGH_SHARE = 0.5
+/** How much longer than expected a turn may take. */
+const MARGIN = 1.2
 const LEAST_RETRY_AFTER_MS = 100
 const MOST_RETRY_AFTER_MS = 60_000
 const NO_RUNNER_RETRY_AFTER_MS = 1_000
@@ -22,6 +26,7 @@
   readonly queue = RequestQueue.create()
   readonly budget = RetryBudget.create()
   readonly runners: Runners
+  private readonly arrivals = Arrivals.create()
 
   static create (entryLimit: number): Service {
     return new Service(entryLimit)
@@ -36,8 +41,8 @@
     if (this.queue.size >= queueLimit) return this.shed('the queue of the service is full')
     const ahead = this.queue.ahead(request.order)
     if (ahead === 0 || !this.isTrusted) return undefined
-    const startMs = request.deadlineAt - now - this.runners.latency.mean
-    if (this.drainMs(ahead) <= startMs) return undefined
+    const startMs = request.deadlineAt - now - this.neededMs(request)
+    if (this.turnMs(ahead, request.facts.urgency, now) * MARGIN <= startMs) return undefined
     return this.shed('its turn would come after its deadline')
   }
 
@@ -50,7 +55,13 @@
   isTooLate (request: LiveRequest, now: number): boolean {
     const leftMs = request.deadlineAt - now
     if (leftMs <= 0) return true
-    return this.isTrusted && leftMs < this.runners.latency.mean * HOPELESS_SHARE
+    return this.isTrusted && leftMs < this.neededMs(request)
+  }
+
+  /** Queues a request, or puts it back. */
+  add (request: LiveRequest, now: number): void {
+    this.arrivals.add(request.facts.urgency, now)
+    this.queue.add(request)
   }
 
   answered (runner: Runner, ms: number): void {
@@ -88,6 +99,18 @@
     return this.runners.latency.count >= TRUSTED_SAMPLES
   }
 
+  /** Milliseconds without which a request most likely misses its deadline. */
+  private neededMs (request: LiveRequest): number {
+    return Math.min(this.runners.latency.most, request.facts.deadlineMs * ENOUGH_SHARE)
+  }
+
+  /** Milliseconds until the turn of a request, with those that will overtake it. */
+  private turnMs (ahead: number, urgency: Urgency, now: number): number {
+    const { mean } = this.runners.latency
+    const overtakenShare = this.arrivals.above(urgency, now) * mean / this.runners.capacity()
+    return overtakenShare < 1 ? this.drainMs(ahead) / (1 - overtakenShare) : Infinity
+  }
+
   /** Milliseconds until so many requests have been started. */
   private drainMs (requests: number): number {
     const capacity = this.runners.capacity()
--- a/packages/scheduler/src/core/requests/succession.ts
+++ b/packages/scheduler/src/core/requests/succession.ts
@@ -112,6 +112,6 @@
     request.order = live.order
     request.waiters = live.waiters
     this.table.live.set(request.key, request)
-    this.table.wait(request, service)
+    this.table.wait(request, service, step.now)
   }
 }
