--- a/packages/cli/src/runtime/serve.ts
+++ b/packages/cli/src/runtime/serve.ts
@@ -2,8 +2,12 @@
  * Runs the roles that the settings name, until a signal ends the process.
  */
 
-import { admitLoopback } from '@flamingorouter/rpc'
+import { describeCell, NO_FACTS } from '@flamingorouter/operators'
+import { RpcServer, toResources, type CallRecord, type PlainAnswer } from '@flamingorouter/rpc'
+import { AccessControl } from '../core/access-control.js'
+import { Metrics, type CellLoad } from '../metrics/metrics.js'
 import type { Settings } from '../types/settings.js'
+import type { Controller } from './controller.js'
 import { ControllerNode } from './controller-node.js'
 import { EntryNode } from './entry-node.js'
 import { ALL_BINDINGS, ALL_METHODS } from './methods.js'
@@ -12,47 +16,148 @@
 /** Exit code after a fault that the process cannot go on with. */
 const FAULT_EXIT_CODE = 1
 
-interface Running {
-  controller?: ControllerNode
-  entry?: EntryNode
-}
-
 /** Starts the roles and resolves when the process has been asked to stop and has stopped. */
 export async function runServe (settings: Settings): Promise<void> {
   const log = StreamLog.create(settings.process, settings.log.level)
-  const running: Running = {}
-  const stopped = waitForStop(log, running)
+  const served = ServedProcess.create(settings, log)
+  const stopped = waitForStop(log, served)
   try {
-    running.controller = await startController(settings, log)
-    running.entry = await startEntry(settings, log)
+    await served.start()
   } catch (thrown) {
     log.error('start_failed', { error: String(thrown) })
-    await stopAll(running)
+    await served.stop()
     throw thrown
   }
-  log.info('started', { controller: running.controller !== undefined, entry: running.entry !== undefined })
+  log.info('started', { controller: settings.controller !== undefined, entry: settings.entry !== undefined })
   await stopped
 }
 
-async function startController (settings: Settings, log: RuntimeLog): Promise<ControllerNode | undefined> {
-  const { controller } = settings
-  if (controller === undefined) return undefined
-  return await ControllerNode.start({
-    id: settings.process,
-    group: settings.group,
-    availabilityZone: settings.availabilityZone,
-    dataFolder: controller.dataFolder,
-    listen: controller.listen,
-    bootstrap: listBootstrap(settings),
-    timing: settings.timing,
-    snapshotEvery: controller.snapshotEvery,
-    limits: settings.limits,
-    seed: seedOf(settings.process)
-  }, {
-    bindings: ALL_BINDINGS,
-    log,
-    faulted: () => { process.exit(FAULT_EXIT_CODE) }
-  })
+/** The roles of one process with what they share: log, metrics, tokens and keys. */
+class ServedProcess {
+  private readonly metrics: Metrics
+  private readonly access: AccessControl
+  private controller: ControllerNode | undefined
+  private entry: EntryNode | undefined
+  private observer: RpcServer | undefined
+
+  private constructor (
+    private readonly settings: Settings,
+    private readonly log: RuntimeLog
+  ) {
+    this.metrics = Metrics.create(settings.process)
+    this.access = AccessControl.create(settings, log)
+  }
+
+  static create (settings: Settings, log: RuntimeLog): ServedProcess {
+    return new ServedProcess(settings, log)
+  }
+
+  async start (): Promise<void> {
+    this.controller = await this.startController()
+    this.entry = await this.startEntry()
+    this.observer = await this.startObserver()
+  }
+
+  async stop (): Promise<void> {
+    this.access.close()
+    await this.entry?.stop()
+    await this.controller?.stop()
+    await this.observer?.close()
+  }
+
+  private async startController (): Promise<ControllerNode | undefined> {
+    const { settings, log, metrics } = this
+    const { controller } = settings
+    if (controller === undefined) return undefined
+    const node = await ControllerNode.start({
+      id: settings.process,
+      group: settings.group,
+      availabilityZone: settings.availabilityZone,
+      dataFolder: controller.dataFolder,
+      listen: controller.listen,
+      bootstrap: listBootstrap(settings),
+      timing: settings.timing,
+      snapshotEvery: controller.snapshotEvery,
+      limits: settings.limits,
+      seed: seedOf(settings.process)
+    }, {
+      bindings: ALL_BINDINGS,
+      log,
+      metrics,
+      faulted: () => { process.exit(FAULT_EXIT_CODE) }
+    })
+    metrics.observeCell(() => readCellLoad(node.controller))
+    metrics.observeReplica(() => {
+      const { role, term, commitIndex, lastIndex } = node.controller.replica.status()
+      const { configurationVersion } = node.controller.state
+      return { isLeader: role === 'leader', term, commitIndex, lastIndex, configurationVersion }
+    })
+    return node
+  }
+
+  private async startEntry (): Promise<EntryNode | undefined> {
+    const { settings, log, metrics, access } = this
+    const { entry } = settings
+    if (entry === undefined) return undefined
+    const node = await EntryNode.start({
+      process: settings.process,
+      group: settings.group,
+      availabilityZone: settings.availabilityZone,
+      listen: splitAddress(entry.listen),
+      controllers: settings.controllers,
+      readinessFallMs: entry.readinessFallMs
+    }, {
+      methods: ALL_METHODS,
+      authenticate: access.authenticate,
+      keys: access.readKeys(),
+      limits: settings.http,
+      log,
+      metrics,
+      observe: record => { this.observe(record) },
+      pages: new Map([['/metrics', () => metrics.render()]])
+    })
+    metrics.observeTraffic('http', () => node.traffic)
+    access.watch(keys => { node.replaceKeys(keys) })
+    return node
+  }
+
+  /** Health and metrics of a process that is a controller alone. */
+  private async startObserver (): Promise<RpcServer | undefined> {
+    const { observe, http } = this.settings
+    if (observe === undefined) return undefined
+    const server = RpcServer.create({
+      methods: [],
+      handlers: new Map(),
+      authenticate: this.access.authenticate,
+      limits: http,
+      pages: new Map<string, () => PlainAnswer | Promise<PlainAnswer>>([
+        ['/livez', () => ({ status: 200, type: 'text/plain', body: 'live\n' })],
+        ['/readyz', () => this.describeReadiness()],
+        ['/metrics', () => this.metrics.render()]
+      ])
+    })
+    await server.listen(splitAddress(observe.listen))
+    return server
+  }
+
+  /** A controller is ready while it knows who leads. */
+  private describeReadiness (): PlainAnswer {
+    const isReady = (this.controller?.controller.replica.status().leader ?? '') !== ''
+    return { status: isReady ? 200 : 503, type: 'text/plain', body: isReady ? 'ready\n' : 'not ready\n' }
+  }
+
+  private observe (record: CallRecord): void {
+    this.metrics.recordCall(record)
+    const { failure, name: method, principal: actor, remoteAddress: from } = record
+    if (failure !== undefined) this.log.info('call_refused', { method, actor, from, kind: failure.kind, reason: failure.message })
+  }
+}
+
+/** The load of the cell; undefined unless this controller leads. */
+function readCellLoad (controller: Controller): CellLoad | undefined {
+  if (!controller.isAuthoritative) return undefined
+  const { capacity, reserved, tasksWaiting, tasksRunning, workers, runners } = describeCell(controller.state, NO_FACTS)
+  return { capacity: toResources(capacity), reserved: toResources(reserved), tasksWaiting, tasksRunning, workers, runners }
 }
 
 /** The first members, or none for a controller that is added to them later. */
@@ -61,37 +166,15 @@
   return settings.controllers.map(member => ({ ...member, role: 'voter' as const }))
 }
 
-async function startEntry (settings: Settings, log: RuntimeLog): Promise<EntryNode | undefined> {
-  const { entry } = settings
-  if (entry === undefined) return undefined
-  const colon = entry.listen.lastIndexOf(':')
-  return await EntryNode.start({
-    process: settings.process,
-    group: settings.group,
-    availabilityZone: settings.availabilityZone,
-    listen: { host: entry.listen.slice(0, colon), port: Number(entry.listen.slice(colon + 1)) },
-    controllers: settings.controllers,
-    readinessFallMs: entry.readinessFallMs
-  }, {
-    methods: ALL_METHODS,
-    authenticate: admitLoopback(),
-    log,
-    observe: record => {
-      if (record.failure === undefined) return
-      log.info('call_refused', { method: record.name, actor: record.principal, kind: record.failure.kind, reason: record.failure.message })
-    }
-  })
-}
-
 /** The first signal stops gracefully, a second one at once. */
-function waitForStop (log: RuntimeLog, running: Running): Promise<void> {
+function waitForStop (log: RuntimeLog, served: ServedProcess): Promise<void> {
   return new Promise((resolve, reject) => {
     let isStopping = false
     const stop = (signal: string): void => {
       if (isStopping) process.exit(FAULT_EXIT_CODE)
       isStopping = true
       log.info('stopping', { signal })
-      stopAll(running).then(() => {
+      served.stop().then(() => {
         log.info('stopped')
         resolve()
       }, reject)
@@ -101,9 +184,9 @@
   })
 }
 
-async function stopAll (running: Running): Promise<void> {
-  await running.entry?.stop()
-  await running.controller?.stop()
+function splitAddress (address: string): { host: string, port: number } {
+  const colon = address.lastIndexOf(':')
+  return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
 }
 
 /** Differs between processes, so that their election timeouts do. */
