--- /dev/null
+++ b/bench/restart.ts
@@ -0,0 +1,103 @@
+/**
+ * How long a controller takes to come back after a number of changes:
+ * `node --import tsx bench/restart.ts`. The data folder is filled by a group of
+ * one over real files; then its process state is dropped and opened anew.
+ */
+
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { performance } from 'node:perf_hooks'
+import {
+  FolderDisk, inspectFolder, MonotonicClock, Replica, Transport, type ReplicaOwner
+} from '../packages/controllers/src/index.js'
+
+const ENTRY_BYTES = 300
+/** Entries proposed in one turn of the loop. */
+const BURST = 100
+/** Entries that may wait for their commit. */
+const IN_FLIGHT = 2_000
+const TIMING = Object.freeze({ heartbeatMs: 50, electionMs: 300, driftMs: 30 })
+const CASES = Object.freeze([
+  { changes: 300, snapshotEvery: 10_000 },
+  { changes: 100_000, snapshotEvery: 10_000 },
+  { changes: 100_000, snapshotEvery: 1_000_000 }
+])
+
+class NoTransport extends Transport {
+  send (): void {}
+}
+
+class CountingOwner implements ReplicaOwner {
+  count = 0
+  isLeading = false
+  committed (_index: number, _entry: Uint8Array, own: boolean): void { if (!own) this.count += 1 }
+  restored (_index: number, snapshot: Uint8Array): void { this.count = Number(Buffer.from(snapshot).toString()) }
+  leading (): void { this.isLeading = true }
+  following (): void { this.isLeading = false }
+  snapshot (): Uint8Array { return Buffer.from(String(this.count)) }
+}
+
+async function open (folder: string, owner: ReplicaOwner, snapshotEvery: number): Promise<Replica> {
+  return await Replica.open({
+    id: 'a',
+    group: 'bench',
+    disk: await FolderDisk.open(folder),
+    newDisk: 'a1',
+    bootstrap: [{ id: 'a', address: '127.0.0.1:1', availabilityZone: 'zone', role: 'voter' }],
+    transport: new NoTransport(),
+    owner,
+    clock: MonotonicClock.create(),
+    seed: 1,
+    timing: TIMING,
+    snapshotEvery
+  })
+}
+
+/** Ticks a replica until a condition holds. */
+async function tickUntil (replica: Replica, isDone: () => boolean): Promise<void> {
+  while (!isDone()) {
+    replica.tick()
+    await new Promise(resolve => { setTimeout(resolve, 1) })
+  }
+}
+
+async function fill (folder: string, changes: number, snapshotEvery: number): Promise<number> {
+  const owner = new CountingOwner()
+  const replica = await open(folder, owner, snapshotEvery)
+  await tickUntil(replica, () => owner.isLeading)
+  const startedAt = performance.now()
+  const entry = new Uint8Array(ENTRY_BYTES).fill(7)
+  while (owner.count < changes) {
+    for (let sent = 0; sent < BURST && owner.count < changes; sent++) {
+      replica.propose(entry)
+      owner.count += 1
+    }
+    await tickUntil(replica, () => replica.status().lastIndex - replica.status().commitIndex < IN_FLIGHT)
+    await new Promise(resolve => { setImmediate(resolve) })
+  }
+  await tickUntil(replica, () => replica.status().commitIndex === replica.status().lastIndex)
+  const filledMs = performance.now() - startedAt
+  await replica.close()
+  return filledMs
+}
+
+for (const { changes, snapshotEvery } of CASES) {
+  const folder = await mkdtemp(join(tmpdir(), 'flamingorouter-restart-'))
+  const filledMs = await fill(folder, changes, snapshotEvery)
+  const { entries, segments, snapshotIndex } = await inspectFolder(folder)
+  const owner = new CountingOwner()
+  const startedAt = performance.now()
+  const replica = await open(folder, owner, snapshotEvery)
+  const openMs = performance.now() - startedAt
+  await tickUntil(replica, () => owner.isLeading)
+  const leadMs = performance.now() - startedAt
+  if (owner.count !== changes) throw new Error(`${owner.count} changes came back, not ${changes}`)
+  await replica.close()
+  await rm(folder, { recursive: true })
+  console.log([
+    `changes=${changes}`, `snapshotEvery=${snapshotEvery}`, `changesPerSecond=${(changes / filledMs * 1000).toFixed(0)}`,
+    `snapshotIndex=${snapshotIndex}`, `entriesAfterSnapshot=${entries}`, `segments=${segments.length}`,
+    `openMs=${openMs.toFixed(1)}`, `leadMs=${leadMs.toFixed(1)}`
+  ].join(' '))
+}
--- a/packages/controllers/__tests__/support/schedule.ts
+++ b/packages/controllers/__tests__/support/schedule.ts
@@ -15,7 +15,7 @@
 
 export interface Action {
   kind: 'propose' | 'isolate' | 'cutWay' | 'heal' | 'lose' | 'pause' | 'resume' | 'crash' | 'start' | 'crashLeader' |
-  'isolateLeader' | 'pauseLeader' | 'loseDisk' | 'replace' | 'add' | 'remove' | 'transfer' | 'failDisk' | 'slowDisks'
+  'isolateLeader' | 'pauseLeader' | 'loseDisk' | 'replace' | 'add' | 'remove' | 'cutFromLeader' | 'transfer' | 'failDisk' | 'slowDisks'
   node: string
   other: string
   /** Time to run after the action, in milliseconds. */
@@ -66,10 +66,19 @@
   ]
 })
 
+/** A member that no longer hears the leader wants an election while the leader still holds its lease. */
+const rivalry: fc.Arbitrary<Action[]> = fc.record({ node: id, other: id, ms }).map(({ node, other, ms }) => {
+  const then = (kind: Action['kind'], ms: number): Action => ({ kind, node, other, ms })
+  return [
+    then('heal', 0), then('start', 300), then('cutFromLeader', 150), then('propose', ms), then('isolateLeader', 150)
+  ]
+})
+
 export const schedule: fc.Arbitrary<Schedule> = fc.record({
   seed: fc.integer({ min: 1, max: 2 ** 30 }),
   actions: fc.array(fc.oneof(
-    { arbitrary: single, weight: 20 }, { arbitrary: repair, weight: 1 }, { arbitrary: resize, weight: 1 }
+    { arbitrary: single, weight: 20 }, { arbitrary: repair, weight: 1 }, { arbitrary: resize, weight: 1 },
+    { arbitrary: rivalry, weight: 1 }
   ), { minLength: 10, maxLength: 35, size: 'max' }).map(groups => groups.flat())
 })
 
@@ -98,6 +107,7 @@
     case 'start': for (const stopped of cluster.nodes.values()) cluster.start(stopped); return
     case 'crashLeader': return withLeader(cluster, leader => { cluster.crash(leader) })
     case 'isolateLeader': return withLeader(cluster, leader => { cluster.isolate(leader.id) })
+    case 'cutFromLeader': return withLeader(cluster, leader => { cluster.cutWay(leader.id, id) })
     case 'pauseLeader': return withLeader(cluster, leader => { leader.isPaused = true })
     case 'loseDisk': return loseDisk(cluster, node)
     case 'replace': return replace(cluster, coverage)
--- a/packages/controllers/src/core/storage/store.ts
+++ b/packages/controllers/src/core/storage/store.ts
@@ -63,7 +63,7 @@
     let entries: Entry[] = []
     for (const write of writes) {
       if (write.kind === 'append') {
-        entries = entries.concat(write.entries)
+        for (const entry of write.entries) entries.push(entry)
         lastIndex = write.entries[write.entries.length - 1].index
       } else if (write.kind === 'snapshot') {
         await this.appendEntries(entries)
