--- a/packages/rpc/src/core/server.ts
+++ b/packages/rpc/src/core/server.ts
@@ -8,17 +8,22 @@
  * Nothing of a body is read before the caller is known.
  */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer as createHttpServer, type IncomingMessage, type Server, type ServerOptions, type ServerResponse } from 'node:http'
+import { createServer as createHttpsServer, type Server as HttpsServer } from 'node:https'
 import type { AddressInfo, Socket } from 'node:net'
+import type { SecureContextOptions } from 'node:tls'
 import { H3, HTTPResponse, toNodeHandler, type H3Event } from 'h3'
 import { toBinary, type Message } from '@bufbuild/protobuf'
 import { ERROR_ANSWERS, ErrorKind, Failure, fail, toFailure } from '@flamingorouter/scheduler'
 import { methodName, type MethodRules, type RpcHandler } from '../types/call.js'
+import type { Keys } from '../types/keys.js'
 import { DEFAULT_RPC_LIMITS, type RpcLimits } from '../types/limits.js'
 import type { Authenticate, Principal } from '../types/principal.js'
 import type { Violation } from '../types/violation.js'
 import { readBody } from '../utils/body.js'
 import { ContentType, decodeMessage, encodeResult, parseContentType } from '../utils/codec.js'
+import { withNotice } from '../utils/notice.js'
+import { refuseConnection } from '../utils/unreadable.js'
 import { failViolations, toWireError } from '../utils/wire.js'
 
 /** How often open connections are checked against the time limits, in milliseconds. */
@@ -49,28 +54,30 @@
   pages?: ReadonlyMap<string, () => PlainAnswer | Promise<PlainAnswer>>
   /** Told of each answered call. */
   observe?: (record: CallRecord) => void
+  /** Serves TLS with these keys; plain HTTP when absent. */
+  keys?: Keys
 }
 
+/** Bytes over all connections since the start. */
+export interface ServerTraffic { received: number, sent: number }
+
 export class RpcServer {
   private readonly server: Server
+  private readonly sockets = new Set<Socket>()
+  private readonly ended: ServerTraffic = { received: 0, sent: 0 }
   private closing = false
 
   private constructor (
     private readonly options: RpcServerOptions,
     private readonly limits: RpcLimits
   ) {
-    this.server = createServer({
-      maxHeaderSize: limits.headerBytes,
-      headersTimeout: limits.headersTimeoutMs,
-      requestTimeout: limits.requestTimeoutMs,
-      keepAliveTimeout: limits.keepAliveMs,
-      connectionsCheckingInterval: CHECK_CONNECTIONS_MS,
-      noDelay: true
-    }, toNodeHandler(this.createApplication()))
+    this.server = this.createServer()
     // One more than the limit, so that an excess is seen and refused rather than cut off.
     this.server.maxHeadersCount = limits.headerCount + 1
     this.server.maxConnections = limits.connections
     this.server.on('clientError', (error, socket) => { refuseConnection(error, socket as Socket) })
+    const opened = options.keys === undefined ? 'connection' : 'secureConnection'
+    this.server.on(opened, (socket: Socket) => { this.opened(socket) })
   }
 
   static create (options: RpcServerOptions): RpcServer {
@@ -97,6 +104,48 @@
     clearTimeout(timer)
   }
 
+  /**
+   * Serves new connections with other keys; open ones go on with theirs. Whether
+   * clients show certificates stays as it was at the start.
+   */
+  replaceKeys (keys: Keys): void {
+    (this.server as HttpsServer).setSecureContext(toSecureOptions(keys))
+  }
+
+  get traffic (): ServerTraffic {
+    const { received, sent } = this.ended
+    const sum = { received, sent }
+    for (const socket of this.sockets) addTraffic(sum, socket)
+    return sum
+  }
+
+  private opened (socket: Socket): void {
+    this.sockets.add(socket)
+    socket.once('close', () => {
+      this.sockets.delete(socket)
+      addTraffic(this.ended, socket)
+    })
+  }
+
+  private createServer (): Server {
+    const { limits, options } = this
+    const common: ServerOptions = {
+      maxHeaderSize: limits.headerBytes,
+      headersTimeout: limits.headersTimeoutMs,
+      requestTimeout: limits.requestTimeoutMs,
+      keepAliveTimeout: limits.keepAliveMs,
+      connectionsCheckingInterval: CHECK_CONNECTIONS_MS,
+      noDelay: true
+    }
+    const listener = toNodeHandler(this.createApplication())
+    if (options.keys === undefined) return createHttpServer(common, listener)
+    return createHttpsServer({
+      ...common,
+      ...toSecureOptions(options.keys),
+      handshakeTimeout: limits.headersTimeoutMs
+    }, listener)
+  }
+
   private createApplication (): H3 {
     const app = new H3({ silent: true })
     for (const [path, page] of this.options.pages ?? []) {
@@ -108,10 +157,15 @@
     for (const rules of this.options.methods) {
       app.all(`/${methodName(rules.method)}`, event => this.answer(event, rules))
     }
-    app.all('/**', event => this.refuse(Failure.create(ErrorKind.unimplemented, `no method at ${event.url.pathname}`)))
+    app.all('/**', event => this.refusePath(event))
     return app
   }
 
+  private refusePath (event: H3Event): HTTPResponse {
+    const { req } = event.runtime?.node as { req: IncomingMessage }
+    return this.refuse(Failure.create(ErrorKind.unimplemented, `no method at ${event.url.pathname}`), !req.complete)
+  }
+
   private async answer (event: H3Event, rules: MethodRules): Promise<HTTPResponse> {
     const startedAt = performance.now()
     const { req, res } = event.runtime?.node as { req: IncomingMessage, res: ServerResponse }
@@ -141,8 +195,9 @@
     record: CallRecord
   ): Promise<HTTPResponse> {
     const type = this.checkHead(req)
-    const principal = this.admit(req, rules)
+    const principal = this.identify(req)
     record.principal = principal.name
+    requireRole(principal, rules)
     const handler = this.options.handlers.get(record.name)
     if (handler === undefined) fail(ErrorKind.unimplemented, `${record.name} is not served here`)
     const timeoutMs = parseTimeout(req.headers['connect-timeout-ms'])
@@ -174,14 +229,12 @@
     return type
   }
 
-  private admit (req: IncomingMessage, rules: MethodRules): Principal {
-    const principal = this.options.authenticate({
+  private identify (req: IncomingMessage): Principal {
+    return this.options.authenticate({
       authorization: req.headers.authorization ?? '',
       claimedName: String(req.headers['x-flamingorouter-principal'] ?? ''),
       remoteAddress: req.socket.remoteAddress ?? ''
     })
-    if (rules.roles.some(role => principal.roles.includes(role))) return principal
-    fail(ErrorKind.permissionDenied, `${principal.name} is none of: ${rules.roles.join(', ')}`)
   }
 
   private readRequest (req: IncomingMessage): Promise<Uint8Array> {
@@ -210,6 +263,20 @@
   }
 }
 
+function toSecureOptions ({ certificate, key, authority }: Keys): SecureContextOptions & { requestCert: boolean } {
+  return { cert: certificate, key, ca: authority, requestCert: authority !== undefined, minVersion: 'TLSv1.2' }
+}
+
+function requireRole (principal: Principal, rules: MethodRules): void {
+  if (rules.roles.some(role => principal.roles.includes(role))) return
+  fail(ErrorKind.permissionDenied, `${principal.name} is none of: ${rules.roles.join(', ')}`)
+}
+
+function addTraffic (sum: ServerTraffic, socket: Socket): void {
+  sum.received += socket.bytesRead
+  sum.sent += socket.bytesWritten
+}
+
 function checkRequest (rules: MethodRules, type: ContentType, bytes: Uint8Array): Message {
   const request = decodeMessage(rules.method.input, type, bytes)
   const violations: Violation[] = []
@@ -224,53 +291,3 @@
   if (!(timeoutMs > 0)) fail(ErrorKind.invalidArgument, `connect-timeout-ms ${String(header)}; use 1 to 9999999999`)
   return Math.min(timeoutMs, MAX_TIMEOUT_MS)
 }
-
-/** Runs a call with a signal that aborts when the other end hangs up or its time is over. */
-async function withNotice<T> (
-  res: ServerResponse,
-  timeoutMs: number,
-  run: (signal: AbortSignal) => Promise<T>
-): Promise<T> {
-  const controller = new AbortController()
-  const hangUp = (): void => { controller.abort(Failure.create(ErrorKind.cancelled, 'the caller hung up')) }
-  res.once('close', hangUp)
-  if (timeoutMs === 0) {
-    return await run(controller.signal).finally(() => { res.off('close', hangUp) })
-  }
-  const late = Failure.create(ErrorKind.deadlineExceeded, `not answered within ${timeoutMs} ms`)
-  return await new Promise<T>((resolve, reject) => {
-    const timer = setTimeout(() => {
-      controller.abort(late)
-      reject(late)
-    }, timeoutMs)
-    run(controller.signal).then(resolve, reject).finally(() => {
-      clearTimeout(timer)
-      res.off('close', hangUp)
-    })
-  })
-}
-
-/** Answers what node:http could not read as a request, and closes that connection alone. */
-function refuseConnection (error: Error & { code?: string }, socket: Socket): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy()
-    return
-  }
-  const failure = describeClientError(error)
-  const body = JSON.stringify(toWireError(failure))
-  const { httpStatus } = ERROR_ANSWERS[failure.kind]
-  socket.end([
-    `HTTP/1.1 ${httpStatus} ${failure.kind}`,
-    `content-type: ${ContentType.json}`,
-    `content-length: ${Buffer.byteLength(body)}`,
-    'connection: close',
-    '',
-    body
-  ].join('\r\n'), () => { socket.destroy() })
-}
-
-function describeClientError (error: Error & { code?: string }): Failure {
-  if (error.code === 'HPE_HEADER_OVERFLOW') return Failure.create(ErrorKind.payloadTooLarge, 'the headers are too large')
-  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') return Failure.create(ErrorKind.deadlineExceeded, 'the request took too long to arrive')
-  return Failure.create(ErrorKind.invalidArgument, 'not an HTTP request')
-}
