Measure the whole path with real processes

Cause: the bounds on task starts, requests, added waiting, failover, configuration and idle cost had no measurement.

--- /dev/null
+++ b/bench/cell/process-cost.ts
@@ -0,0 +1,34 @@
+/**
+ * What a process of this machine costs, read from the kernel.
+ */
+
+import { readFileSync } from 'node:fs'
+
+/** Clock ticks a second in /proc/PID/stat. */
+const TICKS_PER_SECOND = 100
+const KIB = 1024
+
+export interface ProcessCost {
+  /** Processor time since the start, in milliseconds. */
+  cpuMs: number
+  /** Resident memory in bytes. */
+  residentBytes: number
+  /** Memory that no file backs, in bytes. */
+  anonymousBytes: number
+}
+
+export function readProcessCost (pid: number): ProcessCost {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8')
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
+  const ticks = Number(fields[11]) + Number(fields[12])
+  const memory = readFileSync(`/proc/${pid}/smaps_rollup`, 'utf8')
+  return {
+    cpuMs: ticks * 1_000 / TICKS_PER_SECOND,
+    residentBytes: readKib(memory, 'Rss') * KIB,
+    anonymousBytes: readKib(memory, 'Anonymous') * KIB
+  }
+}
+
+function readKib (text: string, name: string): number {
+  return Number(new RegExp(`^${name}:\\s+(\\d+) kB`, 'm').exec(text)?.[1] ?? 0)
+}
--- a/bench/measures/index.ts
+++ b/bench/measures/index.ts
@@ -4,6 +4,7 @@
 
 import type { Measure } from '../registry.js'
 import { packing } from './packing.js'
+import { wholePathMeasures } from './whole-path.js'
 import { decisionTime, placementGrowth, placementRate } from './placement.js'
 import { fairness, urgentStart, waitingCoastline, waitingConsortium } from './waiting.js'
 
@@ -15,5 +16,6 @@
   urgentStart,
   waitingCoastline,
   waitingConsortium,
-  fairness
+  fairness,
+  ...wholePathMeasures
 ]
