Make a new leader known at once and keep an idle cell quiet

Cause: an idle leader of 30 workers and 9 entries used 5.2 to 5.9 percent of a core and 16.4 KB/s, over the limits of 4.3 percent and 8 KB/s; entries found a new leader only after a heartbeat to the lost one was given up.

--- a/packages/cli/src/runtime/controller-node.ts
+++ b/packages/cli/src/runtime/controller-node.ts
@@ -16,10 +16,10 @@
 import type { RuntimeLog } from './runtime-log.js'
 
 /** Time between two ticks of the replica and the scheduler, in milliseconds. */
-const TICK_MS = 10
+const TICK_MS = 20
 
 /** Ticks of the replica to one of the scheduler. */
-const SCHEDULER_TICKS = 5
+const SCHEDULER_TICKS = 3
 
 /** How long a planned stop waits for another controller to lead, in milliseconds. */
 const TRANSFER_MS = 2_000
--- a/packages/cli/src/runtime/controller.ts
+++ b/packages/cli/src/runtime/controller.ts
@@ -136,6 +136,7 @@
     this.options.scheduler.lead(clusterNow())
     this.entries.reset(monotonicNow())
     this.isLeading = true
+    for (const link of this.links.values()) link.send({ kind: 'notice', topic: Topic.leading, body: { term } })
     this.options.log.info('leading', { term, change: this.state.change })
   }
 
--- a/packages/cli/src/runtime/leader-client.ts
+++ b/packages/cli/src/runtime/leader-client.ts
@@ -4,14 +4,14 @@
  */
 
 import {
-  InternalMethod, LinkDialler,
-  type ControllerAddress, type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type Link, type LinkHandlers
+  InternalMethod, LinkDialler, Topic,
+  type ControllerAddress, type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type LeadingBody, type Link, type LinkHandlers
 } from '@flamingorouter/controllers'
 import { ErrorKind, Failure, toFailure } from '@flamingorouter/scheduler'
 import { monotonicNow } from './clock.js'
 
 /** Time between two heartbeats, in milliseconds. */
-export const HEARTBEAT_MS = 250
+export const HEARTBEAT_MS = 500
 
 /** How long a heartbeat waits for its answer, in milliseconds. */
 const HEARTBEAT_TIMEOUT_MS = 1_000
@@ -59,7 +59,7 @@
       opened: link => { this.beat(link) },
       called: handlers.called,
       replication: () => {},
-      notice: () => {},
+      notice: (link, topic, body) => { this.noticed(link, topic, body) },
       closed: link => { this.lost(link) }
     }
     for (const controller of controllers) this.dial(controller)
@@ -141,9 +141,15 @@
       .catch((thrown: unknown) => { this.unanswered(link, toFailure(thrown)) })
   }
 
+  /** A new leader makes itself known, long before a heartbeat to the old one is given up. */
+  private noticed (link: Link, topic: string, body: unknown): void {
+    if (topic === Topic.leading && (body as LeadingBody).term > this.term) this.beat(link)
+  }
+
   private answered (link: Link, answer: HeartbeatAnswer, sentAt: number): void {
     if (answer.term < this.term || !link.isOpen) return
     if (this.leader !== link || answer.term > this.term) this.pulse.found(link)
+    if (this.leader !== link) this.leader?.abandon('another controller leads')
     this.term = answer.term
     this.leader = link
     for (const controller of answer.controllers) this.dial(controller)
--- a/packages/controllers/src/core/link.ts
+++ b/packages/controllers/src/core/link.ts
@@ -101,6 +101,15 @@
     this.socket.destroy()
   }
 
+  /** Ends every open call as lost; an answer that still comes is dropped. */
+  abandon (reason: string): void {
+    for (const open of this.calls.values()) {
+      clearTimeout(open.timer)
+      open.reject(Failure.create(ErrorKind.deadlineExceeded, `the answer is not waited for: ${reason}`))
+    }
+    this.calls.clear()
+  }
+
   private receive (chunk: Buffer): void {
     if (this.isClosed) return
     this.bytesReceived += chunk.length
@@ -155,11 +164,7 @@
     if (this.isClosed) return
     this.isClosed = true
     clearTimeout(this.helloTimer)
-    for (const open of this.calls.values()) {
-      clearTimeout(open.timer)
-      open.reject(Failure.create(ErrorKind.deadlineExceeded, `link closed before the answer: ${this.reason}`))
-    }
-    this.calls.clear()
+    this.abandon(`the link closed: ${this.reason}`)
     this.handlers.closed(this, this.reason)
   }
 }
--- a/packages/controllers/src/types/methods.ts
+++ b/packages/controllers/src/types/methods.ts
@@ -19,9 +19,15 @@
 /** Topics of messages without an answer. */
 export const Topic = Object.freeze({
   /** Entry to a new leader, before anything else: the grants that the entry holds. */
-  grantsHeld: 'grantsHeld'
+  grantsHeld: 'grantsHeld',
+  /** New leader to each entry: it should send a heartbeat. */
+  leading: 'leading'
 } as const)
 
+export interface LeadingBody {
+  term: number
+}
+
 export interface HeartbeatBody {
   process: string
   availabilityZone: string
