Make time-out errors only when the time is over

Cause: a profile of 1,449 requests a second shows 4.9 percent of an entry's time in the constructor of errors that are nearly always thrown away; one costs 14 us.

Change: client and server build them when the timer fires.

--- a/packages/rpc/src/core/client.ts
+++ b/packages/rpc/src/core/client.ts
@@ -79,8 +79,9 @@
   async callRaw (address: string, name: string, body: Uint8Array, options: CallOptions = {}): Promise<Uint8Array> {
     const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS
     const controller = new AbortController()
-    const late = Failure.create(ErrorKind.deadlineExceeded, `${address} did not answer within ${timeoutMs} ms`)
-    const timer = setTimeout(() => { controller.abort(late) }, timeoutMs)
+    const timer = setTimeout(() => {
+      controller.abort(Failure.create(ErrorKind.deadlineExceeded, `${address} did not answer within ${timeoutMs} ms`))
+    }, timeoutMs)
     const giveUp = (): void => { controller.abort(Failure.create(ErrorKind.cancelled, 'the call was given up')) }
     options.signal?.addEventListener('abort', giveUp, { once: true })
     try {
--- a/packages/rpc/src/core/server.ts
+++ b/packages/rpc/src/core/server.ts
@@ -237,9 +237,9 @@
   if (timeoutMs === 0) {
     return await run(controller.signal).finally(() => { res.off('close', hangUp) })
   }
-  const late = Failure.create(ErrorKind.deadlineExceeded, `not answered within ${timeoutMs} ms`)
   return await new Promise<T>((resolve, reject) => {
     const timer = setTimeout(() => {
+      const late = Failure.create(ErrorKind.deadlineExceeded, `not answered within ${timeoutMs} ms`)
       controller.abort(late)
       reject(late)
     }, timeoutMs)
