--- a/bench/measures/index.ts
+++ b/bench/measures/index.ts
@@ -7,6 +7,8 @@
 import { wholePathMeasures } from './whole-path.js'
 import { decisionTime, placementGrowth, placementRate } from './placement.js'
 import { fairness, urgentStart, waitingCoastline, waitingConsortium } from './waiting.js'
+import { entryRate } from './flow.js'
+import { requestWaiting, retryStorm } from './requests.js'
 
 export const MEASURES: readonly Measure[] = [
   placementRate,
@@ -17,5 +19,8 @@
   waitingCoastline,
   waitingConsortium,
   fairness,
+  requestWaiting,
+  retryStorm,
+  entryRate,
   ...wholePathMeasures
 ]
