Let a dead process write nothing in the fake disk; test the end of the lease

Leaving the drift out of the lease, and keeping it while leadership is handed over, broke no check. Change: the fake acts at once or not at all; two tests of the lease.

--- a/packages/controllers/__tests__/raft.test.ts
+++ b/packages/controllers/__tests__/raft.test.ts
@@ -82,6 +82,31 @@
     })
   })
 
+  describe('the lease', () => {
+    function createLeader (): Raft {
+      const raft = createRaft(3, 1)
+      elect(raft)
+      sync(raft, LATE)
+      raft.receive('b', message(4, accepted(2), 'b1'), LATE + 50)
+      return raft
+    }
+
+    it('runs from the request on, and ends a drift before the promise does', () => {
+      const raft = createLeader()
+      const end = LATE + TIMING.electionMs - TIMING.driftMs
+      assert.equal(raft.holdsLease(end - 1), true)
+      assert.equal(raft.holdsLease(end), false)
+    })
+
+    it('is given up before leadership is handed over', () => {
+      const raft = createLeader()
+      raft.propose(new Uint8Array())
+      raft.transferLeadership('b', LATE + 51)
+      assert.equal(raft.role, 'leader')
+      assert.equal(raft.holdsLease(LATE + 51), false)
+    })
+  })
+
   describe('disks', () => {
     it('counts no vote that was given under another disk', () => {
       const raft = createRaft(3, 1)
--- a/packages/controllers/__tests__/support/disk.ts
+++ b/packages/controllers/__tests__/support/disk.ts
@@ -97,53 +97,49 @@
   }
 
   async read (name: string): Promise<Uint8Array> {
-    await this.check()
-    return this.inode(name).data
+    return await this.run(() => this.inode(name).data)
   }
 
   async write (name: string, data: Uint8Array): Promise<void> {
-    await this.check()
-    const inode: Inode = { data: Uint8Array.from(data), synced: new Uint8Array() }
-    this.medium.change(names => { names.set(name, inode) })
+    await this.run(() => { this.create(name, data) })
   }
 
   async append (name: string, data: Uint8Array): Promise<void> {
-    await this.check()
-    if (!this.medium.names.has(name)) await this.write(name, new Uint8Array())
-    const inode = this.inode(name)
-    inode.data = Buffer.concat([inode.data, data])
+    await this.run(() => {
+      if (!this.medium.names.has(name)) this.create(name, new Uint8Array())
+      const inode = this.inode(name)
+      inode.data = Buffer.concat([inode.data, data])
+    })
   }
 
   async truncate (name: string, length: number): Promise<void> {
-    await this.check()
-    const inode = this.inode(name)
-    inode.data = inode.data.subarray(0, length)
+    await this.run(() => {
+      const inode = this.inode(name)
+      inode.data = inode.data.subarray(0, length)
+    })
   }
 
   async sync (name: string): Promise<void> {
-    await this.check()
-    const inode = this.inode(name)
-    const { data } = inode
+    const { inode, data } = await this.run(() => ({ inode: this.inode(name), data: this.inode(name).data }))
     await this.wait()
-    inode.synced = data
+    await this.run(() => { inode.synced = data })
   }
 
   async rename (from: string, to: string): Promise<void> {
-    await this.check()
-    const inode = this.inode(from)
-    this.medium.change(names => { names.delete(from); names.set(to, inode) })
+    await this.run(() => {
+      const inode = this.inode(from)
+      this.medium.change(names => { names.delete(from); names.set(to, inode) })
+    })
   }
 
   async remove (name: string): Promise<void> {
-    await this.check()
-    this.medium.change(names => { names.delete(name) })
+    await this.run(() => { this.medium.change(names => { names.delete(name) }) })
   }
 
   async syncFolder (): Promise<void> {
-    await this.check()
-    const changes = this.medium.changes
+    const changes = await this.run(() => this.medium.changes)
     await this.wait()
-    this.medium.syncFolder(changes)
+    await this.run(() => { this.medium.syncFolder(changes) })
   }
 
   async close (): Promise<void> {}
@@ -154,13 +150,19 @@
     return inode
   }
 
-  private async wait (): Promise<void> {
-    await new Promise<void>(resolve => { this.delay(resolve) })
-    await this.check()
+  private create (name: string, data: Uint8Array): void {
+    const inode: Inode = { data: Uint8Array.from(data), synced: new Uint8Array() }
+    this.medium.change(names => { names.set(name, inode) })
+  }
+
+  private wait (): Promise<void> {
+    return new Promise(resolve => { this.delay(resolve) })
   }
 
-  private async check (): Promise<void> {
+  /** Acts at once, so that nothing happens after the process died. */
+  private async run<T> (act: () => T): Promise<T> {
     if (this.isDead) await new Promise<void>(() => {})
     if (this.isFailing) throw new Error('no space left on device')
+    return act()
   }
 }
