Check replication messages, and lock the data folder

Cause: a malformed message between controllers stopped the replica, and a second process on one data folder could cut what the first was writing. Change: the shape of each message is checked and a malformed one refused as invalidArgument, which closes its link; a data folder is held by a name in the abstract socket namespace, freed by the kernel when the process ends; the inspection shows the newest membership of the log.

--- a/packages/controllers/__tests__/raft.test.ts
+++ b/packages/controllers/__tests__/raft.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import {
-  EntryKind, Raft, RaftLog,
+  checkMessage, EntryKind, Raft, RaftLog,
   type Body, type Entry, type HardState, type Member, type Message, type Timing
 } from '../src/index.js'
 
@@ -165,6 +165,20 @@
     })
   })
 
+  it('refuses malformed messages', () => {
+    const good: Body = {
+      kind: 'appendRequest', previousIndex: 1, previousTerm: 1, entries: [entry(2, 4)], commitIndex: 0, sentAt: 0
+    }
+    assert.ok(checkMessage(message(4, good, 'b1')))
+    const bad: unknown[] = [
+      undefined, 7, 'text', {}, { kind: 'toString' }, { ...good }, message(-1, good, 'b1'), message(1.5, good, 'b1'),
+      message(4, { ...good, entries: [entry(3, 4)] }, 'b1'),
+      message(4, { ...good, entries: [{ ...entry(2, 4), data: 'text' as unknown as Uint8Array }] }, 'b1'),
+      message(4, { ...good, sentAt: NaN }, 'b1')
+    ]
+    for (const value of bad) assert.throws(() => checkMessage(value), { kind: 'invalidArgument' })
+  })
+
   it('does not take what an older write made durable for what replaced it', () => {
     const raft = createRaft(2, 1)
     const append = (term: number): Body => ({
--- a/packages/controllers/__tests__/storage.test.ts
+++ b/packages/controllers/__tests__/storage.test.ts
@@ -154,6 +154,15 @@
       { kind: 'failedPrecondition', message: /controller a, not b/ })
   })
 
+  it('refuses a folder that is in use, and takes it once that ended', async () => {
+    const folder = await filledFolder()
+    const store = await openStore(folder)
+    await assert.rejects(openStore(folder), { kind: 'failedPrecondition', message: /in use by another process/ })
+    assert.equal((await inspectFolder(folder)).lastIndex, ENTRIES)
+    await store.close()
+    await (await openStore(folder)).close()
+  })
+
   it('inspects without changing anything', async () => {
     const folder = await filledFolder()
     const name = (await inspectFolder(folder)).segments.at(-1)!.name
--- a/packages/controllers/src/core/replica.ts
+++ b/packages/controllers/src/core/replica.ts
@@ -5,10 +5,11 @@
  */
 
 import { ErrorKind, Failure, fail, toFailure } from '@flamingorouter/scheduler'
-import { EntryKind, type Message, type Snapshot, type Timing } from '../types/raft.js'
+import { EntryKind, type Snapshot, type Timing } from '../types/raft.js'
 import type { MemberFacts, ReplicaOwner, ReplicaStatus } from '../types/replica.js'
 import type { Clock } from './clock.js'
 import { RaftLog } from './raft/log.js'
+import { checkMessage } from './raft/messages.js'
 import { Raft } from './raft/raft.js'
 import type { Disk } from './storage/disk.js'
 import { Store } from './storage/store.js'
@@ -84,9 +85,10 @@
     return replica
   }
 
-  /** Takes a message that another replica gave to its transport. */
+  /** Takes a message that another replica gave to its transport; throws invalidArgument for a malformed one. */
   receive (from: string, message: unknown): void {
-    this.step(now => { this.raft.receive(from, message as Message, now) })
+    const checked = checkMessage(message)
+    this.step(now => { this.raft.receive(from, checked, now) })
   }
 
   /** To be called every 10 to 20 ms. */
--- a/packages/controllers/src/core/storage/disk.ts
+++ b/packages/controllers/src/core/storage/disk.ts
@@ -6,6 +6,7 @@
 
 import { mkdir, open, readFile, readdir, rename, rm, truncate, type FileHandle } from 'node:fs/promises'
 import { join } from 'node:path'
+import { FolderLock } from './lock.js'
 
 export abstract class Disk {
   abstract list (): Promise<string[]>
@@ -27,19 +28,22 @@
   /** Files that were appended to, kept open. */
   private readonly handles = new Map<string, FileHandle>()
 
-  private constructor (private readonly folder: string) {
+  private constructor (private readonly folder: string, private readonly lock?: FolderLock) {
     super()
   }
 
-  /** Over a folder that is there. */
+  /** To read a folder that is there, which may be in use. */
   static create (folder: string): FolderDisk {
     return new FolderDisk(folder)
   }
 
-  /** Over a folder that is made when missing. */
+  /**
+   * To use a folder, which is made when missing, until `close`. Throws
+   * failedPrecondition when a process uses it already.
+   */
   static async open (folder: string): Promise<FolderDisk> {
     await mkdir(folder, { recursive: true })
-    return FolderDisk.create(folder)
+    return new FolderDisk(folder, await FolderLock.acquire(folder))
   }
 
   async list (): Promise<string[]> {
@@ -101,6 +105,7 @@
   async close (): Promise<void> {
     for (const handle of this.handles.values()) await handle.close()
     this.handles.clear()
+    await this.lock?.release()
   }
 
   private async handleOf (name: string): Promise<FileHandle> {
--- a/packages/controllers/src/core/storage/inspect.ts
+++ b/packages/controllers/src/core/storage/inspect.ts
@@ -3,7 +3,8 @@
  */
 
 import { ErrorKind, Failure } from '@flamingorouter/scheduler'
-import type { Member } from '../../types/raft.js'
+import { EntryKind, type Member } from '../../types/raft.js'
+import { decodeMembers } from '../raft/members.js'
 import { FolderDisk, type Disk } from './disk.js'
 import { readContent, type Damage, type FolderContent, type Segment } from './content.js'
 
@@ -14,7 +15,7 @@
   disk: string
   term: number
   vote: string
-  /** Membership at the end of the snapshot, or the first one. Entries after it may change it. */
+  /** Newest membership in the log, committed or not. */
   members: Member[]
   snapshotIndex: number
   snapshotBytes: number
@@ -47,13 +48,14 @@
 function report (content: FolderContent): FolderReport {
   const { hardState, snapshot, segments, entries } = content
   const last = segments.at(-1)
+  const change = entries.findLast(entry => entry.kind === EntryKind.members)
   return {
     group: hardState?.group ?? '',
     id: hardState?.id ?? '',
     disk: hardState?.disk ?? '',
     term: hardState?.term ?? 0,
     vote: hardState?.vote ?? '',
-    members: snapshot?.members ?? hardState?.members ?? [],
+    members: change !== undefined ? decodeMembers(change.data) : snapshot?.members ?? hardState?.members ?? [],
     snapshotIndex: snapshot?.index ?? 0,
     snapshotBytes: snapshot?.data.length ?? 0,
     lastIndex: entries.at(-1)?.index ?? snapshot?.index ?? 0,
--- /dev/null
+++ b/packages/controllers/src/core/storage/lock.ts
@@ -0,0 +1,35 @@
+/**
+ * Keeps two processes from using one data folder at once. The lock is a name in
+ * the abstract socket namespace of Linux, made of the folder's device and inode:
+ * the kernel frees it when the process ends, however that happens.
+ */
+
+import { stat } from 'node:fs/promises'
+import { createServer, type Server } from 'node:net'
+import { ErrorKind, Failure } from '@flamingorouter/scheduler'
+
+export class FolderLock {
+  private constructor (private readonly server: Server | undefined) {}
+
+  /** Throws failedPrecondition when another process, or this one, holds the folder. Does nothing but on Linux. */
+  static async acquire (folder: string): Promise<FolderLock> {
+    if (process.platform !== 'linux') return new FolderLock(undefined)
+    const { dev, ino } = await stat(folder)
+    const server = createServer(socket => { socket.destroy() })
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', cause => {
+        const message = `the data folder ${folder} is in use by another process`
+        reject(Failure.create(ErrorKind.failedPrecondition, message, { cause }))
+      })
+      server.listen(`\0flamingorouter-folder-${dev}-${ino}`, resolve)
+    })
+    server.unref()
+    return new FolderLock(server)
+  }
+
+  async release (): Promise<void> {
+    const { server } = this
+    if (server?.listening !== true) return
+    await new Promise<void>(resolve => { server.close(() => { resolve() }) })
+  }
+}
--- a/packages/controllers/src/core/storage/store.ts
+++ b/packages/controllers/src/core/storage/store.ts
@@ -38,8 +38,20 @@
     readonly entries: Entry[]
   ) {}
 
-  /** Reads the folder, cuts a torn tail, and refuses damage and a folder of another group or controller. */
+  /**
+   * Reads the folder, cuts a torn tail, and refuses damage and a folder of
+   * another group or controller. The disk is closed when that fails.
+   */
   static async open (options: StoreOptions): Promise<Store> {
+    try {
+      return await Store.load(options)
+    } catch (thrown) {
+      await options.disk.close()
+      throw thrown
+    }
+  }
+
+  private static async load (options: StoreOptions): Promise<Store> {
     const { disk } = options
     const content = await readContent(disk)
     refuseDamage(content)
