--- a/features/support/real-cell.ts
+++ b/features/support/real-cell.ts
@@ -88,6 +88,7 @@
     writeFileSync(file, JSON.stringify(await this.createSettings(state)))
     const child = spawn(BINARY, ['serve', file], { stdio: ['ignore', 'pipe', 'pipe'] })
     state.child = child
+    process.once('exit', () => { child.kill('SIGKILL') })
     state.isFrozen = false
     for (const stream of [child.stdout, child.stderr]) {
       stream.on('data', (chunk: Buffer) => { state.output.push(...chunk.toString().split('\n').filter(line => line !== '')) })
