--- a/packages/callers/src/core/http-runner-client.ts
+++ b/packages/callers/src/core/http-runner-client.ts
@@ -43,11 +43,14 @@
   override async run (run: Run): Promise<RunEnd> {
     const line = this.line(run.grant.address, run.grant.connections)
     line.inFlight += 1
+    const giveUp = new AbortController()
+    const timer = setTimeout(() => { giveUp.abort() }, run.giveUpMs)
     try {
-      return await send(line.pool, run, run.grant.connections === 0)
+      return await send(line.pool, run, giveUp.signal)
     } catch (error) {
       return endOfError(error)
     } finally {
+      clearTimeout(timer)
       line.inFlight -= 1
       line.usedAt = performance.now()
       this.dropUnused()
@@ -93,7 +96,7 @@
   })
 }
 
-async function send (pool: Pool, run: Run, closes: boolean): Promise<RunEnd> {
+async function send (pool: Pool, run: Run, signal: AbortSignal): Promise<RunEnd> {
   const message = create(RunRequestSchema, {
     session: run.grant.session,
     grant: run.grant.id,
@@ -108,8 +111,8 @@
     headers: { ...HEADERS, 'connect-timeout-ms': String(run.deadlineMs) },
     body: toBinary(RunRequestSchema, message),
     idempotent: false,
-    reset: closes,
-    signal: AbortSignal.timeout(run.giveUpMs)
+    reset: run.grant.connections === 0,
+    signal
   })
   const bytes = new Uint8Array(await answer.body.arrayBuffer())
   return read(answer, bytes)
