Refuse requests for services that no runner offers

Cause: each unknown service name left a queue behind at the leader, and its requests waited for their whole deadline. Change: they are refused at once. Shown by requests.test.ts; flow.test.ts now counts slots and connections at the runners under 60 requests at once.

--- a/packages/callers/__tests__/flow.test.ts
+++ b/packages/callers/__tests__/flow.test.ts
@@ -228,6 +228,19 @@
     })
   })
 
+  describe('many requests at once', () => {
+    it('use no more slots and connections than the entry may', async () => {
+      await addRunner('a')
+      await addRunner('b')
+      plans.a = plans.b = () => ({ behaviour: Behaviour.answer, workMs: 2 })
+      const outcomes = await Promise.all(Array.from({ length: 60 }, (_, index) => submit(String(index), index % 2 === 0)))
+      assert.deepEqual([...new Set(outcomes.map(outcome => outcome.kind))], [OutcomeKind.done])
+      const most = (count: 'running' | 'connections'): number => Math.max(...journal.records.map(record => record[count]))
+      assert.equal(most('running'), 2)
+      assert.equal(most('connections'), 2)
+    })
+  })
+
   describe('a planned stop', () => {
     it('refuses new requests, and waits for those in flight', async () => {
       await addRunner('a')
--- a/packages/scheduler/__tests__/requests.test.ts
+++ b/packages/scheduler/__tests__/requests.test.ts
@@ -133,6 +133,16 @@
     })
   })
 
+  describe('a service that no runner offers', () => {
+    it('is refused at once and leaves nothing behind', () => {
+      start(runner('a'))
+      const refused = replies(acquire(facts('1', { service: 'other' })))[0]
+      assert.ok(refused.kind === 'reply' && refused.answer.kind === 'outcome')
+      assert.equal(refused.answer.outcome.kind, OutcomeKind.notRun)
+      assert.equal(replies(acquire(facts('1', { service: 'other' }))).length, 1)
+    })
+  })
+
   describe('requests that are not idempotent', () => {
     it('are claimed by a decision in the step of the grant, and never granted again', () => {
       start(runner('a', 4))
--- a/packages/scheduler/src/core/requests/grants.ts
+++ b/packages/scheduler/src/core/requests/grants.ts
@@ -25,6 +25,11 @@
     return [...this.byId.values()]
   }
 
+  /** The service of that name, unless no runner ever offered it. */
+  find (name: string): Service | undefined {
+    return this.services.get(name)
+  }
+
   service (name: string): Service {
     let service = this.services.get(name)
     if (service === undefined) {
--- a/packages/scheduler/src/core/requests/requests.ts
+++ b/packages/scheduler/src/core/requests/requests.ts
@@ -26,6 +26,8 @@
 
 type Acquire = Extract<Event, { kind: 'acquire' }>
 
+const NO_RUNNER = bare(OutcomeKind.notRun, 'no runner offers the service', 1_000)
+
 export interface RequestOptions {
   /** True spends the retry budget on retries; false retries without a limit, for comparison. */
   budgetsRetries: boolean
@@ -126,7 +128,8 @@
     const failure = facts.idempotent ? undefined : this.table.records.refusal(facts, key, step.state, step.now)
     if (failure !== undefined) return step.refuse(call, failure.kind, failure.message, failure.retryAfterMs)
     const request = createLiveRequest(key, facts, entry, call, step.now)
-    const service = this.table.grants.service(facts.service)
+    const service = this.table.grants.find(facts.service)
+    if (service === undefined) return this.table.finish(request, NO_RUNNER, step)
     const refusal = service.refusal(request, step.now, this.limits.queueLimit)
     if (refusal !== undefined) return this.table.finish(request, refusal, step)
     this.table.live.set(key, request)
