Keep the room that urgent work leaves for the next of it while work is preempted

A worker that is removed while room is held on it gives up the holds, and no longer disturbs the place that another took.

--- a/packages/scheduler/src/core/placement/fleet.ts
+++ b/packages/scheduler/src/core/placement/fleet.ts
@@ -127,6 +127,12 @@
     this.refresh(worker)
   }
 
+  /** Keeps room from all, or gives it back with a negative sign. */
+  keep (worker: Worker, size: Resources, sign: number): void {
+    addSize(worker.held, size, sign)
+    this.refresh(worker)
+  }
+
   /** Takes room for a task that is only tried, without telling anyone. */
   tryReserve (worker: Worker, need: Resources, count: number): void {
     addSize(worker.used, need, count)
@@ -208,6 +214,7 @@
 
   /** Brings the indexes up to date; true when more is free in some dimension. */
   private reindex (worker: Worker): boolean {
+    if (!worker.listed) return false
     const { millicores, memoryMib, accelerators } = worker.free
     this.countFree(worker, -1)
     worker.updateFree()
@@ -228,6 +235,7 @@
     const inRack = this.zones.get(worker.target.availabilityZone)?.get(worker.target.rack)
     inRack?.splice(inRack.indexOf(worker), 1)
     this.workers.delete(worker.name)
+    worker.listed = false
     this.tournament.remove(worker)
     this.spareOrders.push(worker.order)
   }
--- a/packages/scheduler/src/core/placement/indexes.ts
+++ b/packages/scheduler/src/core/placement/indexes.ts
@@ -9,6 +9,7 @@
 import { startableAt, TaskPhase, type TaskState, type WorkloadState } from '../../types/workloads.js'
 import { Demand } from './demand.js'
 import { Fleet } from './fleet.js'
+import { Headroom } from './headroom.js'
 import { Holds } from './holds.js'
 import { Ledger } from './ledger.js'
 import { resolvePolicy } from './policy.js'
@@ -26,6 +27,7 @@
   readonly demands = new Map<string, Demand>()
   readonly fleet: Fleet
   readonly holds: Holds
+  readonly headroom: Headroom
   readonly ledger: Ledger
   readonly shapes = ShapeBook.create()
   readonly queue: Queue
@@ -36,6 +38,7 @@
   private constructor (private readonly state: ClusterState, estimates: Estimates, options: ReservationOptions) {
     this.fleet = Fleet.create(worker => this.takeRoom(worker))
     this.holds = Holds.create(this.fleet)
+    this.headroom = Headroom.create(this.fleet)
     this.ledger = Ledger.create(this.fleet, state)
     this.queue = Queue.create(this.ledger, this.shapes)
     this.reservations = Reservations.create(this.fleet, this.holds, this.ledger, estimates, options)
@@ -78,6 +81,7 @@
 
   /** Puts tasks whose back-off is over back in line. */
   wake (now: number): void {
+    this.headroom.expire(now)
     for (;;) {
       const backoff = this.backoffs.take(now)
       if (backoff === undefined) return
@@ -165,7 +169,10 @@
     if (demand === undefined) return
     const holding = demand.holdings.get(decision.index)
     const task = demand.workload.tasks[decision.index]
-    if (holding !== undefined) this.drop(holding)
+    if (holding !== undefined) {
+      this.headroom.keep(holding, now)
+      this.drop(holding)
+    }
     if (task?.phase === TaskPhase.waiting) this.takeWaiting(demand, task, now)
     else demand.removeWaiting(decision.index)
     this.enqueue(demand)
@@ -201,9 +208,9 @@
 
   private changedTarget (name: string): void {
     const target = this.state.targets.get(name)
+    const known = this.fleet.get(name)
     if (target === undefined) this.fleet.remove(name)
-    else this.fleet.put(target, this.state)
-    const worker = this.fleet.get(name)
+    const worker = target === undefined ? known : this.fleet.put(target, this.state)
     if (worker !== undefined) this.changedUse(worker)
     this.ledger.updateShares()
   }
--- a/packages/scheduler/src/core/placement/placer.ts
+++ b/packages/scheduler/src/core/placement/placer.ts
@@ -152,8 +152,10 @@
     line.lacksVictims = false
     for (const demand of line.list()) {
       if (made >= most) return made
+      if (this.countPreemptions(demand, 1) > 0) this.placeOnHeadroom(demand, step)
       const wanted = this.countPreemptions(demand, most - made)
       if (wanted <= 0) continue
+      this.indexes.headroom.notePreemption(step.now)
       const count = this.preemption.preempt(demand, wanted, step)
       made += count
       if (count === wanted) continue
@@ -164,6 +166,16 @@
     return made
   }
 
+  /** Starts tasks of a demand on room that was kept for urgent work, as far as it goes. */
+  private placeOnHeadroom (demand: Demand, step: Step): void {
+    while (!demand.isGang && demand.waitingCount > demand.heldCount && this.indexes.ledger.isAllowed(demand)) {
+      const worker = this.indexes.headroom.take(demand)
+      const task = demand.nextWaiting()
+      if (worker === undefined || task === undefined) return
+      this.place(demand, task, worker, step)
+    }
+  }
+
   /** For how many tasks others may be preempted: those of a gang together. */
   private countPreemptions (demand: Demand, most: number): number {
     const account = this.indexes.ledger.get(demand.workload.spec.team)
--- a/packages/scheduler/src/core/placement/sizes.ts
+++ b/packages/scheduler/src/core/placement/sizes.ts
@@ -30,6 +30,12 @@
   sum.accelerators += amount.accelerators * times
 }
 
+export function sumOf (one: Resources, other: Resources): Resources {
+  const sum = copySize(one)
+  addSize(sum, other)
+  return sum
+}
+
 /** How many times the need goes into the room; Infinity for a need of nothing. */
 export function countWithin (need: Resources, room: Resources): number {
   let count = Infinity
--- a/packages/scheduler/src/core/placement/worker.ts
+++ b/packages/scheduler/src/core/placement/worker.ts
@@ -40,7 +40,7 @@
 export class Worker {
   /** Room of tasks that are placed, running or stopping. */
   readonly used: Resources = createSize()
-  /** Room of the holds. */
+  /** Room of the holds, and room kept for urgent work. */
   readonly held: Resources = createSize()
   /**
    * What anyone may take: capacity less what is used and held. Below zero while
@@ -58,6 +58,8 @@
   usable = false
   /** False once the target is gone; its room is known until its last task ends. */
   present = true
+  /** False once the fleet has forgotten it. */
+  listed = true
   /** Position in each bucket index, by dimension. */
   readonly bucket = [-1, -1, -1]
   readonly bucketAt = [0, 0, 0]
