Judge starving lines once a round, and remember vain preemptions by shape

Cause: in a full cell with 1,470 waiting lines each round of reservations read the head of a line twice for each comparison, and each tick walked the whole fleet to look at a fiftieth of it; thousands of blocked urgent lines were each tried for preemption in turn. Change: lines are judged once, and only while a reservation of their kind is free; the watch of usage keeps its place; one vain preemption speaks for all lines of its shape at lower ranks.

--- a/packages/scheduler/src/core/placement/placer.ts
+++ b/packages/scheduler/src/core/placement/placer.ts
@@ -11,6 +11,7 @@
 import type { Indexes } from './indexes.js'
 import { Preemption } from './preemption.js'
 import { LineState, type ShapeLine } from './queue.js'
+import type { Shape } from './shapes.js'
 import type { Worker } from './worker.js'
 
 /** Gangs that are tried again after room became free, in one round. */
@@ -139,10 +140,17 @@
 
   private preempt (step: Step): void {
     let left = PREEMPTIONS_PER_ROUND
-    const lines = Array.from(this.indexes.queue.preemptors).sort((one, other) => other.rank - one.rank)
-    for (const line of lines) {
+    const lines: ShapeLine[] = []
+    for (const line of this.indexes.queue.preemptors) {
+      if (step.now >= line.nextPreemptionAt) lines.push(line)
+    }
+    const vain = new Set<Shape>()
+    for (const line of lines.sort((one, other) => other.rank - one.rank)) {
       if (left <= 0) return
-      if (step.now >= line.nextPreemptionAt) left -= this.preemptForLine(line, left, step)
+      // What found nothing to stop at a higher rank finds nothing at this one.
+      if (vain.has(line.shape)) line.nextPreemptionAt = step.now + PREEMPTION_RETRY_MS
+      else left -= this.preemptForLine(line, left, step)
+      if (line.lacksVictims) vain.add(line.shape)
     }
   }
 
--- a/packages/scheduler/src/core/placement/reservations.ts
+++ b/packages/scheduler/src/core/placement/reservations.ts
@@ -47,6 +47,9 @@
   readonly expectedAt: number
 }
 
+/** Reservations that may still be made. */
+interface Slots { gangs: number, others: number }
+interface Starved { readonly demand: Demand, readonly since: number }
 interface Opening { readonly worker: Worker, readonly at: number }
 interface End { readonly holding: Holding, readonly at: number }
 
@@ -84,11 +87,9 @@
     }
     let gangs = 0
     for (const demand of this.made.keys()) gangs += demand.isGang ? 1 : 0
-    const free = { gangs: 1 - gangs, others: MOST_OTHERS - (this.made.size - gangs) }
+    const free: Slots = { gangs: 1 - gangs, others: MOST_OTHERS - (this.made.size - gangs) }
     if (free.gangs <= 0 && free.others <= 0) return
-    for (const line of this.listStarved(lines, now)) {
-      const demand = line.peek()
-      if (demand === undefined) continue
+    for (const { demand } of this.listStarved(lines, free, now)) {
       const left = demand.isGang ? 'gangs' : 'others'
       if (free[left] <= 0) continue
       if (this.reserve(demand, now)) {
@@ -102,25 +103,27 @@
     }
   }
 
-  /** The few lines that got nothing for longest, first. */
-  private listStarved (lines: Iterable<ShapeLine>, now: number): ShapeLine[] {
-    const starved: ShapeLine[] = []
+  /** The few demands whose lines got nothing for longest, first. */
+  private listStarved (lines: Iterable<ShapeLine>, free: Slots, now: number): Starved[] {
+    const starved: Starved[] = []
     for (const line of lines) {
+      const slots = line.shape.gang === undefined ? free.others : free.gangs
+      const demand = slots > 0 ? line.peek() : undefined
+      if (demand === undefined) continue
+      const candidate = { demand, since: line.starvedSince }
       const last = starved[MOST_TRIES - 1]
-      if (last !== undefined && compareStarved(line, last) >= 0) continue
-      if (!this.isStarved(line, now)) continue
-      starved.push(line)
+      if (last !== undefined && compareStarved(candidate, last) >= 0) continue
+      if (!this.isStarved(candidate, now)) continue
+      starved.push(candidate)
       starved.sort(compareStarved)
       starved.length = Math.min(starved.length, MOST_TRIES)
     }
     return starved
   }
 
-  private isStarved (line: ShapeLine, now: number): boolean {
-    const demand = line.peek()
-    if (demand === undefined || demand.heldCount > 0) return false
+  private isStarved ({ demand, since }: Starved, now: number): boolean {
     const afterMs = demand.isGang ? this.options.gangAfterMs : this.options.otherAfterMs
-    if (now - line.starvedSince < afterMs) return false
+    if (now - since < afterMs || demand.heldCount > 0) return false
     return (this.retryAt.get(demand) ?? 0) <= now && this.ledger.isAllowed(demand)
   }
 
@@ -201,6 +204,6 @@
   }
 }
 
-function compareStarved (one: ShapeLine, other: ShapeLine): number {
-  return one.starvedSince - other.starvedSince || (one.peek()?.order ?? 0) - (other.peek()?.order ?? 0)
+function compareStarved (one: Starved, other: Starved): number {
+  return one.since - other.since || one.demand.order - other.demand.order
 }
--- a/packages/scheduler/src/core/placement/usageWatch.ts
+++ b/packages/scheduler/src/core/placement/usageWatch.ts
@@ -12,18 +12,26 @@
 const TICKS_PER_PASS = 50
 
 export class UsageWatch {
-  private turn = 0
+  /** Where the pass over the fleet stands. */
+  private pass: Iterator<Worker>
 
-  private constructor (private readonly fleet: Fleet, private readonly usage: UsageTable) {}
+  private constructor (private readonly fleet: Fleet, private readonly usage: UsageTable) {
+    this.pass = fleet.workers.values()
+  }
 
   static create (fleet: Fleet, usage: UsageTable): UsageWatch {
     return new UsageWatch(fleet, usage)
   }
 
   tick (): void {
-    this.turn = (this.turn + 1) % TICKS_PER_PASS
-    for (const worker of this.fleet.workers.values()) {
-      if (worker.order % TICKS_PER_PASS === this.turn) this.refresh(worker)
+    const count = Math.ceil(this.fleet.workers.size / TICKS_PER_PASS)
+    for (let at = 0; at < count; at += 1) {
+      const next = this.pass.next()
+      if (next.done === true) {
+        this.pass = this.fleet.workers.values()
+        return
+      }
+      this.refresh(next.value)
     }
   }
 
