Hold fewer reservations at one time: one for each 30 workers

Cause: held room idles until enough of it is free. Change: one for each 30 workers in place of 4; none would let work starve.

--- a/packages/scheduler/src/core/placement/reservations.ts
+++ b/packages/scheduler/src/core/placement/reservations.ts
@@ -29,8 +29,8 @@
   otherAfterMs: 30_000
 })
 
-/** Reservations at one time for work other than gangs; gangs have one at a time. */
-const MOST_OTHERS = 4
+/** Workers for each reservation at one time of work other than gangs; gangs have one at a time. */
+const WORKERS_PER_RESERVATION = 30
 /** Lines for which a reservation is tried in one round. */
 const MOST_TRIES = 8
 /** Openings that are compared, at least, and for each task. */
@@ -87,7 +87,7 @@
     }
     let gangs = 0
     for (const demand of this.made.keys()) gangs += demand.isGang ? 1 : 0
-    const free: Slots = { gangs: 1 - gangs, others: MOST_OTHERS - (this.made.size - gangs) }
+    const free: Slots = { gangs: 1 - gangs, others: Math.ceil(this.fleet.workers.size / WORKERS_PER_RESERVATION) - (this.made.size - gangs) }
     if (free.gangs <= 0 && free.others <= 0) return
     for (const { demand } of this.listStarved(lines, free, now)) {
       const left = demand.isGang ? 'gangs' : 'others'
