Reserve for other work than gangs once a second, and split two long modules

Cause: with more reservations free in a large cell, each round of 250 ms looked at all 1,470 waiting lines. Change: only gangs are looked for each round; lines and openings have modules of their own.

--- a/packages/scheduler/src/core/placement/demand.ts
+++ b/packages/scheduler/src/core/placement/demand.ts
@@ -7,7 +7,7 @@
 import { TaskPhase, Urgency, WorkloadKind, type TaskState, type WorkloadState } from '../../types/workloads.js'
 import { isZoneAllowed } from './feasibility.js'
 import type { EffectivePolicy } from './policy.js'
-import type { ShapeLine } from './queue.js'
+import type { ShapeLine } from './lines.js'
 import type { Hold, Holding, Worker } from './worker.js'
 
 export class Demand {
--- a/packages/scheduler/src/core/placement/explain.ts
+++ b/packages/scheduler/src/core/placement/explain.ts
@@ -9,7 +9,7 @@
 import type { Demand } from './demand.js'
 import { checkFeasible, isZoneAllowed } from './feasibility.js'
 import type { Indexes } from './indexes.js'
-import { rankOf } from './queue.js'
+import { rankOf } from './lines.js'
 import { addSize, copySize, DIMENSIONS } from './sizes.js'
 import type { Worker } from './worker.js'
 
--- a/packages/scheduler/src/core/placement/ledger.ts
+++ b/packages/scheduler/src/core/placement/ledger.ts
@@ -9,7 +9,7 @@
 import type { ClusterState } from '../../types/state.js'
 import type { Demand } from './demand.js'
 import type { Fleet } from './fleet.js'
-import type { ShapeLine } from './queue.js'
+import type { ShapeLine } from './lines.js'
 import { addSize, countWithin, createSize, DIMENSIONS } from './sizes.js'
 
 export const DEFAULT_WEIGHT = 100
--- a/packages/scheduler/src/core/placement/placer.ts
+++ b/packages/scheduler/src/core/placement/placer.ts
@@ -10,7 +10,7 @@
 import { planGang } from './gangs.js'
 import type { Indexes } from './indexes.js'
 import { Preemption } from './preemption.js'
-import { LineState, type ShapeLine } from './queue.js'
+import { LineState, type ShapeLine } from './lines.js'
 import type { Shape } from './shapes.js'
 import type { Worker } from './worker.js'
 
--- a/packages/scheduler/src/core/placement/preemption.ts
+++ b/packages/scheduler/src/core/placement/preemption.ts
@@ -9,7 +9,7 @@
 import type { Demand } from './demand.js'
 import type { Fleet } from './fleet.js'
 import type { Holds } from './holds.js'
-import { rankOf } from './queue.js'
+import { rankOf } from './lines.js'
 import { addSize, copySize, isWithin } from './sizes.js'
 import type { Holding, Worker } from './worker.js'
 
--- a/packages/scheduler/src/core/placement/reservations.ts
+++ b/packages/scheduler/src/core/placement/reservations.ts
@@ -6,17 +6,13 @@
  * nobody).
  */
 
-import type { Resources } from '../../types/resources.js'
-import { WorkloadKind } from '../../types/workloads.js'
 import type { Estimates } from '../health/estimates.js'
 import type { Demand } from './demand.js'
-import { isZoneAllowed } from './feasibility.js'
 import type { Fleet } from './fleet.js'
 import type { Holds } from './holds.js'
 import type { Ledger } from './ledger.js'
-import type { ShapeLine } from './queue.js'
-import { addSize, copySize, countWithin } from './sizes.js'
-import type { Holding, Worker } from './worker.js'
+import { Openings } from './openings.js'
+import type { ShapeLine } from './lines.js'
 
 /** How long a gang, and any other work, waits before room is reserved, in milliseconds. */
 export interface ReservationOptions {
@@ -33,13 +29,10 @@
 const WORKERS_PER_RESERVATION = 30
 /** Lines for which a reservation is tried in one round. */
 const MOST_TRIES = 8
-/** Openings that are compared, at least, and for each task. */
-const SAMPLE = 64
-const OPENINGS_PER_TASK = 4
+/** Time between rounds of reservations for work other than gangs, in milliseconds. */
+const OTHERS_EVERY_MS = 1_000
 /** Delay before a reservation that found no room is planned again, in milliseconds. */
 const RETRY_MS = 5_000
-/** Expected time left for a task of which nothing is known, in milliseconds. */
-const UNKNOWN_MS = 60_000
 
 export interface Reservation {
   readonly demand: Demand
@@ -50,18 +43,17 @@
 /** Reservations that may still be made. */
 interface Slots { gangs: number, others: number }
 interface Starved { readonly demand: Demand, readonly since: number }
-interface Opening { readonly worker: Worker, readonly at: number }
-interface End { readonly holding: Holding, readonly at: number }
 
 export class Reservations {
   readonly made = new Map<Demand, Reservation>()
+  private nextOthersAt = 0
   private readonly retryAt = new WeakMap<Demand, number>()
 
   private constructor (
     private readonly fleet: Fleet,
     private readonly holds: Holds,
     private readonly ledger: Ledger,
-    private readonly estimates: Estimates,
+    private readonly openings: Openings,
     private readonly options: ReservationOptions
   ) {}
 
@@ -72,7 +64,7 @@
     estimates: Estimates,
     options: ReservationOptions
   ): Reservations {
-    return new Reservations(fleet, holds, ledger, estimates, options)
+    return new Reservations(fleet, holds, ledger, Openings.create(fleet, estimates), options)
   }
 
   /** Drops a reservation and the room that it holds. */
@@ -87,7 +79,10 @@
     }
     let gangs = 0
     for (const demand of this.made.keys()) gangs += demand.isGang ? 1 : 0
-    const free: Slots = { gangs: 1 - gangs, others: Math.ceil(this.fleet.workers.size / WORKERS_PER_RESERVATION) - (this.made.size - gangs) }
+    const isOthersTurn = now >= this.nextOthersAt
+    if (isOthersTurn) this.nextOthersAt = now + OTHERS_EVERY_MS
+    const others = Math.ceil(this.fleet.workers.size / WORKERS_PER_RESERVATION) - (this.made.size - gangs)
+    const free: Slots = { gangs: 1 - gangs, others: isOthersTurn ? others : 0 }
     if (free.gangs <= 0 && free.others <= 0) return
     for (const { demand } of this.listStarved(lines, free, now)) {
       const left = demand.isGang ? 'gangs' : 'others'
@@ -129,9 +124,8 @@
 
   private reserve (demand: Demand, now: number): boolean {
     const count = demand.isGang ? demand.waitingCount : 1
-    const openings = this.listOpenings(demand, count, now)
     let expectedAt = now
-    for (const { worker, at } of openings) {
+    for (const { worker, at } of this.openings.list(demand, count, now)) {
       if (demand.heldCount >= count) break
       if (!demand.isAllowed(worker)) continue
       this.holds.keep(demand, worker)
@@ -149,58 +143,7 @@
   /** True when only what is held for others keeps the demand from a reservation. */
   private fitsWithoutHolds (demand: Demand, now: number): boolean {
     const count = demand.isGang ? demand.waitingCount : 1
-    return this.listOpenings(demand, count, now, true).length >= count
-  }
-
-  /** Where and when room for one task each opens, soonest first. */
-  private listOpenings (demand: Demand, most: number, now: number, ignoresHolds = false): Opening[] {
-    const openings: Opening[] = []
-    const enough = Math.max(SAMPLE, most * OPENINGS_PER_TASK)
-    for (const worker of this.fleet.workers.values()) {
-      if (openings.length >= enough) break
-      if (!worker.usable || !isZoneAllowed(demand.workload.spec, worker.target.availabilityZone)) continue
-      const room = copySize(worker.free)
-      if (ignoresHolds) addSize(room, worker.held)
-      this.addOpenings(openings, worker, room, demand, most, now)
-    }
-    return openings.sort((one, other) => one.at - other.at)
-  }
-
-  private addOpenings (
-    openings: Opening[],
-    worker: Worker,
-    room: Resources,
-    demand: Demand,
-    most: number,
-    now: number
-  ): void {
-    let count = Math.min(most, countWithin(demand.need, room))
-    for (let added = 0; added < count; added += 1) openings.push({ worker, at: now })
-    for (const { holding, at } of this.listEnds(worker, now)) {
-      if (count >= most) return
-      addSize(room, holding.size)
-      const next = Math.min(most, countWithin(demand.need, room))
-      for (; count < next; count += 1) openings.push({ worker, at })
-    }
-  }
-
-  /** The tasks of a worker that end, in the order in which they are expected to. */
-  private listEnds (worker: Worker, now: number): End[] {
-    const ends: End[] = []
-    for (const holding of worker.holdings) {
-      const isEndless = holding.demand.workload.spec.kind === WorkloadKind.service && !holding.stopping
-      if (!isEndless) ends.push({ holding, at: this.expectEnd(holding, now) })
-    }
-    return ends.sort((one, other) => one.at - other.at)
-  }
-
-  /** A task that overran its estimate is expected to run as long again. */
-  private expectEnd (holding: Holding, now: number): number {
-    if (holding.stopping) return now
-    const elapsed = now - holding.since
-    const expected = this.estimates.expectedMs(holding.demand.workload.spec)
-    if (expected === 0) return now + Math.max(UNKNOWN_MS, elapsed)
-    return elapsed < expected ? holding.since + expected : now + elapsed
+    return this.openings.list(demand, count, now, true).length >= count
   }
 }
 
--- a/packages/scheduler/src/core/placement/shapes.ts
+++ b/packages/scheduler/src/core/placement/shapes.ts
@@ -8,7 +8,7 @@
 import type { Resources } from '../../types/resources.js'
 import type { Demand } from './demand.js'
 import type { Fleet } from './fleet.js'
-import type { ShapeLine } from './queue.js'
+import type { ShapeLine } from './lines.js'
 import { isWithin } from './sizes.js'
 import { getStrategy } from './strategies.js'
 import type { Worker } from './worker.js'
