--- a/packages/cli/src/metrics/summary.ts
+++ b/packages/cli/src/metrics/summary.ts
@@ -10,6 +10,7 @@
 
 const QUANTILES = Object.freeze([0.5, 0.9, 0.99, 0.999])
 const MS_PER_SECOND = 1_000
+const MICROSECONDS_PER_MS = 1_000
 
 interface Series<L extends string> {
   labels: Record<L, string>
@@ -60,10 +61,15 @@
     return [
       ...QUANTILES.map((quantile, index) => ({
         labels: { ...labels, quantile: String(quantile) },
-        value: quantiles[index] / MS_PER_SECOND
+        value: toSeconds(quantiles[index])
       })),
-      { metricName: `${this.name}_sum`, labels, value: window.sumMs / MS_PER_SECOND },
+      { metricName: `${this.name}_sum`, labels, value: toSeconds(window.sumMs) },
       { metricName: `${this.name}_count`, labels, value: window.count }
     ]
   }
 }
+
+/** Rounded to microseconds. */
+function toSeconds (durationMs: number): number {
+  return Math.round(durationMs * MICROSECONDS_PER_MS) / (MICROSECONDS_PER_MS * MS_PER_SECOND)
+}
--- a/packages/cli/src/runtime/controller.ts
+++ b/packages/cli/src/runtime/controller.ts
@@ -12,11 +12,12 @@
 } from '@flamingorouter/controllers'
 import type { Binding, CallContext } from '@flamingorouter/rpc'
 import {
-  createClusterState, ErrorKind, fail, toFailure, type ClusterState, type Failure, type Decision, type Effect, type Event, type HeldGrant, type Scheduler
+  createClusterState, ErrorKind, fail, toFailure, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type Scheduler
 } from '@flamingorouter/scheduler'
 import { Calls } from './calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
 import { EntryTable } from './liveness.js'
+import type { Metrics } from '../metrics/metrics.js'
 import type { LocalMethod } from './local-methods.js'
 import { Proposals } from './proposals.js'
 import type { RuntimeLog } from './runtime-log.js'
@@ -31,6 +32,7 @@
   /** Methods that need more than the state, such as membership. */
   localMethods: ReadonlyMap<string, LocalMethod>
   log: RuntimeLog
+  metrics?: Metrics
   /** This controller cannot go on. */
   faulted: (reason: string) => void
 }
@@ -62,7 +64,8 @@
     const failed = (thrown: unknown): void => {
       this.options.log.warn('propose_failed', { error: toFailure(thrown).message })
     }
-    this.attached = { replica, proposals: Proposals.create(replica, release, failed) }
+    const committed = (durationMs: number): void => { this.options.metrics?.recordCommit(durationMs) }
+    this.attached = { replica, proposals: Proposals.create(replica, { release, failed, committed }) }
   }
 
   get isAttached (): boolean {
@@ -159,7 +162,7 @@
   /** A message of an entry without an answer. */
   noticed (link: Link, topic: string, body: unknown): void {
     if (!this.isAuthoritative || topic !== Topic.grantsHeld) return
-    this.feed({ kind: 'grantsHeld', entry: link.peer?.process ?? '', grants: body as HeldGrant[] })
+    this.feed({ kind: 'grantsHeld', report: body as EntryReport })
   }
 
   // Calls of entries.
@@ -182,7 +185,12 @@
 
   private answerHeartbeat (body: HeartbeatBody): HeartbeatAnswer {
     this.entries.hear(body, monotonicNow())
-    return { term: this.replica.status().term, configurationVersion: this.state.configurationVersion }
+    const { term, members } = this.replica.status()
+    return {
+      term,
+      configurationVersion: this.state.configurationVersion,
+      controllers: members.map(({ id, address }) => ({ id, address }))
+    }
   }
 
   private async answerConfiguration (): Promise<ConfigurationAnswer> {
@@ -192,10 +200,15 @@
   }
 
   private async answerRequest (entry: string, event: RequestEvent): Promise<unknown> {
-    return await this.calls.open(call => {
+    const startedAt = monotonicNow()
+    const answer = await this.calls.open(call => {
       const numbered = event.kind === 'acquire' || event.kind === 'settle' ? { ...event, call, entry } : { ...event, call }
       this.feed(numbered)
     })
+    if (event.kind === 'acquire' && answer.kind === 'granted') {
+      this.options.metrics?.recordRequestWait(event.facts.urgency, monotonicNow() - startedAt)
+    }
+    return answer
   }
 
   private async answerRpc (entry: string, method: string, body: ForwardedCall): Promise<Uint8Array> {
@@ -242,7 +255,13 @@
   }
 
   private feed (event: Event): void {
-    this.proposals.add(this.options.scheduler.handle(event, clusterNow()))
+    const { scheduler, metrics } = this.options
+    const now = clusterNow()
+    const startedAt = monotonicNow()
+    const result = scheduler.handle(event, now)
+    metrics?.recordStep(event.kind, monotonicNow() - startedAt)
+    metrics?.recordDecisions(result.decisions, scheduler.state, now)
+    this.proposals.add(result)
   }
 
   // Effects whose decisions are committed.
--- a/packages/cli/src/runtime/entry.ts
+++ b/packages/cli/src/runtime/entry.ts
@@ -5,12 +5,12 @@
 
 import {
   InternalMethod, Topic,
-  type CallFrame, type ConfigurationAnswer, type ExecuteAnswer, type ExecuteBody, type ForwardedCall,
+  type CallFrame, type ConfigurationAnswer, type ControllerAddress, type ExecuteAnswer, type ExecuteBody, type ForwardedCall,
   type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type Link
 } from '@flamingorouter/controllers'
 import type { MethodRules, RpcCall, RpcClient, RpcHandler, RpcResult } from '@flamingorouter/rpc'
 import { methodName } from '@flamingorouter/rpc'
-import { ErrorKind, fail, Failure, type HeldGrant } from '@flamingorouter/scheduler'
+import { ErrorKind, fail, Failure, type EntryReport } from '@flamingorouter/scheduler'
 import { monotonicNow } from './clock.js'
 import { Freshness } from './freshness.js'
 import { AfterLoss, HEARTBEAT_MS, LeaderClient, type Pulse } from './leader-client.js'
@@ -26,7 +26,7 @@
 /** What the entry does beside forwarding, such as the request flow. */
 export interface EntryOptions {
   hello: HelloFrame
-  controllers: readonly string[]
+  controllers: readonly ControllerAddress[]
   /** Every method that the entry serves. */
   methods: readonly MethodRules[]
   workers: RpcClient
@@ -37,7 +37,7 @@
   readonly leader: LeaderClient
   readonly freshness: Freshness
   /** Tells the grants in use; set by the request flow. */
-  heldGrants: () => HeldGrant[] = () => []
+  reportGrants: () => EntryReport = () => ({ instance: '', grants: [], tokens: [] })
   private isDraining = false
   private inFlight = 0
 
@@ -107,7 +107,7 @@
   }
 
   found (link: Link): void {
-    link.send({ kind: 'notice', topic: Topic.grantsHeld, body: this.heldGrants() })
+    link.send({ kind: 'notice', topic: Topic.grantsHeld, body: this.reportGrants() })
   }
 
   private async fetchConfiguration (): Promise<ConfigurationAnswer> {
--- a/packages/scheduler/src/core/requests/requests.ts
+++ b/packages/scheduler/src/core/requests/requests.ts
@@ -73,14 +73,14 @@
       case 'settle': return this.endings.settleGrant(event, step)
       case 'cancelRequest': return this.cancel(event, step)
       case 'fetchOutcome': return this.fetch(event, step)
-      case 'grantsHeld': return this.succession.learnGrants(event.entry, event.grants, step)
+      case 'grantsHeld': return this.succession.learnGrants(event.report, step)
       case 'entryLost': return this.succession.loseEntry(event.entry, step)
     }
   }
 
   override observe (decision: Decision, state: ClusterState, _now: number): void {
     switch (decision.kind) {
-      case 'targetAnnounced': return this.putRunner(decision.target, state)
+      case 'targetAnnounced': return this.putRunner(state.targets.get(decision.target.name) ?? decision.target, state)
       case 'targetPhaseSet': return this.markChanged(state.targets.get(decision.name))
       case 'targetRemoved':
         for (const service of this.table.grants.allServices) service.runners.remove(decision.name)
@@ -130,7 +130,7 @@
     const refusal = service.refusal(request, step.now, this.limits.queueLimit)
     if (refusal !== undefined) return this.table.finish(request, refusal, step)
     this.table.live.set(key, request)
-    this.table.wait(request, service)
+    this.table.wait(request, service, step.now)
   }
 
   /** A repeat of a request that waits or runs. */
@@ -139,7 +139,7 @@
     if (live.facts.digest !== facts.digest) return this.refuseConflict(call, step)
     if (live.facts.token !== facts.token) {
       live.waiters = live.waiters.filter(waiter => waiter.token !== facts.token)
-      live.waiters.push({ call, entry, token: facts.token, deadlineAt: step.now + facts.deadlineMs })
+      live.waiters.push({ call, entry, instance: facts.instance, token: facts.token, deadlineAt: step.now + facts.deadlineMs })
       return
     }
     live.call = call
@@ -149,7 +149,8 @@
     live.held = undefined
     live.deadlineAt = step.now + facts.deadlineMs
     live.facts = facts
-    this.table.wait(live, this.table.grants.service(facts.service))
+    live.entry = entry
+    this.table.wait(live, this.table.grants.service(facts.service), step.now)
   }
 
   private repeat (first: { digest: string, outcome: Outcome }, digest: string, call: number, step: Step): void {
