--- a/bench/measures/index.ts
+++ b/bench/measures/index.ts
@@ -4,6 +4,7 @@
 
 import type { Measure } from '../registry.js'
 import { packing } from './packing.js'
+import { wholePathMeasures } from './whole-path.js'
 import { decisionTime, placementGrowth, placementRate } from './placement.js'
 import { fairness, urgentStart, waitingCoastline, waitingConsortium } from './waiting.js'
 import { entryRate } from './flow.js'
@@ -20,5 +21,6 @@
   fairness,
   requestWaiting,
   retryStorm,
-  entryRate
+  entryRate,
+  ...wholePathMeasures
 ]
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -4,7 +4,7 @@
  */
 
 import { execFileSync } from 'node:child_process'
-import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs'
+import { chmodSync, copyFileSync, mkdirSync, rmSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { build } from 'esbuild'
 
@@ -32,6 +32,8 @@
 })
 writeFileSync('dist/sea.json', JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }))
 execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'inherit' })
+// A running copy keeps its file; a new one takes the name.
+rmSync(BINARY, { force: true })
 copyFileSync(process.execPath, BINARY)
 await inject(BINARY, 'NODE_SEA_BLOB', readFileSync(BLOB), { sentinelFuse: FUSE })
 chmodSync(BINARY, 0o755)
