--- a/packages/scheduler/__tests__/preemption.test.ts
+++ b/packages/scheduler/__tests__/preemption.test.ts
@@ -84,6 +84,29 @@
     assert.notEqual(cell.task('bulk', again[0].index).target, lost.name)
   })
 
+  it('forgets the held room of a worker that is removed', () => {
+    const cell = createFullCell()
+    const [stopping] = listStopping(cell.step(cell.applied('urgent', URGENT)))
+    const { target, session } = cell.task('bulk', stopping.index)
+    const requeued = [...cell.state.workloads.get('bulk')?.tasks ?? []]
+      .filter(task => task.target === target)
+      .map(task => cell.requeued('bulk', task.index))
+    const again = listStopping(cell.advance(100, ...requeued, { kind: 'targetRemoved', name: target, session }))
+    assert.deepEqual(again.map(({ index }) => cell.task('bulk', index).target === target), [false])
+  })
+
+  it('keeps the room that urgent work leaves for the next of it, for a time', () => {
+    const cell = createFullCell()
+    const [stopping] = listStopping(cell.step(cell.applied('first', URGENT)))
+    cell.advance(300, cell.requeued('bulk', stopping.index))
+    assert.deepEqual(listPlaced(cell.advance(1_000, cell.ended('first', 0))), [])
+    const next = cell.advance(500, cell.applied('second', URGENT))
+    assert.equal(listPlaced(next)[0].id, 'second')
+    assert.deepEqual(listStopping(next), [])
+    assert.deepEqual(listPlaced(cell.advance(1_000, cell.ended('second', 0))), [])
+    assert.equal(listPlaced(cell.advance(5_000))[0].id, 'bulk')
+  })
+
   it('asks for no further stop after a new leader took over', () => {
     const cell = createFullCell()
     const [stopping] = listStopping(cell.step(cell.applied('urgent', URGENT)))
