--- a/packages/scheduler/src/core/placement/placer.ts
+++ b/packages/scheduler/src/core/placement/placer.ts
@@ -10,7 +10,8 @@
 import { planGang } from './gangs.js'
 import type { Indexes } from './indexes.js'
 import { Preemption } from './preemption.js'
-import { LineState, type ShapeLine } from './queue.js'
+import { LineState, type ShapeLine } from './lines.js'
+import type { Shape } from './shapes.js'
 import type { Worker } from './worker.js'
 
 /** Gangs that are tried again after room became free, in one round. */
@@ -139,10 +140,17 @@
 
   private preempt (step: Step): void {
     let left = PREEMPTIONS_PER_ROUND
-    const lines = Array.from(this.indexes.queue.preemptors).sort((one, other) => other.rank - one.rank)
-    for (const line of lines) {
+    const lines: ShapeLine[] = []
+    for (const line of this.indexes.queue.preemptors) {
+      if (step.now >= line.nextPreemptionAt) lines.push(line)
+    }
+    const vain = new Set<Shape>()
+    for (const line of lines.sort((one, other) => other.rank - one.rank)) {
       if (left <= 0) return
-      if (step.now >= line.nextPreemptionAt) left -= this.preemptForLine(line, left, step)
+      // What found nothing to stop at a higher rank finds nothing at this one.
+      if (vain.has(line.shape)) line.nextPreemptionAt = step.now + PREEMPTION_RETRY_MS
+      else left -= this.preemptForLine(line, left, step)
+      if (line.lacksVictims) vain.add(line.shape)
     }
   }
 
@@ -152,8 +160,10 @@
     line.lacksVictims = false
     for (const demand of line.list()) {
       if (made >= most) return made
+      if (this.countPreemptions(demand, 1) > 0) this.placeOnHeadroom(demand, step)
       const wanted = this.countPreemptions(demand, most - made)
       if (wanted <= 0) continue
+      this.indexes.headroom.notePreemption(step.now)
       const count = this.preemption.preempt(demand, wanted, step)
       made += count
       if (count === wanted) continue
@@ -164,6 +174,16 @@
     return made
   }
 
+  /** Starts tasks of a demand on room that was kept for urgent work, as far as it goes. */
+  private placeOnHeadroom (demand: Demand, step: Step): void {
+    while (!demand.isGang && demand.waitingCount > demand.heldCount && this.indexes.ledger.isAllowed(demand)) {
+      const worker = this.indexes.headroom.take(demand)
+      const task = demand.nextWaiting()
+      if (worker === undefined || task === undefined) return
+      this.place(demand, task, worker, step)
+    }
+  }
+
   /** For how many tasks others may be preempted: those of a gang together. */
   private countPreemptions (demand: Demand, most: number): number {
     const account = this.indexes.ledger.get(demand.workload.spec.team)
