Name the first members that formation waits for; judge the loss of all disks rightly

Cause: status did not say why a new group has no leader. Change: ReplicaStatus.waitingFor; the check of progress, and the guard against losing all first disks, ask the replica whether it knows the group.

--- a/packages/controllers/__tests__/replica.test.ts
+++ b/packages/controllers/__tests__/replica.test.ts
@@ -38,6 +38,18 @@
     assert.equal(coverage.elections, 1)
   })
 
+  it('forms only once all first members were there, and names those it waits for', async () => {
+    const cluster = await Cluster.create(13, createCoverage())
+    await cluster.run(5)
+    cluster.crash(cluster.node('c'))
+    await cluster.run(ELECTED_MS)
+    assert.equal(cluster.leader, undefined)
+    assert.ok(cluster.node('a').replica!.status().waitingFor.includes('c'))
+    cluster.start(cluster.node('c'))
+    assert.ok(await cluster.runUntil(() => cluster.leader !== undefined, ELECTED_MS))
+    assert.deepEqual(cluster.leader!.replica!.status().waitingFor, [])
+  })
+
   it('keeps its leader when a member that was cut off comes back', async () => {
     const { cluster, leader, others } = await form(2)
     cluster.isolate(others[0].id)
--- a/packages/controllers/__tests__/support/cluster.ts
+++ b/packages/controllers/__tests__/support/cluster.ts
@@ -133,10 +133,11 @@
 
   /** Whether the newest membership of each node that is up has a quorum of intact, running voters. */
   get canMakeProgress (): boolean {
-    return [...this.nodes.values()].every(node => {
-      const voters = node.raft.state.log.members.filter(member => member.role === 'voter')
+    const known = [...this.nodes.values()].filter(node => node.raft.state.isFormed)
+    return known.length > 0 && known.every(node => {
+      const voters = node.raft.state.log.members.filter(isVoter)
       const intact = voters.filter(voter => this.node(voter.id).raft.state.disk === voter.disk)
-      return intact.length * 2 > voters.length || voters.length === 0
+      return intact.length >= quorumOf(voters.length)
     })
   }
 
--- a/packages/controllers/__tests__/support/node.ts
+++ b/packages/controllers/__tests__/support/node.ts
@@ -58,6 +58,11 @@
     return this.disk !== undefined
   }
 
+  /** True when the disk holds the group's membership. */
+  get knowsGroup (): boolean {
+    return this.replica === undefined ? !this.isBlank : this.raft.state.isFormed
+  }
+
   get isRunning (): boolean {
     return this.replica !== undefined && !this.isPaused
   }
--- a/packages/controllers/__tests__/support/schedule.ts
+++ b/packages/controllers/__tests__/support/schedule.ts
@@ -141,7 +141,7 @@
 
 function loseDisk (cluster: Cluster, node: TestNode): void {
   // With no first member left that knows the group, the same settings would form a new one.
-  const others = ['a', 'b', 'c'].filter(id => id !== node.id && !cluster.node(id).isBlank)
+  const others = ['a', 'b', 'c'].filter(id => id !== node.id && cluster.node(id).knowsGroup)
   if (others.length > 0) cluster.loseDisk(node)
 }
 
--- a/packages/controllers/src/core/raft/formation.ts
+++ b/packages/controllers/src/core/raft/formation.ts
@@ -28,6 +28,12 @@
     return !state.isFormed && state.log.lastIndex === 0 && this.first.some(member => member.id === state.id)
   }
 
+  /** First members that have not told the same disks yet; empty once the group is formed. */
+  get missing (): string[] {
+    if (!this.isWanted) return []
+    return this.first.map(member => member.id).filter(id => !this.isAgreed(id))
+  }
+
   tick (now: number): void {
     if (!this.isWanted || now - this.greetedAt < this.state.timing.heartbeatMs) return
     this.greetedAt = now
@@ -58,7 +64,7 @@
   }
 
   private formIfAgreed (): void {
-    if (!this.isWanted || !this.first.every(member => this.isAgreed(member.id))) return
+    if (!this.isWanted || this.missing.length > 0) return
     const { state } = this
     const members = this.first.map(member => ({ ...member, role: 'voter' as const, disk: state.hardState.disks[member.id] }))
     state.persist({ members })
--- a/packages/controllers/src/core/raft/raft.ts
+++ b/packages/controllers/src/core/raft/raft.ts
@@ -58,6 +58,11 @@
     return this.leader?.isTransferring === true
   }
 
+  /** First members that the group waits for in order to form. */
+  get waitingFor (): string[] {
+    return this.formation.missing
+  }
+
   holdsLease (now: number): boolean {
     return this.leader?.holdsLease(now) === true
   }
--- a/packages/controllers/src/core/replica.ts
+++ b/packages/controllers/src/core/replica.ts
@@ -127,7 +127,8 @@
       lastIndex: state.log.lastIndex,
       members: members.map(({ id, address, availabilityZone, role }) => ({ id, address, availabilityZone, role })),
       matchIndex,
-      fault: this.fault?.message ?? ''
+      fault: this.fault?.message ?? '',
+      waitingFor: this.raft.waitingFor
     }
   }
 
--- a/packages/controllers/src/types/replica.ts
+++ b/packages/controllers/src/types/replica.ts
@@ -55,4 +55,6 @@
   matchIndex: Record<string, number>
   /** Why this replica takes no part any more; empty while it does. */
   fault: string
+  /** First members that the group waits for in order to form; empty once it is formed. */
+  waitingFor: string[]
 }
