--- a/packages/controllers/__tests__/raft.test.ts
+++ b/packages/controllers/__tests__/raft.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import {
-  EntryKind, Raft, RaftLog,
+  checkMessage, EntryKind, Raft, RaftLog,
   type Body, type Entry, type HardState, type Member, type Message, type Timing
 } from '../src/index.js'
 
@@ -82,6 +82,31 @@
     })
   })
 
+  describe('the lease', () => {
+    function createLeader (): Raft {
+      const raft = createRaft(3, 1)
+      elect(raft)
+      sync(raft, LATE)
+      raft.receive('b', message(4, accepted(2), 'b1'), LATE + 50)
+      return raft
+    }
+
+    it('runs from the request on, and ends a drift before the promise does', () => {
+      const raft = createLeader()
+      const end = LATE + TIMING.electionMs - TIMING.driftMs
+      assert.equal(raft.holdsLease(end - 1), true)
+      assert.equal(raft.holdsLease(end), false)
+    })
+
+    it('is given up before leadership is handed over', () => {
+      const raft = createLeader()
+      raft.propose(new Uint8Array())
+      raft.transferLeadership('b', LATE + 51)
+      assert.equal(raft.role, 'leader')
+      assert.equal(raft.holdsLease(LATE + 51), false)
+    })
+  })
+
   describe('disks', () => {
     it('counts no vote that was given under another disk', () => {
       const raft = createRaft(3, 1)
@@ -140,6 +165,20 @@
     })
   })
 
+  it('refuses malformed messages', () => {
+    const good: Body = {
+      kind: 'appendRequest', previousIndex: 1, previousTerm: 1, entries: [entry(2, 4)], commitIndex: 0, sentAt: 0
+    }
+    assert.ok(checkMessage(message(4, good, 'b1')))
+    const bad: unknown[] = [
+      undefined, 7, 'text', {}, { kind: 'toString' }, { ...good }, message(-1, good, 'b1'), message(1.5, good, 'b1'),
+      message(4, { ...good, entries: [entry(3, 4)] }, 'b1'),
+      message(4, { ...good, entries: [{ ...entry(2, 4), data: 'text' as unknown as Uint8Array }] }, 'b1'),
+      message(4, { ...good, sentAt: NaN }, 'b1')
+    ]
+    for (const value of bad) assert.throws(() => checkMessage(value), { kind: 'invalidArgument' })
+  })
+
   it('does not take what an older write made durable for what replaced it', () => {
     const raft = createRaft(2, 1)
     const append = (term: number): Body => ({
