Try a suspect without a probe when none is placed

Change: a worker that is probing for 10 s without a probe is ready, with its evidence kept, so that the next failure makes it suspect again.

--- a/packages/scheduler/__tests__/health.test.ts
+++ b/packages/scheduler/__tests__/health.test.ts
@@ -50,6 +50,18 @@
   })
 
   describe('a suspect', () => {
+    it('is tried without a probe when only work that probes nothing waits', () => {
+      const world = createCell(2)
+      world.workers[0].flaw = 'refuses'
+      submitEvery(world, 100, 60, at => `work-${at % 4}`)
+      world.advance(60_000)
+      assert.ok(world.committed.some(decision => decision.kind === 'targetPhaseSet' && decision.phase === 'suspect'))
+      world.workers[0].flaw = ''
+      const id = world.submit({ kind: 'gang', taskCount: 2, resources: size(4, 1) })
+      world.advance(90_000)
+      assert.equal(world.state.workloads.get(id)?.ended, true)
+    })
+
     it('is ready at once when an operator readmits it', () => {
       const world = createCell(2)
       const [{ name, vm }] = world.workers
--- a/packages/scheduler/src/core/health/health.ts
+++ b/packages/scheduler/src/core/health/health.ts
@@ -22,6 +22,8 @@
 const FAILING_WORKERS = 2
 /** Delay of the first probe in units of the first backoff of a task. */
 const PROBE_BACKOFF = 8
+/** A suspect that no probe was placed on for this long is tried without one, in milliseconds. */
+const PROBE_WAIT_MS = 10_000
 /** A probe that ran this long succeeded, in milliseconds. */
 const PROBE_RUN_MS = 10_000
 
@@ -94,7 +96,11 @@
   override tick (step: Step): void {
     for (const [name, health] of this.workers) {
       const target = step.state.targets.get(name)
-      if (target === undefined || target.phase !== TargetPhase.suspect) continue
+      if (target === undefined) continue
+      // What needs more room than a probe gives must not wait for one; one failure makes it suspect again.
+      const isOverdue = step.now - health.probeAt >= PROBE_WAIT_MS
+      if (isOverdue && health.probe === undefined) this.setPhase(step, name, TargetPhase.probing, TargetPhase.ready)
+      if (target.phase !== TargetPhase.suspect) continue
       if (health.probe !== undefined) this.watchProbe(step, target, health, health.probe)
       else if (step.now >= health.probeAt) this.setPhase(step, name, TargetPhase.suspect, TargetPhase.probing)
     }
@@ -126,7 +132,7 @@
     }
     const { evidence } = this.health(target.name)
     evidence.weigh(record, target.name, isFailure)
-    if (evidence.isEnough) this.suspect(step, target)
+    if (isFailure && evidence.isEnough) this.suspect(step, target)
   }
 
   private suspect (step: Step, target: TargetState): void {
