Check reports on a live link, and late answers of lost entries

Cause: two rules broken by hand were not caught: a report that leaves out the tokens of running requests, and a late outcome that resolves nothing. Change: the generated schedules report on links that still carry answers; a test settles a request after it was given up as unknown.

--- a/packages/callers/__tests__/faults.test.ts
+++ b/packages/callers/__tests__/faults.test.ts
@@ -50,6 +50,7 @@
   },
   { weight: 2, arbitrary: act('cut', fc.tuple(entry), (world, at) => { world.links[at].cut() }) },
   { weight: 2, arbitrary: act('mend', fc.tuple(entry), (world, at) => { world.links[at].mend() }) },
+  { weight: 2, arbitrary: act('report', fc.tuple(entry), (world, at) => { world.links[at].report() }) },
   { weight: 1, arbitrary: act('loseEntry', fc.tuple(entry), (world, at) => { world.loseEntry(at) }) },
   { weight: 1, arbitrary: act('restartEntry', fc.tuple(entry), (world, at) => { world.restartEntry(at) }) },
   { weight: 1, arbitrary: act('restartRunner', fc.tuple(fc.nat(RUNNERS - 1)), (world, at) => { world.restartRunner(at) }) },
--- a/packages/callers/__tests__/model.ts
+++ b/packages/callers/__tests__/model.ts
@@ -196,6 +196,12 @@
   mend (): void {
     if (this.isUp) return
     this.isUp = true
+    this.report()
+  }
+
+  /** Tells what the entry holds, as it does whenever it finds a leader, on a link that may carry answers. */
+  report (): void {
+    if (!this.isUp) return
     this.world.give({ kind: 'grantsHeld', report: this.world.flows[this.entry].report() })
   }
 }
--- a/packages/scheduler/__tests__/requests.test.ts
+++ b/packages/scheduler/__tests__/requests.test.ts
@@ -166,6 +166,21 @@
       assert.equal(other[0].kind === 'refuse' && other[0].error, 'conflict')
     })
 
+    it('become unknown when nobody tells how they ended, and a late answer resolves them once', () => {
+      start(runner('a', 4))
+      const grant = grantOf(acquire(facts('1', { idempotent: false })))
+      now += 10_000 + LIMITS.lateMs + LIMITS.driftMs
+      handle({ kind: 'tick' })
+      const fetched = (): string => {
+        const reply = replies(handle({ kind: 'fetchOutcome', call: 9, caller: 'ann', requestId: '1' }))[0]
+        return reply.kind === 'reply' && reply.answer.kind === 'outcome' ? reply.answer.outcome.kind : reply.kind
+      }
+      assert.equal(fetched(), OutcomeKind.unknown)
+      settle(grant, '1')
+      settle(grant, '1', bare(OutcomeKind.notRun, 'doubled and out of order'))
+      assert.equal(fetched(), OutcomeKind.done)
+    })
+
     it('are refused once they are forgotten, by a leader whose clock runs behind too', () => {
       start(runner('a', 4))
       settle(grantOf(acquire(facts('1', { idempotent: false }))), '1')
