Let processes prove to each other who they are by mutual TLS

Cause: the links between processes were plain TCP, so anyone who reached a control port could pose as a controller.

Change: peerTls in the settings; both ends show a certificate of the group's own authority, whose common name must be the process that the hello names; changed files take effect for new links without a stop. Plain TCP stays for loopback or by allowPlaintext.

Result: 8 tests: foreign authority, wrong name, no certificate, another group and malformed bytes are refused, each closing its own connection only.

--- a/packages/cli/src/core/access-control.ts
+++ b/packages/cli/src/core/access-control.ts
@@ -4,6 +4,7 @@
  */
 
 import { readFileSync } from 'node:fs'
+import type { PeerKeys } from '@flamingorouter/controllers'
 import { admitLoopback, type Authenticate, type Keys } from '@flamingorouter/rpc'
 import { ErrorKind, fail, toFailure } from '@flamingorouter/scheduler'
 import type { RuntimeLog } from '../runtime/runtime-log.js'
@@ -37,6 +38,19 @@
     return tls === undefined ? undefined : readKeys(tls)
   }
 
+  /** Keys of the links between the group's processes; undefined for plain TCP. */
+  readPeerKeys (): PeerKeys | undefined {
+    const { peerTls } = this.settings
+    return peerTls === undefined ? undefined : readPeerKeys(peerTls)
+  }
+
+  /** Follows the keys of the links in the same way. */
+  watchPeerKeys (replace: (keys: PeerKeys) => void): void {
+    const { peerTls } = this.settings
+    if (peerTls === undefined) return
+    this.follow([peerTls.certificate, peerTls.key, peerTls.authority], 'peer_keys', () => { replace(readPeerKeys(peerTls)) })
+  }
+
   /** Reads changed files again until it is closed; what was in force stays so when they are not whole. */
   watch (replaceKeys: (keys: Keys) => void): void {
     const { tls, tokens } = this.settings
@@ -70,6 +84,10 @@
   }
 }
 
+function readPeerKeys ({ certificate, key, authority }: Required<TlsFiles>): PeerKeys {
+  return { certificate: readPem(certificate), key: readPem(key), authority: readPem(authority) }
+}
+
 function readPem (file: string): string {
   try {
     return readFileSync(file, 'utf8')
--- a/packages/cli/src/core/settings-rules.ts
+++ b/packages/cli/src/core/settings-rules.ts
@@ -108,7 +108,7 @@
 function findExposure (settings: Settings): Issue[] {
   if (settings.allowPlaintext) return []
   const ports: [string, string | undefined][] = [
-    ['controller.listen', settings.controller?.listen],
+    ['controller.listen', settings.peerTls === undefined ? settings.controller?.listen : undefined],
     ['observe.listen', settings.observe?.listen],
     ['entry.listen', settings.tls === undefined ? settings.entry?.listen : undefined]
   ]
--- a/packages/cli/src/core/settings.ts
+++ b/packages/cli/src/core/settings.ts
@@ -7,7 +7,7 @@
 import { dirname, resolve } from 'node:path'
 import { ErrorKind, fail } from '@flamingorouter/scheduler'
 import schema from '../../settings.schema.json'
-import type { CheckedSettings, Settings } from '../types/settings.js'
+import type { CheckedSettings, Settings, TlsFiles } from '../types/settings.js'
 import { checkBySchema, formatIssue } from '../utils/schema-check.js'
 import { findConflicts, findWarnings } from './settings-rules.js'
 
@@ -53,11 +53,15 @@
 }
 
 function resolvePaths (settings: Settings, folder: string): void {
-  const { controller, tls, tokens } = settings
+  const { controller, tls, peerTls, tokens } = settings
   if (controller !== undefined) controller.dataFolder = resolve(folder, controller.dataFolder)
   if (tokens !== undefined) settings.tokens = resolve(folder, tokens)
-  if (tls === undefined) return
-  tls.certificate = resolve(folder, tls.certificate)
-  tls.key = resolve(folder, tls.key)
-  if (tls.authority !== undefined) tls.authority = resolve(folder, tls.authority)
+  if (tls !== undefined) resolveFiles(tls, folder)
+  if (peerTls !== undefined) resolveFiles(peerTls, folder)
+}
+
+function resolveFiles (files: TlsFiles, folder: string): void {
+  files.certificate = resolve(folder, files.certificate)
+  files.key = resolve(folder, files.key)
+  if (files.authority !== undefined) files.authority = resolve(folder, files.authority)
 }
--- a/packages/cli/src/runtime/controller-node.ts
+++ b/packages/cli/src/runtime/controller-node.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from 'node:crypto'
 import {
   FolderDisk, LinkServer, MonotonicClock, parseAddress, Replica,
-  type HelloFrame, type LinkHandlers, type MemberFacts, type Timing
+  type HelloFrame, type LinkHandlers, type MemberFacts, type PeerKeys, type Timing
 } from '@flamingorouter/controllers'
 import type { Binding } from '@flamingorouter/rpc'
 import { createParts, Scheduler, type Limits } from '@flamingorouter/scheduler'
@@ -46,6 +46,8 @@
   metrics?: Metrics
   /** The controller cannot go on; the process should end. */
   faulted: (reason: string) => void
+  /** Keys of the links at each time; undefined for plain TCP. */
+  peerKeys?: () => PeerKeys | undefined
 }
 
 export class ControllerNode {
@@ -74,7 +76,7 @@
       const known = controller.isAttached ? controller.replica.status().members : []
       return known.length > 0 ? known : settings.bootstrap
     }
-    const links = ControllerLinks.create(hello, members)
+    const links = ControllerLinks.create(hello, members, context.peerKeys)
     const replica = await Replica.open({
       id,
       group,
@@ -89,7 +91,7 @@
       snapshotEvery: settings.snapshotEvery
     })
     controller.attach(replica)
-    const server = LinkServer.create(hello, createHandlers(controller, replica, links))
+    const server = LinkServer.create(hello, createHandlers(controller, replica, links), context.peerKeys?.())
     await server.listen(parseAddress(settings.listen))
     const node = new ControllerNode(controller, replica, links, server)
     node.timer = setInterval(() => { node.tick() }, TICK_MS)
@@ -110,6 +112,11 @@
     await this.replica.close()
   }
 
+  /** New links use the new keys. */
+  replacePeerKeys (keys: PeerKeys): void {
+    this.server.replaceKeys(keys)
+  }
+
   private tick (): void {
     this.controller.flush()
     this.replica.tick()
--- a/packages/cli/src/runtime/entry-node.ts
+++ b/packages/cli/src/runtime/entry-node.ts
@@ -2,7 +2,7 @@
  * A running entry: its HTTP port and its links to the controllers.
  */
 
-import type { ControllerAddress, HelloFrame } from '@flamingorouter/controllers'
+import type { ControllerAddress, HelloFrame, PeerKeys } from '@flamingorouter/controllers'
 import {
   RpcClient, RpcServer, type Authenticate, type CallRecord, type Keys, type MethodRules, type PlainAnswer,
   type RpcLimits, type ServerTraffic
@@ -37,6 +37,8 @@
   limits?: Partial<RpcLimits>
   /** Serves TLS with these keys. */
   keys?: Keys
+  /** Keys of the links to controllers at each time; undefined for plain TCP. */
+  peerKeys?: () => PeerKeys | undefined
   metrics?: Metrics
   pages?: ReadonlyMap<string, () => PlainAnswer | Promise<PlainAnswer>>
 }
@@ -56,7 +58,8 @@
     const { process, group, availabilityZone } = settings
     const hello: HelloFrame = { kind: 'hello', group, process, role: 'entry', availabilityZone }
     const workers = RpcClient.create()
-    const entry = Entry.create({ hello, controllers: settings.controllers, methods: context.methods, workers, log: context.log })
+    const { methods, log, peerKeys } = context
+    const entry = Entry.create({ hello, controllers: settings.controllers, methods, workers, peerKeys, log })
     const requests = createRequestRole(entry, context.metrics)
     entry.reportGrants = () => requests.flow.report()
     const server = RpcServer.create({
--- a/packages/cli/src/runtime/entry.ts
+++ b/packages/cli/src/runtime/entry.ts
@@ -6,7 +6,7 @@
 import {
   InternalMethod, Topic,
   type CallFrame, type ConfigurationAnswer, type ControllerAddress, type ExecuteAnswer, type ExecuteBody, type ForwardedCall,
-  type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type Link
+  type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type Link, type PeerKeys
 } from '@flamingorouter/controllers'
 import type { MethodRules, RpcCall, RpcClient, RpcHandler, RpcResult } from '@flamingorouter/rpc'
 import { methodName } from '@flamingorouter/rpc'
@@ -30,6 +30,8 @@
   /** Every method that the entry serves. */
   methods: readonly MethodRules[]
   workers: RpcClient
+  /** Keys of the links at each time; undefined for plain TCP. */
+  peerKeys?: () => PeerKeys | undefined
   log: RuntimeLog
 }
 
@@ -43,7 +45,7 @@
 
   private constructor (private readonly options: EntryOptions) {
     this.freshness = Freshness.create(() => this.fetchConfiguration(), version => { this.configured(version) })
-    this.leader = LeaderClient.create(options.controllers, options.hello, { called: (_link, frame) => this.called(frame) }, this)
+    this.leader = LeaderClient.create(options.controllers, options.hello, { called: (_link, frame) => this.called(frame) }, this, options.peerKeys)
   }
 
   static create (options: EntryOptions): Entry {
--- a/packages/cli/src/runtime/leader-client.ts
+++ b/packages/cli/src/runtime/leader-client.ts
@@ -5,7 +5,7 @@
 
 import {
   InternalMethod, LinkDialler, Topic,
-  type ControllerAddress, type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type LeadingBody, type Link, type LinkHandlers
+  type ControllerAddress, type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type LeadingBody, type Link, type LinkHandlers, type PeerKeys
 } from '@flamingorouter/controllers'
 import { ErrorKind, Failure, toFailure } from '@flamingorouter/scheduler'
 import { monotonicNow } from './clock.js'
@@ -53,7 +53,8 @@
     controllers: readonly ControllerAddress[],
     private readonly hello: HelloFrame,
     handlers: Pick<LinkHandlers, 'called'>,
-    private readonly pulse: Pulse
+    private readonly pulse: Pulse,
+    private readonly keys: () => PeerKeys | undefined
   ) {
     this.handlers = {
       opened: link => { this.beat(link) },
@@ -70,9 +71,10 @@
     controllers: readonly ControllerAddress[],
     hello: HelloFrame,
     handlers: Pick<LinkHandlers, 'called'>,
-    pulse: Pulse
+    pulse: Pulse,
+    keys: () => PeerKeys | undefined = () => undefined
   ): LeaderClient {
-    return new LeaderClient(controllers, hello, handlers, pulse)
+    return new LeaderClient(controllers, hello, handlers, pulse, keys)
   }
 
   get hasLeader (): boolean {
@@ -120,7 +122,7 @@
   /** An address of the settings goes before one that the leader tells for the same id. */
   private dial ({ id, address }: ControllerAddress): void {
     if (this.diallers.has(id)) return
-    this.diallers.set(id, LinkDialler.create(address, this.hello, this.handlers))
+    this.diallers.set(id, LinkDialler.create(address, this.hello, this.handlers, this.keys))
   }
 
   /** Resolves with no link when none leads within the search time or before the deadline. */
--- a/packages/cli/src/runtime/links.ts
+++ b/packages/cli/src/runtime/links.ts
@@ -5,7 +5,7 @@
 
 import {
   LinkDialler, Transport,
-  type HelloFrame, type Link, type LinkHandlers, type MemberFacts
+  type HelloFrame, type Link, type LinkHandlers, type MemberFacts, type PeerKeys
 } from '@flamingorouter/controllers'
 
 const QUIET: LinkHandlers = {
@@ -22,14 +22,19 @@
 
   private constructor (
     private readonly hello: HelloFrame,
-    private readonly members: () => readonly MemberFacts[]
+    private readonly members: () => readonly MemberFacts[],
+    private readonly keys: () => PeerKeys | undefined
   ) {
     super()
   }
 
   /** `members` tells the membership as this controller knows it now. */
-  static create (hello: HelloFrame, members: () => readonly MemberFacts[]): ControllerLinks {
-    return new ControllerLinks(hello, members)
+  static create (
+    hello: HelloFrame,
+    members: () => readonly MemberFacts[],
+    keys: () => PeerKeys | undefined = () => undefined
+  ): ControllerLinks {
+    return new ControllerLinks(hello, members, keys)
   }
 
   override send (to: string, message: unknown): void {
@@ -56,7 +61,7 @@
     const known = this.diallers.get(to)
     if (member === undefined || known?.address === member.address) return known
     known?.close()
-    const dialler = LinkDialler.create(member.address, this.hello, QUIET)
+    const dialler = LinkDialler.create(member.address, this.hello, QUIET, this.keys)
     this.diallers.set(to, dialler)
     return dialler
   }
--- a/packages/cli/src/runtime/serve.ts
+++ b/packages/cli/src/runtime/serve.ts
@@ -2,6 +2,7 @@
  * Runs the roles that the settings name, until a signal ends the process.
  */
 
+import type { PeerKeys } from '@flamingorouter/controllers'
 import { describeCell, NO_FACTS } from '@flamingorouter/operators'
 import { RpcServer, toResources, type CallRecord, type PlainAnswer } from '@flamingorouter/rpc'
 import { AccessControl } from '../core/access-control.js'
@@ -39,6 +40,7 @@
   private controller: ControllerNode | undefined
   private entry: EntryNode | undefined
   private observer: RpcServer | undefined
+  private readonly peerKeys = (): PeerKeys | undefined => this.access.readPeerKeys()
 
   private constructor (
     private readonly settings: Settings,
@@ -84,8 +86,10 @@
       bindings: ALL_BINDINGS,
       log,
       metrics,
+      peerKeys: this.peerKeys,
       faulted: () => { process.exit(FAULT_EXIT_CODE) }
     })
+    this.access.watchPeerKeys(keys => { node.replacePeerKeys(keys) })
     metrics.observeCell(() => readCellLoad(node.controller))
     metrics.observeReplica(() => {
       const { role, term, commitIndex, lastIndex } = node.controller.replica.status()
@@ -110,6 +114,7 @@
       methods: ALL_METHODS,
       authenticate: access.authenticate,
       keys: access.readKeys(),
+      peerKeys: this.peerKeys,
       limits: settings.http,
       log,
       metrics,
--- a/packages/cli/src/types/settings.ts
+++ b/packages/cli/src/types/settings.ts
@@ -25,6 +25,8 @@
   http: RpcLimits
   log: { level: LogLevel }
   tls?: TlsFiles
+  /** Keys of the links between the group's processes. */
+  peerTls?: Required<TlsFiles>
   /** File of the tokens; absent to serve the loopback interface alone. */
   tokens?: string
   allowPlaintext: boolean
--- /dev/null
+++ b/packages/controllers/__tests__/link.test.ts
@@ -0,0 +1,165 @@
+/**
+ * Links between processes: framing, calls, and who is let in.
+ */
+
+import assert from 'node:assert/strict'
+import { connect } from 'node:net'
+import { after, before, describe, it } from 'node:test'
+import { generate } from 'selfsigned'
+import { toFailure } from '@flamingorouter/scheduler'
+import {
+  encodeFrame, FrameReader, Link, LinkDialler, LinkServer, type Frame, type HelloFrame, type LinkHandlers, type PeerKeys
+} from '../src/index.js'
+
+function createHello (process: string, group = 'group'): HelloFrame {
+  return { kind: 'hello', group, process, role: 'controller', availabilityZone: 'zone' }
+}
+
+/** Handlers that tell the first opening and the first end of a link. */
+class Watch {
+  opened!: Promise<Link>
+  closed!: Promise<string>
+  readonly handlers: LinkHandlers
+
+  constructor () {
+    let open: (link: Link) => void = () => {}
+    let close: (reason: string) => void = () => {}
+    this.opened = new Promise(resolve => { open = resolve })
+    this.closed = new Promise(resolve => { close = resolve })
+    this.handlers = {
+      opened: link => { open(link) },
+      called: async (_link, { body }) => body,
+      replication: () => {},
+      notice: () => {},
+      closed: (_link, reason) => { close(reason) }
+    }
+  }
+}
+
+async function listen (watch: Watch, keys?: PeerKeys): Promise<{ server: LinkServer, port: number }> {
+  const server = LinkServer.create(createHello('server'), watch.handlers, keys)
+  return { server, port: await server.listen({ host: '127.0.0.1', port: 0 }) }
+}
+
+describe('framing', () => {
+  it('cuts the same frames out of a stream however it is split', () => {
+    const frames: Frame[] = [createHello('a'), { kind: 'call', id: 1, method: 'm', body: new Uint8Array(300) }]
+    const stream = Buffer.concat(frames.map(encodeFrame))
+    for (const size of [1, 3, 7, 1_000]) {
+      const found: Frame[] = []
+      const reader = FrameReader.create()
+      for (let at = 0; at < stream.length; at += size) reader.push(stream.subarray(at, at + size), frame => { found.push(frame) })
+      assert.deepEqual(found.map(({ kind }) => kind), ['hello', 'call'])
+      assert.deepEqual(found[0], frames[0])
+    }
+  })
+
+  it('refuses a length of zero, one over the limit, and what is not a frame', () => {
+    const oversized = Buffer.from([0x7f, 0xff, 0xff, 0xff])
+    const foreign = Buffer.from([0, 0, 0, 1, 0x01])
+    for (const bytes of [Buffer.alloc(4), oversized, foreign]) {
+      assert.throws(() => { FrameReader.create().push(bytes, () => {}) }, thrown => toFailure(thrown).kind === 'invalidArgument')
+    }
+  })
+})
+
+describe('links', () => {
+  it('closes one connection over malformed bytes and goes on with the others', async () => {
+    const watch = new Watch()
+    const { server, port } = await listen(watch)
+    const stranger = connect(port, '127.0.0.1')
+    stranger.end('GET / HTTP/1.1\r\n\r\n')
+    assert.match(await watch.closed, /frame length/)
+    const peer = new Watch()
+    const dialler = LinkDialler.create(`127.0.0.1:${port}`, createHello('peer'), peer.handlers)
+    const link = await peer.opened
+    assert.deepEqual(await link.call('echo', { a: 1 }, 5_000), { a: 1 })
+    dialler.close()
+    server.close()
+  })
+
+  it('refuses another group', async () => {
+    const watch = new Watch()
+    const { server, port } = await listen(watch)
+    const dialler = LinkDialler.create(`127.0.0.1:${port}`, createHello('peer', 'other'), new Watch().handlers)
+    assert.match(await watch.closed, /group other is not group/)
+    dialler.close()
+    server.close()
+  })
+
+  it('ends open calls as lost when it closes', async () => {
+    const watch = new Watch()
+    const { server, port } = await listen(watch)
+    watch.handlers.called = async () => await new Promise(() => {})
+    const peer = new Watch()
+    const dialler = LinkDialler.create(`127.0.0.1:${port}`, createHello('peer'), peer.handlers)
+    const link = await peer.opened
+    const call = link.call('never', {}, 60_000)
+    server.close()
+    await assert.rejects(call, thrown => toFailure(thrown).kind === 'deadlineExceeded')
+    dialler.close()
+  })
+})
+
+describe('links with keys', () => {
+  let authority: PeerKeys
+  let foreign: PeerKeys
+
+  async function sign (name: string, by?: PeerKeys): Promise<PeerKeys> {
+    const { cert, private: key } = await generate([{ name: 'commonName', value: name }], {
+      ca: by === undefined ? undefined : { cert: by.certificate, key: by.key },
+      extensions: [
+        { name: 'basicConstraints', cA: by === undefined },
+        { name: 'subjectAltName', altNames: [{ type: 7, ip: '127.0.0.1' }] }
+      ]
+    })
+    return { certificate: cert, key, authority: by?.certificate ?? cert }
+  }
+
+  before(async () => {
+    authority = await sign('authority')
+    foreign = await sign('foreign authority')
+  })
+
+  let server: LinkServer
+  let watch: Watch
+  let port: number
+  before(async () => {
+    watch = new Watch()
+    const served = await listen(watch, await sign('server', authority))
+    server = served.server
+    port = served.port
+  })
+  after(() => { server.close() })
+
+  function dial (name: string, keys: PeerKeys | undefined): { peer: Watch, dialler: LinkDialler } {
+    const peer = new Watch()
+    return { peer, dialler: LinkDialler.create(`127.0.0.1:${port}`, createHello(name), peer.handlers, () => keys) }
+  }
+
+  it('lets in a process that shows its own certificate of the authority', async () => {
+    const { peer, dialler } = dial('peer', await sign('peer', authority))
+    const link = await peer.opened
+    assert.equal(link.peer?.process, 'server')
+    dialler.close()
+  })
+
+  it('refuses a certificate of another authority, another name, and none', async () => {
+    const outsider = { ...await sign('peer', foreign), authority: authority.certificate }
+    const impostor = await sign('entry-1', authority)
+    for (const keys of [outsider, impostor, undefined]) {
+      const { peer, dialler } = dial('peer', keys)
+      const outcome = await Promise.race([peer.closed, peer.opened.then(link => link.call('echo', {}, 5_000)).catch(() => 'refused')])
+      assert.equal(typeof outcome, 'string')
+      dialler.close()
+    }
+  })
+
+  it('uses replaced keys for new links', async () => {
+    server.replaceKeys(await sign('renamed', authority))
+    const { peer, dialler } = dial('peer', await sign('peer', authority))
+    assert.match(await peer.closed, /certificate of renamed is shown by server/)
+    server.replaceKeys(await sign('server', authority))
+    dialler.close()
+  })
+})
--- a/packages/controllers/src/core/link.ts
+++ b/packages/controllers/src/core/link.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Socket } from 'node:net'
+import { TLSSocket } from 'node:tls'
 import { ErrorKind, Failure, toFailure, type ErrorKind as Kind } from '@flamingorouter/scheduler'
 import type { AnswerFrame, CallFrame, Frame, HelloFrame } from '../types/messages.js'
 import { encodeFrame, FRAME_LIMIT_BYTES, FrameReader } from './framing.js'
@@ -135,6 +136,10 @@
   private greet (frame: Frame): void {
     if (frame.kind !== 'hello') return this.close('the first frame is not a hello')
     if (frame.group !== this.hello.group) return this.close(`group ${frame.group} is not ${this.hello.group}`)
+    const certified = readCertifiedName(this.socket)
+    if (certified !== undefined && certified !== frame.process) {
+      return this.close(`the certificate of ${certified} is shown by ${frame.process}`)
+    }
     clearTimeout(this.helloTimer)
     this.peer = frame
     this.reader.setLimit(FRAME_LIMIT_BYTES)
@@ -168,3 +173,10 @@
     this.handlers.closed(this, this.reason)
   }
 }
+
+/** Name in the peer's certificate; undefined without TLS. */
+function readCertifiedName (socket: Socket): string | undefined {
+  if (!(socket instanceof TLSSocket)) return undefined
+  const { CN } = socket.getPeerCertificate().subject ?? {}
+  return Array.isArray(CN) ? CN.join(' ') : CN ?? ''
+}
--- a/packages/controllers/src/core/peers.ts
+++ b/packages/controllers/src/core/peers.ts
@@ -4,12 +4,17 @@
  */
 
 import { connect, createServer, type Server, type Socket } from 'node:net'
+import { connect as connectTls, createServer as createTlsServer, type Server as TlsServer } from 'node:tls'
+import type { PeerKeys } from '../types/keys.js'
 import type { HelloFrame } from '../types/messages.js'
 import { Link, type LinkHandlers } from './link.js'
 
 const FIRST_REDIAL_MS = 50
 const LAST_REDIAL_MS = 1_000
 
+/** How long a TLS handshake may take, in milliseconds. */
+const HANDSHAKE_TIMEOUT_MS = 3_000
+
 /** Links that a process accepts at once. */
 const INBOUND_LINK_LIMIT = 256
 
@@ -30,20 +35,29 @@
 
   private constructor (private readonly server: Server) {}
 
-  static create (hello: HelloFrame, handlers: LinkHandlers): LinkServer {
-    const server = createServer()
+  /** With keys, both ends prove by a certificate of the same authority who they are. */
+  static create (hello: HelloFrame, handlers: LinkHandlers, keys?: PeerKeys): LinkServer {
+    const server = keys === undefined
+      ? createServer()
+      : createTlsServer({ ...toTlsOptions(keys), requestCert: true, handshakeTimeout: HANDSHAKE_TIMEOUT_MS })
     const accepted = new LinkServer(server)
     const forget = (link: Link, reason: string): void => {
       accepted.links.delete(link)
       handlers.closed(link, reason)
     }
     server.maxConnections = INBOUND_LINK_LIMIT
-    server.on('connection', (socket: Socket) => {
+    server.on(keys === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
       accepted.links.add(Link.create(socket, hello, { ...handlers, closed: forget }))
     })
     return accepted
   }
 
+  /** New links use the new keys; open ones go on. */
+  replaceKeys (keys: PeerKeys): void {
+    const server = this.server as TlsServer
+    server.setSecureContext(toTlsOptions(keys))
+  }
+
   /** Resolves with the bound port. */
   listen (address: Address): Promise<number> {
     return new Promise((resolve, reject) => {
@@ -70,11 +84,18 @@
   private constructor (
     readonly address: string,
     private readonly hello: HelloFrame,
-    private readonly handlers: LinkHandlers
+    private readonly handlers: LinkHandlers,
+    private readonly keys: () => PeerKeys | undefined
   ) {}
 
-  static create (address: string, hello: HelloFrame, handlers: LinkHandlers): LinkDialler {
-    const dialler = new LinkDialler(address, hello, handlers)
+  /** `keys` are asked for at each connection, so that changed ones take effect without a stop. */
+  static create (
+    address: string,
+    hello: HelloFrame,
+    handlers: LinkHandlers,
+    keys: () => PeerKeys | undefined = () => undefined
+  ): LinkDialler {
+    const dialler = new LinkDialler(address, hello, handlers, keys)
     dialler.dial()
     return dialler
   }
@@ -86,8 +107,9 @@
   }
 
   private dial (): void {
-    const { host, port } = parseAddress(this.address)
-    const socket = connect({ host, port })
+    const keys = this.keys()
+    const address = parseAddress(this.address)
+    const socket = keys === undefined ? connect(address) : connectTls({ ...address, ...toTlsOptions(keys) })
     this.link = Link.create(socket, this.hello, {
       ...this.handlers,
       opened: link => {
@@ -108,3 +130,7 @@
     this.delayMs = Math.min(this.delayMs * 2, LAST_REDIAL_MS)
   }
 }
+
+function toTlsOptions (keys: PeerKeys): { cert: string, key: string, ca: string, rejectUnauthorized: true, minVersion: 'TLSv1.3' } {
+  return { cert: keys.certificate, key: keys.key, ca: keys.authority, rejectUnauthorized: true, minVersion: 'TLSv1.3' }
+}
--- a/packages/controllers/src/internal.ts
+++ b/packages/controllers/src/internal.ts
@@ -4,6 +4,7 @@
 
 export * from './types/replica.js'
 export * from './types/messages.js'
+export * from './types/keys.js'
 export * from './types/methods.js'
 export * from './core/framing.js'
 export * from './core/link.js'
