--- a/packages/scheduler/__tests__/schedules.test.ts
+++ b/packages/scheduler/__tests__/schedules.test.ts
@@ -14,6 +14,8 @@
 const SCHEDULES = Number(process.env.SCHEDULES ?? 300)
 const SEED = Number(process.env.SEED ?? 20_261)
 const WORKERS = 4
+/** A doubled message in the worst storm. */
+const LONGEST_DELAY_MS = 45_000
 const CALM = { lossPercent: 0, doublePercent: 0, delayMs: 5, commitMs: 5 }
 
 interface Action { afterMs: number, kind: string, at: number, ms: number }
@@ -87,7 +89,7 @@
     assert.deepEqual(world.violations(), [])
   }
   // The faults end, the services make room, and what is left has time to end.
-  world.advance(20_000)
+  world.advance(LONGEST_DELAY_MS)
   for (let at = 0; at < 3; at++) {
     if (world.state.workloads.has(`service-${at}`)) removeService(world, `service-${at}`)
   }
