--- a/packages/controllers/__tests__/raft.test.ts
+++ b/packages/controllers/__tests__/raft.test.ts
@@ -165,6 +165,21 @@
     })
   })
 
+  it('takes a snapshot with the membership of its index, not a later one', () => {
+    const raft = createRaft(3, 1)
+    elect(raft)
+    sync(raft, LATE)
+    raft.receive('b', message(4, accepted(2), 'b1'), LATE)
+    raft.propose(new Uint8Array())
+    raft.addMember({ ...member('d'), role: 'learner' }, LATE)
+    sync(raft, LATE)
+    raft.receive('b', message(4, accepted(3), 'b1'), LATE)
+    raft.compact(3, new Uint8Array(), 0)
+    const { log } = raft.state
+    assert.deepEqual(log.snapshot?.members.map(({ id }) => id), ['a', 'b', 'c'])
+    assert.deepEqual(log.members.map(({ id }) => id), ['a', 'b', 'c', 'd'])
+  })
+
   it('refuses malformed messages', () => {
     const good: Body = {
       kind: 'appendRequest', previousIndex: 1, previousTerm: 1, entries: [entry(2, 4)], commitIndex: 0, sentAt: 0
--- a/packages/controllers/__tests__/support/cluster.ts
+++ b/packages/controllers/__tests__/support/cluster.ts
@@ -107,7 +107,11 @@
   }
 
   start (node: TestNode): void {
-    if (!node.isStarted) node.start().catch(error => { this.failure ??= error })
+    if (node.isStarted) return
+    node.start().catch((thrown: unknown) => {
+      if (node.disk?.isFailing === true) node.stop()
+      else this.failure ??= thrown
+    })
   }
 
   crash (node: TestNode): void {
--- a/packages/controllers/__tests__/support/disk.ts
+++ b/packages/controllers/__tests__/support/disk.ts
@@ -53,7 +53,8 @@
 
   /** Loses a random part of what was not synced. */
   crash (random: RandomGenerator): void {
-    this.syncFolder(uniformInt(random, 0, this.journal.length))
+    // Changes of a folder become durable in any order before it is synced.
+    for (const apply of this.journal) if (uniformInt(random, 0, 1) === 0) apply(this.durableNames)
     this.journal = []
     this.names = new Map(this.durableNames)
     for (const inode of this.names.values()) {
--- a/packages/controllers/__tests__/support/node.ts
+++ b/packages/controllers/__tests__/support/node.ts
@@ -39,6 +39,8 @@
   applied: Applied = NOTHING_APPLIED
   private generation = 0
   private isLeading = false
+  /** True from the loss of leadership until the state is delivered anew. */
+  private isStale = false
   /** States after entries that were proposed here and are not committed yet. */
   private proposed: Applied[] = []
   private nextEntry = 0
@@ -83,6 +85,7 @@
     this.applied = NOTHING_APPLIED
     this.proposed = []
     this.isLeading = false
+    this.isStale = false
     const replica = await Replica.open({
       id: this.id,
       group: 'test',
@@ -129,6 +132,7 @@
     return {
       committed: (index, entry, own) => {
         if (!isCurrent()) return
+        assert.ok(!this.isStale, `${this.id} was given entry ${index} before its state was delivered anew`)
         assert.ok(index > this.applied.index, `${this.id} was given entry ${index} after ${this.applied.index}`)
         if (own) assert.equal(this.proposed[0]?.index, index, `${this.id} did not propose entry ${index}`)
         else assert.equal(this.proposed.length, 0, `${this.id} was given another's entry ${index} while it leads`)
@@ -137,6 +141,7 @@
       },
       restored: (index, snapshot) => {
         if (!isCurrent()) return
+        this.isStale = false
         this.applied = snapshot.length === 0 ? NOTHING_APPLIED : JSON.parse(Buffer.from(snapshot).toString()) as Applied
         assert.ok(this.applied.index <= index)
         checker.restored(this.applied)
@@ -146,6 +151,7 @@
         if (!isCurrent()) return
         checker.coverage.stepDowns += 1
         this.isLeading = false
+        this.isStale = true
         this.proposed = []
       },
       snapshot: () => {
