--- a/packages/cli/src/core/settings-rules.ts
+++ b/packages/cli/src/core/settings-rules.ts
@@ -54,7 +54,6 @@
 function findAddressConflicts (settings: Settings): Issue[] {
   const addresses: [string, string | undefined][] = [
     ['controller.listen', settings.controller?.listen],
-    ['controller.advertise', settings.controller?.advertise],
     ['entry.listen', settings.entry?.listen],
     ['observe.listen', settings.observe?.listen],
     ...settings.controllers.map(({ address }, index): [string, string] => [`controllers[${index}].address`, address])
@@ -109,7 +108,7 @@
 function findExposure (settings: Settings): Issue[] {
   if (settings.allowPlaintext) return []
   const ports: [string, string | undefined][] = [
-    ['controller.listen', settings.controller?.listen],
+    ['controller.listen', settings.peerTls === undefined ? settings.controller?.listen : undefined],
     ['observe.listen', settings.observe?.listen],
     ['entry.listen', settings.tls === undefined ? settings.entry?.listen : undefined]
   ]
