--- a/features/membership.feature
+++ b/features/membership.feature
@@ -17,3 +17,4 @@
   Scenario: The last safe removal is refused with the reason
     Given a cell of 3 controllers and 1 entries
     Then the removal of a controller that follows is refused with the reason
+    And the audit trail has the refused removal
--- a/features/steps/membership.ts
+++ b/features/steps/membership.ts
@@ -7,7 +7,7 @@
 import { Then, When } from '@cucumber/cucumber'
 import { toFailure } from '@flamingorouter/scheduler'
 import {
-  AddMemberRequestSchema, ListMembersRequestSchema, OperatorService, RemoveMemberRequestSchema, type Member
+  AddMemberRequestSchema, ListAuditRequestSchema, ListMembersRequestSchema, OperatorService, RemoveMemberRequestSchema, type Member
 } from '@flamingorouter/schema'
 import { waitFor } from '../support/real-cell.js'
 import type { CellWorld } from '../support/world.js'
@@ -67,3 +67,8 @@
     return failure.kind === 'failedPrecondition' && failure.message.length > 0
   })
 })
+
+Then('the audit trail has the refused removal', async function (this: CellWorld) {
+  const { entries } = await this.call(OperatorService.method.listAudit, create(ListAuditRequestSchema, { method: 'RemoveMember' }))
+  assert.deepEqual(entries.map(({ actor, refusal }) => [actor, refusal]), [['feature', 'failedPrecondition']])
+})
--- a/features/support/real-cell.ts
+++ b/features/support/real-cell.ts
@@ -42,7 +42,15 @@
   private readonly proxies = new Map<string, FaultProxy>()
   private readonly folder = mkdtempSync(join(tmpdir(), 'flamingorouter-cell-'))
 
-  private constructor (private readonly options: RealCellOptions) {}
+  private readonly children: ChildProcess[] = []
+  /** No process outlives the run that started it. */
+  private readonly killAll = (): void => {
+    for (const child of this.children) child.kill('SIGKILL')
+  }
+
+  private constructor (private readonly options: RealCellOptions) {
+    process.once('exit', this.killAll)
+  }
 
   static async start (options: RealCellOptions): Promise<RealCell> {
     const cell = new RealCell(options)
@@ -88,7 +96,7 @@
     writeFileSync(file, JSON.stringify(await this.createSettings(state)))
     const child = spawn(BINARY, ['serve', file], { stdio: ['ignore', 'pipe', 'pipe'] })
     state.child = child
-    process.once('exit', () => { child.kill('SIGKILL') })
+    this.children.push(child)
     state.isFrozen = false
     for (const stream of [child.stdout, child.stderr]) {
       stream.on('data', (chunk: Buffer) => { state.output.push(...chunk.toString().split('\n').filter(line => line !== '')) })
@@ -170,6 +178,7 @@
   }
 
   async close (): Promise<void> {
+    process.off('exit', this.killAll)
     const living = [...this.processes.values()].filter(({ child }) => child !== undefined && child.exitCode === null)
     await Promise.all(living.map(({ name }) => this.kill(name)))
     await Promise.all([...this.proxies.values()].map(proxy => proxy.close()))
--- a/packages/cli/src/runtime/controller.ts
+++ b/packages/cli/src/runtime/controller.ts
@@ -12,7 +12,7 @@
 } from '@flamingorouter/controllers'
 import type { Binding, CallContext } from '@flamingorouter/rpc'
 import {
-  createClusterState, ErrorKind, fail, toFailure, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type Scheduler
+  createClusterState, ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type Scheduler
 } from '@flamingorouter/scheduler'
 import { Calls } from './calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
@@ -220,7 +220,7 @@
     if (binding === undefined) fail(ErrorKind.unimplemented, `no method ${method}`)
     const request = fromBinary(binding.method.input, body.request)
     if (binding.kind === 'event') {
-      const answer = await this.calls.open(call => { this.feed(binding.toEvent(request, { ...context, call })) })
+      const answer = await this.ask(call => binding.toEvent(request, { ...context, call }))
       return toBinary(binding.method.output, binding.toResponse(answer, request))
     }
     const waitMs = binding.waitMs?.(request) ?? 0
@@ -255,6 +255,11 @@
     if (!this.isAuthoritative) this.refuseAsFollower()
   }
 
+  /** Feeds an event with a call and resolves with its answer. */
+  async ask (toEvent: (call: number) => Event): Promise<Answer> {
+    return await this.calls.open(call => { this.feed(toEvent(call)) })
+  }
+
   private feed (event: Event): void {
     const { scheduler, metrics } = this.options
     const now = clusterNow()
--- a/packages/cli/src/runtime/local-methods.ts
+++ b/packages/cli/src/runtime/local-methods.ts
@@ -5,7 +5,8 @@
 
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
 import { describeCell } from '@flamingorouter/operators'
-import { requireAllTeams, type CallContext } from '@flamingorouter/rpc'
+import { originOf, requireAllTeams, type CallContext } from '@flamingorouter/rpc'
+import { isAnswered, toFailure, type ChangeOrigin } from '@flamingorouter/scheduler'
 import {
   GetConfigurationStatusResponseSchema, GetStatusResponseSchema, ListMembersResponseSchema, OperatorService, type Member
 } from '@flamingorouter/schema'
@@ -51,24 +52,44 @@
 }
 
 async function answerAddMember (bytes: Uint8Array, context: CallContext, controller: Controller): Promise<Uint8Array> {
-  requireAllTeams(context)
   const request = fromBinary(OperatorService.method.addMember.input, bytes)
-  await controller.replica.addMember({
-    id: request.id,
-    address: request.address,
-    availabilityZone: request.availabilityZone,
-    role: 'learner'
+  requireAllTeams(context)
+  const { id, address, availabilityZone } = request
+  const origin = originOf(OperatorService.method.addMember, request.requestId, context)
+  return await changeMembers(controller, origin, id, async () => {
+    await controller.replica.addMember({ id, address, availabilityZone, role: 'learner' })
   })
-  return await answerMembers(controller)
 }
 
 async function answerRemoveMember (bytes: Uint8Array, context: CallContext, controller: Controller): Promise<Uint8Array> {
-  requireAllTeams(context)
   const request = fromBinary(OperatorService.method.removeMember.input, bytes)
-  await controller.replica.removeMember(request.id)
+  requireAllTeams(context)
+  const origin = originOf(OperatorService.method.removeMember, request.requestId, context)
+  return await changeMembers(controller, origin, request.id, async () => {
+    await controller.replica.removeMember(request.id)
+  })
+}
+
+/** Changes the membership unless this is a repeat, and audits the change or its refusal. */
+async function changeMembers (
+  controller: Controller,
+  origin: ChangeOrigin,
+  member: string,
+  change: () => Promise<void>
+): Promise<Uint8Array> {
+  if (isAnswered(controller.state, origin)) return await answerMembers(controller)
+  const before = describeMember(controller, member)
+  const refusal = await change().then(() => undefined, toFailure)
+  const after = describeMember(controller, member)
+  await controller.ask(call => ({ kind: 'memberChanged', call, origin, member, before, after, refusal }))
   return await answerMembers(controller)
 }
 
+function describeMember (controller: Controller, id: string): string {
+  const member = controller.replica.status().members.find(each => each.id === id)
+  return member === undefined ? '' : JSON.stringify(member)
+}
+
 async function answerConfigurationStatus (
   _bytes: Uint8Array,
   _context: CallContext,
--- a/packages/scheduler/src/core/changes/ledger.ts
+++ b/packages/scheduler/src/core/changes/ledger.ts
@@ -6,6 +6,7 @@
 
 import type { Answer } from '../../types/answers.js'
 import type { ChangeOrigin } from '../../types/events.js'
+import type { ClusterState } from '../../types/state.js'
 import type { Limits } from '../../types/limits.js'
 import { ErrorKind, type Failure } from '../../utils/errors.js'
 import type { Step } from '../step.js'
@@ -88,6 +89,11 @@
   }
 }
 
+/** True when the state has an answer to this very change. */
+export function isAnswered (state: ClusterState, origin: ChangeOrigin): boolean {
+  return origin.requestId !== '' && state.answered.get(changeKey(origin))?.digest === origin.digest
+}
+
 /** The length tells where the actor ends, so that two pairs never share a key. */
 function changeKey (origin: ChangeOrigin): string {
   return `${origin.actor.length} ${origin.actor} ${origin.requestId}`
--- a/packages/scheduler/src/core/configuration/configuration.ts
+++ b/packages/scheduler/src/core/configuration/configuration.ts
@@ -20,7 +20,7 @@
 interface Versioned { name: string, version: number }
 
 export class Configuration extends Part {
-  readonly handles = ['putTeam', 'putPolicy', 'putDocument'] as const
+  readonly handles = ['putTeam', 'putPolicy', 'putDocument', 'memberChanged'] as const
   private readonly ledger: ChangeLedger
 
   private constructor (limits: Limits) {
@@ -39,6 +39,7 @@
       case 'putTeam': return this.putTeam(event, step)
       case 'putPolicy': return this.putPolicy(event, step)
       case 'putDocument': return this.putDocument(event, step)
+      case 'memberChanged': return this.recordMember(event, step)
     }
   }
 
@@ -77,6 +78,14 @@
     this.accept(step, change, before, document)
   }
 
+  /** The change itself is in the log of the replicas; here it is audited and answered. */
+  private recordMember (event: EventOf<'memberChanged'>, step: Step): void {
+    const { call, origin, member, before, after, refusal } = event
+    const change = { call, origin, subject: `member ${member}` }
+    if (refusal !== undefined) return this.ledger.refuseWith(step, change, refusal)
+    this.ledger.accept(step, change, { kind: 'applied', id: member, version: 0 }, before, after)
+  }
+
   private isAllowed (
     step: Step,
     change: Change,
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -6,6 +6,7 @@
 import type { DocumentState, PolicyState, TeamState } from './configuration.js'
 import type { EntryReport, Outcome, RequestFacts } from './requests.js'
 import type { Resources } from './resources.js'
+import type { Failure } from '../utils/errors.js'
 import type { TargetKind } from './targets.js'
 import type { WorkloadSpec } from './workloads.js'
 
@@ -67,6 +68,8 @@
   | { kind: 'drain', call: number, origin: ChangeOrigin, vm: string, target: string, reason: string }
   | { kind: 'readmit', call: number, origin: ChangeOrigin, vm: string, target: string }
   | { kind: 'vmGone', call: number, origin: ChangeOrigin, vm: string }
+  /** The membership of controllers was changed, or the change was refused; kept for the audit trail. */
+  | { kind: 'memberChanged', call: number, origin: ChangeOrigin, member: string, before: string, after: string, refusal: Failure | undefined }
   | { kind: 'explain', call: number, id: string }
   /** An entry asks for a slot for a request; answered by a Grant or an Outcome. */
   | { kind: 'acquire', call: number, entry: string, facts: RequestFacts }
