Take ports for new processes from outside the kernel's own range

Cause: a cell of real processes once waited for ever: a port that was free had meanwhile gone to an outgoing connection of another run, and a question after readiness had no time limit.

Change: one finder of free ports below the range of outgoing connections, for the small cell and the features; questions after readiness end after 1 s.

--- a/features/support/real-cell.ts
+++ b/features/support/real-cell.ts
@@ -6,9 +6,9 @@
 
 import { spawn, type ChildProcess } from 'node:child_process'
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { findFreePorts } from '../../packages/cli/src/utils/ports.js'
 import { FaultProxy } from './fault-proxy.js'
 
 const HOST = '127.0.0.1'
@@ -16,6 +16,9 @@
 const POLL_MS = 20
 const ZONES = ['zone-a', 'zone-b', 'zone-c', 'zone-d'] as const
 
+/** How long one question after readiness may take, in milliseconds. */
+const PROBE_TIMEOUT_MS = 1_000
+
 /** How long a cell may take to become ready, in milliseconds. */
 const READY_TIMEOUT_MS = 20_000
 
@@ -240,9 +243,9 @@
   }
 }
 
-async function isReady (endpoint: string): Promise<boolean> {
+export async function isReady (endpoint: string): Promise<boolean> {
   try {
-    return (await fetch(`http://${endpoint}/readyz`)).ok
+    return (await fetch(`http://${endpoint}/readyz`, { signal: AbortSignal.timeout(PROBE_TIMEOUT_MS) })).ok
   } catch {
     return false
   }
@@ -256,11 +259,3 @@
     await new Promise(resolve => { setTimeout(resolve, POLL_MS) })
   }
 }
-
-async function findFreePorts (count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer())
-  await Promise.all(servers.map(server => new Promise<void>(resolve => { server.listen(0, HOST, resolve) })))
-  const ports = servers.map(server => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(server => new Promise(resolve => { server.close(resolve) })))
-  return ports
-}
--- a/features/support/world.ts
+++ b/features/support/world.ts
@@ -16,7 +16,7 @@
 import {
   findOverlaps, findOverloads, findOversubscription, findRepeats, findUntruths, type Capacity, type ToldOutcome
 } from './checkers.js'
-import { RealCell } from './real-cell.js'
+import { isReady, RealCell } from './real-cell.js'
 import { FaultProxy } from './fault-proxy.js'
 
 export const WORKER_CAPACITY: Capacity = { millicores: 8_000, memoryMib: 16_384, accelerators: 1 }
@@ -154,8 +154,7 @@
   async readyEndpoint (): Promise<string> {
     for (;;) {
       const endpoint = this.nextEndpoint()
-      const answer = await fetch(`http://${endpoint}/readyz`).catch(() => undefined)
-      if (answer?.ok === true) return endpoint
+      if (await isReady(endpoint)) return endpoint
     }
   }
 
--- a/packages/cli/src/dev/small-cell.ts
+++ b/packages/cli/src/dev/small-cell.ts
@@ -4,7 +4,6 @@
  */
 
 import { mkdtempSync, rmSync } from 'node:fs'
-import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import type { MemberFacts } from '@flamingorouter/controllers'
@@ -15,6 +14,7 @@
 import { EntryNode } from '../runtime/entry-node.js'
 import { ALL_BINDINGS, ALL_METHODS } from '../runtime/methods.js'
 import type { RuntimeLog } from '../runtime/runtime-log.js'
+import { findFreePorts } from '../utils/ports.js'
 
 const HOST = '127.0.0.1'
 const GROUP = 'dev'
@@ -154,12 +154,3 @@
     await Promise.all([...this.workers, ...this.runners].map(target => target.start()))
   }
 }
-
-/** Finds ports that were free a moment ago. */
-async function findFreePorts (count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer())
-  await Promise.all(servers.map(server => new Promise<void>(resolve => { server.listen(0, HOST, resolve) })))
-  const ports = servers.map(server => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(server => new Promise(resolve => { server.close(resolve) })))
-  return ports
-}
