Prove repeats, dying runners and cancelled work in real processes

Cause: three promises to callers had no scenario of their own.

Change: a repeat through other entries and a new leader gets the first outcome and runs once; runners die with requests in hand; work that is ended while it waits never starts.

A repeat must name the same created_ms as its first request, which the step now does.

--- /dev/null
+++ b/features/steps/truth.ts
@@ -0,0 +1,48 @@
+/**
+ * Steps about what callers and operators are told.
+ */
+
+import assert from 'node:assert/strict'
+import { create } from '@bufbuild/protobuf'
+import { Then, When } from '@cucumber/cucumber'
+import { toFailure } from '@flamingorouter/scheduler'
+import { CallerService, DeleteWorkloadRequestSchema, OperatorService, SubmitRequestSchema } from '@flamingorouter/schema'
+import { waitFor } from '../support/real-cell.js'
+import type { CellWorld } from '../support/world.js'
+
+const END_TIMEOUT_MS = 20_000
+
+Then('request {string} began {int} times', function (this: CellWorld, requestId: string, times: number) {
+  const begins = this.journal.records.filter(record => record.requestId === requestId && record.event === 'begin')
+  assert.equal(begins.length, times)
+})
+
+Then('request {string} with other content is refused with {string}', async function (this: CellWorld, requestId: string, kind: string) {
+  const request = create(SubmitRequestSchema, {
+    service: 'reconcile', requestId, idempotent: false, deadlineMs: 5_000, payload: new TextEncoder().encode('other')
+  })
+  await assert.rejects(this.client.call(this.nextEndpoint(), CallerService.method.submit, request),
+    thrown => toFailure(thrown).kind === kind)
+})
+
+When('a runner dies', async function (this: CellWorld) {
+  const runner = this.runners.shift()
+  assert.ok(runner)
+  await runner.die()
+})
+
+When('an operator ends {string}', async function (this: CellWorld, id: string) {
+  const { version } = await this.readWorkload(id)
+  await this.call(OperatorService.method.deleteWorkload, create(DeleteWorkloadRequestSchema, {
+    requestId: `end-${id}`, id, expectedVersion: version
+  }))
+})
+
+Then('no task of {string} ever began', function (this: CellWorld, id: string) {
+  assert.deepEqual(this.runs().filter(({ task }) => task.startsWith(`${id}/`)), [])
+})
+
+Then('all tasks of {string} are over', async function (this: CellWorld, id: string) {
+  await waitFor(`all tasks of ${id} are over`, END_TIMEOUT_MS, () =>
+    this.runs().filter(({ task }) => task.startsWith(`${id}/`)).every(({ end }) => end > 0))
+})
--- a/features/support/world.ts
+++ b/features/support/world.ts
@@ -50,6 +50,7 @@
   readonly answers: string[] = []
   /** Name of a controller that lost its disk. */
   lost = ''
+  private readonly firstMade = new Map<string, number>()
   private turn = 0
 
   nextEndpoint (): string {
@@ -158,6 +159,13 @@
     }
   }
 
+  /** A repeat names the time at which its request was first made. */
+  private createdMs (requestId: string): number {
+    const known = this.firstMade.get(requestId) ?? Date.now()
+    this.firstMade.set(requestId, known)
+    return known
+  }
+
   /** Sends one request and books what the caller was told. */
   async submit (service: string, requestId: string, idempotent: boolean, endpoint = this.nextEndpoint()): Promise<ToldOutcome> {
     const deadlineMs = DEADLINE_MS
@@ -167,7 +175,7 @@
       requestId,
       idempotent,
       deadlineMs,
-      createdMs: BigInt(Date.now()),
+      createdMs: BigInt(this.createdMs(requestId)),
       payload: new TextEncoder().encode(sent)
     })
     const told: ToldOutcome = { caller: 'feature', requestId, idempotent, kind: 'refused', body: '', sent }
