--- /dev/null
+++ b/packages/cli/__tests__/proposals.test.ts
@@ -0,0 +1,82 @@
+/**
+ * What the leader holds back until the log has it.
+ */
+
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { Replica } from '@flamingorouter/controllers'
+import { decodeValue } from '@flamingorouter/controllers'
+import type { Decision, Effect } from '@flamingorouter/scheduler'
+import { Proposals } from '../src/runtime/proposals.js'
+
+const FRAME_BYTES = 16 * 1024 * 1024
+
+class FakeLog {
+  readonly entries: Uint8Array[] = []
+
+  propose (entry: Uint8Array): number {
+    return this.entries.push(entry)
+  }
+}
+
+function createProposals (): { log: FakeLog, proposals: Proposals, released: number[] } {
+  const log = new FakeLog()
+  const released: number[] = []
+  const release = (effect: Effect): void => { if (effect.kind === 'reply') released.push(effect.call) }
+  const proposals = Proposals.create(log as unknown as Replica, {
+    release,
+    failed: thrown => { throw thrown },
+    committed: () => {}
+  })
+  return { log, proposals, released }
+}
+
+function reply (call: number): Effect {
+  return { kind: 'reply', call, answer: { kind: 'left', inFlight: 0 } }
+}
+
+function forget (key: string): Decision {
+  return { kind: 'changeForgotten', key }
+}
+
+describe('proposals', () => {
+  it('release an effect once its own entry and all before it are committed', () => {
+    const { proposals, released } = createProposals()
+    proposals.add({ decisions: [forget('a')], effects: [reply(1)] })
+    proposals.flush()
+    proposals.add({ decisions: [forget('b')], effects: [reply(2)] })
+    proposals.flush()
+    // Without a decision of its own, it may be based on what is not committed yet.
+    proposals.add({ decisions: [], effects: [reply(3)] })
+    proposals.flush()
+    assert.deepEqual(released, [])
+    proposals.committed(1)
+    assert.deepEqual(released, [1])
+    proposals.committed(2)
+    assert.deepEqual(released, [1, 2, 3])
+  })
+
+  it('release nothing that was held when leadership was lost', () => {
+    const { proposals, released } = createProposals()
+    proposals.add({ decisions: [forget('a')], effects: [reply(1)] })
+    proposals.flush()
+    proposals.drop()
+    proposals.committed(1)
+    assert.deepEqual(released, [])
+  })
+
+  it('split a turn that would not fit into a frame, in order, and wait for its last entry', () => {
+    const { log, proposals, released } = createProposals()
+    const keys = Array.from({ length: 40 }, (_, index) => `${index} `.padEnd(1024 * 1024, 'x'))
+    proposals.add({ decisions: keys.map(forget), effects: [reply(1)] })
+    proposals.flush()
+    assert.ok(log.entries.length > 1)
+    assert.ok(log.entries.every(entry => entry.length < FRAME_BYTES))
+    const found = log.entries.flatMap(entry => decodeValue(entry) as Decision[])
+    assert.deepEqual(found.map(decision => decision.kind === 'changeForgotten' && decision.key), keys)
+    proposals.committed(log.entries.length - 1)
+    assert.deepEqual(released, [])
+    proposals.committed(log.entries.length)
+    assert.deepEqual(released, [1])
+  })
+})
--- a/packages/cli/src/runtime/proposals.ts
+++ b/packages/cli/src/runtime/proposals.ts
@@ -8,6 +8,9 @@
 import type { Decision, Effect, StepResult } from '@flamingorouter/scheduler'
 import { monotonicNow } from './clock.js'
 
+/** Size over which the decisions of one turn become several entries, in bytes; far below that of a frame. */
+const ENTRY_BYTES = 4 * 1024 * 1024
+
 /** Decisions after which an entry is closed and the next one begun. */
 const DECISIONS_PER_ENTRY = 512
 
@@ -87,13 +90,22 @@
       return
     }
     try {
-      const index = this.replica.propose(encodeValue(decisions))
+      const index = this.propose(decisions)
       this.held.push({ index, effects, proposedAt: monotonicNow() })
     } catch (thrown) {
       this.owner.failed(thrown)
     }
   }
 
+  /** Returns the index of the last entry; all of them are committed with it. */
+  private propose (decisions: Decision[]): number {
+    const entry = encodeValue(decisions)
+    if (entry.length <= ENTRY_BYTES || decisions.length === 1) return this.replica.propose(entry)
+    const half = decisions.length >> 1
+    this.propose(decisions.slice(0, half))
+    return this.propose(decisions.slice(half))
+  }
+
   /** Effects without decisions still wait for the decisions they were based on. */
   private follow (effects: Effect[]): void {
     const last = this.held[this.held.length - 1]
