Drive the binary's errors and exit codes by a feature

Cause: nothing ran the built binary on wrong arguments, files and addresses. Change: eleven scenarios of the command line over the built binary.

--- /dev/null
+++ b/features/command-line.feature
@@ -0,0 +1,20 @@
+Feature: The binary tells what is wrong, and exits by the table of errors
+
+  Scenario Outline: <case>
+    When the binary runs with "<arguments>"
+    Then it exits with code <code>
+    And it prints "<text>"
+
+    Examples:
+      | case                              | arguments                                                   | code | text                             |
+      | help                              | --help                                                      | 0    | check-settings                   |
+      | help with examples                | apply --help                                                | 0    | flamingorouter apply             |
+      | an unknown command                | aply                                                        | 2    | apply                            |
+      | an unknown option                 | status --colour                                             | 2    | --colour                         |
+      | the settings of an example        | check-settings examples/coastline/entry-1.json              | 0    | "electionMs": 400                |
+      | a file that is no settings file   | check-settings examples/workloads/batch.json                | 2    | availabilityZone: expected       |
+      | serving with wrong settings       | serve examples/workloads/batch.json                         | 2    | vm: expected                     |
+      | a cell out of reach               | status --endpoints 127.0.0.1:1 --timeout-ms 200             | 14   | unavailable                      |
+      | the same for a program            | status --endpoints 127.0.0.1:1 --timeout-ms 200 -o json     | 14   | {"error":{"kind":"unavailable"   |
+      | a data folder that is not there   | state inspect no-such-folder                                | 6    | notFound                         |
+      | a cancel of nothing               | cancel                                                      | 2    | --selector                       |
