--- a/packages/scheduler/__tests__/health.test.ts
+++ b/packages/scheduler/__tests__/health.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { Estimates, UsageTable } from '../src/index.js'
-import { createJob, size, World } from './support/world.js'
+import { createJob, origin, size, World } from './support/world.js'
 
 function createCell (workers: number): World {
   const world = World.create(7)
@@ -49,6 +49,30 @@
     })
   })
 
+  describe('a suspect', () => {
+    it('is tried without a probe when only work that probes nothing waits', () => {
+      const world = createCell(2)
+      world.workers[0].flaw = 'refuses'
+      submitEvery(world, 100, 60, at => `work-${at % 4}`)
+      world.advance(60_000)
+      assert.ok(world.committed.some(decision => decision.kind === 'targetPhaseSet' && decision.phase === 'suspect'))
+      world.workers[0].flaw = ''
+      const id = world.submit({ kind: 'gang', taskCount: 2, resources: size(4, 1) })
+      world.advance(90_000)
+      assert.equal(world.state.workloads.get(id)?.ended, true)
+    })
+
+    it('is ready at once when an operator readmits it', () => {
+      const world = createCell(2)
+      const [{ name, vm }] = world.workers
+      world.workers[0].flaw = 'refuses'
+      submitEvery(world, 100, 60, at => `work-${at % 4}`)
+      assert.notEqual(world.state.targets.get(name)?.phase, 'ready')
+      world.ask({ kind: 'readmit', call: 0, origin: origin(), vm, target: '' })
+      assert.equal(world.state.targets.get(name)?.phase, 'ready')
+    })
+  })
+
   describe('work that fails everywhere', () => {
     it('is held back, longer each time, and makes no worker suspect', () => {
       const world = createCell(4)
