--- a/features/support/real-cell.ts
+++ b/features/support/real-cell.ts
@@ -35,8 +35,8 @@
 export interface RealCellOptions {
   controllers: number
   entries: number
-  /** Merged over the settings of each process. */
-  settings?: Record<string, unknown>
+  /** Further settings of a process, by its name and the folder of its settings file. */
+  settings?: (name: string, folder: string) => Promise<Record<string, unknown>>
 }
 
 export class RealCell {
@@ -93,6 +93,18 @@
     return this.declare('controller', number, port)
   }
 
+  /** Adds an entry without starting it. */
+  async declareEntry (name: string): Promise<void> {
+    const [port] = await findFreePorts(1)
+    this.declare('entry', Number(name.split('-')[1]), port)
+  }
+
+  /** Ends a process and takes it out of the cell. */
+  forget (name: string): void {
+    this.get(name).child?.kill('SIGKILL')
+    this.processes.delete(name)
+  }
+
   async launch (name: string): Promise<void> {
     const state = this.get(name)
     const file = join(this.folder, `${name}.json`)
@@ -228,7 +240,7 @@
       vm: `vm-of-${state.name}`,
       controllers,
       ...role,
-      ...this.options.settings
+      ...await this.options.settings?.(state.name, this.folder)
     }
   }
 
