--- a/packages/cli/src/runtime/controller-node.ts
+++ b/packages/cli/src/runtime/controller-node.ts
@@ -3,7 +3,7 @@
  * timers.
  */
 
-import { randomUUID } from 'node:crypto'
+import { randomBytes } from 'node:crypto'
 import {
   FolderDisk, LinkServer, MonotonicClock, parseAddress, Replica,
   type HelloFrame, type LinkHandlers, type MemberFacts, type PeerKeys, type Timing
@@ -22,6 +22,9 @@
 /** Ticks of the replica to one of the scheduler. */
 const SCHEDULER_TICKS = 3
 
+/** Size of the random identity of a data folder; every message of the log carries two of them. */
+const DISK_ID_BYTES = 9
+
 /** How long a planned stop waits for another controller to lead, in milliseconds. */
 const TRANSFER_MS = 2_000
 
@@ -81,7 +84,7 @@
       id,
       group,
       disk: await FolderDisk.open(settings.dataFolder),
-      newDisk: randomUUID(),
+      newDisk: randomBytes(DISK_ID_BYTES).toString('base64url'),
       bootstrap: [...settings.bootstrap],
       transport: links,
       owner: controller,
