--- a/packages/controllers/__tests__/replica.test.ts
+++ b/packages/controllers/__tests__/replica.test.ts
@@ -7,7 +7,7 @@
 import { isFailure } from '@flamingorouter/scheduler'
 import { createCoverage, type Coverage } from './support/checker.js'
 import { Cluster, factsOf } from './support/cluster.js'
-import { TIMING, type TestNode } from './support/node.js'
+import { SNAPSHOT_EVERY, TIMING, type TestNode } from './support/node.js'
 
 const ELECTED_MS = 2000
 
@@ -94,6 +94,18 @@
       assert.ok(await cluster.runUntil(() => cluster.leader !== undefined, TIMING.electionMs))
       assert.equal(cluster.leader, others[1])
     })
+
+    it('takes no snapshot while it hands over, as its state may be ahead of the log', async () => {
+      const { cluster, leader, others } = await form(21)
+      cluster.cutWay(leader.id, others[0].id)
+      for (let count = 0; count < SNAPSHOT_EVERY; count += 1) leader.propose()
+      leader.replica!.transferLeadership(others[0].id)
+      const isCommitted = (): boolean => leader.raft.state.commitIndex >= SNAPSHOT_EVERY
+      assert.ok(await cluster.runUntil(isCommitted, TIMING.electionMs))
+      await cluster.run(TIMING.heartbeatMs)
+      assert.equal(leader.raft.isTransferring, true)
+      assert.equal(leader.raft.state.log.snapshot, undefined)
+    })
   })
 
   describe('membership', () => {
--- a/packages/controllers/__tests__/support/node.ts
+++ b/packages/controllers/__tests__/support/node.ts
@@ -13,7 +13,7 @@
 export const TIMING: Timing = Object.freeze({ heartbeatMs: 30, electionMs: 200, driftMs: 80 })
 /** By how much a clock may run fast or slow, such that the drift bound above just holds. */
 export const CLOCK_RATE_BOUND = 0.24
-const SNAPSHOT_EVERY = 12
+export const SNAPSHOT_EVERY = 12
 const SEGMENT_BYTES = 600
 
 /** What a node needs of the cluster around it. */
--- a/packages/controllers/src/core/replica.ts
+++ b/packages/controllers/src/core/replica.ts
@@ -290,6 +290,8 @@
     const isLeading = this.leadingTerm !== 0
     // A replica between two roles may hold entries that its owner has not seen.
     if (isLeading !== (role === 'leader')) return
+    // What the owner decides during a transfer is refused, and its state is ahead of the log.
+    if (this.raft.isTransferring) return
     this.held = { index: isLeading ? state.log.lastIndex : this.deliveredIndex, data: this.owner.snapshot() }
     this.keepIfCommitted()
   }
