Count the bytes of the links between processes in the metrics

Cause: the metrics of control cost had the bytes of HTTP only, while the limit of 8 KB a second is mostly spent between controllers and entries.

Change: every link of a process adds to one counter, shown as network_bytes_total with link="links".

Result: a test finds the same bytes at both ends of a link.

--- a/packages/cli/src/runtime/controller-node.ts
+++ b/packages/cli/src/runtime/controller-node.ts
@@ -6,7 +6,7 @@
 import { randomBytes } from 'node:crypto'
 import {
   FolderDisk, LinkServer, MonotonicClock, parseAddress, Replica,
-  type HelloFrame, type LinkHandlers, type MemberFacts, type PeerKeys, type Timing
+  type HelloFrame, type LinkHandlers, type LinkTraffic, type MemberFacts, type PeerKeys, type Timing
 } from '@flamingorouter/controllers'
 import type { Binding } from '@flamingorouter/rpc'
 import { createParts, Scheduler, type Limits } from '@flamingorouter/scheduler'
@@ -51,6 +51,8 @@
   faulted: (reason: string) => void
   /** Keys of the links at each time; undefined for plain TCP. */
   peerKeys?: () => PeerKeys | undefined
+  /** Counts the bytes of the links. */
+  traffic?: LinkTraffic
 }
 
 export class ControllerNode {
@@ -79,7 +81,7 @@
       const known = controller.isAttached ? controller.replica.status().members : []
       return known.length > 0 ? known : settings.bootstrap
     }
-    const links = ControllerLinks.create(hello, members, context.peerKeys)
+    const links = ControllerLinks.create(hello, members, context.peerKeys, context.traffic)
     const replica = await Replica.open({
       id,
       group,
@@ -94,7 +96,7 @@
       snapshotEvery: settings.snapshotEvery
     })
     controller.attach(replica)
-    const server = LinkServer.create(hello, createHandlers(controller, replica, links), context.peerKeys?.())
+    const server = LinkServer.create(hello, { ...createHandlers(controller, replica, links), traffic: context.traffic }, context.peerKeys?.())
     await server.listen(parseAddress(settings.listen))
     const node = new ControllerNode(controller, replica, links, server)
     node.timer = setInterval(() => { node.tick() }, TICK_MS)
--- a/packages/cli/src/runtime/entry-node.ts
+++ b/packages/cli/src/runtime/entry-node.ts
@@ -2,7 +2,7 @@
  * A running entry: its HTTP port and its links to the controllers.
  */
 
-import type { ControllerAddress, HelloFrame, PeerKeys } from '@flamingorouter/controllers'
+import type { ControllerAddress, HelloFrame, LinkTraffic, PeerKeys } from '@flamingorouter/controllers'
 import {
   RpcClient, RpcServer, type Authenticate, type CallRecord, type Keys, type MethodRules, type PlainAnswer,
   type RpcLimits, type ServerTraffic
@@ -39,6 +39,8 @@
   keys?: Keys
   /** Keys of the links to controllers at each time; undefined for plain TCP. */
   peerKeys?: () => PeerKeys | undefined
+  /** Counts the bytes of the links to controllers. */
+  traffic?: LinkTraffic
   metrics?: Metrics
   pages?: ReadonlyMap<string, () => PlainAnswer | Promise<PlainAnswer>>
 }
@@ -58,8 +60,8 @@
     const { process, group, availabilityZone } = settings
     const hello: HelloFrame = { kind: 'hello', group, process, role: 'entry', availabilityZone }
     const workers = RpcClient.create()
-    const { methods, log, peerKeys } = context
-    const entry = Entry.create({ hello, controllers: settings.controllers, methods, workers, peerKeys, log })
+    const { methods, log, peerKeys, traffic } = context
+    const entry = Entry.create({ hello, controllers: settings.controllers, methods, workers, peerKeys, traffic, log })
     const requests = createRequestRole(entry, context.metrics)
     entry.reportGrants = () => requests.flow.report()
     const server = RpcServer.create({
--- a/packages/cli/src/runtime/entry.ts
+++ b/packages/cli/src/runtime/entry.ts
@@ -6,7 +6,7 @@
 import {
   InternalMethod, Topic,
   type CallFrame, type ConfigurationAnswer, type ControllerAddress, type ExecuteAnswer, type ExecuteBody, type ForwardedCall,
-  type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type Link, type PeerKeys
+  type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type Link, type LinkTraffic, type PeerKeys
 } from '@flamingorouter/controllers'
 import type { MethodRules, RpcCall, RpcClient, RpcHandler, RpcResult } from '@flamingorouter/rpc'
 import { methodName } from '@flamingorouter/rpc'
@@ -32,6 +32,8 @@
   workers: RpcClient
   /** Keys of the links at each time; undefined for plain TCP. */
   peerKeys?: () => PeerKeys | undefined
+  /** Counts the bytes of the links. */
+  traffic?: LinkTraffic
   log: RuntimeLog
 }
 
@@ -45,7 +47,8 @@
 
   private constructor (private readonly options: EntryOptions) {
     this.freshness = Freshness.create(() => this.fetchConfiguration(), version => { this.configured(version) })
-    this.leader = LeaderClient.create(options.controllers, options.hello, { called: (_link, frame) => this.called(frame) }, this, options.peerKeys)
+    const handlers = { called: async (_link: Link, frame: CallFrame) => await this.called(frame), traffic: options.traffic }
+    this.leader = LeaderClient.create(options.controllers, options.hello, handlers, this, options.peerKeys)
   }
 
   static create (options: EntryOptions): Entry {
--- a/packages/cli/src/runtime/leader-client.ts
+++ b/packages/cli/src/runtime/leader-client.ts
@@ -52,13 +52,14 @@
   private constructor (
     controllers: readonly ControllerAddress[],
     private readonly hello: HelloFrame,
-    handlers: Pick<LinkHandlers, 'called'>,
+    handlers: Pick<LinkHandlers, 'called' | 'traffic'>,
     private readonly pulse: Pulse,
     private readonly keys: () => PeerKeys | undefined
   ) {
     this.handlers = {
       opened: link => { this.beat(link) },
       called: handlers.called,
+      traffic: handlers.traffic,
       replication: () => {},
       notice: (link, topic, body) => { this.noticed(link, topic, body) },
       closed: link => { this.lost(link) }
@@ -70,7 +71,7 @@
   static create (
     controllers: readonly ControllerAddress[],
     hello: HelloFrame,
-    handlers: Pick<LinkHandlers, 'called'>,
+    handlers: Pick<LinkHandlers, 'called' | 'traffic'>,
     pulse: Pulse,
     keys: () => PeerKeys | undefined = () => undefined
   ): LeaderClient {
--- a/packages/cli/src/runtime/links.ts
+++ b/packages/cli/src/runtime/links.ts
@@ -5,7 +5,7 @@
 
 import {
   LinkDialler, Transport,
-  type HelloFrame, type Link, type LinkHandlers, type MemberFacts, type PeerKeys
+  type HelloFrame, type Link, type LinkHandlers, type LinkTraffic, type MemberFacts, type PeerKeys
 } from '@flamingorouter/controllers'
 
 const QUIET: LinkHandlers = {
@@ -23,7 +23,8 @@
   private constructor (
     private readonly hello: HelloFrame,
     private readonly members: () => readonly MemberFacts[],
-    private readonly keys: () => PeerKeys | undefined
+    private readonly keys: () => PeerKeys | undefined,
+    private readonly traffic: LinkTraffic | undefined
   ) {
     super()
   }
@@ -32,9 +33,10 @@
   static create (
     hello: HelloFrame,
     members: () => readonly MemberFacts[],
-    keys: () => PeerKeys | undefined = () => undefined
+    keys: () => PeerKeys | undefined = () => undefined,
+    traffic?: LinkTraffic
   ): ControllerLinks {
-    return new ControllerLinks(hello, members, keys)
+    return new ControllerLinks(hello, members, keys, traffic)
   }
 
   override send (to: string, message: unknown): void {
@@ -61,7 +63,7 @@
     const known = this.diallers.get(to)
     if (member === undefined || known?.address === member.address) return known
     known?.close()
-    const dialler = LinkDialler.create(member.address, this.hello, QUIET, this.keys)
+    const dialler = LinkDialler.create(member.address, this.hello, { ...QUIET, traffic: this.traffic }, this.keys)
     this.diallers.set(to, dialler)
     return dialler
   }
--- a/packages/cli/src/runtime/serve.ts
+++ b/packages/cli/src/runtime/serve.ts
@@ -2,7 +2,7 @@
  * Runs the roles that the settings name, until a signal ends the process.
  */
 
-import type { PeerKeys } from '@flamingorouter/controllers'
+import type { LinkTraffic, PeerKeys } from '@flamingorouter/controllers'
 import { describeCell, NO_FACTS } from '@flamingorouter/operators'
 import { RpcServer, toResources, type CallRecord, type PlainAnswer } from '@flamingorouter/rpc'
 import { AccessControl } from '../core/access-control.js'
@@ -40,6 +40,7 @@
   private controller: ControllerNode | undefined
   private entry: EntryNode | undefined
   private observer: RpcServer | undefined
+  private readonly linkTraffic: LinkTraffic = { received: 0, sent: 0 }
   private readonly peerKeys = (): PeerKeys | undefined => this.access.readPeerKeys()
 
   private constructor (
@@ -48,6 +49,7 @@
   ) {
     this.metrics = Metrics.create(settings.process)
     this.access = AccessControl.create(settings, log)
+    this.metrics.observeTraffic('links', () => this.linkTraffic)
   }
 
   static create (settings: Settings, log: RuntimeLog): ServedProcess {
@@ -87,6 +89,7 @@
       log,
       metrics,
       peerKeys: this.peerKeys,
+      traffic: this.linkTraffic,
       faulted: () => { process.exit(FAULT_EXIT_CODE) }
     })
     this.access.watchPeerKeys(keys => { node.replacePeerKeys(keys) })
@@ -115,6 +118,7 @@
       authenticate: access.authenticate,
       keys: access.readKeys(),
       peerKeys: this.peerKeys,
+      traffic: this.linkTraffic,
       limits: settings.http,
       log,
       metrics,
--- a/packages/controllers/__tests__/link.test.ts
+++ b/packages/controllers/__tests__/link.test.ts
@@ -78,6 +78,20 @@
     server.close()
   })
 
+  it('counts the same bytes at both ends', async () => {
+    const watch = new Watch()
+    const served = watch.handlers.traffic = { received: 0, sent: 0 }
+    const { server, port } = await listen(watch)
+    const peer = new Watch()
+    const dialled = peer.handlers.traffic = { received: 0, sent: 0 }
+    const dialler = LinkDialler.create(`127.0.0.1:${port}`, createHello('peer'), peer.handlers)
+    await (await peer.opened).call('echo', new Uint8Array(1_000), 5_000)
+    assert.ok(dialled.sent > 1_000 && dialled.received > 1_000)
+    assert.deepEqual(served, { received: dialled.sent, sent: dialled.received })
+    dialler.close()
+    server.close()
+  })
+
   it('refuses another group', async () => {
     const watch = new Watch()
     const { server, port } = await listen(watch)
--- a/packages/controllers/src/core/link.ts
+++ b/packages/controllers/src/core/link.ts
@@ -24,8 +24,16 @@
   timer: NodeJS.Timeout
 }
 
+/** Bytes over the links of a process. */
+export interface LinkTraffic {
+  received: number
+  sent: number
+}
+
 /** What the owner of a link does with what arrives. */
 export interface LinkHandlers {
+  /** Counts the bytes of every link that has these handlers. */
+  traffic?: LinkTraffic
   opened: (link: Link) => void
   called: (link: Link, frame: CallFrame) => Promise<unknown>
   replication: (link: Link, message: unknown) => void
@@ -36,8 +44,6 @@
 export class Link {
   /** The peer's hello; absent until it has arrived. */
   peer: HelloFrame | undefined
-  bytesSent = 0
-  bytesReceived = 0
   private readonly reader = FrameReader.create(HELLO_LIMIT_BYTES)
   private readonly calls = new Map<number, OpenCall>()
   private lastCall = 0
@@ -72,7 +78,7 @@
   send (frame: Frame): boolean {
     if (this.isClosed || this.socket.writableLength > SEND_BUFFER_LIMIT_BYTES) return false
     const bytes = encodeFrame(frame)
-    this.bytesSent += bytes.length
+    if (this.handlers.traffic !== undefined) this.handlers.traffic.sent += bytes.length
     this.socket.write(bytes)
     return true
   }
@@ -113,7 +119,7 @@
 
   private receive (chunk: Buffer): void {
     if (this.isClosed) return
-    this.bytesReceived += chunk.length
+    if (this.handlers.traffic !== undefined) this.handlers.traffic.received += chunk.length
     try {
       this.reader.push(chunk, this.deliver)
     } catch (thrown) {
