--- a/packages/callers/__tests__/faults.test.ts
+++ b/packages/callers/__tests__/faults.test.ts
@@ -6,7 +6,9 @@
 
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { ENTRIES, RUNNERS, START, World, type Plan } from './model.js'
+import { ENTRIES, RUNNERS, type Plan } from './model-runner.js'
+import { START } from './model-timers.js'
+import { World } from './model.js'
 
 const SCHEDULES = Number(process.env.SCHEDULES ?? 150)
 const SEED = Number(process.env.SEED ?? 7)
--- /dev/null
+++ b/packages/callers/__tests__/model-timers.ts
@@ -0,0 +1,42 @@
+/**
+ * Fake time of the model: timers fire in order, and promises settle between them.
+ */
+
+import { setImmediate } from 'node:timers/promises'
+import { Timers } from '../src/index.js'
+
+export const START = 1_700_000_000_000
+
+interface Timer { at: number, action: () => void }
+
+export class ModelTimers extends Timers {
+  time = START
+  private timers: Timer[] = []
+
+  override now (): number {
+    return this.time
+  }
+
+  override after (ms: number, action: () => void): () => void {
+    const timer = { at: this.time + Math.max(0, ms), action }
+    this.timers.push(timer)
+    return () => { this.timers = this.timers.filter(other => other !== timer) }
+  }
+
+  async advance (ms: number): Promise<void> {
+    const until = this.time + ms
+    for (;;) {
+      await flush()
+      const next = this.timers.filter(timer => timer.at <= until).sort((a, b) => a.at - b.at)[0]
+      if (next === undefined) break
+      this.timers = this.timers.filter(timer => timer !== next)
+      this.time = Math.max(this.time, next.at)
+      next.action()
+    }
+    this.time = until
+  }
+}
+
+export async function flush (): Promise<void> {
+  await setImmediate()
+}
--- a/packages/callers/__tests__/model.ts
+++ b/packages/callers/__tests__/model.ts
@@ -5,7 +5,6 @@
  */
 
 import assert from 'node:assert/strict'
-import { createHash } from 'node:crypto'
 import { create } from '@bufbuild/protobuf'
 import { SubmitRequestSchema } from '@flamingorouter/schema'
 import {
@@ -13,51 +12,16 @@
   createClusterState, type Answer, type ClusterState, type Decision, type Effect, type Event, type EventKind,
   type Limits, type Outcome, type Step, type TargetState
 } from '@flamingorouter/scheduler'
-import { Leader, RequestFlow, RunnerClient, Timers, type LeaderCall, type Run, type RunEnd } from '../src/index.js'
+import { Leader, RequestFlow, type LeaderCall } from '../src/index.js'
+import {
+  CONNECTIONS, digestOf, ENTRIES, ModelRunner, ModelRunnerClient, never, RUNNERS, SLOTS, type Begin, type Plan
+} from './model-runner.js'
+import { flush, ModelTimers } from './model-timers.js'
 
-export const START = 1_700_000_000_000
-export const SLOTS = 2
-export const CONNECTIONS = 4
-export const ENTRIES = 3
-export const RUNNERS = 3
 const SERVICE = 'reports'
 const TICK_MS = 100
 export const LIMITS: Limits = { ...DEFAULT_LIMITS, entryLimit: CONNECTIONS, retentionMs: 8_000, lateMs: 500 }
 
-interface Timer { at: number, action: () => void }
-
-class ModelTimers extends Timers {
-  time = START
-  private timers: Timer[] = []
-
-  override now (): number {
-    return this.time
-  }
-
-  override after (ms: number, action: () => void): () => void {
-    const timer = { at: this.time + Math.max(0, ms), action }
-    this.timers.push(timer)
-    return () => { this.timers = this.timers.filter(other => other !== timer) }
-  }
-
-  async advance (ms: number): Promise<void> {
-    const until = this.time + ms
-    for (;;) {
-      await flush()
-      const next = this.timers.filter(timer => timer.at <= until).sort((a, b) => a.at - b.at)[0]
-      if (next === undefined) break
-      this.timers = this.timers.filter(timer => timer !== next)
-      this.time = Math.max(this.time, next.at)
-      next.action()
-    }
-    this.time = until
-  }
-}
-
-async function flush (): Promise<void> {
-  await new Promise(resolve => { setImmediate(resolve) })
-}
-
 /** Announces runners; sessions and leases have their own tests. */
 class Announcer extends Part {
   readonly handles: readonly EventKind[] = ['announce', 'leave']
@@ -91,79 +55,6 @@
   }
 }
 
-export type Plan = 'answer' | 'slow' | 'refuse' | 'unsent' | 'lostBefore' | 'lostAfter' | 'late' | 'far'
-
-interface Begin { key: string, idempotent: boolean, at: number }
-
-/** A runner that takes whatever it is sent under its session. */
-class ModelRunner {
-  running = 0
-  /** Connections by the process of an entry that opened them. */
-  readonly open = new Map<ModelRunnerClient, number>()
-  constructor (readonly name: string, private readonly world: World) {}
-
-  get session (): string {
-    return this.world.committed.targets.get(this.name)?.session ?? ''
-  }
-
-  async serve (run: Run, entry: ModelRunnerClient, plan: Plan): Promise<RunEnd> {
-    this.connect(entry, 1)
-    try {
-      return await this.take(run, plan)
-    } finally {
-      this.connect(entry, -1)
-    }
-  }
-
-  private async take (run: Run, plan: Plan): Promise<RunEnd> {
-    const { timers } = this.world
-    if (plan === 'unsent') return { kind: 'notRun', reason: 'no connection' }
-    await timers.pause(plan === 'far' ? 200 : 5)
-    if (plan === 'lostBefore') return { kind: 'lost', reason: 'cut' }
-    if (plan === 'refuse' || run.grant.session !== this.session) return { kind: 'notRun', reason: 'refused' }
-    this.running += 1
-    assert.ok(this.running <= SLOTS, `${this.name} runs ${this.running} requests in ${SLOTS} slots`)
-    const key = `${run.caller} ${run.requestId}`
-    this.world.begins.push({ key, idempotent: run.requestId.startsWith('i'), at: timers.time })
-    const workMs = plan === 'slow' ? 700 : plan === 'late' || plan === 'far' ? run.deadlineMs : 20
-    await timers.pause(Math.min(workMs, run.deadlineMs))
-    this.running -= 1
-    if (plan === 'lostAfter') return { kind: 'lost', reason: 'cut' }
-    if (plan === 'late') await timers.pause(50)
-    return { kind: 'answered', body: run.payload, digest: digestOf(run.payload) }
-  }
-
-  private connect (entry: ModelRunnerClient, change: number): void {
-    this.open.set(entry, (this.open.get(entry) ?? 0) + change)
-    assert.ok((this.open.get(entry) ?? 0) <= 1, `an entry has more than its share of connections to ${this.name}`)
-    let total = 0
-    for (const count of this.open.values()) total += count
-    assert.ok(total <= CONNECTIONS, `${this.name} has ${total} connections`)
-  }
-}
-
-function digestOf (body: Uint8Array): string {
-  return createHash('sha256').update(body).digest('hex')
-}
-
-class ModelRunnerClient extends RunnerClient {
-  isDead = false
-
-  constructor (private readonly world: World) {
-    super()
-  }
-
-  override async run (run: Run): Promise<RunEnd> {
-    const runner = this.world.runners.find(other => other.name === run.grant.runner)
-    assert.ok(runner)
-    const plan = this.world.plans.shift() ?? 'answer'
-    const end = await runner.serve(run, this, plan)
-    return this.isDead ? await never() : end
-  }
-
-  override async close (): Promise<void> {}
-}
-
 interface Waiting { resolve: (answer: Answer) => void, reject: (error: Error) => void }
 
 /** A link that may break; answers to questions of a broken link are dropped. */
@@ -206,11 +97,6 @@
   }
 }
 
-/** What a process that has died does. */
-async function never<T> (): Promise<T> {
-  return await new Promise(() => {})
-}
-
 function entryName (entry: number): string {
   return `e${entry}`
 }
