Move the runtime out of the command line into a package of its own

Cause: an adapter of a platform needs controllers, entries and the links that join them, and they lived inside packages/cli, which in turn they imported (metrics, log, settings).

Change: packages/runtime holds them behind two abstract classes, RuntimeLog and Measures, so that neither the command line nor an adapter knows the other. The facts on VMs of the product's own interface are packages/vm-facts now, so that the name platform is free for the adapter. Methods that need the membership are handed to a controller instead of being imported by it.

--- a/packages/cli/src/dev/small-cell.ts
+++ b/packages/cli/src/dev/small-cell.ts
@@ -10,10 +10,9 @@
 import { admitLoopback } from '@flamingorouter/rpc'
 import { DEFAULT_LIMITS } from '@flamingorouter/scheduler'
 import { StandInRunner, StandInWorker } from '@flamingorouter/targets'
-import { ControllerNode } from '../runtime/controller-node.js'
-import { EntryNode } from '../runtime/entry-node.js'
-import { ALL_BINDINGS, ALL_METHODS } from '../runtime/methods.js'
-import type { RuntimeLog } from '../runtime/runtime-log.js'
+import {
+  ALL_BINDINGS, ALL_METHODS, ControllerNode, createLocalMethods, EntryNode, type RuntimeLog
+} from '@flamingorouter/runtime'
 import { findFreePorts } from '../utils/ports.js'
 
 const HOST = '127.0.0.1'
@@ -99,6 +98,7 @@
         seed: index + 1
       }, {
         bindings: ALL_BINDINGS,
+        localMethods: createLocalMethods(),
         log: this.options.log,
         faulted: reason => { this.options.log.error('controller_faulted', { id: member.id, reason }) }
       }))
--- a/packages/cli/src/metrics/metrics.ts
+++ b/packages/cli/src/metrics/metrics.ts
@@ -6,6 +6,7 @@
 import Counter from 'prom-client/lib/counter.js'
 import Gauge from 'prom-client/lib/gauge.js'
 import Registry from 'prom-client/lib/registry.js'
+import { Measures } from '@flamingorouter/runtime'
 import { urgencyName, type CallRecord, type PlainAnswer } from '@flamingorouter/rpc'
 import type { ClusterState, Decision, OutcomeKind, Resources, Urgency } from '@flamingorouter/scheduler'
 import { readProcessCost } from './process.js'
@@ -38,7 +39,7 @@
 
 const DIMENSIONS = ['millicores', 'memoryMib', 'accelerators'] as const
 
-export class Metrics {
+export class Metrics extends Measures {
   private readonly registry = new Registry()
   private readonly calls = this.counter('calls_total', 'Calls answered over HTTP.', ['method', 'kind'])
   private readonly decisions = this.counter('decisions_total', 'Decisions by kind.', ['kind'])
@@ -56,6 +57,7 @@
   private load: CellLoad | undefined
 
   private constructor (process: string, private readonly now: () => number) {
+    super()
     this.registry.setDefaultLabels({ process })
     this.callSeconds = this.summary('call_seconds', 'From the head of a call to its answer.')
     this.taskWait = this.summary('task_wait_seconds', 'How long tasks waited before they started.')
@@ -78,16 +80,16 @@
   }
 
   /** One event that the scheduler handled. */
-  recordStep (event: string, durationMs: number): void {
+  override recordStep (event: string, durationMs: number): void {
     this.stepSeconds.record({ event }, durationMs)
   }
 
-  recordCommit (durationMs: number): void {
+  override recordCommit (durationMs: number): void {
     this.commitSeconds.record({}, durationMs)
   }
 
   /** Decisions of the leader, just applied to `state`; `now` is the cluster time in milliseconds. */
-  recordDecisions (decisions: readonly Decision[], state: ClusterState, now: number): void {
+  override recordDecisions (decisions: readonly Decision[], state: ClusterState, now: number): void {
     for (const decision of decisions) {
       this.decisions.inc({ kind: decision.kind })
       if (decision.kind !== 'taskStarted') continue
@@ -100,12 +102,12 @@
   }
 
   /** A request that got its runner. */
-  recordRequestWait (urgency: Urgency, durationMs: number): void {
+  override recordRequestWait (urgency: Urgency, durationMs: number): void {
     this.requestWait.record({ urgency: urgencyName(urgency) }, durationMs)
   }
 
   /** A request that is over. */
-  recordRequest (urgency: Urgency, outcome: OutcomeKind, durationMs: number): void {
+  override recordRequest (urgency: Urgency, outcome: OutcomeKind, durationMs: number): void {
     this.outcomes.inc({ outcome, urgency: urgencyName(urgency) })
     this.requestSeconds.record({ urgency: urgencyName(urgency) }, durationMs)
   }
--- a/packages/cli/src/runtime/dev.ts
+++ b/packages/cli/src/runtime/dev.ts
@@ -2,9 +2,9 @@
  * Runs a small cell in this process, for a first look at the system.
  */
 
+import { QuietLog } from '@flamingorouter/runtime'
 import { Demo } from '../dev/demo.js'
 import { SmallCell } from '../dev/small-cell.js'
-import { QuietLog } from './runtime-log.js'
 
 const WORKERS = 6
 const RUNNERS = 3
--- a/packages/cli/src/runtime/serve.ts
+++ b/packages/cli/src/runtime/serve.ts
@@ -5,14 +5,13 @@
 import type { LinkTraffic, PeerKeys } from '@flamingorouter/controllers'
 import { describeCell, NO_FACTS } from '@flamingorouter/operators'
 import { RpcServer, toResources, type CallRecord, type PlainAnswer } from '@flamingorouter/rpc'
+import {
+  ALL_BINDINGS, ALL_METHODS, ControllerNode, createLocalMethods, EntryNode, type Controller, type RuntimeLog
+} from '@flamingorouter/runtime'
 import { AccessControl } from '../core/access-control.js'
 import { Metrics, type CellLoad } from '../metrics/metrics.js'
 import type { Settings } from '../types/settings.js'
-import type { Controller } from './controller.js'
-import { ControllerNode } from './controller-node.js'
-import { EntryNode } from './entry-node.js'
-import { ALL_BINDINGS, ALL_METHODS } from './methods.js'
-import { StreamLog, type RuntimeLog } from './runtime-log.js'
+import { StreamLog } from './stream-log.js'
 
 /** Exit code after a fault that the process cannot go on with. */
 const FAULT_EXIT_CODE = 1
@@ -86,6 +85,7 @@
       seed: seedOf(settings.process)
     }, {
       bindings: ALL_BINDINGS,
+      localMethods: createLocalMethods(),
       log,
       metrics,
       peerKeys: this.peerKeys,
--- a/packages/cli/src/runtime/runtime-log.ts
+++ b/packages/cli/src/runtime/stream-log.ts
@@ -1,30 +1,12 @@
 /**
- * What the runtime needs of a log: one event a line, with its fields.
+ * The log of a process on standard output, one line of key=value pairs an event.
  */
 
 import bunyan from 'bunyan'
+import { RuntimeLog, type LogFields } from '@flamingorouter/runtime'
 import type { LogLevel } from '../types/settings.js'
 import { formatRecord } from '../utils/log-line.js'
 
-export type LogFields = Record<string, string | number | boolean>
-
-export abstract class RuntimeLog {
-  abstract info (event: string, fields?: LogFields): void
-  abstract warn (event: string, fields?: LogFields): void
-  abstract error (event: string, fields?: LogFields): void
-}
-
-/** Writes nothing. */
-export class QuietLog extends RuntimeLog {
-  static create (): QuietLog {
-    return new QuietLog()
-  }
-
-  override info (): void {}
-  override warn (): void {}
-  override error (): void {}
-}
-
 /** Writes each event to standard output as one line of key=value pairs. */
 export class StreamLog extends RuntimeLog {
   private constructor (private readonly logger: bunyan) {
--- a/packages/operators/__tests__/bindings.test.ts
+++ b/packages/operators/__tests__/bindings.test.ts
@@ -7,7 +7,7 @@
 import { describe, it } from 'node:test'
 import { create, type MessageInitShape } from '@bufbuild/protobuf'
 import { callerBindings, callerMethods } from '@flamingorouter/callers'
-import { platformBindings, platformMethods } from '@flamingorouter/platform'
+import { platformBindings, platformMethods } from '@flamingorouter/vm-facts'
 import { methodName, type Binding, type CallContext, type Violation } from '@flamingorouter/rpc'
 import {
   createClusterState, DEFAULT_LIMITS, ErrorKind, Failure, NO_RESOURCES, Scheduler, createParts, type ClusterState, type Event
--- a/packages/cli/__tests__/proposals.test.ts
+++ b/packages/runtime/__tests__/proposals.test.ts
@@ -7,7 +7,7 @@
 import type { Replica } from '@flamingorouter/controllers'
 import { decodeValue } from '@flamingorouter/controllers'
 import type { Decision, Effect } from '@flamingorouter/scheduler'
-import { Proposals } from '../src/runtime/proposals.js'
+import { Proposals } from '../src/core/proposals.js'
 
 const FRAME_BYTES = 16 * 1024 * 1024
 
--- a/packages/cli/src/runtime/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -12,8 +12,8 @@
 import { createParts, Scheduler, type Limits } from '@flamingorouter/scheduler'
 import { Controller } from './controller.js'
 import { ControllerLinks } from './links.js'
-import { createLocalMethods } from './local-methods.js'
-import type { Metrics } from '../metrics/metrics.js'
+import type { LocalMethod } from './local-methods.js'
+import type { Measures } from './measures.js'
 import type { RuntimeLog } from './runtime-log.js'
 
 /** Time between two ticks of the replica and the scheduler, in milliseconds. */
@@ -45,8 +45,10 @@
 
 export interface ControllerContext {
   bindings: readonly Binding[]
+  /** Methods that need more than the state, such as membership. */
+  localMethods?: ReadonlyMap<string, LocalMethod>
   log: RuntimeLog
-  metrics?: Metrics
+  metrics?: Measures
   /** The controller cannot go on; the process should end. */
   faulted: (reason: string) => void
   /** Keys of the links at each time; undefined for plain TCP. */
@@ -72,7 +74,7 @@
     const controller = Controller.create({
       scheduler: Scheduler.create(createParts(settings.limits)),
       bindings: context.bindings,
-      localMethods: createLocalMethods(),
+      localMethods: context.localMethods ?? new Map(),
       log: context.log,
       metrics: context.metrics,
       faulted: context.faulted
--- a/packages/cli/src/runtime/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -17,7 +17,7 @@
 import { Calls } from './calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
 import { EntryTable } from './liveness.js'
-import type { Metrics } from '../metrics/metrics.js'
+import type { Measures } from './measures.js'
 import type { LocalMethod } from './local-methods.js'
 import { Proposals } from './proposals.js'
 import type { RuntimeLog } from './runtime-log.js'
@@ -32,7 +32,7 @@
   /** Methods that need more than the state, such as membership. */
   localMethods: ReadonlyMap<string, LocalMethod>
   log: RuntimeLog
-  metrics?: Metrics
+  metrics?: Measures
   /** This controller cannot go on. */
   faulted: (reason: string) => void
 }
--- a/packages/cli/src/runtime/entry-node.ts
+++ b/packages/runtime/src/core/entry-node.ts
@@ -9,7 +9,7 @@
 } from '@flamingorouter/rpc'
 import { Entry } from './entry.js'
 import { createRequestRole, type RequestRole } from './request-handlers.js'
-import type { Metrics } from '../metrics/metrics.js'
+import type { Measures } from './measures.js'
 import type { RuntimeLog } from './runtime-log.js'
 
 /** How long an entry stays open after its readiness fell, in milliseconds. */
@@ -41,7 +41,7 @@
   peerKeys?: () => PeerKeys | undefined
   /** Counts the bytes of the links to controllers. */
   traffic?: LinkTraffic
-  metrics?: Metrics
+  metrics?: Measures
   pages?: ReadonlyMap<string, () => PlainAnswer | Promise<PlainAnswer>>
 }
 
--- a/packages/cli/src/runtime/methods.ts
+++ b/packages/runtime/src/core/methods.ts
@@ -4,7 +4,7 @@
 
 import { callerBindings, callerMethods } from '@flamingorouter/callers'
 import { operatorBindings, operatorMethods } from '@flamingorouter/operators'
-import { platformBindings, platformMethods } from '@flamingorouter/platform'
+import { platformBindings, platformMethods } from '@flamingorouter/vm-facts'
 import type { Binding, MethodRules } from '@flamingorouter/rpc'
 import { targetBindings, targetMethods } from '@flamingorouter/targets'
 
--- a/packages/cli/src/runtime/request-handlers.ts
+++ b/packages/runtime/src/core/request-handlers.ts
@@ -16,7 +16,7 @@
 } from '@flamingorouter/schema'
 import { monotonicNow } from './clock.js'
 import type { Entry } from './entry.js'
-import type { Metrics } from '../metrics/metrics.js'
+import type { Measures } from './measures.js'
 import { AfterLoss } from './leader-client.js'
 
 /** How long a question of the request flow waits for the leader, in milliseconds. */
@@ -56,7 +56,7 @@
   close: () => Promise<void>
 }
 
-export function createRequestRole (entry: Entry, metrics?: Metrics): RequestRole {
+export function createRequestRole (entry: Entry, metrics?: Measures): RequestRole {
   const leader = EntryLeader.create(entry)
   const runners = HttpRunnerClient.create()
   const flow = RequestFlow.create({ leader, runners })
--- /dev/null
+++ b/packages/runtime/src/core/runtime-log.ts
@@ -0,0 +1,22 @@
+/**
+ * What the runtime needs of a log: one event a line, with its fields.
+ */
+
+export type LogFields = Record<string, string | number | boolean>
+
+export abstract class RuntimeLog {
+  abstract info (event: string, fields?: LogFields): void
+  abstract warn (event: string, fields?: LogFields): void
+  abstract error (event: string, fields?: LogFields): void
+}
+
+/** Writes nothing. */
+export class QuietLog extends RuntimeLog {
+  static create (): QuietLog {
+    return new QuietLog()
+  }
+
+  override info (): void {}
+  override warn (): void {}
+  override error (): void {}
+}
