--- a/bench/support/dispatchers.ts
+++ b/bench/support/dispatchers.ts
@@ -4,7 +4,7 @@
  */
 
 import {
-  DEFAULT_LIMITS, OutcomeKind, Requests, Scheduler, TargetKind, TargetPhase, Urgency, bare, createClusterState,
+  DEFAULT_LIMITS, OutcomeKind, Requests, Scheduler, TargetKind, TargetPhase, Urgency, bare, createClusterState, isAnswerEffect,
   type Effect, type Event, type Grant, type Outcome, type TargetState
 } from '../../packages/scheduler/src/index.js'
 import { Dispatcher, ENTRIES, MESSAGE_MS, RUNNERS, SLOTS, type LoadRequest } from './request-cell.js'
@@ -121,7 +121,7 @@
   }
 
   private release (effect: Effect): void {
-    if (effect.kind === 'command') return
+    if (!isAnswerEffect(effect)) return
     const asked = this.asked.get(effect.call)
     this.asked.delete(effect.call)
     if (asked === undefined) return
--- a/packages/callers/__tests__/model.ts
+++ b/packages/callers/__tests__/model.ts
@@ -9,7 +9,7 @@
 import { SubmitRequestSchema } from '@flamingorouter/schema'
 import {
   DEFAULT_LIMITS, ErrorKind, Failure, OutcomeKind, Part, Requests, Scheduler, TargetKind, TargetPhase, applyDecision,
-  createClusterState, type Answer, type ClusterState, type Decision, type Effect, type Event, type EventKind,
+  createClusterState, isAnswerEffect, type Answer, type ClusterState, type Decision, type Effect, type Event, type EventKind,
   type Limits, type Outcome, type Step, type TargetState
 } from '@flamingorouter/scheduler'
 import { Leader, RequestFlow, type LeaderCall } from '../src/index.js'
@@ -299,7 +299,7 @@
   }
 
   private release (effect: Effect): void {
-    if (effect.kind === 'command') return
+    if (!isAnswerEffect(effect)) return
     for (const link of this.links) {
       const waiting = link.waiting.get(effect.call)
       link.waiting.delete(effect.call)
--- a/packages/controllers/src/core/framing.ts
+++ b/packages/controllers/src/core/framing.ts
@@ -11,7 +11,7 @@
 
 const HEADER_BYTES = 4
 
-const FRAME_KINDS: ReadonlySet<string> = new Set(['hello', 'call', 'answer', 'replication', 'notice'])
+const FRAME_KINDS: ReadonlySet<string> = new Set(['hello', 'call', 'answer', 'replication', 'notice', 'ping'])
 
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false, copyBuffers: true })
 
--- a/packages/controllers/src/core/link.ts
+++ b/packages/controllers/src/core/link.ts
@@ -16,7 +16,7 @@
 const HELLO_LIMIT_BYTES = 4096
 
 /** How long a peer may take to say hello, in milliseconds. */
-const HELLO_TIMEOUT_MS = 3_000
+const HELLO_TIMEOUT_MS = 1_500
 
 interface OpenCall {
   resolve: (body: unknown) => void
@@ -24,6 +24,12 @@
   timer: NodeJS.Timeout
 }
 
+/** Time between two signs of life over a link that is otherwise quiet, in milliseconds. */
+const PING_MS = 500
+
+/** After how long a link over which nothing came is closed, in milliseconds: some pings, and a pause of the peer. */
+const SILENCE_LIMIT_MS = 2_500
+
 /** Bytes over the links of a process. */
 export interface LinkTraffic {
   received: number
@@ -50,6 +56,10 @@
   private isClosed = false
   private reason = 'closed by peer'
   private readonly helloTimer: NodeJS.Timeout
+  private readonly pingTimer: NodeJS.Timeout
+  /** Intervals of the ping timer since something last arrived, and since something was last sent. */
+  private quietIn = 0
+  private quietOut = 0
   private readonly deliver = (frame: Frame): void => { this.dispatch(frame) }
 
   private constructor (
@@ -62,6 +72,7 @@
     socket.on('error', error => { this.reason = error.message })
     socket.on('close', () => { this.finish() })
     this.helloTimer = setTimeout(() => { this.close('no hello in time') }, HELLO_TIMEOUT_MS)
+    this.pingTimer = setInterval(() => { this.ping() }, PING_MS)
     this.send(hello)
   }
 
@@ -78,6 +89,7 @@
   send (frame: Frame): boolean {
     if (this.isClosed || this.socket.writableLength > SEND_BUFFER_LIMIT_BYTES) return false
     const bytes = encodeFrame(frame)
+    this.quietOut = 0
     if (this.handlers.traffic !== undefined) this.handlers.traffic.sent += bytes.length
     this.socket.write(bytes)
     return true
@@ -103,6 +115,18 @@
     })
   }
 
+  /**
+   * Keeps the link alive, and closes it when the peer is silent: a connection may
+   * go silent for good without a reset. It counts intervals of this process, so
+   * that a pause of its own does not look like a silent peer.
+   */
+  private ping (): void {
+    this.quietIn += 1
+    this.quietOut += 1
+    if (this.quietIn * PING_MS >= SILENCE_LIMIT_MS) return this.close('nothing came over the link')
+    if (this.quietOut > 1) this.send({ kind: 'ping' })
+  }
+
   close (reason: string): void {
     this.reason = reason
     this.socket.destroy()
@@ -119,6 +143,7 @@
 
   private receive (chunk: Buffer): void {
     if (this.isClosed) return
+    this.quietIn = 0
     if (this.handlers.traffic !== undefined) this.handlers.traffic.received += chunk.length
     try {
       this.reader.push(chunk, this.deliver)
@@ -136,6 +161,7 @@
       case 'replication': return this.handlers.replication(this, frame.message)
       case 'notice': return this.handlers.notice(this, frame.topic, frame.body)
       case 'hello': return this.close('a second hello')
+      case 'ping':
     }
   }
 
@@ -175,6 +201,7 @@
     if (this.isClosed) return
     this.isClosed = true
     clearTimeout(this.helloTimer)
+    clearInterval(this.pingTimer)
     this.abandon(`the link closed: ${this.reason}`)
     this.handlers.closed(this, this.reason)
   }
--- a/packages/controllers/src/core/raft/raft.ts
+++ b/packages/controllers/src/core/raft/raft.ts
@@ -71,6 +71,13 @@
     return this.leader?.matchIndexOf(member) ?? 0
   }
 
+  /** Members that answered within an election timeout; none unless this replica leads. */
+  heardAt (now: number): string[] {
+    const { leader } = this
+    if (leader === undefined) return []
+    return this.state.log.members.filter(member => leader.isHeard(member, now)).map(member => member.id)
+  }
+
   tick (now: number): void {
     this.now = now
     if (this.leader !== undefined) {
--- a/packages/controllers/src/core/replica.ts
+++ b/packages/controllers/src/core/replica.ts
@@ -127,6 +127,7 @@
       lastIndex: state.log.lastIndex,
       members: members.map(({ id, address, availabilityZone, role }) => ({ id, address, availabilityZone, role })),
       matchIndex,
+      heard: this.raft.heardAt(this.clock.now()),
       fault: this.fault?.message ?? '',
       waitingFor: this.raft.waitingFor
     }
--- a/packages/controllers/src/core/storage/disk.ts
+++ b/packages/controllers/src/core/storage/disk.ts
@@ -39,11 +39,12 @@
 
   /**
    * To use a folder, which is made when missing, until `close`. Throws
-   * failedPrecondition when a process uses it already.
+   * failedPrecondition when a process uses it already. Without the lock, whoever
+   * starts the processes sees to it that there is one.
    */
-  static async open (folder: string): Promise<FolderDisk> {
+  static async open (folder: string, isLocked = true): Promise<FolderDisk> {
     await mkdir(folder, { recursive: true })
-    return new FolderDisk(folder, await FolderLock.acquire(folder))
+    return new FolderDisk(folder, isLocked ? await FolderLock.acquire(folder) : undefined)
   }
 
   async list (): Promise<string[]> {
--- a/packages/controllers/src/types/messages.ts
+++ b/packages/controllers/src/types/messages.ts
@@ -41,4 +41,9 @@
   body: unknown
 }
 
-export type Frame = HelloFrame | CallFrame | AnswerFrame | ReplicationFrame | NoticeFrame
+/** Says only that the sender lives. */
+export interface PingFrame {
+  kind: 'ping'
+}
+
+export type Frame = PingFrame | HelloFrame | CallFrame | AnswerFrame | ReplicationFrame | NoticeFrame
--- a/packages/controllers/src/types/methods.ts
+++ b/packages/controllers/src/types/methods.ts
@@ -13,7 +13,13 @@
   /** Entry to leader: an event of the request flow. */
   request: 'internal/request',
   /** Leader to entry: carry commands to a worker. */
-  execute: 'internal/execute'
+  execute: 'internal/execute',
+  /** Any process to a controller: what it knows of the membership. */
+  members: 'internal/members',
+  /** Entry to leader: an event on staged jobs, the cell or the workers that are called. */
+  job: 'internal/job',
+  /** Leader to entry: ask the external admission service. */
+  admission: 'internal/admission'
 } as const)
 
 /** Topics of messages without an answer. */
@@ -35,6 +41,14 @@
   configurationVersion: number
   /** True while the entry takes new work. */
   isAdmitting: boolean
+  /** True when the process carries questions to the external admission service. */
+  isAdvisor?: boolean
+  /** Set while the sender is a controller that is no member and would like to be one. */
+  candidate?: MemberCandidate
+}
+
+export interface MemberCandidate extends ControllerAddress {
+  availabilityZone: string
 }
 
 export interface HeartbeatAnswer {
@@ -55,11 +69,30 @@
   documents: Array<{ name: string, version: number, document: string }>
 }
 
+export interface MembersAnswer {
+  controllers: ControllerAddress[]
+}
+
+export interface AdmissionBody {
+  stage: string
+  workers: string[]
+  timeoutMs: number
+}
+
+export interface AdmissionAnswer {
+  tickets: Array<{ worker: string, ticket: string }>
+}
+
 type Unnumbered<E> = E extends unknown ? Omit<E, 'call' | 'entry'> : never
 
 /** An event of the request flow; the leader adds the number of the call and the entry. */
 export type RequestEvent = Unnumbered<Extract<Event, { kind: 'acquire' | 'settle' | 'cancelRequest' | 'fetchOutcome' }>>
 
+/** An event on staged jobs; the leader adds the number of the call. */
+export type JobEvent = Unnumbered<Extract<Event, {
+  kind: 'acceptJob' | 'readJob' | 'cancelJob' | 'configureCell' | 'readCell' | 'workerReported' | 'workerLeft'
+}>>
+
 export interface ExecuteBody {
   target: string
   address: string
--- a/packages/controllers/src/types/replica.ts
+++ b/packages/controllers/src/types/replica.ts
@@ -53,6 +53,8 @@
   members: MemberFacts[]
   /** Highest index known to be durable on each member; the leader only. */
   matchIndex: Record<string, number>
+  /** Members that answered within an election timeout; the leader only. */
+  heard: string[]
   /** Why this replica takes no part any more; empty while it does. */
   fault: string
   /** First members that the group waits for in order to form; empty once it is formed. */
--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -6,12 +6,13 @@
 import { randomBytes } from 'node:crypto'
 import {
   FolderDisk, LinkServer, MonotonicClock, parseAddress, Replica,
-  type HelloFrame, type LinkHandlers, type LinkTraffic, type MemberFacts, type PeerKeys, type Timing
+  type ControllerAddress, type HelloFrame, type LinkHandlers, type LinkTraffic, type MemberCandidate, type MemberFacts, type PeerKeys, type Timing
 } from '@flamingorouter/controllers'
 import type { Binding } from '@flamingorouter/rpc'
 import { createParts, Scheduler, type Limits } from '@flamingorouter/scheduler'
 import { Controller } from './controller.js'
 import { ControllerLinks } from './links.js'
+import type { OrderCarrier } from './order-carrier.js'
 import type { LocalMethod } from './local-methods.js'
 import type { Measures } from './measures.js'
 import type { RuntimeLog } from './runtime-log.js'
@@ -41,12 +42,20 @@
   snapshotEvery: number
   limits: Limits
   seed: number
+  /** False where whoever starts the process sees to it that one alone uses the data folder. */
+  isFolderLocked?: boolean
 }
 
 export interface ControllerContext {
   bindings: readonly Binding[]
   /** Methods that need more than the state, such as membership. */
   localMethods?: ReadonlyMap<string, LocalMethod>
+  /** Carries orders to workers that are called. */
+  orders?: OrderCarrier
+  /** A controller that is no member would like to be one. */
+  offered?: (candidate: MemberCandidate) => void
+  /** Controllers that this process knows of while its own log names none. */
+  knownControllers?: () => ControllerAddress[]
   log: RuntimeLog
   metrics?: Measures
   /** The controller cannot go on; the process should end. */
@@ -63,7 +72,7 @@
 
   private constructor (
     readonly controller: Controller,
-    private readonly replica: Replica,
+    readonly replica: Replica,
     private readonly links: ControllerLinks,
     private readonly server: LinkServer
   ) {}
@@ -75,6 +84,9 @@
       scheduler: Scheduler.create(createParts(settings.limits)),
       bindings: context.bindings,
       localMethods: context.localMethods ?? new Map(),
+      orders: context.orders,
+      offered: context.offered,
+      knownControllers: context.knownControllers,
       log: context.log,
       metrics: context.metrics,
       faulted: context.faulted
@@ -87,7 +99,7 @@
     const replica = await Replica.open({
       id,
       group,
-      disk: await FolderDisk.open(settings.dataFolder),
+      disk: await FolderDisk.open(settings.dataFolder, settings.isFolderLocked),
       newDisk: randomBytes(DISK_ID_BYTES).toString('base64url'),
       bootstrap: [...settings.bootstrap],
       transport: links,
@@ -131,7 +143,7 @@
     if (this.ticks % SCHEDULER_TICKS === 0) this.controller.tick()
   }
 
-  private async handOver (): Promise<void> {
+  async handOver (): Promise<void> {
     if (this.replica.status().role !== 'leader') return
     const others = this.replica.status().members.filter(({ id, role }) => role === 'voter' && id !== this.replica.status().id)
     if (others.length === 0) return
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -7,8 +7,8 @@
 import { createHash } from 'node:crypto'
 import {
   decodeValue, encodeValue, InternalMethod, Topic,
-  type CallFrame, type ConfigurationAnswer, type ExecuteAnswer, type ExecuteBody, type ForwardedCall,
-  type HeartbeatAnswer, type HeartbeatBody, type Link, type Replica, type ReplicaOwner, type RequestEvent
+  type AdmissionAnswer, type AdmissionBody, type CallFrame, type ConfigurationAnswer, type ControllerAddress, type ExecuteAnswer, type ExecuteBody, type ForwardedCall,
+  type HeartbeatAnswer, type HeartbeatBody, type JobEvent, type Link, type MemberCandidate, type MembersAnswer, type Replica, type ReplicaOwner, type RequestEvent
 } from '@flamingorouter/controllers'
 import type { Binding, CallContext } from '@flamingorouter/rpc'
 import {
@@ -16,9 +16,11 @@
 } from '@flamingorouter/scheduler'
 import { Calls } from './calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
+import { logDecisions } from './decision-log.js'
 import { EntryTable } from './liveness.js'
 import type { Measures } from './measures.js'
 import type { LocalMethod } from './local-methods.js'
+import type { OrderCarrier } from './order-carrier.js'
 import { Proposals } from './proposals.js'
 import type { RuntimeLog } from './runtime-log.js'
 import { Watches } from './watches.js'
@@ -31,6 +33,12 @@
   bindings: readonly Binding[]
   /** Methods that need more than the state, such as membership. */
   localMethods: ReadonlyMap<string, LocalMethod>
+  /** Carries orders to workers that are called. */
+  orders?: OrderCarrier
+  /** A controller that is no member would like to be one. */
+  offered?: (candidate: MemberCandidate) => void
+  /** Controllers that this process knows of while its own log names none. */
+  knownControllers?: () => ControllerAddress[]
   log: RuntimeLog
   metrics?: Measures
   /** This controller cannot go on. */
@@ -38,6 +46,10 @@
 }
 
 type ExecuteEffect = Extract<Effect, { kind: 'command' }>
+type AdmissionEffect = Extract<Effect, { kind: 'askAdmission' }>
+
+/** Effects that rest on no decision, and so wait for no commit. */
+const IMMEDIATE_EFFECTS: ReadonlySet<Effect['kind']> = new Set(['askAdmission', 'watchWorker', 'unwatchWorker'])
 
 export class Controller implements ReplicaOwner {
   readonly entries = EntryTable.create()
@@ -46,6 +58,8 @@
   private readonly watches = Watches.create()
   private readonly bindings = new Map<string, Binding>()
   private readonly links = new Map<string, Link>()
+  /** Entries that carry questions to the admission service, as the scheduler was told of them. */
+  private advisors = ''
   private isLeading = false
 
   private constructor (private readonly options: ControllerOptions) {
@@ -116,6 +130,7 @@
     if (!this.isAuthoritative) return
     this.feed({ kind: 'tick' })
     this.entries.sweep(monotonicNow())
+    this.tellAdvisors()
     this.watches.check(this.state)
   }
 
@@ -139,6 +154,8 @@
     this.options.scheduler.lead(clusterNow())
     this.entries.reset(monotonicNow())
     this.isLeading = true
+    this.advisors = ''
+    this.options.orders?.lead(term, event => { if (this.isLeading) this.feed(event) })
     for (const link of this.links.values()) link.send({ kind: 'notice', topic: Topic.leading, body: { term } })
     this.options.log.info('leading', { term, change: this.state.change })
   }
@@ -146,6 +163,7 @@
   following (leader: string): void {
     if (this.isLeading) this.options.log.warn('leadership_lost', { leader })
     this.isLeading = false
+    this.options.orders?.follow()
     this.attached?.proposals.drop()
     this.calls.abandon('leadership was lost before the change was committed; its outcome is not known here')
     this.watches.abandon()
@@ -169,11 +187,13 @@
   // Calls of entries.
 
   async called (link: Link, frame: CallFrame): Promise<unknown> {
+    if (frame.method === InternalMethod.members) return this.answerMembers()
     if (!this.isAuthoritative) this.refuseAsFollower()
     const entry = link.peer?.process ?? ''
     switch (frame.method) {
       case InternalMethod.heartbeat: return this.answerHeartbeat(frame.body as HeartbeatBody)
       case InternalMethod.configuration: return await this.answerConfiguration()
+      case InternalMethod.job: return await this.ask(call => ({ ...frame.body as JobEvent, call }))
       case InternalMethod.request: return await this.answerRequest(entry, frame.body as RequestEvent)
       default: return await this.answerRpc(entry, frame.method, frame.body as ForwardedCall)
     }
@@ -186,6 +206,7 @@
 
   private answerHeartbeat (body: HeartbeatBody): HeartbeatAnswer {
     this.entries.hear(body, monotonicNow())
+    if (body.candidate !== undefined) this.options.offered?.(body.candidate)
     const { term, members } = this.replica.status()
     return {
       term,
@@ -194,6 +215,22 @@
     }
   }
 
+  private answerMembers (): MembersAnswer {
+    const { members } = this.replica.status()
+    const controllers = members.map(({ id, address }) => ({ id, address }))
+    return { controllers: controllers.length > 0 ? controllers : this.options.knownControllers?.() ?? [] }
+  }
+
+  /** Tells the scheduler which entries may carry questions to the admission service. */
+  private tellAdvisors (): void {
+    const now = monotonicNow()
+    const live = this.entries.list().filter(entry => entry.isAdvisor === true && this.entries.isLive(entry, now) && this.links.has(entry.process))
+    const entries = live.map(entry => entry.process).sort()
+    if (entries.join() === this.advisors) return
+    this.advisors = entries.join()
+    this.feed({ kind: 'advisorsChanged', entries })
+  }
+
   private async answerConfiguration (): Promise<ConfigurationAnswer> {
     const answer = { version: this.state.configurationVersion, documents: [...this.state.documents.values()] }
     await this.barrier()
@@ -267,7 +304,13 @@
     const result = scheduler.handle(event, now)
     metrics?.recordStep(event.kind, monotonicNow() - startedAt)
     metrics?.recordDecisions(result.decisions, scheduler.state, now)
-    this.proposals.add(result)
+    logDecisions(this.options.log, result.decisions, scheduler.state, now)
+    const held: Effect[] = []
+    for (const effect of result.effects) {
+      if (IMMEDIATE_EFFECTS.has(effect.kind)) this.release(effect)
+      else held.push(effect)
+    }
+    this.proposals.add({ decisions: result.decisions, effects: held })
   }
 
   // Effects whose decisions are committed.
@@ -276,12 +319,37 @@
     switch (effect.kind) {
       case 'reply': return this.calls.reply(effect.call, effect.answer)
       case 'refuse': return this.calls.refuse(effect.call, effect.error, effect.message, effect.retryAfterMs)
+      case 'askAdmission': this.askAdmission(effect).catch((thrown: unknown) => {
+        this.options.log.error('admission_failed', { stage: effect.stage, error: toFailure(thrown).message })
+      }); return
+      case 'startRun':
+      case 'stopRun':
+      case 'paceRun':
+      case 'watchWorker':
+      case 'unwatchWorker':
+      case 'ackEnds': this.options.orders?.carry(effect); return
       case 'command': this.execute(effect).catch((thrown: unknown) => {
         this.options.log.error('execute_failed', { target: effect.target, error: toFailure(thrown).message })
       })
     }
   }
 
+  private async askAdmission (effect: AdmissionEffect): Promise<void> {
+    const { entry, stage, workers, timeoutMs } = effect
+    const askedAt = clusterNow()
+    const body: AdmissionBody = { stage, workers, timeoutMs }
+    let answer: AdmissionAnswer | undefined
+    try {
+      const link = this.links.get(entry) ?? fail(ErrorKind.unavailable, `${entry} is not connected`)
+      answer = await link.call(InternalMethod.admission, body, timeoutMs) as AdmissionAnswer
+    } catch (thrown) {
+      this.options.log.warn('admission_unanswered', { stage, entry, asked: workers.length, error: toFailure(thrown).message })
+    }
+    if (!this.isLeading) return
+    const tickets = answer?.tickets ?? []
+    this.feed({ kind: 'admissionAnswered', entry, stage, workers, tickets, askedAt, isAnswered: answer !== undefined })
+  }
+
   private async execute (effect: ExecuteEffect): Promise<void> {
     const { target, address, session, fence, commands } = effect
     const body: ExecuteBody = { target, address, session, fence, commands }
@@ -299,5 +367,6 @@
 }
 
 function decodeState (snapshot: Uint8Array): ClusterState {
-  return decodeValue(snapshot) as ClusterState
+  // A snapshot of an earlier version lacks what was added since.
+  return { ...createClusterState(), ...decodeValue(snapshot) as Partial<ClusterState> }
 }
--- a/packages/runtime/src/core/leader-client.ts
+++ b/packages/runtime/src/core/leader-client.ts
@@ -5,7 +5,7 @@
 
 import {
   InternalMethod, LinkDialler, Topic,
-  type ControllerAddress, type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type LeadingBody, type Link, type LinkHandlers, type PeerKeys
+  type MembersAnswer, type ControllerAddress, type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type LeadingBody, type Link, type LinkHandlers, type PeerKeys
 } from '@flamingorouter/controllers'
 import { ErrorKind, Failure, toFailure } from '@flamingorouter/scheduler'
 import { monotonicNow } from './clock.js'
@@ -78,6 +78,16 @@
     return new LeaderClient(controllers, hello, handlers, pulse, keys)
   }
 
+  /** Controllers to look for a leader among, beside those that are known. */
+  addControllers (controllers: readonly ControllerAddress[]): void {
+    for (const controller of controllers) this.dial(controller)
+  }
+
+  /** All controllers that this process looks for a leader among. */
+  get controllers (): ControllerAddress[] {
+    return [...this.diallers].map(([id, { address }]) => ({ id, address }))
+  }
+
   get hasLeader (): boolean {
     return this.leader !== undefined
   }
@@ -96,11 +106,13 @@
    * allows it. Rejects with unavailable when nothing can have been done, and with
    * deadlineExceeded when an answer was lost.
    */
-  async call (method: string, body: unknown, timeoutMs: number, afterLoss: AfterLoss): Promise<unknown> {
+  async call (
+    method: string, body: unknown, timeoutMs: number, afterLoss: AfterLoss, searchMs = SEARCH_TIMEOUT_MS
+  ): Promise<unknown> {
     const deadline = monotonicNow() + timeoutMs
     let lost: Failure | undefined
     for (;;) {
-      const link = await this.findLeader(deadline)
+      const link = await this.findLeader(deadline, searchMs)
       if (link === undefined) throw lost ?? this.describeAbsence()
       try {
         return await link.call(method, body, Math.max(1, deadline - monotonicNow()))
@@ -123,12 +135,15 @@
   /** An address of the settings goes before one that the leader tells for the same id. */
   private dial ({ id, address }: ControllerAddress): void {
     if (this.diallers.has(id)) return
+    for (const dialler of this.diallers.values()) {
+      if (dialler.address === address) return
+    }
     this.diallers.set(id, LinkDialler.create(address, this.hello, this.handlers, this.keys))
   }
 
   /** Resolves with no link when none leads within the search time or before the deadline. */
-  private async findLeader (deadline: number): Promise<Link | undefined> {
-    const until = Math.min(deadline, monotonicNow() + SEARCH_TIMEOUT_MS)
+  private async findLeader (deadline: number, searchMs: number): Promise<Link | undefined> {
+    const until = Math.min(deadline, monotonicNow() + searchMs)
     while (this.leader === undefined && !this.isStopped && monotonicNow() < until) await pause(SEARCH_MS)
     return this.isStopped ? undefined : this.leader
   }
@@ -162,9 +177,17 @@
   /** A link over which nothing comes back is closed, so that its calls end. */
   private unanswered (link: Link, failure: Failure): void {
     this.lost(link)
+    if (failure.kind === ErrorKind.notLeader) this.askMembers(link)
     if (failure.kind === ErrorKind.deadlineExceeded) link.close('no answer to a heartbeat')
   }
 
+  /** A controller that does not lead tells which others there are. */
+  private askMembers (link: Link): void {
+    link.call(InternalMethod.members, {}, HEARTBEAT_TIMEOUT_MS)
+      .then(body => { this.addControllers((body as MembersAnswer).controllers) })
+      .catch((thrown: unknown) => { this.unanswered(link, toFailure(thrown)) })
+  }
+
   private lost (link: Link): void {
     if (this.leader === link) this.leader = undefined
   }
--- a/packages/runtime/src/core/liveness.ts
+++ b/packages/runtime/src/core/liveness.ts
@@ -12,6 +12,7 @@
   availabilityZone: string
   configurationVersion: number
   isAdmitting: boolean
+  isAdvisor?: boolean
   /** Monotonic milliseconds of the last heartbeat. */
   heardAt: number
 }
--- a/packages/scheduler/__tests__/support/world.ts
+++ b/packages/scheduler/__tests__/support/world.ts
@@ -7,7 +7,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import {
-  applyDecision, createClusterState, createParts, DEFAULT_LIMITS, Scheduler, taskKey, Urgency,
+  applyDecision, createClusterState, createParts, DEFAULT_LIMITS, isAnswerEffect, Scheduler, taskKey, Urgency,
   type Answer, type ClusterState, type Decision, type Effect, type ErrorKind, type Event, type Limits, type Resources,
   type TaskState, type WorkloadSpec
 } from '../../src/index.js'
@@ -237,6 +237,7 @@
       else this.send(deliver)
       return
     }
+    if (!isAnswerEffect(effect)) return
     const reply = this.replies.get(effect.call)
     const refuse = this.refusals.get(effect.call)
     this.replies.delete(effect.call)
--- a/packages/scheduler/src/core/apply.ts
+++ b/packages/scheduler/src/core/apply.ts
@@ -6,6 +6,7 @@
 import { createHash } from 'node:crypto'
 import type { Decision, DecisionOf } from '../types/decisions.js'
 import type { ClusterState } from '../types/state.js'
+import { applyJobDecision } from './jobs/apply.js'
 import { isLive, TaskPhase, type TaskState, WorkloadKind, type WorkloadSpec } from '../types/workloads.js'
 
 /** Characters of base64, six bits each. */
@@ -65,7 +66,8 @@
       trimAudit(state, decision.limit)
       return
     case 'changeAnswered': state.answered.set(decision.key, decision.answered); return
-    case 'changeForgotten': state.answered.delete(decision.key)
+    case 'changeForgotten': state.answered.delete(decision.key); return
+    default: return applyJobDecision(state, decision)
   }
 }
 
--- /dev/null
+++ b/packages/scheduler/src/core/jobs/apply.ts
@@ -0,0 +1,83 @@
+/**
+ * Applies the decisions on staged jobs to the durable state. Every replica runs
+ * this code, so it reads nothing but its arguments.
+ */
+
+import type { Decision, DecisionOf } from '../../types/decisions.js'
+import { createOccurrence, JobPhase, StageTaskPhase, type StageTask, type TaskRef } from '../../types/jobs.js'
+import type { ClusterState } from '../../types/state.js'
+
+export function applyJobDecision (state: ClusterState, decision: Decision): void {
+  switch (decision.kind) {
+    case 'cellConfigured': state.cell = decision.cell; return
+    case 'calledWorkerKnown': state.calledWorkers.set(decision.worker.id, decision.worker); return
+    case 'calledWorkerForgotten': return forgetWorker(state, decision)
+    case 'jobAccepted': return acceptJob(state, decision)
+    case 'jobClosed': return closeJob(state, decision)
+    case 'jobForgotten': state.jobs.delete(decision.id); return
+    case 'occurrenceOpened': return openOccurrence(state, decision)
+    case 'runPlaced': return placeRun(state, decision)
+    case 'runEnded': return endRun(state, decision)
+    case 'runReleased': return releaseRun(state, decision)
+  }
+}
+
+/** The task that a reference names, unless its job or occurrence is gone. */
+export function findStageTask (state: ClusterState, ref: TaskRef): StageTask | undefined {
+  return state.jobs.get(ref.job)?.occurrences.get(ref.occurrence)?.[ref.stage]?.[ref.index]
+}
+
+function forgetWorker (state: ClusterState, decision: DecisionOf<'calledWorkerForgotten'>): void {
+  if (state.calledWorkers.get(decision.id)?.incarnation === decision.incarnation) state.calledWorkers.delete(decision.id)
+}
+
+function acceptJob (state: ClusterState, decision: DecisionOf<'jobAccepted'>): void {
+  const { id, queue, spec, at } = decision
+  const occurrences = new Map()
+  if (spec.recurrence === undefined) occurrences.set(0, createOccurrence(spec))
+  state.jobs.set(id, { id, queue, spec, phase: JobPhase.live, acceptedAt: at, closedAt: 0, started: false, occurrences })
+}
+
+function closeJob (state: ClusterState, decision: DecisionOf<'jobClosed'>): void {
+  const job = state.jobs.get(decision.id)
+  if (job === undefined) return
+  job.phase = decision.phase
+  job.closedAt = decision.at
+  // A closed job starts nothing; a copy, since the decision that brought the spec may still wait to be encoded.
+  job.spec = { ...job.spec, payload: '' }
+}
+
+function openOccurrence (state: ClusterState, decision: DecisionOf<'occurrenceOpened'>): void {
+  const job = state.jobs.get(decision.id)
+  job?.occurrences.set(decision.occurrence, createOccurrence(job.spec))
+}
+
+function placeRun (state: ClusterState, decision: DecisionOf<'runPlaced'>): void {
+  const task = findStageTask(state, decision.ref)
+  const job = state.jobs.get(decision.ref.job)
+  if (task === undefined || job === undefined) return
+  task.phase = StageTaskPhase.placed
+  task.run = decision.run
+  task.worker = decision.worker
+  task.incarnation = decision.incarnation
+  job.started = true
+}
+
+function endRun (state: ClusterState, decision: DecisionOf<'runEnded'>): void {
+  const task = findStageTask(state, decision.ref)
+  if (task === undefined || task.run !== decision.run || task.phase === StageTaskPhase.done) return
+  task.worker = ''
+  task.incarnation = 0
+  task.phase = decision.succeeded ? StageTaskPhase.done : StageTaskPhase.waiting
+  if (decision.succeeded) task.checkpoint = ''
+  else task.failures += 1
+}
+
+function releaseRun (state: ClusterState, decision: DecisionOf<'runReleased'>): void {
+  const task = findStageTask(state, decision.ref)
+  if (task === undefined || task.run !== decision.run || task.phase !== StageTaskPhase.placed) return
+  task.worker = ''
+  task.incarnation = 0
+  task.phase = StageTaskPhase.waiting
+  if (decision.checkpoint !== '') task.checkpoint = decision.checkpoint
+}
--- /dev/null
+++ b/packages/scheduler/src/core/jobs/callers.ts
@@ -0,0 +1,122 @@
+/**
+ * What callers and operators ask of staged jobs: submit, read, cancel, count,
+ * and the configuration of the cell.
+ */
+
+import type { EventOf } from '../../types/events.js'
+import { isLiveJob, JobPhase, type CellConfiguration, type JobSpec, type StageSpec } from '../../types/jobs.js'
+import type { ClusterState } from '../../types/state.js'
+import { ErrorKind } from '../../utils/errors.js'
+import type { Step } from '../step.js'
+import { findRoute, type Route } from './queues.js'
+
+/** When to come back after a refusal for want of a configuration, in milliseconds. */
+const UNCONFIGURED_RETRY_MS = 1_000
+
+/** Accepts a job once; a repeat of an accepted one is told the same. */
+export function acceptJob (event: EventOf<'acceptJob'>, step: Step): void {
+  const route = routeOf(event, step)
+  if (route === undefined) return
+  const id = route.rest
+  if (step.state.jobs.has(id)) return step.reply(event.call, { kind: 'jobAccepted' })
+  const fault = specFault(event.spec)
+  if (id === '' || fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault === '' ? 'no job id' : fault)
+  step.decide({ kind: 'jobAccepted', id, queue: route.queue.name, spec: event.spec, at: step.now })
+  step.reply(event.call, { kind: 'jobAccepted' })
+}
+
+/** Tells the phase of a job, or without an id how many jobs of the queue have not begun. */
+export function readJob (event: EventOf<'readJob'>, step: Step): void {
+  const route = routeOf(event, step)
+  if (route === undefined) return
+  if (route.rest === '') {
+    return step.reply(event.call, { kind: 'jobsWaiting', count: countWaiting(step.state, route.queue.name) })
+  }
+  const job = step.state.jobs.get(route.rest)
+  // That there is no such job is told by a process that surely leads.
+  if (job === undefined) step.decide({ kind: 'leadershipProbed' })
+  step.reply(event.call, { kind: 'job', phase: job?.phase, isStarted: job?.started ?? false })
+}
+
+export function cancelJob (event: EventOf<'cancelJob'>, step: Step): void {
+  const route = routeOf(event, step)
+  if (route === undefined) return
+  const job = step.state.jobs.get(route.rest)
+  if (job === undefined) step.decide({ kind: 'leadershipProbed' })
+  else if (isLiveJob(job)) step.decide({ kind: 'jobClosed', id: job.id, phase: JobPhase.cancelled, at: step.now })
+  step.reply(event.call, { kind: 'job', phase: job?.phase, isStarted: job?.started ?? false })
+}
+
+/** The highest version counts; one that is not higher changes nothing and is acknowledged. */
+export function configureCell (event: EventOf<'configureCell'>, step: Step): void {
+  const held = step.state.cell
+  if (held === undefined || event.cell.version > held.version) {
+    step.decide({ kind: 'cellConfigured', cell: { ...event.cell, retired: listRetired(held, event.cell, step.state) } })
+  } else {
+    step.decide({ kind: 'leadershipProbed' })
+  }
+  replyCell(event.call, step)
+}
+
+export function readCell (event: EventOf<'readCell'>, step: Step): void {
+  // A quorum round that begins after the question proves that no newer version is in force.
+  step.decide({ kind: 'leadershipProbed' })
+  if (step.state.cell === undefined) return refuseUnconfigured(event.call, step)
+  replyCell(event.call, step)
+}
+
+function replyCell (call: number, step: Step): void {
+  const { version = 0, document = '' } = step.state.cell ?? {}
+  step.reply(call, { kind: 'cell', version, document })
+}
+
+function routeOf (event: { call: number, host: string, path: string }, step: Step): Route | undefined {
+  const { cell } = step.state
+  if (cell === undefined) {
+    refuseUnconfigured(event.call, step)
+    return undefined
+  }
+  const route = findRoute(cell, event.host, event.path)
+  if (route !== undefined) return route
+  step.decide({ kind: 'leadershipProbed' })
+  step.refuse(event.call, ErrorKind.notFound, `no queue at ${event.host}${event.path}`)
+}
+
+function refuseUnconfigured (call: number, step: Step): void {
+  step.refuse(call, ErrorKind.unavailable, 'the cell has no configuration yet', UNCONFIGURED_RETRY_MS)
+}
+
+/** Accepted jobs of a queue, without those on a schedule, of which no task has started. */
+function countWaiting (state: ClusterState, queue: string): number {
+  let count = 0
+  for (const job of state.jobs.values()) {
+    if (job.queue === queue && isLiveJob(job) && !job.started && job.spec.recurrence === undefined) count += 1
+  }
+  return count
+}
+
+function listRetired (held: CellConfiguration | undefined, next: CellConfiguration, state: ClusterState): CellConfiguration['queues'] {
+  if (held === undefined) return []
+  const names = new Set(next.queues.map(queue => queue.name))
+  const used = new Set<string>()
+  for (const job of state.jobs.values()) {
+    if (isLiveJob(job)) used.add(job.queue)
+  }
+  return [...held.queues, ...held.retired].filter(queue => !names.has(queue.name) && used.has(queue.name))
+}
+
+function specFault (spec: JobSpec): string {
+  if (spec.stages.length === 0) return 'a job needs a stage'
+  for (const [index, stage] of spec.stages.entries()) {
+    const fault = stageFault(stage, index)
+    if (fault !== '') return `stage ${index}: ${fault}`
+  }
+  return ''
+}
+
+function stageFault (stage: StageSpec, index: number): string {
+  if (!Number.isSafeInteger(stage.taskCount) || stage.taskCount < 1) return 'it needs a task'
+  if (stage.dependsOn.some(other => !Number.isSafeInteger(other) || other < 0 || other >= index)) return 'it depends on a stage that is not before it'
+  const { millicores, memoryMib, accelerators } = stage.resources
+  return [millicores, memoryMib, accelerators].some(amount => !(amount >= 0)) ? 'its resources are not amounts' : ''
+}
--- /dev/null
+++ b/packages/scheduler/src/core/jobs/runs.ts
@@ -0,0 +1,414 @@
+/**
+ * Runs on workers that are called, from their placement to the moment at which
+ * they are surely over. A task waits again only after its run ended, was stopped
+ * and confirmed, or can't exist any more since the worker was replaced or its
+ * lease lapsed on its own clock.
+ */
+
+import type { EndedRow, EventOf, RunningRow } from '../../types/events.js'
+import { OrderOutcome, RunEnd } from '../../types/events.js'
+import {
+  formatTaskRef, isLiveJob, parseTaskRef, StageTaskPhase, type CalledWorker, type StageTask, type TaskRef
+} from '../../types/jobs.js'
+import { NO_RESOURCES } from '../../types/resources.js'
+import type { ClusterState } from '../../types/state.js'
+import type { Step } from '../step.js'
+import { findStageTask } from './apply.js'
+import { findQueue } from './queues.js'
+import { createOrphan, createRun, RunStatus, WorkerView, type Run } from './workers.js'
+
+/** Pause before an order without an answer is sent again, in milliseconds. */
+const REPEAT_MS = 150
+
+/** Starts without an answer after which the run is stopped instead. */
+const START_ATTEMPTS = 3
+
+/** How long a worker gets no new work after it refused a start, in milliseconds. */
+const AVOID_MS = { noRoom: 300, unhealthy: 2_000 } as const
+
+/** Weight of the newest run in the failure rate of a worker. */
+const FAILURE_WEIGHT = 0.3
+
+/** Failure rate from which on a worker is left alone for a while. */
+const FAILURE_LIMIT = 0.6
+const FAILURE_PAUSE_MS = 3_000
+
+/**
+ * After how long a leader takes the lease of a worker that it never reached for
+ * lapsed, in milliseconds: the longest lease on a clock that is 2% slow, and the
+ * time in which a former leader may have extended it.
+ */
+const UNREACHED_LAPSE_MS = 9_000
+
+export class Runs {
+  readonly views = new Map<string, WorkerView>()
+  private ledSince = 0
+  /** A worker follows a higher fence: another process leads. */
+  isFencedOff = false
+  private readonly gangFailures = new Map<string, number>()
+
+  static create (): Runs {
+    return new Runs()
+  }
+
+  reset (state: ClusterState, now: number): void {
+    this.views.clear()
+    this.gangFailures.clear()
+    this.ledSince = now
+    this.isFencedOff = false
+    for (const worker of state.calledWorkers.values()) this.views.set(worker.id, WorkerView.create(worker))
+    for (const job of state.jobs.values()) {
+      for (const [occurrence, stages] of job.occurrences) {
+        stages.forEach((tasks, stage) => tasks.forEach((task, index) => {
+          if (task.phase === StageTaskPhase.placed) this.inherit({ job: job.id, occurrence, stage, index }, task, state, now)
+        }))
+      }
+    }
+  }
+
+  /** Begins to watch every worker that a former leader knew. */
+  watchAll (step: Step): void {
+    for (const view of this.views.values()) {
+      if (view.worker.address !== '') step.effects.push({ kind: 'watchWorker', worker: view.worker })
+    }
+  }
+
+  /** Orders the start of a run whose placement was decided in this step. */
+  start (step: Step, ref: TaskRef, view: WorkerView, run: number, payload: string, ticket: string): void {
+    const job = step.state.jobs.get(ref.job)
+    const stage = job?.spec.stages[ref.stage]
+    if (job === undefined || stage === undefined) return
+    const task = formatTaskRef(ref)
+    const priority = findQueue(step.state.cell, job.queue)?.priority ?? 0
+    view.add(createRun(ref, task, run, stage, priority, step.now))
+    const checkpoint = findStageTask(step.state, ref)?.checkpoint ?? ''
+    step.effects.push({ kind: 'startRun', worker: view.worker, task, run, payload, checkpoint, ticket })
+  }
+
+  /** Stops a run; its task waits again once that is confirmed. */
+  stop (step: Step, view: WorkerView, run: Run): void {
+    if (run.status === RunStatus.stopping) return
+    run.status = RunStatus.stopping
+    run.attempts = 0
+    run.confirmedAt = 0
+    this.orderStop(step, view, run)
+  }
+
+  /** Stops what runs, or may run, of a job. */
+  stopJob (step: Step, job: string): void {
+    const stages = step.state.jobs.get(job)?.occurrences ?? new Map()
+    for (const tasks of [...stages.values()].flat() as StageTask[][]) {
+      for (const task of tasks) {
+        if (task.phase !== StageTaskPhase.placed) continue
+        const view = this.views.get(task.worker)
+        for (const run of view?.runs.values() ?? []) {
+          if (run.ref.job === job && view !== undefined) this.stop(step, view, run)
+        }
+      }
+    }
+  }
+
+  /** The worker told of itself: a new one, a new incarnation, or a change. */
+  report (step: Step, told: CalledWorker): void {
+    const view = this.views.get(told.id)
+    const known = step.state.calledWorkers.get(told.id)
+    const worker = mergeReport(known, told)
+    const incarnation = known?.incarnation ?? view?.worker.incarnation ?? -1
+    if (worker.incarnation < incarnation) return
+    if (worker.incarnation > incarnation) {
+      if (view !== undefined) this.over(step, view, 'the worker started anew')
+      step.decide({ kind: 'calledWorkerKnown', worker })
+      this.views.set(worker.id, WorkerView.create(worker))
+      step.effects.push({ kind: 'watchWorker', worker })
+      return
+    }
+    if (known !== undefined && isSameReport(known, worker)) return
+    step.decide({ kind: 'calledWorkerKnown', worker })
+    if (view === undefined) this.views.set(worker.id, WorkerView.create(worker))
+    else view.worker = worker
+    step.effects.push({ kind: 'watchWorker', worker })
+  }
+
+  /** What a worker runs and what has ended there. */
+  take (step: Step, event: EventOf<'workerListed'>): void {
+    const view = this.viewOf(event.id, event.incarnation)
+    if (view === undefined) return
+    view.isFenced = true
+    view.isSilent = false
+    const cursor = view.cursor
+    for (const row of event.ended) {
+      if (row.number <= cursor) continue
+      view.cursor = Math.max(view.cursor, row.number)
+      this.takeEnd(step, view, row)
+    }
+    const listed = new Set<string>()
+    for (const row of event.running) {
+      listed.add(row.task)
+      this.takeRunning(step, view, row)
+    }
+    for (const run of [...view.runs.values()]) {
+      if (!listed.has(run.task)) this.takeMissing(step, view, run, event.sentAt)
+    }
+    if (view.cursor > 0 && event.ended.length > 0) {
+      step.effects.push({ kind: 'ackEnds', id: event.id, incarnation: event.incarnation, cursor: view.cursor })
+    }
+  }
+
+  /** The answer to an order, or that there was none. */
+  ordered (step: Step, event: EventOf<'runOrdered'>): void {
+    const view = this.viewOf(event.id, event.incarnation)
+    const run = view?.runs.get(event.task)
+    if (view === undefined || run === undefined || run.run !== event.run) return
+    if (event.outcome === OrderOutcome.fenced) {
+      this.isFencedOff = true
+      return
+    }
+    if (event.outcome === OrderOutcome.replaced) return this.lapse(step, event.id, event.incarnation, 'another worker answers at its address')
+    if (event.order === 'stop') return this.stopAnswered(step, view, run, event.outcome)
+    if (run.status === RunStatus.starting) this.startAnswered(step, view, run, event.outcome)
+  }
+
+  /** Nothing of an incarnation runs any more. */
+  lapse (step: Step, id: string, incarnation: number, reason: string): void {
+    const view = this.viewOf(id, incarnation)
+    if (view === undefined) return
+    this.over(step, view, reason)
+    view.isFenced = false
+    view.isSilent = true
+  }
+
+  forget (step: Step, id: string, incarnation: number, reason: string): void {
+    const view = this.viewOf(id, incarnation)
+    if (view !== undefined) {
+      this.over(step, view, reason)
+      this.views.delete(id)
+    }
+    if (step.state.calledWorkers.get(id)?.incarnation === incarnation) {
+      step.decide({ kind: 'calledWorkerForgotten', id, incarnation })
+    }
+    step.effects.push({ kind: 'unwatchWorker', id, incarnation })
+  }
+
+  /** Repeats orders without an answer, and gives up workers that were never reached. */
+  tick (step: Step): void {
+    for (const view of this.views.values()) {
+      for (const run of [...view.runs.values()]) this.repeat(step, view, run)
+      const isUnreached = !view.isFenced && view.runs.size > 0 && step.now - this.ledSince > UNREACHED_LAPSE_MS
+      if (isUnreached && step.now - this.newestPlacement(view) > UNREACHED_LAPSE_MS) {
+        this.over(step, view, 'it was never reached by this leader, and its lease is over')
+      }
+    }
+  }
+
+  viewOf (id: string, incarnation: number): WorkerView | undefined {
+    const view = this.views.get(id)
+    return view?.worker.incarnation === incarnation ? view : undefined
+  }
+
+  private newestPlacement (view: WorkerView): number {
+    return Math.max(...[...view.runs.values()].map(run => run.status === RunStatus.inherited ? this.ledSince : run.placedAt))
+  }
+
+  private inherit (ref: TaskRef, task: StageTask, state: ClusterState, now: number): void {
+    let view = this.views.get(task.worker)
+    if (view === undefined || view.worker.incarnation !== task.incarnation) {
+      // The worker is not known any more; what may run there lapses.
+      const id = `${task.worker}#${task.incarnation}`
+      view = this.views.get(id) ?? WorkerView.create(createUnknownWorker(id, task))
+      this.views.set(id, view)
+    }
+    const job = state.jobs.get(ref.job)
+    const stage = job?.spec.stages[ref.stage]
+    if (job === undefined || stage === undefined) return
+    const run = createRun(ref, formatTaskRef(ref), task.run, stage, findQueue(state.cell, job.queue)?.priority ?? 0, now)
+    run.status = RunStatus.inherited
+    run.orderedAt = 0
+    view.add(run)
+  }
+
+  private takeEnd (step: Step, view: WorkerView, row: EndedRow): void {
+    const run = view.runs.get(row.task)
+    if (run === undefined || run.run !== row.run) return
+    view.remove(row.task)
+    if (run.isOrphan) return
+    const checkpoint = row.checkpoint === '' ? run.checkpoint : row.checkpoint
+    const job = step.state.jobs.get(run.ref.job)
+    const stage = job?.spec.stages[run.ref.stage]
+    if (job === undefined || stage === undefined) return
+    if (row.cause === RunEnd.done && !stage.longRunning) {
+      this.noteSuccess(view)
+      if (!stage.gang) return step.decide({ kind: 'runEnded', ref: run.ref, run: run.run, succeeded: true })
+      return this.endGang(step, run)
+    }
+    if (row.cause === RunEnd.failed && !stage.longRunning) {
+      this.noteFailure(view, step.now)
+      if (!stage.gang || this.isFirstGangFailure(run)) {
+        step.decide({ kind: 'runEnded', ref: run.ref, run: run.run, succeeded: false })
+      } else {
+        this.release(step, run, checkpoint, row.cause)
+      }
+      if (stage.gang) this.stopGang(step, run)
+      return
+    }
+    this.release(step, run, checkpoint, row.cause)
+    if (stage.gang) this.stopGang(step, run)
+  }
+
+  /** The end of one member as a success stands for all members of that run. */
+  private endGang (step: Step, ended: Run): void {
+    const { ref, run } = ended
+    const tasks = step.state.jobs.get(ref.job)?.occurrences.get(ref.occurrence)?.[ref.stage] ?? []
+    tasks.forEach((task, index) => {
+      if (task.phase === StageTaskPhase.done || task.run !== run) return
+      const member = { ...ref, index }
+      this.views.get(task.worker)?.remove(formatTaskRef(member))
+      step.decide({ kind: 'runEnded', ref: member, run, succeeded: true })
+    })
+  }
+
+  /** A gang that lost a member can't go on: the others are stopped, and it starts anew as a whole. */
+  private stopGang (step: Step, ended: Run): void {
+    for (const view of this.views.values()) {
+      for (const run of [...view.runs.values()]) {
+        if (run.isOrphan || run.run !== ended.run || !isSameStage(run.ref, ended.ref)) continue
+        this.stop(step, view, run)
+      }
+    }
+  }
+
+  private isFirstGangFailure (run: Run): boolean {
+    const key = `${run.ref.job}/${run.ref.occurrence}/${run.ref.stage}`
+    if (this.gangFailures.get(key) === run.run) return false
+    this.gangFailures.set(key, run.run)
+    return true
+  }
+
+  private takeRunning (step: Step, view: WorkerView, row: RunningRow): void {
+    const run = view.runs.get(row.task)
+    if (run === undefined || run.run < row.run) {
+      const ref = parseTaskRef(row.task)
+      const stage = ref === undefined ? undefined : step.state.jobs.get(ref.job)?.spec.stages[ref.stage]
+      const orphan = createOrphan(row.task, row.run, stage?.fills === true ? NO_RESOURCES : stage?.resources ?? NO_RESOURCES, step.now)
+      view.add(orphan)
+      return this.stop(step, view, orphan)
+    }
+    if (run.run > row.run) return
+    run.percent = row.percent
+    run.load = row.load
+    if (row.checkpoint !== '') run.checkpoint = row.checkpoint
+    if (run.status === RunStatus.stopping) return
+    if (run.status !== RunStatus.running) this.confirmStart(run, step.now)
+    const job = step.state.jobs.get(run.ref.job)
+    if (job === undefined || !isLiveJob(job)) this.stop(step, view, run)
+  }
+
+  private confirmStart (run: Run, now: number): void {
+    run.status = RunStatus.running
+    run.orderedAt = 0
+    run.confirmedAt = now
+  }
+
+  /** A run that a worker lists neither as running nor as ended. */
+  private takeMissing (step: Step, view: WorkerView, run: Run, sentAt: number): void {
+    const isNeverStarted = run.status === RunStatus.inherited
+    const isStopped = run.status === RunStatus.stopping && run.confirmedAt > 0 && sentAt > run.confirmedAt
+    if (isNeverStarted || isStopped) return this.drop(step, view, run, isStopped ? 'stopped' : 'it never started')
+    // Its end was listed and acknowledged, or it was never there; a confirmed stop tells.
+    if (run.status === RunStatus.running && sentAt > run.confirmedAt) this.stop(step, view, run)
+  }
+
+  private startAnswered (step: Step, view: WorkerView, run: Run, outcome: OrderOutcome): void {
+    switch (outcome) {
+      case OrderOutcome.done: return this.confirmStart(run, step.now)
+      case OrderOutcome.superseded: return this.stop(step, view, run)
+      case OrderOutcome.unknown:
+        run.orderedAt = step.now
+        return
+      case OrderOutcome.noRoom: view.avoidUntil = step.now + AVOID_MS.noRoom; break
+      case OrderOutcome.unhealthy: view.avoidUntil = step.now + AVOID_MS.unhealthy
+    }
+    this.drop(step, view, run, outcome)
+  }
+
+  private stopAnswered (step: Step, view: WorkerView, run: Run, outcome: OrderOutcome): void {
+    if (run.status !== RunStatus.stopping) return
+    if (outcome === OrderOutcome.unknown || outcome === OrderOutcome.unhealthy) {
+      run.orderedAt = step.now
+      return
+    }
+    run.orderedAt = 0
+    run.confirmedAt = step.now
+  }
+
+  private repeat (step: Step, view: WorkerView, run: Run): void {
+    if (run.orderedAt === 0 || step.now - run.orderedAt < REPEAT_MS || run.confirmedAt > 0) return
+    if (run.status === RunStatus.stopping) return this.orderStop(step, view, run)
+    // The answer is still waited for, or was not given; the worker takes a repeated start as one.
+    if (run.status === RunStatus.starting && run.attempts >= START_ATTEMPTS) this.stop(step, view, run)
+  }
+
+  private orderStop (step: Step, view: WorkerView, run: Run): void {
+    run.attempts += 1
+    run.orderedAt = step.now + ORDER_ANSWER_MS
+    step.effects.push({ kind: 'stopRun', worker: view.worker, task: run.task, run: run.run })
+  }
+
+  private drop (step: Step, view: WorkerView, run: Run, reason: string): void {
+    view.remove(run.task)
+    if (run.isOrphan) return
+    this.release(step, run, run.checkpoint, reason)
+    const stage = step.state.jobs.get(run.ref.job)?.spec.stages[run.ref.stage]
+    if (stage?.gang === true) this.stopGang(step, run)
+  }
+
+  private over (step: Step, view: WorkerView, reason: string): void {
+    for (const run of [...view.runs.values()]) this.drop(step, view, run, reason)
+  }
+
+  private release (step: Step, run: Run, checkpoint: string, reason: string): void {
+    step.decide({ kind: 'runReleased', ref: run.ref, run: run.run, checkpoint, reason })
+  }
+
+  private noteSuccess (view: WorkerView): void {
+    view.failureRate *= 1 - FAILURE_WEIGHT
+  }
+
+  private noteFailure (view: WorkerView, now: number): void {
+    view.failureRate += FAILURE_WEIGHT * (1 - view.failureRate)
+    if (view.failureRate > FAILURE_LIMIT) view.avoidUntil = now + FAILURE_PAUSE_MS
+  }
+}
+
+/** How long the answer to an order is waited for before it counts as without one, in milliseconds. */
+const ORDER_ANSWER_MS = 1_000
+
+function isSameStage (one: TaskRef, other: TaskRef): boolean {
+  return one.job === other.job && one.occurrence === other.occurrence && one.stage === other.stage
+}
+
+/** A worker that drains, or left, does so for the rest of its incarnation: what says otherwise was sent before. */
+function mergeReport (known: CalledWorker | undefined, told: CalledWorker): CalledWorker {
+  if (known === undefined || known.incarnation !== told.incarnation) return told
+  return { ...told, isDraining: known.isDraining || told.isDraining, hasLeft: known.hasLeft || told.hasLeft }
+}
+
+function isSameReport (one: CalledWorker, other: CalledWorker): boolean {
+  return one.isDraining === other.isDraining && one.hasLeft === other.hasLeft && one.address === other.address && one.service === other.service &&
+    one.capacity.millicores === other.capacity.millicores && one.capacity.memoryMib === other.capacity.memoryMib &&
+    one.capacity.accelerators === other.capacity.accelerators && one.labels.join() === other.labels.join()
+}
+
+function createUnknownWorker (id: string, task: StageTask): CalledWorker {
+  return {
+    id,
+    incarnation: task.incarnation,
+    address: '',
+    service: '',
+    availabilityZone: '',
+    rack: '',
+    labels: [],
+    capacity: NO_RESOURCES,
+    isDraining: true,
+    hasLeft: false
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/core/jobs/tickets.ts
@@ -0,0 +1,137 @@
+/**
+ * What the external admission service has answered: which workers may run a
+ * stage, and until when their tickets are valid. The set of workers does not
+ * change for a stage, so an answer is kept after its tickets have lapsed, and
+ * only the workers that were granted are asked for again. The service takes one
+ * question at a time from each entry, so each entry has one in flight.
+ */
+
+export interface Ticket {
+  ticket: string
+  /** Cluster time in milliseconds. */
+  validUntil: number
+}
+
+interface StageTickets {
+  granted: Map<string, Ticket>
+  refused: Set<string>
+  isAsked: boolean
+  /** Cluster time before which it is not asked again. */
+  notBefore: number
+}
+
+/** Time that a ticket must still be valid for a start to be ordered with it, in milliseconds: a commit and a call. */
+const TICKET_MARGIN_MS = 250
+
+/** Pause after a question that the service did not answer, in milliseconds. */
+const RETRY_MS = 150
+
+/** Longest list of workers in one question. */
+export const QUESTION_WORKERS = 100
+
+export class Tickets {
+  private readonly stages = new Map<string, StageTickets>()
+  /** Entries and how many questions each has in flight. */
+  private readonly entries = new Map<string, number>()
+
+  static create (): Tickets {
+    return new Tickets()
+  }
+
+  clear (): void {
+    this.stages.clear()
+    this.entries.clear()
+  }
+
+  setEntries (names: readonly string[]): void {
+    for (const name of this.entries.keys()) {
+      if (!names.includes(name)) this.entries.delete(name)
+    }
+    for (const name of names) {
+      if (!this.entries.has(name)) this.entries.set(name, 0)
+    }
+  }
+
+  /** The ticket with which a start on a worker may be ordered now. */
+  find (stage: string, worker: string, now: number): string | undefined {
+    const ticket = this.stages.get(stage)?.granted.get(worker)
+    return ticket !== undefined && ticket.validUntil - now > TICKET_MARGIN_MS ? ticket.ticket : undefined
+  }
+
+  /** True when the worker is known not to be allowed. */
+  isRefused (stage: string, worker: string): boolean {
+    return this.stages.get(stage)?.refused.has(worker) === true
+  }
+
+  isGranted (stage: string, worker: string): boolean {
+    return this.stages.get(stage)?.granted.has(worker) === true
+  }
+
+  /** True when a question on the stage may be asked now. */
+  mayAsk (stage: string, now: number): boolean {
+    const known = this.stages.get(stage)
+    return known === undefined || (!known.isAsked && now >= known.notBefore)
+  }
+
+  /**
+   * An entry without a question in flight; undefined when there is none. `keepFree`
+   * entries are left for more urgent questions.
+   */
+  takeEntry (keepFree: number): string | undefined {
+    let free: string | undefined
+    let count = 0
+    for (const [name, inFlight] of this.entries) {
+      if (inFlight > 0) continue
+      free ??= name
+      count += 1
+    }
+    if (free === undefined || count <= Math.min(keepFree, this.entries.size - 1)) return undefined
+    this.entries.delete(free)
+    this.entries.set(free, 1)
+    return free
+  }
+
+  asked (stage: string): void {
+    this.stageOf(stage).isAsked = true
+  }
+
+  answered (stage: string, entry: string, workers: readonly string[], tickets: ReadonlyArray<{ worker: string, ticket: string }>, validUntil: number): void {
+    this.returned(entry)
+    const known = this.stageOf(stage)
+    known.isAsked = false
+    for (const { worker, ticket } of tickets) known.granted.set(worker, { ticket, validUntil })
+    for (const worker of workers) {
+      if (!known.granted.has(worker)) known.refused.add(worker)
+    }
+  }
+
+  failed (stage: string, entry: string, now: number): void {
+    this.returned(entry)
+    const known = this.stageOf(stage)
+    known.isAsked = false
+    known.notBefore = now + RETRY_MS
+  }
+
+  /** A start was refused for want of a valid ticket. */
+  drop (stage: string, worker: string): void {
+    const ticket = this.stages.get(stage)?.granted.get(worker)
+    if (ticket !== undefined) ticket.validUntil = 0
+  }
+
+  forget (stage: string): void {
+    this.stages.delete(stage)
+  }
+
+  private returned (entry: string): void {
+    if (this.entries.has(entry)) this.entries.set(entry, 0)
+  }
+
+  private stageOf (stage: string): StageTickets {
+    let known = this.stages.get(stage)
+    if (known === undefined) {
+      known = { granted: new Map(), refused: new Set(), isAsked: false, notBefore: 0 }
+      this.stages.set(stage, known)
+    }
+    return known
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/core/jobs/workers.ts
@@ -0,0 +1,150 @@
+/**
+ * What the leader knows of the workers that it calls: their room, the runs that
+ * are or may be on them, and whether they can take more. All of it is volatile;
+ * a new leader asks each worker anew under its own fence.
+ */
+
+import { parseTaskRef, type CalledWorker, type StageSpec, type TaskRef } from '../../types/jobs.js'
+import type { Resources } from '../../types/resources.js'
+
+export const RunStatus = Object.freeze({
+  /** A former leader placed it; whether it runs is not known before the worker is asked. */
+  inherited: 'inherited',
+  /** Its start is ordered and not confirmed. */
+  starting: 'starting',
+  running: 'running',
+  stopping: 'stopping'
+} as const)
+export type RunStatus = typeof RunStatus[keyof typeof RunStatus]
+
+export interface Run {
+  task: string
+  ref: TaskRef
+  run: number
+  status: RunStatus
+  resources: Resources
+  /** Takes none of the capacity. */
+  fills: boolean
+  priority: number
+  image: string
+  /** Cluster time of the placement. */
+  placedAt: number
+  /** Cluster time of the last order without an answer; 0 when none is open. */
+  orderedAt: number
+  /** Orders of the present kind that got no answer. */
+  attempts: number
+  /** Cluster time at which the last order was confirmed; 0 when it is not. */
+  confirmedAt: number
+  percent: number
+  load: number
+  checkpoint: string
+  /** Its placement is not in the durable state any more; only its end is waited for. */
+  isOrphan: boolean
+}
+
+export class WorkerView {
+  readonly runs = new Map<string, Run>()
+  /** True once the worker answered under the fence of this leader. */
+  isFenced = false
+  isSilent = false
+  /** The highest number of an end that was taken in. */
+  cursor = 0
+  /** Cluster time before which it gets no new work. */
+  avoidUntil = 0
+  /** Share of recent runs that failed here, 0 to 1. */
+  failureRate = 0
+  private usedMillicores = 0
+  private usedMemory = 0
+  private usedAccelerators = 0
+
+  private constructor (public worker: CalledWorker) {}
+
+  static create (worker: CalledWorker): WorkerView {
+    return new WorkerView(worker)
+  }
+
+  get id (): string {
+    return this.worker.id
+  }
+
+  get freeMillicores (): number {
+    return this.worker.capacity.millicores - this.usedMillicores
+  }
+
+  get freeMemory (): number {
+    return this.worker.capacity.memoryMib - this.usedMemory
+  }
+
+  get freeAccelerators (): number {
+    return this.worker.capacity.accelerators - this.usedAccelerators
+  }
+
+  takesWork (now: number): boolean {
+    return this.isFenced && !this.isSilent && !this.worker.isDraining && now >= this.avoidUntil
+  }
+
+  add (run: Run): void {
+    this.remove(run.task)
+    this.runs.set(run.task, run)
+    this.account(run, 1)
+  }
+
+  remove (task: string): void {
+    const run = this.runs.get(task)
+    if (run === undefined) return
+    this.runs.delete(task)
+    this.account(run, -1)
+  }
+
+  private account (run: Run, sign: number): void {
+    if (!run.fills) this.usedMillicores += sign * run.resources.millicores
+    this.usedMemory += sign * run.resources.memoryMib
+    this.usedAccelerators += sign * run.resources.accelerators
+  }
+}
+
+/** A run that is placed now. */
+export function createRun (ref: TaskRef, task: string, run: number, stage: StageSpec, priority: number, now: number): Run {
+  const { resources, fills, image } = stage
+  return {
+    task,
+    ref,
+    run,
+    status: RunStatus.starting,
+    resources,
+    fills,
+    priority,
+    image,
+    placedAt: now,
+    orderedAt: now,
+    attempts: 1,
+    confirmedAt: 0,
+    percent: 0,
+    load: 0,
+    checkpoint: '',
+    isOrphan: false
+  }
+}
+
+/** A run that a worker lists and the durable state does not place there. */
+export function createOrphan (task: string, run: number, resources: Resources, now: number): Run {
+  const ref = parseTaskRef(task) ?? { job: task, occurrence: 0, stage: 0, index: 0 }
+  return {
+    task,
+    ref,
+    run,
+    status: RunStatus.running,
+    resources,
+    fills: false,
+    priority: 0,
+    image: '',
+    placedAt: now,
+    orderedAt: 0,
+    attempts: 0,
+    confirmedAt: now,
+    percent: 0,
+    load: 0,
+    checkpoint: '',
+    isOrphan: true
+  }
+}
--- a/packages/scheduler/src/core/parts.ts
+++ b/packages/scheduler/src/core/parts.ts
@@ -8,6 +8,7 @@
 import { Estimates } from './health/estimates.js'
 import { UsageTable } from './health/usage.js'
 import type { Part } from './part.js'
+import { StagedJobs } from './jobs/staged-jobs.js'
 import { checkFeasible } from './placement/feasibility.js'
 import { Placement } from './placement/placement.js'
 import { Requests } from './requests/requests.js'
@@ -21,6 +22,7 @@
   return [
     ...createControlParts(limits, { usage, estimates, requestsInFlight, infeasibility: checkFeasible }),
     Placement.create({ usage, estimates }),
-    requests
+    requests,
+    StagedJobs.create()
   ]
 }
--- a/packages/scheduler/src/types/answers.ts
+++ b/packages/scheduler/src/types/answers.ts
@@ -2,6 +2,7 @@
  * Answers to calls, one shape for each kind of event that has a `call`.
  */
 
+import type { JobPhase } from './jobs.js'
 import type { Grant, Outcome } from './requests.js'
 
 export type Answer =
@@ -14,5 +15,11 @@
   | { kind: 'explained', summary: string, constraints: Constraint[] }
   | { kind: 'granted', grant: Grant }
   | { kind: 'outcome', outcome: Outcome }
+  | { kind: 'jobAccepted' }
+  /** No phase: there is no such job. `isStarted` tells whether any of its tasks ever ran. */
+  | { kind: 'job', phase: JobPhase | undefined, isStarted: boolean }
+  | { kind: 'jobsWaiting', count: number }
+  | { kind: 'cell', version: number, document: string }
+  | { kind: 'workerKnown' }
 
 export interface Constraint { name: string, failingVms: number, detail: string }
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -5,6 +5,7 @@
  */
 
 import type { AnsweredChange, AuditEntry, DocumentState, PolicyState, TeamState } from './configuration.js'
+import type { CalledWorker, CellConfiguration, JobPhase, JobSpec, TaskRef } from './jobs.js'
 import type { EntryState, RequestState, Outcome } from './requests.js'
 import type { TargetPhase, TargetState } from './targets.js'
 import type { EndCause, TaskPhase, WorkloadSpec } from './workloads.js'
@@ -45,6 +46,20 @@
   | { kind: 'audited', entry: AuditEntry, limit: number }
   | { kind: 'changeAnswered', key: string, answered: AnsweredChange }
   | { kind: 'changeForgotten', key: string }
+  /** Nothing changes; its commit proves that this replica led when it was proposed. */
+  | { kind: 'leadershipProbed' }
+  | { kind: 'cellConfigured', cell: CellConfiguration }
+  | { kind: 'calledWorkerKnown', worker: CalledWorker }
+  | { kind: 'calledWorkerForgotten', id: string, incarnation: number }
+  | { kind: 'jobAccepted', id: string, queue: string, spec: JobSpec, at: number }
+  | { kind: 'jobClosed', id: string, phase: JobPhase, at: number }
+  | { kind: 'jobForgotten', id: string }
+  | { kind: 'occurrenceOpened', id: string, occurrence: number }
+  | { kind: 'runPlaced', ref: TaskRef, run: number, worker: string, incarnation: number }
+  /** A run ended as a success or by a failure of its own. */
+  | { kind: 'runEnded', ref: TaskRef, run: number, succeeded: boolean }
+  /** A run is over, or never was, and its task waits again; the checkpoint is empty unless there is a newer one. */
+  | { kind: 'runReleased', ref: TaskRef, run: number, checkpoint: string, reason: string }
 
 export type DecisionKind = Decision['kind']
 
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -4,6 +4,7 @@
  */
 
 import type { DocumentState, PolicyState, TeamState } from './configuration.js'
+import type { CalledWorker, CellConfiguration, JobSpec } from './jobs.js'
 import type { EntryReport, Outcome, RequestFacts } from './requests.js'
 import type { Resources } from './resources.js'
 import type { Failure } from '../utils/errors.js'
@@ -79,9 +80,82 @@
   | { kind: 'fetchOutcome', call: number, caller: string, requestId: string }
   /** The grants that an entry holds; its first message to each new leader. */
   | { kind: 'grantsHeld', report: EntryReport }
+  | { kind: 'acceptJob', call: number, host: string, path: string, spec: JobSpec }
+  | { kind: 'readJob', call: number, host: string, path: string }
+  | { kind: 'cancelJob', call: number, host: string, path: string }
+  | { kind: 'configureCell', call: number, cell: CellConfiguration }
+  | { kind: 'readCell', call: number }
+  /** A worker that is called told of itself. */
+  | { kind: 'workerReported', call: number, worker: CalledWorker }
+  | { kind: 'workerLeft', call: number, id: string, incarnation: number }
+  /** What a worker runs and what has ended there; `sentAt` is the cluster time at which it was asked. */
+  | { kind: 'workerListed', id: string, incarnation: number, sentAt: number, running: RunningRow[], ended: EndedRow[] }
+  /** A worker does not answer. */
+  | { kind: 'workerSilent', id: string, incarnation: number }
+  /** Nothing of that incarnation runs any more: its lease lapsed on its clock, or it was replaced. */
+  | { kind: 'workerLapsed', id: string, incarnation: number, reason: string }
+  | { kind: 'runOrdered', id: string, incarnation: number, order: 'start' | 'stop', task: string, run: number, outcome: OrderOutcome, sentAt: number }
+  | { kind: 'admissionAnswered', entry: string, stage: string, workers: string[], tickets: Array<{ worker: string, ticket: string }>, askedAt: number, isAnswered: boolean }
+  /** An entry that carries questions to the admission service is connected or gone. */
+  | { kind: 'advisorsChanged', entries: string[] }
   /** An entry stopped answering; its grants may still be in use. */
   | { kind: 'entryLost', entry: string }
 
+/** One run on a worker. */
+export interface RunningRow {
+  task: string
+  run: number
+  checkpoint: string
+  /** 0 to 100. */
+  percent: number
+  /** Tail latency in milliseconds of a serving task; millicores in use of any other; 0 when not told. */
+  load: number
+}
+
+/** The end of one run, numbered by its worker. */
+export interface EndedRow {
+  number: number
+  task: string
+  run: number
+  cause: RunEnd
+  checkpoint: string
+}
+
+export const RunEnd = Object.freeze({
+  done: 'done',
+  failed: 'failed',
+  stopped: 'stopped',
+  /** The lease ran out. */
+  lapsed: 'lapsed',
+  /** Another member of the gang ended. */
+  broken: 'broken',
+  /** The other members of the gang did not come in time. */
+  alone: 'alone'
+} as const)
+export type RunEnd = typeof RunEnd[keyof typeof RunEnd]
+
+export const OrderOutcome = Object.freeze({
+  done: 'done',
+  /** There is no room for it; nothing was done. */
+  noRoom: 'noRoom',
+  /** The worker follows a higher fence. */
+  fenced: 'fenced',
+  /** That run, or a later one, has ended or was stopped there. */
+  superseded: 'superseded',
+  /** The lease in the order was over already; nothing was done. */
+  late: 'late',
+  /** The ticket is not valid; nothing was done. */
+  noTicket: 'noTicket',
+  /** The worker is unhealthy and did nothing. */
+  unhealthy: 'unhealthy',
+  /** Another incarnation answers there. */
+  replaced: 'replaced',
+  invalid: 'invalid',
+  /** No answer: it may be carried out, also later. */
+  unknown: 'unknown'
+} as const)
+export type OrderOutcome = typeof OrderOutcome[keyof typeof OrderOutcome]
+
 export type EventKind = Event['kind']
 
 /** The events of one kind, or of several. */
--- a/packages/scheduler/src/types/state.ts
+++ b/packages/scheduler/src/types/state.ts
@@ -5,6 +5,7 @@
  */
 
 import type { AnsweredChange, AuditEntry, DocumentState, PolicyState, TeamState } from './configuration.js'
+import type { CalledWorker, CellConfiguration, StagedJob } from './jobs.js'
 import type { EntryState, RequestState } from './requests.js'
 import type { TargetState } from './targets.js'
 import type { WorkloadState } from './workloads.js'
@@ -43,6 +44,11 @@
   answered: Map<string, AnsweredChange>
   audit: AuditEntry[]
   auditNumber: number
+  /** Staged jobs by id. */
+  jobs: Map<string, StagedJob>
+  /** Workers that the leader calls, by id. */
+  calledWorkers: Map<string, CalledWorker>
+  cell: CellConfiguration | undefined
 }
 
 export function createClusterState (): ClusterState {
@@ -66,6 +72,9 @@
     documents: new Map(),
     answered: new Map(),
     audit: [],
-    auditNumber: 0
+    auditNumber: 0,
+    jobs: new Map(),
+    calledWorkers: new Map(),
+    cell: undefined
   }
 }
