--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -95,7 +95,7 @@
       const known = controller.isAttached ? controller.replica.status().members : []
       return known.length > 0 ? known : settings.bootstrap
     }
-    const links = ControllerLinks.create(hello, members, context.peerKeys, context.traffic)
+    const links = ControllerLinks.create(hello, members, context.peerKeys, context.traffic, context.log)
     const replica = await Replica.open({
       id,
       group,
@@ -110,7 +110,8 @@
       snapshotEvery: settings.snapshotEvery
     })
     controller.attach(replica)
-    const server = LinkServer.create(hello, { ...createHandlers(controller, replica, links), traffic: context.traffic }, context.peerKeys?.())
+    links.received = (from, message) => { replica.receive(from, message) }
+    const server = LinkServer.create(hello, { ...createHandlers(controller, replica, links, context.log), traffic: context.traffic }, context.peerKeys?.())
     await server.listen(parseAddress(settings.listen))
     const node = new ControllerNode(controller, replica, links, server)
     node.timer = setInterval(() => { node.tick() }, TICK_MS)
@@ -154,7 +155,7 @@
   }
 }
 
-function createHandlers (controller: Controller, replica: Replica, links: ControllerLinks): LinkHandlers {
+function createHandlers (controller: Controller, replica: Replica, links: ControllerLinks, log: RuntimeLog): LinkHandlers {
   return {
     opened: link => {
       links.accepted(link)
@@ -163,7 +164,8 @@
     called: (link, frame) => controller.called(link, frame),
     replication: (link, message) => { replica.receive(link.peer?.process ?? '', message) },
     notice: (link, topic, body) => { controller.noticed(link, topic, body) },
-    closed: link => {
+    closed: (link, reason) => {
+      if (link.peer !== undefined) log.warn('peer_lost', { peer: link.peer.process, role: link.peer.role, reason })
       links.dropped(link)
       controller.linkClosed(link)
     }
--- a/packages/runtime/src/core/leader-client.ts
+++ b/packages/runtime/src/core/leader-client.ts
@@ -46,6 +46,8 @@
   private readonly diallers = new Map<string, LinkDialler>()
   private leader: Link | undefined
   private term = 0
+  /** Since when no leader is known, in monotonic milliseconds. */
+  private leaderlessSince = monotonicNow()
   private timer: NodeJS.Timeout | undefined
   private isStopped = false
 
@@ -112,7 +114,8 @@
     const deadline = monotonicNow() + timeoutMs
     let lost: Failure | undefined
     for (;;) {
-      const link = await this.findLeader(deadline, searchMs)
+      // Whether a call whose answer was lost was acted on is worth the rest of the time to learn.
+      const link = await this.findLeader(deadline, lost === undefined ? searchMs : timeoutMs)
       if (link === undefined) throw lost ?? this.describeAbsence()
       try {
         return await link.call(method, body, Math.max(1, deadline - monotonicNow()))
@@ -120,7 +123,7 @@
         const failure = toFailure(thrown)
         if (!mayRepeat(failure, afterLoss) || monotonicNow() >= deadline) throw failure
         if (failure.kind === ErrorKind.deadlineExceeded) lost = failure
-        if (this.leader === link) this.leader = undefined
+        if (this.leader === link) this.lost(link)
         this.beatAll()
       }
     }
@@ -143,7 +146,8 @@
 
   /** Resolves with no link when none leads within the search time or before the deadline. */
   private async findLeader (deadline: number, searchMs: number): Promise<Link | undefined> {
-    const until = Math.min(deadline, monotonicNow() + searchMs)
+    // A caller that comes late into a long search is told so at once.
+    const until = Math.min(deadline, Math.max(this.leaderlessSince + searchMs, monotonicNow() + SEARCH_MS))
     while (this.leader === undefined && !this.isStopped && monotonicNow() < until) await pause(SEARCH_MS)
     return this.isStopped ? undefined : this.leader
   }
@@ -189,7 +193,9 @@
   }
 
   private lost (link: Link): void {
-    if (this.leader === link) this.leader = undefined
+    if (this.leader !== link) return
+    this.leader = undefined
+    this.leaderlessSince = monotonicNow()
   }
 }
 
--- a/packages/runtime/src/core/links.ts
+++ b/packages/runtime/src/core/links.ts
@@ -7,6 +7,7 @@
   LinkDialler, Transport,
   type HelloFrame, type Link, type LinkHandlers, type LinkTraffic, type MemberFacts, type PeerKeys
 } from '@flamingorouter/controllers'
+import type { RuntimeLog } from './runtime-log.js'
 
 const QUIET: LinkHandlers = {
   opened: () => {},
@@ -19,12 +20,15 @@
 export class ControllerLinks extends Transport {
   private readonly diallers = new Map<string, LinkDialler>()
   private readonly inbound = new Map<string, Link>()
+  /** Takes what a member answers over the link that was dialled to it; set once the replica is there. */
+  received: (from: string, message: unknown) => void = () => {}
 
   private constructor (
     private readonly hello: HelloFrame,
     private readonly members: () => readonly MemberFacts[],
     private readonly keys: () => PeerKeys | undefined,
-    private readonly traffic: LinkTraffic | undefined
+    private readonly traffic: LinkTraffic | undefined,
+    private readonly log: RuntimeLog | undefined
   ) {
     super()
   }
@@ -34,9 +38,10 @@
     hello: HelloFrame,
     members: () => readonly MemberFacts[],
     keys: () => PeerKeys | undefined = () => undefined,
-    traffic?: LinkTraffic
+    traffic?: LinkTraffic,
+    log?: RuntimeLog
   ): ControllerLinks {
-    return new ControllerLinks(hello, members, keys, traffic)
+    return new ControllerLinks(hello, members, keys, traffic, log)
   }
 
   override send (to: string, message: unknown): void {
@@ -63,7 +68,16 @@
     const known = this.diallers.get(to)
     if (member === undefined || known?.address === member.address) return known
     known?.close()
-    const dialler = LinkDialler.create(member.address, this.hello, { ...QUIET, traffic: this.traffic }, this.keys)
+    const handlers: LinkHandlers = {
+      ...QUIET,
+      traffic: this.traffic,
+      replication: (_link, message) => { this.received(to, message) },
+      opened: () => { this.log?.info('controller_reached', { controller: to, address: member.address }) },
+      closed: (link, reason) => {
+        if (link.peer !== undefined) this.log?.warn('controller_lost', { controller: to, address: member.address, reason })
+      }
+    }
+    const dialler = LinkDialler.create(member.address, this.hello, handlers, this.keys)
     this.diallers.set(to, dialler)
     return dialler
   }
--- a/packages/scheduler/src/core/jobs/callers.ts
+++ b/packages/scheduler/src/core/jobs/callers.ts
@@ -4,7 +4,7 @@
  */
 
 import type { EventOf } from '../../types/events.js'
-import { isLiveJob, JobPhase, type CellConfiguration, type JobSpec, type StageSpec } from '../../types/jobs.js'
+import { isLiveJob, JobPhase, type CellConfiguration, type JobSpec, type StagedJob, type StageSpec } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
 import { ErrorKind } from '../../utils/errors.js'
 import type { Step } from '../step.js'
@@ -26,11 +26,11 @@
 }
 
 /** Tells the phase of a job, or without an id how many jobs of the queue have not begun. */
-export function readJob (event: EventOf<'readJob'>, step: Step): void {
+export function readJob (event: EventOf<'readJob'>, step: Step, hasBegun: (job: StagedJob) => boolean): void {
   const route = routeOf(event, step)
   if (route === undefined) return
   if (route.rest === '') {
-    return step.reply(event.call, { kind: 'jobsWaiting', count: countWaiting(step.state, route.queue.name) })
+    return step.reply(event.call, { kind: 'jobsWaiting', count: countWaiting(step.state, route.queue.name, hasBegun) })
   }
   const job = step.state.jobs.get(route.rest)
   // That there is no such job is told by a process that surely leads.
@@ -86,11 +86,11 @@
   step.refuse(call, ErrorKind.unavailable, 'the cell has no configuration yet', UNCONFIGURED_RETRY_MS)
 }
 
-/** Accepted jobs of a queue, without those on a schedule, of which no task has started. */
-function countWaiting (state: ClusterState, queue: string): number {
+/** Accepted jobs of a queue, without those on a schedule, of which no run is confirmed. */
+function countWaiting (state: ClusterState, queue: string, hasBegun: (job: StagedJob) => boolean): number {
   let count = 0
   for (const job of state.jobs.values()) {
-    if (job.queue === queue && isLiveJob(job) && !job.started && job.spec.recurrence === undefined) count += 1
+    if (job.queue === queue && isLiveJob(job) && job.spec.recurrence === undefined && !hasBegun(job)) count += 1
   }
   return count
 }
--- a/packages/scheduler/src/core/jobs/runs.ts
+++ b/packages/scheduler/src/core/jobs/runs.ts
@@ -8,7 +8,7 @@
 import type { EndedRow, EventOf, RunningRow } from '../../types/events.js'
 import { OrderOutcome, RunEnd } from '../../types/events.js'
 import {
-  formatTaskRef, isLiveJob, parseTaskRef, StageTaskPhase, type CalledWorker, type StageTask, type TaskRef
+  formatTaskRef, isLiveJob, parseTaskRef, StageTaskPhase, type CalledWorker, type StagedJob, type StageTask, type TaskRef
 } from '../../types/jobs.js'
 import { NO_RESOURCES } from '../../types/resources.js'
 import type { ClusterState } from '../../types/state.js'
@@ -200,6 +200,23 @@
     }
   }
 
+  /** True once a run of the job was confirmed by a worker; a placement alone is none. */
+  hasBegun (job: StagedJob): boolean {
+    if (!job.started) return false
+    for (const [occurrence, stages] of job.occurrences) {
+      for (const [stage, tasks] of stages.entries()) {
+        if (tasks.some((task, index) => this.isBegun(task, { job: job.id, occurrence, stage, index }))) return true
+      }
+    }
+    return false
+  }
+
+  private isBegun (task: StageTask, ref: TaskRef): boolean {
+    if (task.phase === StageTaskPhase.done || task.failures > 0 || task.checkpoint !== '') return true
+    const status = this.views.get(task.worker)?.runs.get(formatTaskRef(ref))?.status
+    return status === RunStatus.running || status === RunStatus.stopping
+  }
+
   viewOf (id: string, incarnation: number): WorkerView | undefined {
     const view = this.views.get(id)
     return view?.worker.incarnation === incarnation ? view : undefined
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -71,7 +71,7 @@
   handle (event: Event, step: Step): void {
     switch (event.kind) {
       case 'acceptJob': return acceptJob(event, step)
-      case 'readJob': return readJob(event, step)
+      case 'readJob': return readJob(event, step, job => this.runs.hasBegun(job))
       case 'cancelJob': return cancelJob(event, step)
       case 'configureCell': return configureCell(event, step)
       case 'readCell': return readCell(event, step)
