--- /dev/null
+++ b/packages/runtime/__tests__/support/virtual-time.ts
@@ -0,0 +1,43 @@
+/**
+ * Time that moves only when a test moves it, with promises that wait for it.
+ */
+
+interface Timer { at: number, order: number, run: () => void }
+
+export class VirtualTime {
+  now = 0
+  private order = 0
+  private timers: Timer[] = []
+
+  static create (): VirtualTime {
+    return new VirtualTime()
+  }
+
+  after (ms: number, run: () => void): void {
+    this.timers.push({ at: this.now + Math.max(0, ms), order: this.order++, run })
+  }
+
+  pause (ms: number): Promise<void> {
+    return new Promise(resolve => { this.after(ms, resolve) })
+  }
+
+  /** Runs what is due until a moment, letting promises settle after each step. */
+  async runUntil (until: number): Promise<void> {
+    for (;;) {
+      await settle()
+      const next = this.timers.reduce<Timer | undefined>((first, timer) => {
+        return first === undefined || timer.at < first.at || (timer.at === first.at && timer.order < first.order) ? timer : first
+      }, undefined)
+      if (next === undefined || next.at > until) break
+      this.timers.splice(this.timers.indexOf(next), 1)
+      this.now = Math.max(this.now, next.at)
+      next.run()
+    }
+    this.now = until
+  }
+}
+
+/** Lets promises that are resolved go on. */
+async function settle (): Promise<void> {
+  for (let round = 0; round < 8; round++) await Promise.resolve()
+}
--- a/packages/scheduler/src/core/jobs/runs.ts
+++ b/packages/scheduler/src/core/jobs/runs.ts
@@ -20,8 +20,8 @@
 /** Pause before an order without an answer is sent again, in milliseconds. */
 const REPEAT_MS = 150
 
-/** Starts without an answer after which the run is stopped instead. */
-const START_ATTEMPTS = 3
+/** How long a start may go without any answer before the run is stopped instead, in milliseconds: all its repeats. */
+const START_PATIENCE_MS = 4_000
 
 /** How long a worker gets no new work after it refused a start, in milliseconds. */
 const AVOID_MS = { noRoom: 300, unhealthy: 2_000 } as const
@@ -89,7 +89,6 @@
   stop (step: Step, view: WorkerView, run: Run): void {
     if (run.status === RunStatus.stopping) return
     run.status = RunStatus.stopping
-    run.attempts = 0
     run.confirmedAt = 0
     this.orderStop(step, view, run)
   }
@@ -337,10 +336,9 @@
   private startAnswered (step: Step, view: WorkerView, run: Run, outcome: OrderOutcome): void {
     switch (outcome) {
       case OrderOutcome.done: return this.confirmStart(run, step.now)
-      case OrderOutcome.superseded: return this.stop(step, view, run)
+      // It may run or start late, or ended there; a confirmed stop settles that.
       case OrderOutcome.unknown:
-        run.orderedAt = step.now
-        return
+      case OrderOutcome.superseded: return this.stop(step, view, run)
       case OrderOutcome.noRoom: view.avoidUntil = step.now + AVOID_MS.noRoom; break
       case OrderOutcome.unhealthy: view.avoidUntil = step.now + AVOID_MS.unhealthy
     }
@@ -360,12 +358,10 @@
   private repeat (step: Step, view: WorkerView, run: Run): void {
     if (run.orderedAt === 0 || step.now - run.orderedAt < REPEAT_MS || run.confirmedAt > 0) return
     if (run.status === RunStatus.stopping) return this.orderStop(step, view, run)
-    // The answer is still waited for, or was not given; the worker takes a repeated start as one.
-    if (run.status === RunStatus.starting && run.attempts >= START_ATTEMPTS) this.stop(step, view, run)
+    if (run.status === RunStatus.starting && step.now - run.placedAt > START_PATIENCE_MS) this.stop(step, view, run)
   }
 
   private orderStop (step: Step, view: WorkerView, run: Run): void {
-    run.attempts += 1
     run.orderedAt = step.now + ORDER_ANSWER_MS
     step.effects.push({ kind: 'stopRun', worker: view.worker, task: run.task, run: run.run })
   }
--- a/packages/scheduler/src/core/jobs/workers.ts
+++ b/packages/scheduler/src/core/jobs/workers.ts
@@ -31,8 +31,6 @@
   placedAt: number
   /** Cluster time of the last order without an answer; 0 when none is open. */
   orderedAt: number
-  /** Orders of the present kind that got no answer. */
-  attempts: number
   /** Cluster time at which the last order was confirmed; 0 when it is not. */
   confirmedAt: number
   percent: number
@@ -117,7 +115,6 @@
     image,
     placedAt: now,
     orderedAt: now,
-    attempts: 1,
     confirmedAt: 0,
     percent: 0,
     load: 0,
@@ -140,7 +137,6 @@
     image: '',
     placedAt: now,
     orderedAt: 0,
-    attempts: 0,
     confirmedAt: now,
     percent: 0,
     load: 0,
