--- a/packages/runtime/__tests__/called-workers.test.ts
+++ b/packages/runtime/__tests__/called-workers.test.ts
@@ -87,6 +87,20 @@
     })
   })
 
+  describe('a worker that is gone for good', () => {
+    it('gives its tasks up within the longest lease', async () => {
+      const cell = CalledCell.create(QUIET)
+      await cell.time.runUntil(500)
+      const ids = submitMixture(cell, 8)
+      await cell.time.runUntil(700)
+      const model = cell.models.get('worker-0')
+      if (model !== undefined) model.isCut = true
+      await cell.time.runUntil(10_000)
+      cell.check()
+      for (const id of ids) assert.equal(cell.phaseOf(id), 'completed', id)
+    })
+  })
+
   describe('generated schedules of lost and late calls, crashes, cuts and new leaders', () => {
     for (let seed = 1; seed <= SCHEDULES; seed++) {
       it(`keep every promise with seed ${seed}`, async () => {
--- a/packages/runtime/src/core/worker-session.ts
+++ b/packages/runtime/src/core/worker-session.ts
@@ -72,8 +72,8 @@
 /** How much earlier than the longest one a lease ends, for the time that an order takes, in milliseconds. */
 const LEASE_MARGIN_MS = 100
 
-/** Unanswered questions after which a worker counts as silent. */
-const SILENT_AFTER = 2
+/** Unanswered questions after which a worker counts as silent: one, since its answer is late by then already. */
+const SILENT_AFTER = 1
 
 const FIRST_RETRY_MS = 50
 const LAST_RETRY_MS = 500
@@ -154,7 +154,8 @@
     const sentAt = this.owner.clusterNow()
     const isFirst = this.clock === undefined
     const waitMs = isFirst || this.failures > 0 ? 0 : this.limits.waitMs
-    const untilMs = isFirst ? undefined : this.extendLease()
+    // A worker that does not answer gets no longer lease: what it runs has to lapse.
+    const untilMs = isFirst || this.failures > 0 ? undefined : this.extendLease()
     const order = { fence: this.fence, cursor: this.cursor, untilMs, waitMs }
     const answer = await this.caller.list(this.worker, order, waitMs + this.limits.answerMs)
     if (this.isStopped) return
