--- a/packages/runtime/__tests__/support/called-cell.ts
+++ b/packages/runtime/__tests__/support/called-cell.ts
@@ -311,7 +311,7 @@
     if (known?.worker.incarnation === worker.incarnation) return
     known?.stop()
     const { cell } = this
-    const session = WorkerSession.create(worker, this.term, ModelCaller.create(cell), { longestLeaseMs: 6_000, clockDrift: 0.02, waitMs: 100, answerMs: 300 }, {
+    const session = WorkerSession.create(worker, this.term, ModelCaller.create(cell), { longestLeaseMs: 6_000, leaseMs: 4_000, clockDrift: 0.02, waitMs: 100, answerMs: 300 }, {
       feed: event => { if (!this.isOver) cell.feed(event) },
       clusterNow: () => cell.time.now,
       monotonicNow: () => cell.time.now,
--- a/packages/runtime/src/core/json-log.ts
+++ b/packages/runtime/src/core/json-log.ts
@@ -76,19 +76,28 @@
 
   private flush (): void {
     const bytes = Buffer.from(this.waiting.join(''))
+    const lines = this.waiting.length
     this.waiting = []
     this.waitingBytes = 0
     this.isWriting = true
-    this.writeBytes(bytes, () => {
+    this.writeBytes(bytes, error => {
       this.isWriting = false
+      if (error !== null) this.left += lines
       if (this.waiting.length > 0) this.flush()
     })
   }
 }
 
-/** A pipe may take a part of the bytes; the rest follows. */
+/** Pause before a full pipe is tried again, in milliseconds. */
+const FULL_PIPE_MS = 5
+
+/** A pipe may take a part of the bytes, or none while it is full; the rest follows. */
 function writeToStandardOutput (bytes: Buffer, done: (error: Error | null) => void): void {
   write(process.stdout.fd, bytes, 0, bytes.length, null, (error, written) => {
+    if (error?.code === 'EAGAIN') {
+      setTimeout(() => { writeToStandardOutput(bytes, done) }, FULL_PIPE_MS)
+      return
+    }
     if (error !== null || written >= bytes.length) return done(error)
     writeToStandardOutput(bytes.subarray(written), done)
   })
--- a/packages/runtime/src/core/worker-session.ts
+++ b/packages/runtime/src/core/worker-session.ts
@@ -10,6 +10,8 @@
 export interface LeaseLimits {
   /** Longest lease that a worker grants, in milliseconds of its clock. */
   longestLeaseMs: number
+  /** The lease that is asked for, in milliseconds. */
+  leaseMs: number
   /** How much slower than ours the clock of a worker may be, as a share. */
   clockDrift: number
   /** How long a worker may hold back the answer to a question for its lists, in milliseconds. */
@@ -69,7 +71,7 @@
   pause: (ms: number) => Promise<void>
 }
 
-/** How much earlier than the longest one a lease ends, for the time that an order takes, in milliseconds. */
+/** Added to the end of a lease before it counts as over, for the rounding of two clocks, in milliseconds. */
 const LEASE_MARGIN_MS = 100
 
 /** Unanswered questions after which a worker counts as silent: one, since its answer is late by then already. */
@@ -195,7 +197,7 @@
   private extendLease (): number {
     if (this.clock === undefined) return 0
     const workerNow = this.clock.workerMs + (this.owner.monotonicNow() - this.clock.atMs)
-    const until = Math.floor(workerNow + this.limits.longestLeaseMs - LEASE_MARGIN_MS)
+    const until = Math.floor(workerNow + this.limits.leaseMs)
     this.leaseUntil = Math.max(this.leaseUntil, until)
     return until
   }
