Stop runs that stand still or crawl and start them elsewhere; write logs in whole lines

Long writes to a pipe were cut in the middle of a line.

Change: progress is counted from the lists; a run that would take over 2.5 times the usual time yet is stopped and its worker avoided for 3 s. Pending counts jobs without a run that ever ran. Writes of the log take at most 4096 bytes.

--- a/packages/runtime/src/core/json-log.ts
+++ b/packages/runtime/src/core/json-log.ts
@@ -15,6 +15,9 @@
 
 const RATE_WINDOW_MS = 1_000
 
+/** Bytes of one write; a pipe takes them whole or not at all. */
+const WRITE_BYTES = 4_096
+
 /** Writes bytes somewhere and calls back; a whole write, or an error. */
 export type WriteBytes = (bytes: Buffer, done: (error: Error | null) => void) => void
 
@@ -75,10 +78,11 @@
   }
 
   private flush (): void {
-    const bytes = Buffer.from(this.waiting.join(''))
-    const lines = this.waiting.length
-    this.waiting = []
-    this.waitingBytes = 0
+    let lines = 0
+    let size = 0
+    while (lines < this.waiting.length && (lines === 0 || size + this.waiting[lines].length <= WRITE_BYTES)) size += this.waiting[lines++].length
+    const bytes = Buffer.from(this.waiting.splice(0, lines).join(''))
+    this.waitingBytes -= size
     this.isWriting = true
     this.writeBytes(bytes, error => {
       this.isWriting = false
--- a/packages/scheduler/src/core/jobs/runs.ts
+++ b/packages/scheduler/src/core/jobs/runs.ts
@@ -14,7 +14,8 @@
 import type { ClusterState } from '../../types/state.js'
 import type { Step } from '../step.js'
 import { findStageTask } from './apply.js'
-import { findQueue } from './queues.js'
+import { isStill, isStuck } from './progress.js'
+import { expectedMs, findQueue } from './queues.js'
 import { createOrphan, createRun, RunStatus, WorkerView, type Run } from './workers.js'
 
 /** Pause before an order without an answer is sent again, in milliseconds. */
@@ -24,7 +25,13 @@
 const START_PATIENCE_MS = 4_000
 
 /** How long a worker gets no new work after it refused a start, in milliseconds. */
-const AVOID_MS = { noRoom: 300, unhealthy: 2_000 } as const
+const AVOID_MS = { noRoom: 300, unhealthy: 2_000, stuck: 3_000 } as const
+
+/** Runs of a task after which it is left where it is, however slow. */
+const STUCK_RUNS = 3
+
+/** Weight of the newest run in the learnt run time of a queue. */
+const LEARNING_WEIGHT = 0.05
 
 /** Weight of the newest run in the failure rate of a worker. */
 const FAILURE_WEIGHT = 0.3
@@ -42,6 +49,8 @@
 
 export class Runs {
   readonly views = new Map<string, WorkerView>()
+  /** Mean run time of the tasks of a queue in milliseconds, as far as it was seen. */
+  readonly learntMs = new Map<string, number>()
   private ledSince = 0
   /** A worker follows a higher fence: another process leads. */
   isFencedOff = false
@@ -54,6 +63,7 @@
   reset (state: ClusterState, now: number): void {
     this.views.clear()
     this.gangFailures.clear()
+    this.learntMs.clear()
     this.ledSince = now
     this.isFencedOff = false
     for (const worker of state.calledWorkers.values()) this.views.set(worker.id, WorkerView.create(worker))
@@ -80,8 +90,8 @@
     if (job === undefined || stage === undefined) return
     const task = formatTaskRef(ref)
     const priority = findQueue(step.state.cell, job.queue)?.priority ?? 0
-    view.add(createRun(ref, task, run, stage, priority, step.now))
     const checkpoint = findStageTask(step.state, ref)?.checkpoint ?? ''
+    view.add({ ...createRun(ref, task, run, stage, priority, step.now), checkpoint, isResumed: checkpoint !== '' })
     step.effects.push({ kind: 'startRun', worker: view.worker, task, run, payload, checkpoint, ticket })
   }
 
@@ -212,8 +222,7 @@
 
   private isBegun (task: StageTask, ref: TaskRef): boolean {
     if (task.phase === StageTaskPhase.done || task.failures > 0 || task.checkpoint !== '') return true
-    const status = this.views.get(task.worker)?.runs.get(formatTaskRef(ref))?.status
-    return status === RunStatus.running || status === RunStatus.stopping
+    return this.views.get(task.worker)?.runs.get(formatTaskRef(ref))?.hasRun === true
   }
 
   viewOf (id: string, incarnation: number): WorkerView | undefined {
@@ -253,6 +262,7 @@
     if (job === undefined || stage === undefined) return
     if (row.cause === RunEnd.done && !stage.longRunning) {
       this.noteSuccess(view)
+      this.learn(run, job.queue, step.now)
       if (!stage.gang) return step.decide({ kind: 'runEnded', ref: run.ref, run: run.run, succeeded: true })
       return this.endGang(step, run)
     }
@@ -309,17 +319,47 @@
       return this.stop(step, view, orphan)
     }
     if (run.run > row.run) return
-    run.percent = row.percent
+    this.notePercent(run, row.percent, step.now)
     run.load = row.load
     if (row.checkpoint !== '') run.checkpoint = row.checkpoint
     if (run.status === RunStatus.stopping) return
     if (run.status !== RunStatus.running) this.confirmStart(run, step.now)
     const job = step.state.jobs.get(run.ref.job)
-    if (job === undefined || !isLiveJob(job)) this.stop(step, view, run)
+    if (job === undefined || !isLiveJob(job)) return this.stop(step, view, run)
+    this.stopIfStuck(step, view, run, job)
+  }
+
+  private notePercent (run: Run, percent: number, now: number): void {
+    // A run that goes on from a checkpoint does not begin at 0.
+    if (run.progress === undefined || percent < run.progress.basePercent) run.progress = { baseAt: now, basePercent: percent }
+    run.percent = percent
+  }
+
+  private stopIfStuck (step: Step, view: WorkerView, run: Run, job: StagedJob): void {
+    const stage = job.spec.stages[run.ref.stage]
+    if (stage.longRunning || stage.fills || run.progress === undefined || run.run > STUCK_RUNS) return
+    const expected = expectedMs(stage.estimateMs, this.learntMs.get(job.queue))
+    // The members of a gang work at the speed of the slowest; a new start of all of them rarely pays.
+    const isStopped = stage.gang ? isStill(run.progress, run.percent, step.now) : isStuck(run.progress, run.percent, step.now, expected)
+    if (expected === 0 || !isStopped) return
+    view.avoidUntil = Math.max(view.avoidUntil, step.now + AVOID_MS.stuck)
+    if (run.checkpoint === '' && stage.checkpoints) return
+    this.stop(step, view, run)
+    if (stage.gang) this.stopGang(step, run)
+  }
+
+  /** Learns the run time of a queue from a run that this leader started and that ended as a success. */
+  private learn (run: Run, queue: string, now: number): void {
+    if (run.confirmedAt === 0) return
+    const ranMs = now - run.placedAt
+    const before = this.learntMs.get(queue)
+    this.learntMs.set(queue, before === undefined ? ranMs : before + LEARNING_WEIGHT * (ranMs - before))
   }
 
   private confirmStart (run: Run, now: number): void {
+    if (run.status === RunStatus.starting && !run.isResumed) run.progress ??= { baseAt: now, basePercent: 0 }
     run.status = RunStatus.running
+    run.hasRun = true
     run.orderedAt = 0
     run.confirmedAt = now
   }
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -18,7 +18,6 @@
 import { Runs } from './runs.js'
 import { Tickets } from './tickets.js'
 import { dueAt, UnitBook } from './units.js'
-import type { Run } from './workers.js'
 
 /** How long the phase of a closed job is kept, in milliseconds of cluster time. */
 const KEEP_CLOSED_MS = 300_000
@@ -32,9 +31,6 @@
 /** Time that a question to the admission service may take beyond its stated cost, in milliseconds. */
 const QUESTION_SLACK_MS = 1_000
 
-/** Weight of the newest run in the learnt run time of a queue. */
-const LEARNING_WEIGHT = 0.05
-
 export class StagedJobs extends Part {
   readonly handles = [
     'acceptJob', 'readJob', 'cancelJob', 'configureCell', 'readCell', 'workerReported', 'workerLeft', 'workerListed',
@@ -44,8 +40,6 @@
   private readonly runs = Runs.create()
   private readonly units = UnitBook.create()
   private readonly tickets = Tickets.create()
-  /** Mean run time of the tasks of a queue in milliseconds, as far as it was seen. */
-  private readonly learntMs = new Map<string, number>()
   /** Jobs that changed in this step. */
   private readonly changed = new Set<string>()
   private isPassDue = false
@@ -60,7 +54,6 @@
     this.runs.reset(state, now)
     this.units.clear()
     this.tickets.clear()
-    this.learntMs.clear()
     this.changed.clear()
     for (const job of state.jobs.values()) this.changed.add(job.id)
     this.isPassDue = true
@@ -131,22 +124,10 @@
   private listed (event: EventOf<'workerListed'>, step: Step): void {
     const view = this.runs.viewOf(event.id, event.incarnation)
     const wasUsable = view?.takesWork(step.now) === true
-    for (const row of event.ended) {
-      if (row.cause === 'done') this.learn(view?.runs.get(row.task), step)
-    }
     this.runs.take(step, event)
     if (event.ended.length > 0 || !wasUsable) this.isPassDue = true
   }
 
-  /** Learns the run time of a queue from a run that this leader placed and that ended as a success. */
-  private learn (run: Run | undefined, step: Step): void {
-    const queue = run === undefined ? undefined : step.state.jobs.get(run.ref.job)?.queue
-    if (run === undefined || queue === undefined || run.confirmedAt === 0 || run.isOrphan) return
-    const ranMs = step.now - run.placedAt
-    const before = this.learntMs.get(queue)
-    this.learntMs.set(queue, before === undefined ? ranMs : before + LEARNING_WEIGHT * (ranMs - before))
-  }
-
   private silent (event: EventOf<'workerSilent'>): void {
     const view = this.runs.viewOf(event.id, event.incarnation)
     if (view !== undefined) view.isSilent = true
@@ -172,7 +153,7 @@
     const phase = isLiveJob(job) ? verdictOn(job, step.state) : undefined
     if (phase !== undefined) step.decide({ kind: 'jobClosed', id, phase, at: step.now })
     if (!isLiveJob(job)) this.runs.stopJob(step, id)
-    this.units.refresh(job, step.state.cell, this.learntMs.get(job.queue))
+    this.units.refresh(job, step.state.cell, this.runs.learntMs.get(job.queue))
     this.isPassDue = true
   }
 
--- a/packages/scheduler/src/core/jobs/workers.ts
+++ b/packages/scheduler/src/core/jobs/workers.ts
@@ -6,6 +6,7 @@
 
 import { parseTaskRef, type CalledWorker, type StageSpec, type TaskRef } from '../../types/jobs.js'
 import type { Resources } from '../../types/resources.js'
+import type { Progress } from './progress.js'
 
 export const RunStatus = Object.freeze({
   /** A former leader placed it; whether it runs is not known before the worker is asked. */
@@ -34,8 +35,14 @@
   /** Cluster time at which the last order was confirmed; 0 when it is not. */
   confirmedAt: number
   percent: number
+  /** Where its speed is counted from; undefined before the worker listed it. */
+  progress: Progress | undefined
   load: number
   checkpoint: string
+  /** It goes on from a checkpoint. */
+  isResumed: boolean
+  /** True once the worker confirmed that it runs, or ran. */
+  hasRun: boolean
   /** Its placement is not in the durable state any more; only its end is waited for. */
   isOrphan: boolean
 }
@@ -117,8 +124,11 @@
     orderedAt: now,
     confirmedAt: 0,
     percent: 0,
+    progress: undefined,
     load: 0,
     checkpoint: '',
+    isResumed: false,
+    hasRun: false,
     isOrphan: false
   }
 }
@@ -139,8 +149,11 @@
     orderedAt: 0,
     confirmedAt: now,
     percent: 0,
+    progress: undefined,
     load: 0,
     checkpoint: '',
+    isResumed: false,
+    hasRun: true,
     isOrphan: true
   }
 }
