--- a/packages/controllers/src/core/link.ts
+++ b/packages/controllers/src/core/link.ts
@@ -16,7 +16,7 @@
 const HELLO_LIMIT_BYTES = 4096
 
 /** How long a peer may take to say hello, in milliseconds. */
-const HELLO_TIMEOUT_MS = 1_500
+const HELLO_TIMEOUT_MS = 1_000
 
 interface OpenCall {
   resolve: (body: unknown) => void
--- a/packages/controllers/src/core/peers.ts
+++ b/packages/controllers/src/core/peers.ts
@@ -10,7 +10,7 @@
 import { Link, type LinkHandlers } from './link.js'
 
 const FIRST_REDIAL_MS = 50
-const LAST_REDIAL_MS = 1_000
+const LAST_REDIAL_MS = 250
 
 /** How long a TLS handshake may take, in milliseconds. */
 const HANDSHAKE_TIMEOUT_MS = 3_000
