Make room for urgent units by stopping runs that lose nothing; hold claims together

Change: a unit without knowledge asks at once; it claims what is free and what is being left, then what less urgent runs leave that keep their work by a checkpoint and whose jobs have time, then the workers with most room; small tasks avoid claimed workers.

--- a/packages/runtime/__tests__/support/called-cell.ts
+++ b/packages/runtime/__tests__/support/called-cell.ts
@@ -174,6 +174,8 @@
   }
 
   crashWorker (id: string): void {
+    // One that is down already comes back once.
+    if (!this.models.has(id)) return
     this.models.get(id)?.crash()
     this.models.delete(id)
     this.time.after(1_000 + this.pick(2_000), () => { this.startWorker(id) })
--- a/packages/scheduler/src/core/jobs/placing.ts
+++ b/packages/scheduler/src/core/jobs/placing.ts
@@ -5,13 +5,14 @@
  * Small tasks go where they leave the least room (best fit), so that whole gaps
  * stay for large ones. A gang is placed whole or not at all; what it lacks is
  * claimed on workers that it may use, so that less urgent work doesn't take that
- * room again and again.
+ * room again and again. Less urgent runs that keep their work by a checkpoint are
+ * stopped for more urgent ones: it answers a burst over a full pool.
  */
 
 import type { Resources } from '../../types/resources.js'
 import { QUESTION_WORKERS, type Tickets } from './tickets.js'
 import type { Unit } from './units.js'
-import type { WorkerView } from './workers.js'
+import { RunStatus, type Run, type WorkerView } from './workers.js'
 
 /** Units without room that claim some, in one pass. */
 const CLAIM_LIMIT = 12
@@ -29,6 +30,13 @@
   ticket: string
 }
 
+/** A less urgent run that is stopped, without loss, so that a unit finds room. */
+export interface RunPreemption {
+  view: WorkerView
+  run: Run
+  unit: Unit
+}
+
 export interface Question {
   unit: Unit
   entry: string
@@ -38,27 +46,43 @@
 /** Room of one worker as one pass sees it: less what it has given away and what is claimed. */
 interface Room {
   view: WorkerView
-  millicores: number
-  memoryMib: number
-  accelerators: number
+  free: Amounts
+  /** What runs that are being stopped will leave, less what is claimed of that. */
+  leaving: Amounts
+  /** Less urgent units claimed room there in the pass before. */
+  isClaimed: boolean
 }
 
+interface Amounts { millicores: number, memoryMib: number, accelerators: number }
+
 export class PlacementPass {
   readonly placements: RunPlacement[] = []
   readonly questions: Question[] = []
+  readonly preemptions: RunPreemption[] = []
+  /** Workers on which waiting units claimed room in this pass. */
+  readonly claimed = new Set<string>()
   private readonly rooms: Room[]
   private claims = 0
 
-  private constructor (views: Iterable<WorkerView>, private readonly tickets: Tickets, private readonly now: number) {
+  private constructor (
+    views: Iterable<WorkerView>,
+    private readonly tickets: Tickets,
+    private readonly now: number,
+    claimedBefore: ReadonlySet<string>
+  ) {
     this.rooms = []
     for (const view of views) {
       if (!view.takesWork(now)) continue
-      this.rooms.push({ view, millicores: view.freeMillicores, memoryMib: view.freeMemory, accelerators: view.freeAccelerators })
+      const free = { millicores: view.freeMillicores, memoryMib: view.freeMemory, accelerators: view.freeAccelerators }
+      this.rooms.push({ view, free, leaving: leavingOf(view), isClaimed: claimedBefore.has(view.id) })
     }
   }
 
-  static create (views: Iterable<WorkerView>, tickets: Tickets, now: number): PlacementPass {
-    return new PlacementPass(views, tickets, now)
+  /** `claimedBefore` are the workers on which units claimed room in the pass before. */
+  static create (
+    views: Iterable<WorkerView>, tickets: Tickets, now: number, claimedBefore: ReadonlySet<string> = new Set()
+  ): PlacementPass {
+    return new PlacementPass(views, tickets, now, claimedBefore)
   }
 
   place (unit: Unit): void {
@@ -71,12 +95,12 @@
         this.placements.push({ unit, index: unit.waiting[position], view: room.view, ticket: this.ticketOf(unit, room) ?? '' })
       })
     } else {
-      for (const room of chosen) give(room, unit, 1)
+      for (const room of chosen) give(room.free, unit, 1)
     }
     if (isWhole) return
-    if (unit.queue.admission !== undefined) this.ask(unit, rooms)
     const missing = unit.spec.gang ? unit.waiting.length : unit.waiting.length - chosen.length
-    this.claim(unit, rooms, missing)
+    const waitsFor = this.makeRoom(unit, rooms, missing)
+    if (unit.queue.admission !== undefined) this.ask(unit, rooms, waitsFor)
   }
 
   /** Rooms for the waiting tasks in turn, as far as there are any; what is chosen is taken. */
@@ -86,7 +110,7 @@
     for (let count = 0; count < unit.waiting.length; count++) {
       const room = pickRoom(unit, usable, counts)
       if (room === undefined) break
-      give(room, unit, -1)
+      give(room.free, unit, -1)
       counts.set(room.view.id, (counts.get(room.view.id) ?? 0) + 1)
       chosen.push(room)
     }
@@ -97,37 +121,154 @@
     return unit.queue.admission === undefined ? '' : this.tickets.find(unit.key, room.view.id, this.now)
   }
 
-  /** Asks for the workers that have room and may be allowed, unless an answer is on its way. */
-  private ask (unit: Unit, rooms: Room[]): void {
+  /**
+   * Claims room for tasks that found none: what is free or is being left first,
+   * then what less urgent runs leave when they are stopped without loss, then
+   * what ends next. Returns the workers.
+   */
+  private makeRoom (unit: Unit, rooms: Room[], missing: number): Set<string> {
+    const waitsFor = new Set<string>()
+    if (this.claims >= CLAIM_LIMIT) return waitsFor
+    this.claims += 1
+    const isKnown = unit.queue.admission !== undefined
+    const allowed = isKnown ? rooms.filter(room => this.tickets.isGranted(unit.key, room.view.id)) : rooms
+    const counts = new Map(unit.placedOn)
+    for (let count = 0; count < missing; count++) {
+      const mayPreempt = this.now + unit.spec.estimateMs < unit.objectiveAt
+      const room = this.findClaim(unit, allowed, counts) ?? (mayPreempt ? this.preemptFor(unit, allowed, counts) : undefined)
+      if (room === undefined) {
+        if (unit.spec.gang || isLarge(unit)) this.claimAnyway(unit, allowed, missing - count, waitsFor)
+        break
+      }
+      counts.set(room.view.id, (counts.get(room.view.id) ?? 0) + 1)
+      waitsFor.add(room.view.id)
+      this.claimed.add(room.view.id)
+    }
+    return waitsFor
+  }
+
+  /** A worker on which what is free, and what is being left, holds one more task; it is claimed. */
+  private findClaim (unit: Unit, allowed: Room[], counts: ReadonlyMap<string, number>): Room | undefined {
+    const room = allowed.find(room => isBelowLimit(room, unit, counts) && fits(sumOf(room), unit.spec.resources, unit.spec.fills))
+    if (room !== undefined) take(room, unit)
+    return room
+  }
+
+  /** Stops less urgent runs on the worker where that takes the fewest, if they lose nothing by it. */
+  private preemptFor (unit: Unit, allowed: Room[], counts: ReadonlyMap<string, number>): Room | undefined {
+    let best: { room: Room, victims: Run[] } | undefined
+    for (const room of allowed) {
+      if (!isBelowLimit(room, unit, counts)) continue
+      const victims = this.findVictims(unit, room)
+      if (victims !== undefined && (best === undefined || victims.length < best.victims.length)) best = { room, victims }
+    }
+    if (best === undefined) return undefined
+    const { room, victims } = best
+    for (const run of victims) {
+      this.preemptions.push({ view: room.view, run, unit })
+      add(room.leaving, run.resources, 1)
+    }
+    take(room, unit)
+    return room
+  }
+
+  private findVictims (unit: Unit, room: Room): Run[] | undefined {
+    const taken = new Set(this.preemptions.map(({ run }) => run))
+    const candidates = [...room.view.runs.values()].filter(run => {
+      return run.isPreemptible && run.status === RunStatus.running && run.priority > unit.queue.priority &&
+        hasSlack(run, this.now) && !taken.has(run)
+    })
+    candidates.sort((one, other) => other.resources.millicores - one.resources.millicores)
+    const sum = sumOf(room)
+    const victims: Run[] = []
+    for (const run of candidates) {
+      if (fits(sum, unit.spec.resources, unit.spec.fills)) break
+      add(sum, run.resources, 1)
+      victims.push(run)
+    }
+    return fits(sum, unit.spec.resources, unit.spec.fills) ? victims : undefined
+  }
+
+  /** Keeps less urgent work of this pass from the workers with the most room, until something ends there. */
+  private claimAnyway (unit: Unit, allowed: Room[], count: number, waitsFor: Set<string>): void {
+    const wanted = [...allowed].sort((one, other) => other.free.millicores - one.free.millicores)
+    for (const room of wanted.slice(0, count)) {
+      give(room.free, unit, -1)
+      waitsFor.add(room.view.id)
+      this.claimed.add(room.view.id)
+    }
+  }
+
+  /**
+   * Asks for workers, unless an answer is on its way: for all that may be allowed
+   * while nothing is known, later for those whose room the unit waits for.
+   */
+  private ask (unit: Unit, rooms: Room[], waitsFor: ReadonlySet<string>): void {
     const { tickets } = this
     if (!tickets.mayAsk(unit.key, this.now)) return
-    const possible = rooms.filter(room => !tickets.isRefused(unit.key, room.view.id) && this.ticketOf(unit, room) === undefined)
-    const wanted = possible.filter(room => fits(room, unit.spec.resources, unit.spec.fills) || !tickets.isGranted(unit.key, room.view.id))
-    if (!wanted.some(room => fits(room, unit.spec.resources, unit.spec.fills))) return
+    const wanted = rooms.filter(room => {
+      const { id } = room.view
+      if (tickets.isRefused(unit.key, id) || this.ticketOf(unit, room) !== undefined) return false
+      return !tickets.isGranted(unit.key, id) || waitsFor.has(id) || fits(room.free, unit.spec.resources, unit.spec.fills)
+    })
+    if (wanted.length === 0) return
     const entry = tickets.takeEntry(unit.queue.priority === 0 ? 0 : URGENT_ENTRIES)
     if (entry === undefined) return
-    wanted.sort((one, other) => other.millicores - one.millicores)
+    wanted.sort((one, other) => other.free.millicores - one.free.millicores)
     const workers = wanted.slice(0, QUESTION_WORKERS).map(room => room.view.id)
     tickets.asked(unit.key)
     this.questions.push({ unit, entry, workers })
   }
+}
 
-  /** Keeps less urgent work of this pass from the room that a unit waits for. */
-  private claim (unit: Unit, rooms: Room[], count: number): void {
-    if (this.claims >= CLAIM_LIMIT || !(unit.spec.gang || isLarge(unit))) return
-    this.claims += 1
-    const allowed = rooms.filter(room => this.tickets.isGranted(unit.key, room.view.id))
-    const wanted = allowed.length > 0 || unit.queue.admission !== undefined ? allowed : [...rooms]
-    wanted.sort((one, other) => other.millicores - one.millicores)
-    let left = count
-    for (const room of wanted) {
-      if (left === 0) return
-      give(room, unit, -1)
-      left -= 1
-    }
+/** What the runs of a worker that are being stopped will leave. */
+function leavingOf (view: WorkerView): Amounts {
+  const leaving = { millicores: 0, memoryMib: 0, accelerators: 0 }
+  for (const run of view.runs.values()) {
+    if (run.status === RunStatus.stopping && !run.fills) add(leaving, run.resources, 1)
+  }
+  return leaving
+}
+
+function add (amounts: Amounts, { millicores, memoryMib, accelerators }: Resources, sign: number): void {
+  amounts.millicores += sign * millicores
+  amounts.memoryMib += sign * memoryMib
+  amounts.accelerators += sign * accelerators
+}
+
+function sumOf ({ free, leaving }: Room): Amounts {
+  return {
+    millicores: Math.max(0, free.millicores) + leaving.millicores,
+    memoryMib: Math.max(0, free.memoryMib) + leaving.memoryMib,
+    accelerators: Math.max(0, free.accelerators) + leaving.accelerators
   }
 }
 
+/** Claims the room of one task, first of what is free, then of what is being left. */
+function take (room: Room, { spec }: Unit): void {
+  for (const dimension of ['millicores', 'memoryMib', 'accelerators'] as const) {
+    const wanted = spec.fills && dimension === 'millicores' ? 0 : spec.resources[dimension]
+    const fromFree = Math.min(wanted, Math.max(0, room.free[dimension]))
+    room.free[dimension] -= fromFree
+    room.leaving[dimension] -= wanted - fromFree
+  }
+}
+
+/** True when a run can begin anew later and its job meets its objective, or misses it in any case. */
+function hasSlack (run: Run, now: number): boolean {
+  const leftMs = run.objectiveAt - now
+  const neededMs = run.estimateMs * (100 - run.percent) / 100
+  return leftMs < neededMs || leftMs > PREEMPTED_SLACK * run.estimateMs + PREEMPTED_WAIT_MS
+}
+
+/** What the job of a preempted run must have left until its objective: run times of one task, and a time to wait, in milliseconds. */
+const PREEMPTED_SLACK = 2
+const PREEMPTED_WAIT_MS = 5_000
+
+function isBelowLimit (room: Room, { spec }: Unit, counts: ReadonlyMap<string, number>): boolean {
+  return spec.perWorkerLimit === 0 || (counts.get(room.view.id) ?? 0) < spec.perWorkerLimit
+}
+
 function isLarge (unit: Unit): boolean {
   const room = unit.spec.resources.millicores
   return room > LARGE_SHARE * LARGE_REFERENCE_MILLICORES
@@ -141,15 +282,13 @@
     (spec.requiredLabel === '' || view.worker.labels.includes(spec.requiredLabel))
 }
 
-function fits (room: Room, { millicores, memoryMib, accelerators }: Resources, fills: boolean): boolean {
+function fits (room: Amounts, { millicores, memoryMib, accelerators }: Resources, fills: boolean): boolean {
   return (fills || room.millicores >= millicores) && room.memoryMib >= memoryMib && room.accelerators >= accelerators
 }
 
 /** Takes the room of one task (-1) or gives it back (1). */
-function give (room: Room, { spec }: Unit, sign: number): void {
-  if (!spec.fills) room.millicores += sign * spec.resources.millicores
-  room.memoryMib += sign * spec.resources.memoryMib
-  room.accelerators += sign * spec.resources.accelerators
+function give (amounts: Amounts, { spec }: Unit, sign: number): void {
+  add(amounts, spec.fills ? { ...spec.resources, millicores: 0 } : spec.resources, sign)
 }
 
 function pickRoom (unit: Unit, usable: Room[], counts: ReadonlyMap<string, number>): Room | undefined {
@@ -157,8 +296,7 @@
   let best: Room | undefined
   let bestScore = Infinity
   for (const room of usable) {
-    if (!fits(room, spec.resources, spec.fills)) continue
-    if (spec.perWorkerLimit > 0 && (counts.get(room.view.id) ?? 0) >= spec.perWorkerLimit) continue
+    if (!fits(room.free, spec.resources, spec.fills) || !isBelowLimit(room, unit, counts)) continue
     const score = scoreOf(room, unit, counts)
     if (score >= bestScore) continue
     best = room
@@ -170,12 +308,16 @@
 /** Millicores that a worker on another rack than the data, or than the other tasks of the stage, is worse by. */
 const FAR_PENALTY = 1_000_000
 
+/** Millicores that a worker on which a gang claims room is worse by for other tasks. */
+const CLAIMED_PENALTY = 100_000
+
 /** Millicores that a worker whose recent runs all failed is worse by. */
 const FAILURE_PENALTY = 200_000
 
 function scoreOf (room: Room, { spec }: Unit, counts: ReadonlyMap<string, number>): number {
-  let score = room.millicores + FAILURE_PENALTY * room.view.failureRate
-  if (spec.fills) score = -room.millicores
+  let score = room.free.millicores + FAILURE_PENALTY * room.view.failureRate
+  if (spec.fills) score = -room.free.millicores
+  if (room.isClaimed && !spec.gang) score += CLAIMED_PENALTY
   if (spec.dataRack !== '' && room.view.worker.rack !== spec.dataRack) score += FAR_PENALTY
   if (spec.rackLocal && counts.size > 0 && !counts.has(room.view.id)) score += FAR_PENALTY / 2
   return score
--- a/packages/scheduler/src/core/jobs/runs.ts
+++ b/packages/scheduler/src/core/jobs/runs.ts
@@ -16,6 +16,7 @@
 import { findStageTask } from './apply.js'
 import { isStill, isStuck } from './progress.js'
 import { expectedMs, findQueue } from './queues.js'
+import type { Unit } from './units.js'
 import { createOrphan, createRun, RunStatus, WorkerView, type Run } from './workers.js'
 
 /** Pause before an order without an answer is sent again, in milliseconds. */
@@ -84,14 +85,15 @@
   }
 
   /** Orders the start of a run whose placement was decided in this step. */
-  start (step: Step, ref: TaskRef, view: WorkerView, run: number, payload: string, ticket: string): void {
+  start (step: Step, ref: TaskRef, view: WorkerView, run: number, unit: Unit, ticket: string): void {
     const job = step.state.jobs.get(ref.job)
     const stage = job?.spec.stages[ref.stage]
     if (job === undefined || stage === undefined) return
     const task = formatTaskRef(ref)
     const priority = findQueue(step.state.cell, job.queue)?.priority ?? 0
     const checkpoint = findStageTask(step.state, ref)?.checkpoint ?? ''
-    view.add({ ...createRun(ref, task, run, stage, priority, step.now), checkpoint, isResumed: checkpoint !== '' })
+    const { objectiveAt, payload } = unit
+    view.add({ ...createRun(ref, task, run, stage, priority, step.now), checkpoint, objectiveAt, isResumed: checkpoint !== '' })
     step.effects.push({ kind: 'startRun', worker: view.worker, task, run, payload, checkpoint, ticket })
   }
 
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -42,6 +42,8 @@
   private readonly tickets = Tickets.create()
   /** Jobs that changed in this step. */
   private readonly changed = new Set<string>()
+  /** Workers on which units claimed room in the last pass. */
+  private claimed: ReadonlySet<string> = new Set()
   private isPassDue = false
   private isWatchDue = false
   private passedAt = 0
@@ -160,10 +162,12 @@
   private pass (step: Step): void {
     this.isPassDue = false
     this.passedAt = step.now
-    const pass = PlacementPass.create(this.runs.views.values(), this.tickets, step.now)
+    const pass = PlacementPass.create(this.runs.views.values(), this.tickets, step.now, this.claimed)
     const units = sortUnits(this.units.all(), step.now)
     for (const unit of units.slice(0, PASS_UNITS)) pass.place(unit)
+    this.claimed = pass.claimed
     for (const question of pass.questions) this.ask(step, question)
+    for (const { view, run } of pass.preemptions) this.runs.stop(step, view, run)
     this.startAll(step, pass.placements)
   }
 
@@ -186,7 +190,7 @@
       }
       const ref = { job, occurrence, stage, index }
       step.decide({ kind: 'runPlaced', ref, run, worker: view.id, incarnation: view.worker.incarnation })
-      this.runs.start(step, ref, view, run, unit.payload, ticket)
+      this.runs.start(step, ref, view, run, unit, ticket)
     }
   }
 
--- a/packages/scheduler/src/core/jobs/workers.ts
+++ b/packages/scheduler/src/core/jobs/workers.ts
@@ -28,6 +28,11 @@
   fills: boolean
   priority: number
   image: string
+  /** A stop loses nothing of its work, and it is no member of a gang. */
+  isPreemptible: boolean
+  /** Cluster time at which its job misses its objective. */
+  objectiveAt: number
+  estimateMs: number
   /** Cluster time of the placement. */
   placedAt: number
   /** Cluster time of the last order without an answer; 0 when none is open. */
@@ -111,6 +116,7 @@
 /** A run that is placed now. */
 export function createRun (ref: TaskRef, task: string, run: number, stage: StageSpec, priority: number, now: number): Run {
   const { resources, fills, image } = stage
+  const isPreemptible = stage.checkpoints && !stage.gang && !stage.longRunning
   return {
     task,
     ref,
@@ -120,6 +126,9 @@
     fills,
     priority,
     image,
+    isPreemptible,
+    objectiveAt: Infinity,
+    estimateMs: stage.estimateMs,
     placedAt: now,
     orderedAt: now,
     confirmedAt: 0,
@@ -145,6 +154,9 @@
     fills: false,
     priority: 0,
     image: '',
+    isPreemptible: false,
+    objectiveAt: Infinity,
+    estimateMs: 0,
     placedAt: now,
     orderedAt: 0,
     confirmedAt: now,
