Let events gather while a placement pass is costly

Change: the pause until the next pass grows with the units and workers of the last one, up to 60 ms; on small sites it is below a millisecond.

--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -25,6 +25,12 @@
 /** Units that one pass looks at. */
 const PASS_UNITS = 200
 
+/** Pairs of a unit and a worker in a pass for each millisecond until the next one; a pass takes less than half of it. */
+const PAIRS_PER_MS = 1_000
+
+/** Longest such pause in milliseconds; urgent work hardly feels it. */
+const LONGEST_PAUSE_MS = 60
+
 /** Time between two passes that no event asked for, in milliseconds: tickets lapse and pauses end. */
 const IDLE_PASS_MS = 100
 
@@ -47,6 +53,8 @@
   private isPassDue = false
   private isWatchDue = false
   private passedAt = 0
+  /** Least time until the next pass in milliseconds: events gather while a pass is costly. */
+  private passPauseMs = 0
 
   static create (): StagedJobs {
     return new StagedJobs()
@@ -114,7 +122,7 @@
     }
     for (const id of this.changed) this.settleJob(step, id)
     this.changed.clear()
-    if (this.isPassDue && !this.runs.isFencedOff) this.pass(step)
+    if (this.isPassDue && !this.runs.isFencedOff && step.now - this.passedAt >= this.passPauseMs) this.pass(step)
   }
 
   private leave (event: EventOf<'workerLeft'>, step: Step): void {
@@ -164,7 +172,9 @@
     this.passedAt = step.now
     const pass = PlacementPass.create(this.runs.views.values(), this.tickets, step.now, this.claimed)
     const units = sortUnits(this.units.all(), step.now)
-    for (const unit of units.slice(0, PASS_UNITS)) pass.place(unit)
+    const looked = units.slice(0, PASS_UNITS)
+    for (const unit of looked) pass.place(unit)
+    this.passPauseMs = Math.min(LONGEST_PAUSE_MS, looked.length * this.runs.views.size / PAIRS_PER_MS)
     this.claimed = pass.claimed
     for (const question of pass.questions) this.ask(step, question)
     for (const { view, run } of pass.preemptions) this.runs.stop(step, view, run)
