--- /dev/null
+++ b/packages/runtime/__tests__/json-log.test.ts
@@ -0,0 +1,47 @@
+/**
+ * The log that never blocks: bounded by bytes while nobody reads, and by a rate
+ * for each event; what is left out is counted.
+ */
+
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { JsonLog } from '../src/index.js'
+
+type Done = (error: Error | null) => void
+
+describe('the log of a process', () => {
+  it('writes one object a line with its fields', () => {
+    const lines: string[] = []
+    JsonLog.create('p', (bytes, done) => { lines.push(bytes.toString()); done(null) }).info('started', { role: 'entry' })
+    const record = JSON.parse(lines.join(''))
+    assert.equal(record.event, 'started')
+    assert.equal(record.process, 'p')
+    assert.equal(record.role, 'entry')
+  })
+
+  it('holds a bounded number of bytes for a reader that stopped, and counts the rest', () => {
+    const waiting: Done[] = []
+    const chunks: Buffer[] = []
+    const log = JsonLog.create('p', (bytes, done) => {
+      chunks.push(bytes)
+      waiting.push(done)
+    })
+    const text = 'x'.repeat(10_000)
+    for (let index = 0; index < 300; index++) log.info(`event-${index}`, { text })
+    assert.equal(chunks.length, 1)
+    for (let done = waiting.shift(); done !== undefined; done = waiting.shift()) done(null)
+    const written = chunks.reduce((sum, chunk) => sum + chunk.length, 0)
+    assert.ok(written < 1_100_000, `${written} bytes were held`)
+    log.info('later')
+    const last = JSON.parse(chunks[chunks.length - 1].toString())
+    assert.ok(last.leftOutForTheReader > 100)
+  })
+
+  it('leaves out an event beyond its rate', () => {
+    let lines = 0
+    const log = JsonLog.create('p', (bytes, done) => { lines += bytes.toString().split('\n').length - 1; done(null) })
+    for (let index = 0; index < 1_000; index++) log.info('often')
+    log.info('seldom')
+    assert.ok(lines <= 802 && lines >= 401, `${lines} lines`)
+  })
+})
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -16,7 +16,7 @@
 } from '@flamingorouter/scheduler'
 import { Calls } from './calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
-import { logDecisions } from './decision-log.js'
+import { logBeliefs, logDecisions } from './decision-log.js'
 import { EntryTable } from './liveness.js'
 import type { Measures } from './measures.js'
 import type { LocalMethod } from './local-methods.js'
@@ -305,6 +305,7 @@
     metrics?.recordStep(event.kind, monotonicNow() - startedAt)
     metrics?.recordDecisions(result.decisions, scheduler.state, now)
     logDecisions(this.options.log, result.decisions, scheduler.state, now)
+    logBeliefs(this.options.log, event, result.effects)
     const held: Effect[] = []
     for (const effect of result.effects) {
       if (IMMEDIATE_EFFECTS.has(effect.kind)) this.release(effect)
--- a/packages/runtime/src/core/decision-log.ts
+++ b/packages/runtime/src/core/decision-log.ts
@@ -3,7 +3,7 @@
  * inputs that decided it, so that a failure can be explained afterwards.
  */
 
-import { formatTaskRef, type ClusterState, type Decision } from '@flamingorouter/scheduler'
+import { formatTaskRef, type ClusterState, type Decision, type Effect, type Event } from '@flamingorouter/scheduler'
 import type { RuntimeLog } from './runtime-log.js'
 
 /** Logs decisions of the leader that were just applied; `change` is the version of the state that they led to. */
@@ -11,6 +11,33 @@
   for (const decision of decisions) logDecision(log, decision, state, now)
 }
 
+/** Logs what an event of the staged jobs changed beside the durable state: beliefs on workers, answers and refusals. */
+export function logBeliefs (log: RuntimeLog, event: Event, effects: readonly Effect[]): void {
+  switch (event.kind) {
+    case 'workerSilent': log.warn('worker_silent', { worker: event.id, incarnation: event.incarnation }); break
+    case 'workerLapsed': log.warn('worker_lapsed', { worker: event.id, incarnation: event.incarnation, reason: event.reason }); break
+    case 'admissionAnswered': {
+      const { stage, entry, workers, tickets, askedAt, isAnswered } = event
+      log.info('admission_answered', { job: stage.slice(0, stage.indexOf('/')), stage, entry, asked: workers.length, granted: tickets.length, askedAt, isAnswered })
+      break
+    }
+    case 'runOrdered': {
+      const { id, order, task, run, outcome, sentAt } = event
+      if (outcome !== 'done') log.warn('order_not_done', { job: task.slice(0, task.indexOf('/')), worker: id, order, task, run, outcome, sentAt })
+    }
+  }
+  for (const effect of effects) logEffect(log, event, effect)
+}
+
+function logEffect (log: RuntimeLog, event: Event, effect: Effect): void {
+  if (effect.kind === 'stopRun') {
+    const { worker, task, run, reason } = effect
+    log.info('run_stopping', { job: task.slice(0, task.indexOf('/')), worker: worker.id, task, run, reason })
+  } else if (effect.kind === 'refuse' && 'path' in event) {
+    log.info('call_refused', { call: event.kind, path: event.path, error: effect.error, message: effect.message, retryAfterMs: effect.retryAfterMs })
+  }
+}
+
 function logDecision (log: RuntimeLog, decision: Decision, state: ClusterState, now: number): void {
   const { change } = state
   switch (decision.kind) {
--- /dev/null
+++ b/packages/runtime/src/core/meters.ts
@@ -0,0 +1,88 @@
+/**
+ * Counters and latency histograms of a process as text, in the exposition
+ * format that metric collectors read. Buckets are fixed, so that a process keeps
+ * a few kilobytes for them whatever it serves.
+ */
+
+import type { ClusterState, Decision } from '@flamingorouter/scheduler'
+import { Measures } from './measures.js'
+
+/** Upper bounds of the buckets in milliseconds. */
+const BOUNDS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000, 30_000]
+
+interface Histogram { counts: number[], sum: number, count: number }
+
+export class Meters extends Measures {
+  private readonly counters = new Map<string, number>()
+  private readonly histograms = new Map<string, Histogram>()
+  private readonly gauges = new Map<string, () => number>()
+
+  static create (): Meters {
+    return new Meters()
+  }
+
+  count (name: string, labels = ''): void {
+    const key = `${name}{${labels}}`
+    this.counters.set(key, (this.counters.get(key) ?? 0) + 1)
+  }
+
+  observe (name: string, labels: string, valueMs: number): void {
+    const key = `${name}|${labels}`
+    let histogram = this.histograms.get(key)
+    if (histogram === undefined) {
+      histogram = { counts: BOUNDS_MS.map(() => 0), sum: 0, count: 0 }
+      this.histograms.set(key, histogram)
+    }
+    histogram.count += 1
+    histogram.sum += valueMs
+    const bucket = BOUNDS_MS.findIndex(bound => valueMs <= bound)
+    if (bucket >= 0) histogram.counts[bucket] += 1
+  }
+
+  /** Read at each scrape. */
+  gauge (name: string, read: () => number): void {
+    this.gauges.set(name, read)
+  }
+
+  override recordStep (event: string, durationMs: number): void {
+    this.observe('step_ms', `event="${event}"`, durationMs)
+  }
+
+  override recordCommit (durationMs: number): void {
+    this.observe('commit_ms', '', durationMs)
+  }
+
+  override recordDecisions (decisions: readonly Decision[], state: ClusterState, now: number): void {
+    for (const decision of decisions) {
+      this.count('decisions_total', `kind="${decision.kind}"`)
+      if (decision.kind !== 'jobClosed') continue
+      const job = state.jobs.get(decision.id)
+      if (job !== undefined) this.observe('job_ms', `queue="${job.queue}",phase="${job.phase}"`, now - job.acceptedAt)
+    }
+  }
+
+  override recordRequestWait (): void {}
+  override recordRequest (): void {}
+
+  /** All of them as text. */
+  render (): string {
+    const lines: string[] = []
+    for (const [key, value] of this.counters) lines.push(`flamingorouter_${key} ${value}`)
+    for (const [name, read] of this.gauges) lines.push(`flamingorouter_${name} ${read()}`)
+    for (const [key, histogram] of this.histograms) lines.push(...renderHistogram(key, histogram))
+    return `${lines.join('\n')}\n`
+  }
+}
+
+function renderHistogram (key: string, { counts, sum, count }: Histogram): string[] {
+  const bar = key.indexOf('|')
+  const name = `flamingorouter_${key.slice(0, bar)}`
+  const labels = key.slice(bar + 1)
+  const prefix = labels === '' ? '' : `${labels},`
+  let below = 0
+  const buckets = counts.map((inBucket, index) => {
+    below += inBucket
+    return `${name}_bucket{${prefix}le="${BOUNDS_MS[index]}"} ${below}`
+  })
+  return [...buckets, `${name}_bucket{${prefix}le="+Inf"} ${count}`, `${name}_sum{${labels}} ${Math.round(sum)}`, `${name}_count{${labels}} ${count}`]
+}
--- a/packages/runtime/src/internal.ts
+++ b/packages/runtime/src/internal.ts
@@ -5,6 +5,7 @@
 export * from './core/clock.js'
 export * from './core/runtime-log.js'
 export * from './core/measures.js'
+export * from './core/meters.js'
 export * from './core/json-log.js'
 export * from './core/decision-log.js'
 export * from './core/calls.js'
--- /dev/null
+++ b/packages/scheduler/__tests__/staged-jobs.test.ts
@@ -0,0 +1,262 @@
+/**
+ * Decisions on staged jobs that can be told without time: routes, order,
+ * placement, tickets, progress, and what callers and operators are answered.
+ */
+
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import {
+  chainMs, findRoute, isStuck, PlacementPass, Scheduler, sortUnits, StagedJobs, Tickets, WorkerView, createRun,
+  type Answer, type CalledWorker, type CellConfiguration, type Event, type JobQueue, type StageSpec, type Unit
+} from '../src/index.js'
+
+function createQueue (queue: Partial<JobQueue> = {}): JobQueue {
+  return {
+    name: 'q', host: 'jobs.example', pathPrefix: '/q/', service: 'work', priority: 1, attemptLimit: 2, stretch: 2, targetMs: 500, timeoutMs: 3_000, ...queue
+  }
+}
+
+function createStage (stage: Partial<StageSpec> = {}): StageSpec {
+  return {
+    taskCount: 1,
+    resources: { millicores: 4_000, memoryMib: 1_024, accelerators: 0 },
+    estimateMs: 1_000,
+    dependsOn: [],
+    checkpoints: false,
+    gang: false,
+    rackLocal: false,
+    requiredLabel: '',
+    dataRack: '',
+    perWorkerLimit: 0,
+    speculative: false,
+    longRunning: false,
+    image: '',
+    targetMs: 0,
+    fills: false,
+    disruptionBudget: 0,
+    ...stage
+  }
+}
+
+function createUnit (unit: Partial<Unit> = {}, stage: Partial<StageSpec> = {}): Unit {
+  const spec = createStage(stage)
+  return {
+    key: 'job/0/0',
+    job: 'job',
+    occurrence: 0,
+    stage: 0,
+    spec,
+    payload: '',
+    queue: createQueue(),
+    objectiveAt: 10_000,
+    worthlessAt: 30_000,
+    waiting: Array.from({ length: spec.taskCount }, (_, index) => index),
+    placedOn: new Map(),
+    ...unit
+  }
+}
+
+function createView (id: string, millicores = 16_000): WorkerView {
+  const worker: CalledWorker = {
+    id,
+    incarnation: 1,
+    address: `${id}:1`,
+    service: 'work',
+    availabilityZone: 'zone',
+    rack: 'rack',
+    labels: ['kind', 'rack'],
+    capacity: { millicores, memoryMib: 65_536, accelerators: 0 },
+    isDraining: false,
+    hasLeft: false
+  }
+  const view = WorkerView.create(worker)
+  view.isFenced = true
+  return view
+}
+
+/** Puts a run on a worker that is stopped without loss, of a job with so much time left. */
+function addPreemptible (view: WorkerView, task: string, millicores: number, objectiveAt: number): void {
+  const stage = createStage({ checkpoints: true, resources: { millicores, memoryMib: 1_024, accelerators: 0 } })
+  const ref = { job: task, occurrence: 0, stage: 0, index: 0 }
+  view.add({ ...createRun(ref, task, 1, stage, 2, 0), status: 'running', objectiveAt })
+}
+
+function place (views: WorkerView[], units: Unit[], tickets = Tickets.create()): PlacementPass {
+  const pass = PlacementPass.create(views, tickets, 1_000)
+  for (const unit of units) pass.place(unit)
+  return pass
+}
+
+describe('staged jobs', () => {
+  describe('routes', () => {
+    const cell: CellConfiguration = {
+      version: 1, queues: [createQueue({ name: 'short', pathPrefix: '/a/' }), createQueue({ name: 'long', pathPrefix: '/a/b/' })], retired: [], services: [], document: ''
+    }
+
+    it('go by host and the longest prefix', () => {
+      assert.equal(findRoute(cell, 'JOBS.example', '/a/b/id')?.queue.name, 'long')
+      assert.equal(findRoute(cell, 'jobs.example', '/a/id')?.rest, 'id')
+      assert.equal(findRoute(cell, 'other.example', '/a/id'), undefined)
+    })
+  })
+
+  describe('the objective', () => {
+    it('counts the longest chain and one question for each stage', () => {
+      const spec = { payload: '', stages: [createStage(), createStage({ estimateMs: 500, dependsOn: [0] }), createStage({ estimateMs: 100 })] }
+      assert.equal(chainMs(spec, createQueue({ admission: { decideMs: 10, perWorkerMs: 1, validMs: 1 } }), undefined), 1_580)
+    })
+  })
+
+  describe('the order', () => {
+    it('puts the more urgent queue first, then the earlier objective, and late work last', () => {
+      const urgent = createUnit({ key: 'urgent', queue: createQueue({ priority: 0 }) })
+      const soon = createUnit({ key: 'soon', objectiveAt: 5_000 })
+      const later = createUnit({ key: 'later' })
+      const late = createUnit({ key: 'late', queue: createQueue({ priority: 0 }), objectiveAt: 900 })
+      assert.deepEqual(sortUnits([late, later, soon, urgent], 1_000).map(({ key }) => key), ['urgent', 'soon', 'later', 'late'])
+    })
+  })
+
+  describe('placement', () => {
+    it('keeps whole gaps: a small task goes where it leaves the least', () => {
+      const [placement] = place([createView('large'), createView('small', 5_000)], [createUnit()]).placements
+      assert.equal(placement.view.id, 'small')
+    })
+
+    it('places a gang whole or not at all', () => {
+      const gang = createUnit({}, { gang: true, taskCount: 5 })
+      assert.equal(place([createView('one')], [gang]).placements.length, 0)
+      assert.equal(place([createView('one'), createView('two')], [gang]).placements.length, 5)
+    })
+
+    it('never gives more than a worker has', () => {
+      assert.equal(place([createView('one')], [createUnit({}, { taskCount: 9 })]).placements.length, 4)
+    })
+
+    it('keeps to the label and the number for each worker', () => {
+      assert.equal(place([createView('one')], [createUnit({}, { requiredLabel: 'other' })]).placements.length, 0)
+      assert.equal(place([createView('one')], [createUnit({}, { taskCount: 3, perWorkerLimit: 1 })]).placements.length, 1)
+    })
+
+    it('claims room for a gang, so that less urgent work does not take it', () => {
+      const view = createView('one')
+      addPreemptible(view, 'bulk', 8_000, 2_000)
+      const gang = createUnit({ key: 'gang' }, { gang: true, taskCount: 3 })
+      const bulk = createUnit({ key: 'bulk', queue: createQueue({ priority: 2 }) })
+      assert.equal(place([view], [gang, bulk]).placements.length, 0)
+    })
+
+    it('stops less urgent runs that lose nothing and have time', () => {
+      const view = createView('one')
+      addPreemptible(view, 'bulk', 14_000, 60_000)
+      const { preemptions, placements } = place([view], [createUnit({ queue: createQueue({ priority: 0 }) })])
+      assert.equal(placements.length, 0)
+      assert.deepEqual(preemptions.map(({ run }) => run.task), ['bulk'])
+    })
+
+    it('spares a run whose job would miss its objective by it', () => {
+      const view = createView('one')
+      addPreemptible(view, 'bulk', 14_000, 3_000)
+      assert.equal(place([view], [createUnit({ queue: createQueue({ priority: 0 }) })]).preemptions.length, 0)
+    })
+  })
+
+  describe('the admission service', () => {
+    const queue = createQueue({ admission: { decideMs: 10, perWorkerMs: 1, validMs: 2_000 } })
+
+    it('is asked once at a time for a stage, by an entry that is free', () => {
+      const tickets = Tickets.create()
+      tickets.setEntries(['entry'])
+      const units = [createUnit({ key: 'a', queue: { ...queue, priority: 0 } }), createUnit({ key: 'b', queue: { ...queue, priority: 0 } })]
+      assert.deepEqual(place([createView('one')], units, tickets).questions.map(({ unit }) => unit.key), ['a'])
+    })
+
+    it('allows starts only with a ticket that is still valid', () => {
+      const tickets = Tickets.create()
+      tickets.setEntries(['entry'])
+      tickets.answered('job/0/0', 'entry', ['one', 'two'], [{ worker: 'one', ticket: 't' }], 3_000)
+      const views = [createView('one'), createView('two')]
+      assert.deepEqual(place(views, [createUnit({ queue })], tickets).placements.map(({ view }) => view.id), ['one'])
+      tickets.answered('job/0/0', 'entry', ['one'], [{ worker: 'one', ticket: 't' }], 1_100)
+      assert.equal(place(views, [createUnit({ queue })], tickets).placements.length, 0)
+    })
+
+    it('is asked again only for workers that it granted', () => {
+      const tickets = Tickets.create()
+      tickets.setEntries(['entry'])
+      tickets.answered('job/0/0', 'entry', ['one', 'two'], [{ worker: 'one', ticket: 't' }], 500)
+      const { questions } = place([createView('one'), createView('two')], [createUnit({ queue: { ...queue, priority: 0 } })], tickets)
+      assert.deepEqual(questions[0].workers, ['one'])
+    })
+  })
+
+  describe('progress', () => {
+    const from = { baseAt: 0, basePercent: 0 }
+
+    it('tells a task that hangs or crawls from a long one', () => {
+      assert.equal(isStuck(from, 0, 1_000, 1_000), true)
+      assert.equal(isStuck(from, 9, 700, 1_000), true)
+      assert.equal(isStuck(from, 30, 750, 1_000), false)
+      assert.equal(isStuck(from, 0, 500, 1_000), false)
+    })
+  })
+
+  describe('operators and callers', () => {
+    function createLeader (): { ask: (event: Event) => Answer | string } {
+      const scheduler = Scheduler.create([StagedJobs.create()])
+      scheduler.lead(0)
+      return {
+        ask: event => {
+          const [effect] = scheduler.handle(event, 1).effects.filter(({ kind }) => kind === 'reply' || kind === 'refuse')
+          if (effect.kind === 'reply') return effect.answer
+          return effect.kind === 'refuse' ? effect.error : ''
+        }
+      }
+    }
+
+    function createCell (version: number, queues = [createQueue()]): CellConfiguration {
+      return { version, queues, retired: [], services: [{ name: 'work', standby: false }], document: `document ${version}` }
+    }
+
+    const at = { call: 1, host: 'jobs.example', path: '/q/id' }
+    const spec = { payload: '', stages: [createStage()] }
+
+    it('see the highest version, whatever comes later', () => {
+      const { ask } = createLeader()
+      ask({ kind: 'configureCell', call: 1, cell: createCell(5) })
+      ask({ kind: 'configureCell', call: 1, cell: createCell(3) })
+      ask({ kind: 'configureCell', call: 1, cell: { ...createCell(5), document: 'other content' } })
+      assert.deepEqual(ask({ kind: 'readCell', call: 1 }), { kind: 'cell', version: 5, document: 'document 5' })
+    })
+
+    it('are told to come back before there is a configuration', () => {
+      assert.equal(createLeader().ask({ kind: 'acceptJob', ...at, spec }), 'unavailable')
+    })
+
+    it('hand a job in once, read it, cancel it, and learn that another is not known', () => {
+      const { ask } = createLeader()
+      ask({ kind: 'configureCell', call: 1, cell: createCell(1) })
+      assert.equal(ask({ kind: 'acceptJob', ...at, path: '/other/id', spec }), 'notFound')
+      assert.deepEqual(ask({ kind: 'acceptJob', ...at, spec }), { kind: 'jobAccepted' })
+      assert.deepEqual(ask({ kind: 'acceptJob', ...at, spec }), { kind: 'jobAccepted' })
+      assert.deepEqual(ask({ kind: 'readJob', ...at, path: '/q/' }), { kind: 'jobsWaiting', count: 1 })
+      assert.deepEqual(ask({ kind: 'cancelJob', ...at }), { kind: 'job', phase: 'cancelled', isStarted: false })
+      assert.deepEqual(ask({ kind: 'readJob', ...at, path: '/q/nobody' }), { kind: 'job', phase: undefined, isStarted: false })
+      assert.deepEqual(ask({ kind: 'readJob', ...at, path: '/q/' }), { kind: 'jobsWaiting', count: 0 })
+    })
+
+    it('keep a queue that was removed while jobs of it live', () => {
+      const { ask } = createLeader()
+      ask({ kind: 'configureCell', call: 1, cell: createCell(1) })
+      ask({ kind: 'acceptJob', ...at, spec })
+      ask({ kind: 'configureCell', call: 1, cell: createCell(2, [createQueue({ name: 'new', pathPrefix: '/new/' })]) })
+      assert.equal(ask({ kind: 'readJob', ...at }), 'notFound')
+    })
+
+    it('refuse a job with a stage that depends on a later one', () => {
+      const { ask } = createLeader()
+      ask({ kind: 'configureCell', call: 1, cell: createCell(1) })
+      assert.equal(ask({ kind: 'acceptJob', ...at, spec: { payload: '', stages: [createStage({ dependsOn: [0] })] } }), 'invalidArgument')
+    })
+  })
+})
--- a/packages/scheduler/src/core/jobs/runs.ts
+++ b/packages/scheduler/src/core/jobs/runs.ts
@@ -98,10 +98,11 @@
   }
 
   /** Stops a run; its task waits again once that is confirmed. */
-  stop (step: Step, view: WorkerView, run: Run): void {
+  stop (step: Step, view: WorkerView, run: Run, reason: string): void {
     if (run.status === RunStatus.stopping) return
     run.status = RunStatus.stopping
     run.confirmedAt = 0
+    run.stopReason = reason
     this.orderStop(step, view, run)
   }
 
@@ -113,7 +114,7 @@
         if (task.phase !== StageTaskPhase.placed) continue
         const view = this.views.get(task.worker)
         for (const run of view?.runs.values() ?? []) {
-          if (run.ref.job === job && view !== undefined) this.stop(step, view, run)
+          if (run.ref.job === job && view !== undefined) this.stop(step, view, run, 'its job is closed')
         }
       }
     }
@@ -299,7 +300,7 @@
     for (const view of this.views.values()) {
       for (const run of [...view.runs.values()]) {
         if (run.isOrphan || run.run !== ended.run || !isSameStage(run.ref, ended.ref)) continue
-        this.stop(step, view, run)
+        this.stop(step, view, run, 'another member of its gang ended')
       }
     }
   }
@@ -318,7 +319,7 @@
       const stage = ref === undefined ? undefined : step.state.jobs.get(ref.job)?.spec.stages[ref.stage]
       const orphan = createOrphan(row.task, row.run, stage?.fills === true ? NO_RESOURCES : stage?.resources ?? NO_RESOURCES, step.now)
       view.add(orphan)
-      return this.stop(step, view, orphan)
+      return this.stop(step, view, orphan, 'the state does not place it there')
     }
     if (run.run > row.run) return
     this.notePercent(run, row.percent, step.now)
@@ -327,7 +328,7 @@
     if (run.status === RunStatus.stopping) return
     if (run.status !== RunStatus.running) this.confirmStart(run, step.now)
     const job = step.state.jobs.get(run.ref.job)
-    if (job === undefined || !isLiveJob(job)) return this.stop(step, view, run)
+    if (job === undefined || !isLiveJob(job)) return this.stop(step, view, run, 'its job is closed')
     this.stopIfStuck(step, view, run, job)
   }
 
@@ -346,7 +347,7 @@
     if (expected === 0 || !isStopped) return
     view.avoidUntil = Math.max(view.avoidUntil, step.now + AVOID_MS.stuck)
     if (run.checkpoint === '' && stage.checkpoints) return
-    this.stop(step, view, run)
+    this.stop(step, view, run, `it made ${run.percent} percent in ${step.now - run.progress.baseAt} ms`)
     if (stage.gang) this.stopGang(step, run)
   }
 
@@ -372,7 +373,7 @@
     const isStopped = run.status === RunStatus.stopping && run.confirmedAt > 0 && sentAt > run.confirmedAt
     if (isNeverStarted || isStopped) return this.drop(step, view, run, isStopped ? 'stopped' : 'it never started')
     // Its end was listed and acknowledged, or it was never there; a confirmed stop tells.
-    if (run.status === RunStatus.running && sentAt > run.confirmedAt) this.stop(step, view, run)
+    if (run.status === RunStatus.running && sentAt > run.confirmedAt) this.stop(step, view, run, 'the worker does not list it')
   }
 
   private startAnswered (step: Step, view: WorkerView, run: Run, outcome: OrderOutcome): void {
@@ -380,7 +381,7 @@
       case OrderOutcome.done: return this.confirmStart(run, step.now)
       // It may run or start late, or ended there; a confirmed stop settles that.
       case OrderOutcome.unknown:
-      case OrderOutcome.superseded: return this.stop(step, view, run)
+      case OrderOutcome.superseded: return this.stop(step, view, run, `its start was ${outcome}`)
       case OrderOutcome.noRoom: view.avoidUntil = step.now + AVOID_MS.noRoom; break
       case OrderOutcome.unhealthy: view.avoidUntil = step.now + AVOID_MS.unhealthy
     }
@@ -400,12 +401,12 @@
   private repeat (step: Step, view: WorkerView, run: Run): void {
     if (run.orderedAt === 0 || step.now - run.orderedAt < REPEAT_MS || run.confirmedAt > 0) return
     if (run.status === RunStatus.stopping) return this.orderStop(step, view, run)
-    if (run.status === RunStatus.starting && step.now - run.placedAt > START_PATIENCE_MS) this.stop(step, view, run)
+    if (run.status === RunStatus.starting && step.now - run.placedAt > START_PATIENCE_MS) this.stop(step, view, run, 'its start was not answered')
   }
 
   private orderStop (step: Step, view: WorkerView, run: Run): void {
     run.orderedAt = step.now + ORDER_ANSWER_MS
-    step.effects.push({ kind: 'stopRun', worker: view.worker, task: run.task, run: run.run })
+    step.effects.push({ kind: 'stopRun', worker: view.worker, task: run.task, run: run.run, reason: run.stopReason })
   }
 
   private drop (step: Step, view: WorkerView, run: Run, reason: string): void {
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -177,7 +177,7 @@
     this.passPauseMs = Math.min(LONGEST_PAUSE_MS, looked.length * this.runs.views.size / PAIRS_PER_MS)
     this.claimed = pass.claimed
     for (const question of pass.questions) this.ask(step, question)
-    for (const { view, run } of pass.preemptions) this.runs.stop(step, view, run)
+    for (const { view, run, unit } of pass.preemptions) this.runs.stop(step, view, run, `room for ${unit.key}`)
     this.startAll(step, pass.placements)
   }
 
--- a/packages/scheduler/src/core/jobs/workers.ts
+++ b/packages/scheduler/src/core/jobs/workers.ts
@@ -44,6 +44,8 @@
   progress: Progress | undefined
   load: number
   checkpoint: string
+  /** Why it is being stopped. */
+  stopReason: string
   /** It goes on from a checkpoint. */
   isResumed: boolean
   /** True once the worker confirmed that it runs, or ran. */
@@ -136,6 +138,7 @@
     progress: undefined,
     load: 0,
     checkpoint: '',
+    stopReason: '',
     isResumed: false,
     hasRun: false,
     isOrphan: false
@@ -164,6 +167,7 @@
     progress: undefined,
     load: 0,
     checkpoint: '',
+    stopReason: '',
     isResumed: false,
     hasRun: true,
     isOrphan: true
--- a/packages/scheduler/src/types/effects.ts
+++ b/packages/scheduler/src/types/effects.ts
@@ -19,7 +19,7 @@
   /** Carry commands to a worker by way of an entry. */
   /** Start a run on a worker that is called. */
   | { kind: 'startRun', worker: CalledWorker, task: string, run: number, payload: string, checkpoint: string, ticket: string }
-  | { kind: 'stopRun', worker: CalledWorker, task: string, run: number }
+  | { kind: 'stopRun', worker: CalledWorker, task: string, run: number, reason: string }
   /** Let a run work at a share of its speed, in percent. */
   | { kind: 'paceRun', worker: CalledWorker, task: string, run: number, percent: number }
   /** Keep the lease of a worker extended and report what it runs. */
