--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  { ignores: ['**/dist/**', '**/generated/**', '**/data/**'] },
+  { ignores: ['**/dist/**', '**/target/**', '**/generated/**', '**/data/**'] },
   ...neostandard({ ts: true }),
   {
     rules: {
--- a/packages/runtime/__tests__/called-workers.test.ts
+++ b/packages/runtime/__tests__/called-workers.test.ts
@@ -6,7 +6,8 @@
 
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { CalledCell, createStage, type Plan } from './support/called-cell.js'
+import { createStage } from '../../scheduler/__tests__/support/stages.js'
+import { CalledCell, type Plan } from './support/called-cell.js'
 
 const QUIET: Plan = { seed: 1, workers: 6, lostRequests: 0, lostAnswers: 0, lateOrders: 0 }
 
--- a/packages/runtime/__tests__/support/called-cell.ts
+++ b/packages/runtime/__tests__/support/called-cell.ts
@@ -16,6 +16,7 @@
   applyDecision, createClusterState, JobPhase, OrderOutcome, parseTaskRef, Scheduler, StagedJobs, type Answer, type CalledWorker, type CellConfiguration,
   type ClusterState, type Decision, type Effect, type Event, type JobSpec, type StageSpec
 } from '@flamingorouter/scheduler'
+import { createStage } from '../../../scheduler/__tests__/support/stages.js'
 import { CalledWorkerModel, stepOf, type Behaviour, type Interval } from './called-worker.js'
 import { VirtualTime } from './virtual-time.js'
 
@@ -35,28 +36,6 @@
   hasAdmission?: boolean
 }
 
-export function createStage (stage: Partial<StageSpec> = {}): StageSpec {
-  return {
-    taskCount: 1,
-    resources: { millicores: 4_000, memoryMib: 4_096, accelerators: 0 },
-    estimateMs: 500,
-    dependsOn: [],
-    checkpoints: false,
-    gang: false,
-    rackLocal: false,
-    requiredLabel: '',
-    dataRack: '',
-    perWorkerLimit: 0,
-    speculative: false,
-    longRunning: false,
-    image: '',
-    targetMs: 0,
-    fills: false,
-    disruptionBudget: 0,
-    ...stage
-  }
-}
-
 export function createConfiguration (hasAdmission: boolean, version = 1): CellConfiguration {
   const admission = hasAdmission ? { decideMs: ADVISED_MS, perWorkerMs: 0, validMs: TICKET_MS } : undefined
   const queue = { host: 'jobs.example', service: 'work', attemptLimit: 3, stretch: 2, targetMs: 500, timeoutMs: 3_000, admission }
@@ -64,7 +43,7 @@
     version,
     queues: [
       { ...queue, name: 'urgent', pathPrefix: '/urgent/', priority: 0 },
-      { ...queue, name: 'bulk', pathPrefix: '/bulk/', priority: 2 }
+      { ...queue, name: 'bulk', pathPrefix: '/bulk/', priority: 2, stretch: 6 }
     ],
     retired: [],
     services: [{ name: 'work', standby: false }],
@@ -234,8 +213,10 @@
   private behave (task: string, run: number): Behaviour {
     const ref = parseTaskRef(task)
     const stage = this.specs.get(ref?.job ?? '')?.stages[ref?.stage ?? 0] ?? createStage()
-    const fails = !stage.gang && run === 1 && (ref?.index ?? 0) % 7 === 6
-    return { resources: stage.resources, durationMs: 200 + this.pick(800), fails, gang: stage.gang ? stepOf(task) : '', gangSize: stage.taskCount }
+    const isPoison = ref?.job.startsWith('poison') === true
+    const fails = isPoison || (!stage.gang && run === 1 && (ref?.index ?? 0) % 7 === 6)
+    const durationMs = stage.estimateMs / 2 + this.pick(stage.estimateMs)
+    return { resources: stage.resources, durationMs, fails, gang: stage.gang ? stepOf(task) : '', gangSize: stage.taskCount }
   }
 
   private tick (): void {
--- a/packages/runtime/__tests__/support/called-worker.ts
+++ b/packages/runtime/__tests__/support/called-worker.ts
@@ -5,12 +5,12 @@
  */
 
 import type { ListAnswer, ListOrder, OrderAnswer, StartOrder } from '@flamingorouter/runtime'
-import { OrderOutcome, parseTaskRef, RunEnd, type CalledWorker, type EndedRow, type Resources } from '@flamingorouter/scheduler'
+import { OrderOutcome, parseTaskRef, RunEnd, type CalledWorker, type EndedRow, type Resources, type RunningRow } from '@flamingorouter/scheduler'
 import type { VirtualTime } from './virtual-time.js'
 
 export interface Interval { task: string, run: number, worker: string, from: number, to: number, how: string, resources: Resources }
 
-interface Active { task: string, run: number, interval: Interval, gang: string }
+interface Active { task: string, run: number, interval: Interval, gang: string, durationMs: number }
 
 /** What a task does once it runs. */
 export interface Behaviour { resources: Resources, durationMs: number, fails: boolean, gang: string, gangSize: number }
@@ -20,6 +20,8 @@
 
 export class CalledWorkerModel {
   isCut = false
+  /** It answers, and nothing that it runs makes progress. */
+  isHung = false
   private fence = 0
   private leaseUntil = 0
   private number = 0
@@ -78,10 +80,15 @@
     this.fence = order.fence
     this.ended = this.ended.filter(row => row.number > order.cursor)
     if (order.untilMs !== undefined) this.extend(order.untilMs)
-    const running = [...this.active.values()].map(({ task, run }) => ({ task, run, checkpoint: '', percent: 50, load: 0 }))
+    const running = [...this.active.values()].map(active => this.describe(active))
     return { outcome: OrderOutcome.done, clockMs: this.clockMs, running, ended: [...this.ended] }
   }
 
+  private describe ({ task, run, interval, durationMs }: Active): RunningRow {
+    const percent = this.isHung ? 0 : Math.min(99, Math.floor((this.time.now - interval.from) * 100 / durationMs))
+    return { task, run, checkpoint: '', percent, load: 0 }
+  }
+
   /** The process of the worker ends. */
   crash (): void {
     for (const active of [...this.active.values()]) this.end(active, 'crashed')
@@ -104,11 +111,11 @@
   private begin (task: string, run: number): void {
     const { resources, durationMs, fails, gang, gangSize } = this.behave(task, run)
     const interval: Interval = { task, run, worker: `${this.facts.id}#${this.facts.incarnation}`, from: this.time.now, to: Infinity, how: '', resources }
-    const active: Active = { task, run, interval, gang }
+    const active: Active = { task, run, interval, gang, durationMs }
     this.active.set(task, active)
     this.journal.push(interval)
     if (gang === '') {
-      this.time.after(durationMs, () => { this.end(active, fails ? RunEnd.failed : RunEnd.done) })
+      this.time.after(durationMs, () => { if (!this.isHung) this.end(active, fails ? RunEnd.failed : RunEnd.done) })
       return
     }
     const isWhole = (): boolean => this.peers().reduce((sum, peer) => sum + peer.hasMember(gang, run), 0) === gangSize
--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -6,13 +6,12 @@
 import { randomBytes } from 'node:crypto'
 import {
   FolderDisk, LinkServer, MonotonicClock, parseAddress, Replica,
-  type ControllerAddress, type HelloFrame, type LinkHandlers, type LinkTraffic, type MemberCandidate, type MemberFacts, type PeerKeys, type Timing
+  type HelloFrame, type LinkHandlers, type LinkTraffic, type MemberFacts, type PeerKeys, type Timing
 } from '@flamingorouter/controllers'
 import type { Binding } from '@flamingorouter/rpc'
 import { createParts, Scheduler, type Limits } from '@flamingorouter/scheduler'
-import { Controller } from './controller.js'
+import { Controller, type ControllerHooks } from './controller.js'
 import { ControllerLinks } from './links.js'
-import type { OrderCarrier } from './order-carrier.js'
 import type { LocalMethod } from './local-methods.js'
 import type { Measures } from './measures.js'
 import type { RuntimeLog } from './runtime-log.js'
@@ -46,16 +45,10 @@
   isFolderLocked?: boolean
 }
 
-export interface ControllerContext {
+export interface ControllerContext extends ControllerHooks {
   bindings: readonly Binding[]
   /** Methods that need more than the state, such as membership. */
   localMethods?: ReadonlyMap<string, LocalMethod>
-  /** Carries orders to workers that are called. */
-  orders?: OrderCarrier
-  /** A controller that is no member would like to be one. */
-  offered?: (candidate: MemberCandidate) => void
-  /** Controllers that this process knows of while its own log names none. */
-  knownControllers?: () => ControllerAddress[]
   log: RuntimeLog
   metrics?: Measures
   /** The controller cannot go on; the process should end. */
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -28,17 +28,21 @@
 /** How long an entry may take to carry commands, in milliseconds. */
 const EXECUTE_TIMEOUT_MS = 2_000
 
-export interface ControllerOptions {
-  scheduler: Scheduler
-  bindings: readonly Binding[]
-  /** Methods that need more than the state, such as membership. */
-  localMethods: ReadonlyMap<string, LocalMethod>
+/** What a controller of staged jobs has beside; absent for one without. */
+export interface ControllerHooks {
   /** Carries orders to workers that are called. */
   orders?: OrderCarrier
   /** A controller that is no member would like to be one. */
   offered?: (candidate: MemberCandidate) => void
   /** Controllers that this process knows of while its own log names none. */
   knownControllers?: () => ControllerAddress[]
+}
+
+export interface ControllerOptions extends ControllerHooks {
+  scheduler: Scheduler
+  bindings: readonly Binding[]
+  /** Methods that need more than the state, such as membership. */
+  localMethods: ReadonlyMap<string, LocalMethod>
   log: RuntimeLog
   metrics?: Measures
   /** This controller cannot go on. */
--- a/packages/scheduler/__tests__/staged-jobs.test.ts
+++ b/packages/scheduler/__tests__/staged-jobs.test.ts
@@ -9,6 +9,7 @@
   chainMs, findRoute, isStuck, PlacementPass, Scheduler, sortUnits, StagedJobs, Tickets, WorkerView, createRun,
   type Answer, type CalledWorker, type CellConfiguration, type Event, type JobQueue, type StageSpec, type Unit
 } from '../src/index.js'
+import { createStage } from './support/stages.js'
 
 function createQueue (queue: Partial<JobQueue> = {}): JobQueue {
   return {
@@ -16,28 +17,6 @@
   }
 }
 
-function createStage (stage: Partial<StageSpec> = {}): StageSpec {
-  return {
-    taskCount: 1,
-    resources: { millicores: 4_000, memoryMib: 1_024, accelerators: 0 },
-    estimateMs: 1_000,
-    dependsOn: [],
-    checkpoints: false,
-    gang: false,
-    rackLocal: false,
-    requiredLabel: '',
-    dataRack: '',
-    perWorkerLimit: 0,
-    speculative: false,
-    longRunning: false,
-    image: '',
-    targetMs: 0,
-    fills: false,
-    disruptionBudget: 0,
-    ...stage
-  }
-}
-
 function createUnit (unit: Partial<Unit> = {}, stage: Partial<StageSpec> = {}): Unit {
   const spec = createStage(stage)
   return {
@@ -102,7 +81,7 @@
 
   describe('the objective', () => {
     it('counts the longest chain and one question for each stage', () => {
-      const spec = { payload: '', stages: [createStage(), createStage({ estimateMs: 500, dependsOn: [0] }), createStage({ estimateMs: 100 })] }
+      const spec = { payload: '', stages: [createStage({ estimateMs: 1_000 }), createStage({ estimateMs: 500, dependsOn: [0] }), createStage({ estimateMs: 100 })] }
       assert.equal(chainMs(spec, createQueue({ admission: { decideMs: 10, perWorkerMs: 1, validMs: 1 } }), undefined), 1_580)
     })
   })
