Let late work give up one rank, not its place before all other work

Change: late work counts as one rank less urgent and is due when it becomes worthless; worthless work goes last. The replay in load.test.ts failed before.

--- a/packages/runtime/__tests__/load.test.ts
+++ b/packages/runtime/__tests__/load.test.ts
@@ -64,6 +64,16 @@
     assert.equal(cell.journal.filter(({ task }) => task.startsWith('gang')).length, 4)
   })
 
+  it('urgent work that is late goes before a backlog of less urgent work that is not', async () => {
+    const cell = await startCell()
+    for (let index = 0; index < 30; index++) cell.submit(`bulk-${index}`, 'bulk', [createStage({ taskCount: 10, estimateMs: 2_000 })])
+    await cell.time.runUntil(800)
+    const urgent = submitUrgent(cell, 4)
+    await cell.time.runUntil(800 + WORTHLESS_MS)
+    cell.check()
+    assertCompleted(cell, urgent)
+  })
+
   it('a worker that hangs and looks healthy does not make urgent work worthless', async () => {
     const cell = await startCell()
     const model = cell.models.get('worker-0')
--- a/packages/scheduler/__tests__/staged-jobs.test.ts
+++ b/packages/scheduler/__tests__/staged-jobs.test.ts
@@ -87,13 +87,20 @@
   })
 
   describe('the order', () => {
-    it('puts the more urgent queue first, then the earlier objective, and late work last', () => {
+    it('puts the more urgent queue first, then the earlier objective; late work gives up one rank', () => {
       const urgent = createUnit({ key: 'urgent', queue: createQueue({ priority: 0 }) })
       const soon = createUnit({ key: 'soon', objectiveAt: 5_000 })
       const later = createUnit({ key: 'later' })
       const late = createUnit({ key: 'late', queue: createQueue({ priority: 0 }), objectiveAt: 900 })
       assert.deepEqual(sortUnits([late, later, soon, urgent], 1_000).map(({ key }) => key), ['urgent', 'soon', 'later', 'late'])
     })
+
+    it('puts late work before work that is two ranks less urgent, and worthless work last', () => {
+      const late = createUnit({ key: 'late', queue: createQueue({ priority: 0 }), objectiveAt: 900 })
+      const bulk = createUnit({ key: 'bulk', queue: createQueue({ priority: 2 }) })
+      const worthless = createUnit({ key: 'worthless', queue: createQueue({ priority: 0 }), objectiveAt: 300, worthlessAt: 900 })
+      assert.deepEqual(sortUnits([worthless, bulk, late], 1_000).map(({ key }) => key), ['late', 'bulk', 'worthless'])
+    })
   })
 
   describe('placement', () => {
--- a/packages/scheduler/src/core/jobs/order.ts
+++ b/packages/scheduler/src/core/jobs/order.ts
@@ -1,27 +1,37 @@
 /**
  * In which order waiting units get room. It answers a burst of urgent work over
- * a full pool: the more urgent queue goes first, within a queue the job whose
- * objective is missed first, and a job that misses its objective in any case
- * goes behind all that can still meet theirs.
+ * a full pool, and a backlog in which some of it has become late: the more
+ * urgent queue goes first, and within a rank what is due first. Work that misses
+ * its objective gives up one rank, so that it neither holds up the same queue's
+ * work in time nor waits behind a backlog of far less urgent work. Work whose end
+ * is worth nothing any more goes last.
  */
 
 import type { Unit } from './units.js'
 
-/** Ranks of urgency, least first. */
-const Tier = Object.freeze({ meetsObjective: 0, late: 1, worthless: 2 } as const)
-type Tier = typeof Tier[keyof typeof Tier]
+/** Ranks that a unit loses when it misses its objective; one is a step of urgency. */
+const LATE_RANKS = 1
+
+/** Behind every priority of a queue. */
+const WORTHLESS_RANK = Number.MAX_SAFE_INTEGER
+
+interface Ranked {
+  unit: Unit
+  rank: number
+  /** Cluster time at which the unit's worth falls next. */
+  dueAt: number
+}
 
 export function sortUnits (units: Iterable<Unit>, now: number): Unit[] {
-  const ranked = [...units].map(unit => ({ unit, tier: tierOf(unit, now) }))
-  ranked.sort((one, other) => one.tier - other.tier ||
-    one.unit.queue.priority - other.unit.queue.priority ||
-    one.unit.objectiveAt - other.unit.objectiveAt)
+  const ranked = [...units].map(unit => rankUnit(unit, now))
+  ranked.sort((one, other) => one.rank - other.rank || one.dueAt - other.dueAt)
   return ranked.map(({ unit }) => unit)
 }
 
-function tierOf (unit: Unit, now: number): Tier {
-  if (unit.spec.longRunning) return Tier.meetsObjective
-  const endAt = now + unit.spec.estimateMs
-  if (endAt <= unit.objectiveAt) return Tier.meetsObjective
-  return endAt <= unit.worthlessAt ? Tier.late : Tier.worthless
+function rankUnit (unit: Unit, now: number): Ranked {
+  const { spec, queue, objectiveAt, worthlessAt } = unit
+  const endAt = now + spec.estimateMs
+  if (spec.longRunning || endAt <= objectiveAt) return { unit, rank: queue.priority, dueAt: objectiveAt }
+  const isLate = endAt <= worthlessAt
+  return { unit, rank: isLate ? queue.priority + LATE_RANKS : WORTHLESS_RANK, dueAt: worthlessAt }
 }
