Take VMs down for upkeep in waves, and slow best effort beside serving tasks

Change: core/jobs/upkeep.ts empties VMs for as long as the wave has time, orders them down under the cap and the disruption budgets, and counts a VM as down until it is surely back; core/jobs/pacing.ts sets the pace of best effort from the tail of serving tasks. Moves between pools and standby are still not built.

--- a/packages/controllers/src/types/methods.ts
+++ b/packages/controllers/src/types/methods.ts
@@ -90,7 +90,8 @@
 
 /** An event on staged jobs; the leader adds the number of the call. */
 export type JobEvent = Unnumbered<Extract<Event, {
-  kind: 'acceptJob' | 'readJob' | 'cancelJob' | 'configureCell' | 'readCell' | 'workerReported' | 'workerLeft'
+  kind: 'acceptJob' | 'readJob' | 'cancelJob' | 'configureCell' | 'readCell' | 'workerReported' | 'workerLeft' |
+    'startUpkeepWave' | 'readUpkeepWave'
 }>>
 
 export interface ExecuteBody {
--- a/packages/runtime/__tests__/support/called-cell.ts
+++ b/packages/runtime/__tests__/support/called-cell.ts
@@ -13,10 +13,11 @@
   OrderCarrier, WorkerCaller, WorkerSession, type ListAnswer, type ListOrder, type OrderAnswer, type StartOrder, type WorkerEffect
 } from '@flamingorouter/runtime'
 import {
-  applyDecision, createClusterState, JobPhase, OrderOutcome, parseTaskRef, Scheduler, StagedJobs, type Answer, type CalledWorker, type CellConfiguration,
+  applyDecision, createClusterState, isWaveOver, JobPhase, OrderOutcome, parseTaskRef, Scheduler, StagedJobs, UpkeepOutcome, type Answer, type CalledWorker, type CellConfiguration,
   type ClusterState, type Decision, type Effect, type Event, type JobSpec, type StageSpec
 } from '@flamingorouter/scheduler'
 import { createStage } from '../../../scheduler/__tests__/support/stages.js'
+import { CalledVms, nameVm } from './called-vms.js'
 import { CalledWorkerModel, stepOf, type Behaviour, type Interval } from './called-worker.js'
 import { VirtualTime } from './virtual-time.js'
 
@@ -25,6 +26,7 @@
 const TICK_MS = 60
 const ADVISED_MS = 20
 const TICKET_MS = 2_500
+const UNANSWERED_MS = 500
 
 export interface Plan {
   seed: number
@@ -34,6 +36,9 @@
   lostAnswers: number
   lateOrders: number
   hasAdmission?: boolean
+  /** Shares of a thousand of the orders to take a VM down. */
+  lostUpkeep?: number
+  lateUpkeep?: number
 }
 
 export function createConfiguration (hasAdmission: boolean, version = 1): CellConfiguration {
@@ -59,6 +64,7 @@
   /** The durable state: what was committed. */
   readonly durable: ClusterState = createClusterState()
   scheduler!: Scheduler
+  readonly vms: CalledVms
   private readonly random: RandomGenerator
   private readonly specs = new Map<string, JobSpec>()
   private term = 0
@@ -71,6 +77,13 @@
 
   private constructor (readonly plan: Plan) {
     this.random = xoroshiro128plus(plan.seed)
+    const workers = Array.from({ length: plan.workers }, (_, index) => `worker-${index}`)
+    this.vms = CalledVms.create(workers, {
+      now: () => this.time.now,
+      after: (ms, act) => { this.time.after(ms, act) },
+      isWorkerUp: worker => this.models.has(worker),
+      takeDown: (worker, ms) => { this.takeDown(worker, ms) }
+    })
   }
 
   static create (plan: Plan): CalledCell {
@@ -107,7 +120,7 @@
   feed (event: Event): void {
     const result = this.scheduler.handle(event, this.time.now)
     const { term } = this
-    const immediate = result.effects.filter(({ kind }) => kind === 'askAdmission' || kind === 'watchWorker' || kind === 'unwatchWorker')
+    const immediate = result.effects.filter(({ kind }) => kind === 'askAdmission' || kind === 'listVms' || kind === 'watchWorker' || kind === 'unwatchWorker')
     const held = result.effects.filter(effect => !immediate.includes(effect))
     for (const effect of immediate) this.release(effect)
     if (result.decisions.length === 0 && held.length === 0) return
@@ -153,11 +166,25 @@
   }
 
   crashWorker (id: string): void {
+    this.takeDown(id, 1_000 + this.pick(2_000))
+  }
+
+  private takeDown (id: string, ms: number): void {
     // One that is down already comes back once.
     if (!this.models.has(id)) return
     this.models.get(id)?.crash()
     this.models.delete(id)
-    this.time.after(1_000 + this.pick(2_000), () => { this.startWorker(id) })
+    this.time.after(ms, () => { this.startWorker(id) })
+  }
+
+  /** Starts a wave of upkeep over all VMs. */
+  startWave (cap: number, durationMs: number): void {
+    this.feed({ kind: 'startUpkeepWave', call: ++this.call, id: 1, vms: [...this.models.keys()].map(nameVm), cap, durationMs })
+  }
+
+  isWaveOver (): boolean {
+    const wave = this.durable.upkeepWaves.get(1)
+    return wave !== undefined && isWaveOver(wave)
   }
 
   phaseOf (id: string): JobPhase | undefined {
@@ -216,7 +243,8 @@
     const isPoison = ref?.job.startsWith('poison') === true
     const fails = isPoison || (!stage.gang && run === 1 && (ref?.index ?? 0) % 7 === 6)
     const durationMs = stage.estimateMs / 2 + this.pick(stage.estimateMs)
-    return { resources: stage.resources, durationMs, fails, gang: stage.gang ? stepOf(task) : '', gangSize: stage.taskCount }
+    const { longRunning, fills, targetMs } = stage
+    return { resources: stage.resources, durationMs: longRunning ? Infinity : durationMs, fails, gang: stage.gang ? stepOf(task) : '', gangSize: stage.taskCount, fills, targetMs }
   }
 
   private tick (): void {
@@ -232,6 +260,19 @@
     this.time.after(1_500, () => { this.report(model) })
   }
 
+  private orderUpkeep (wave: number, vm: string): void {
+    const { term, plan } = this
+    const answer = (outcome: UpkeepOutcome, ms: number): void => {
+      this.time.after(ms, () => { if (term === this.term) this.feed({ kind: 'upkeepOrdered', wave, vm, outcome }) })
+    }
+    if (this.isChance(plan.lostUpkeep ?? 0)) return answer(UpkeepOutcome.unknown, UNANSWERED_MS)
+    if (this.isChance(plan.lateUpkeep ?? 0)) {
+      this.time.after(2_000 + this.pick(10_000), () => { this.vms.order(vm, term) })
+      return answer(UpkeepOutcome.unknown, UNANSWERED_MS)
+    }
+    answer(this.vms.order(vm, term), CALL_MS)
+  }
+
   private release (effect: Effect): void {
     if (effect.kind === 'reply') {
       this.answers.push(effect.answer)
@@ -243,6 +284,12 @@
       this.time.after(ADVISED_MS, () => {
         if (term === this.term) this.feed({ kind: 'admissionAnswered', entry, stage, workers, tickets, askedAt, isAnswered: true })
       })
+    } else if (effect.kind === 'listVms') {
+      const { term } = this
+      const sentAt = this.time.now
+      this.time.after(ADVISED_MS, () => { if (term === this.term) this.feed({ kind: 'vmsListed', vms: this.vms.list(), sentAt }) })
+    } else if (effect.kind === 'orderUpkeep') {
+      this.orderUpkeep(effect.wave, effect.vm)
     } else if (effect.kind !== 'refuse' && effect.kind !== 'command') {
       this.carrier?.carry(effect)
     }
@@ -286,6 +333,7 @@
     if (session === undefined) return
     if (effect.kind === 'ackEnds') session.ack(effect.cursor)
     else if (effect.kind === 'stopRun') session.orderStop(effect.task, effect.run).catch(raise)
+    else if (effect.kind === 'paceRun') session.pace(effect.task, effect.run, effect.percent).catch(raise)
     else if (effect.kind === 'startRun') session.start(effect).catch(raise)
   }
 
@@ -328,8 +376,8 @@
     return { running: [], ended: [], ...answer }
   }
 
-  async pace (): Promise<OrderAnswer> {
-    return { outcome: OrderOutcome.done }
+  async pace (worker: CalledWorker, task: string, _run: number, percent: number, _fence: number, timeoutMs: number): Promise<OrderAnswer> {
+    return await this.call(worker, timeoutMs, model => model.pace(task, percent))
   }
 
   close (): void {}
--- /dev/null
+++ b/packages/runtime/__tests__/support/called-vms.ts
@@ -0,0 +1,59 @@
+/**
+ * A stand-in for whoever runs the VMs: it takes a VM down once in a wave, follows
+ * the highest fence for each, and notes when each was down. Its answers are lost,
+ * and its orders carried out late, by the plan of the cell.
+ */
+
+import { UpkeepOutcome, type ListedVm } from '@flamingorouter/scheduler'
+
+export interface Outage { vm: string, from: number, to: number }
+
+/** What the stand-in needs of the cell around it. */
+export interface VmOwner {
+  now: () => number
+  after: (ms: number, act: () => void) => void
+  isWorkerUp: (worker: string) => boolean
+  takeDown: (worker: string, ms: number) => void
+}
+
+export const OUTAGE_MS = 2_000
+
+export class CalledVms {
+  readonly outages: Outage[] = []
+  private readonly fences = new Map<string, number>()
+
+  private constructor (private readonly workers: readonly string[], private readonly owner: VmOwner) {}
+
+  static create (workers: readonly string[], owner: VmOwner): CalledVms {
+    return new CalledVms(workers, owner)
+  }
+
+  list (): ListedVm[] {
+    return this.workers.map(worker => ({ name: nameVm(worker), isUp: !this.isDown(nameVm(worker)) && this.owner.isWorkerUp(worker), worker: this.isDown(nameVm(worker)) ? '' : worker }))
+  }
+
+  order (vm: string, fence: number): UpkeepOutcome {
+    const worker = this.workers.find(each => nameVm(each) === vm)
+    if (worker === undefined) return UpkeepOutcome.unfit
+    if (fence < (this.fences.get(vm) ?? 0)) return UpkeepOutcome.fenced
+    this.fences.set(vm, fence)
+    if (this.outages.some(outage => outage.vm === vm)) return UpkeepOutcome.done
+    if (!this.owner.isWorkerUp(worker)) return UpkeepOutcome.busy
+    this.outages.push({ vm, from: this.owner.now(), to: this.owner.now() + OUTAGE_MS })
+    this.owner.takeDown(worker, OUTAGE_MS)
+    return UpkeepOutcome.done
+  }
+
+  /** The most VMs that were down at the same time. */
+  mostDown (): number {
+    return Math.max(0, ...this.outages.map(({ from }) => this.outages.filter(other => other.from <= from && other.to > from).length))
+  }
+
+  private isDown (vm: string): boolean {
+    return this.outages.some(outage => outage.vm === vm && outage.to > this.owner.now())
+  }
+}
+
+export function nameVm (worker: string): string {
+  return `vm-of-${worker}`
+}
--- a/packages/runtime/__tests__/support/called-worker.ts
+++ b/packages/runtime/__tests__/support/called-worker.ts
@@ -10,14 +10,17 @@
 
 export interface Interval { task: string, run: number, worker: string, from: number, to: number, how: string, resources: Resources }
 
-interface Active { task: string, run: number, interval: Interval, gang: string, durationMs: number }
+interface Active { task: string, run: number, interval: Interval, gang: string, durationMs: number, fills: boolean, targetMs: number, pace: number }
 
 /** What a task does once it runs. */
-export interface Behaviour { resources: Resources, durationMs: number, fails: boolean, gang: string, gangSize: number }
+export interface Behaviour { resources: Resources, durationMs: number, fails: boolean, gang: string, gangSize: number, fills: boolean, targetMs: number }
 
 const LONGEST_LEASE_MS = 6_000
 const GANG_WAIT_MS = 3_000
 
+/** After how long a long-running task is at work. */
+const STARTUP_MS = 500
+
 export class CalledWorkerModel {
   isCut = false
   /** It answers, and nothing that it runs makes progress. */
@@ -84,9 +87,22 @@
     return { outcome: OrderOutcome.done, clockMs: this.clockMs, running, ended: [...this.ended] }
   }
 
-  private describe ({ task, run, interval, durationMs }: Active): RunningRow {
+  pace (task: string, percent: number): OrderAnswer {
+    const active = this.active.get(task)
+    if (active !== undefined) active.pace = percent
+    return { outcome: OrderOutcome.done, clockMs: this.clockMs }
+  }
+
+  /** Tail latency of a serving task here, as a share of its target; each task that fills adds a third. */
+  get tailShare (): number {
+    return [...this.active.values()].reduce((sum, { fills, pace }) => sum + (fills ? pace / 300 : 0), 0.5)
+  }
+
+  private describe ({ task, run, interval, durationMs, targetMs }: Active): RunningRow {
+    const load = Math.round(targetMs * this.tailShare)
+    if (durationMs === Infinity) return { task, run, checkpoint: '', percent: this.time.now - interval.from > STARTUP_MS ? 100 : 0, load }
     const percent = this.isHung ? 0 : Math.min(99, Math.floor((this.time.now - interval.from) * 100 / durationMs))
-    return { task, run, checkpoint: '', percent, load: 0 }
+    return { task, run, checkpoint: '', percent, load }
   }
 
   /** The process of the worker ends. */
@@ -109,11 +125,12 @@
   }
 
   private begin (task: string, run: number): void {
-    const { resources, durationMs, fails, gang, gangSize } = this.behave(task, run)
+    const { resources, durationMs, fails, gang, gangSize, fills, targetMs } = this.behave(task, run)
     const interval: Interval = { task, run, worker: `${this.facts.id}#${this.facts.incarnation}`, from: this.time.now, to: Infinity, how: '', resources }
-    const active: Active = { task, run, interval, gang, durationMs }
+    const active: Active = { task, run, interval, gang, durationMs, fills, targetMs, pace: 100 }
     this.active.set(task, active)
     this.journal.push(interval)
+    if (durationMs === Infinity) return
     if (gang === '') {
       this.time.after(durationMs, () => { if (!this.isHung) this.end(active, fails ? RunEnd.failed : RunEnd.done) })
       return
--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -78,6 +78,7 @@
       bindings: context.bindings,
       localMethods: context.localMethods ?? new Map(),
       orders: context.orders,
+      vms: context.vms,
       offered: context.offered,
       knownControllers: context.knownControllers,
       log: context.log,
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -12,7 +12,7 @@
 } from '@flamingorouter/controllers'
 import type { Binding, CallContext } from '@flamingorouter/rpc'
 import {
-  createClusterState, ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type Scheduler
+  createClusterState, ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type ListedVm, type Scheduler
 } from '@flamingorouter/scheduler'
 import { Calls } from './calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
@@ -23,6 +23,7 @@
 import type { OrderCarrier } from './order-carrier.js'
 import { Proposals } from './proposals.js'
 import type { RuntimeLog } from './runtime-log.js'
+import type { VmService } from './vm-service.js'
 import { Watches } from './watches.js'
 
 /** How long an entry may take to carry commands, in milliseconds. */
@@ -32,6 +33,8 @@
 export interface ControllerHooks {
   /** Carries orders to workers that are called. */
   orders?: OrderCarrier
+  /** Lists VMs and takes them down for upkeep. */
+  vms?: VmService
   /** A controller that is no member would like to be one. */
   offered?: (candidate: MemberCandidate) => void
   /** Controllers that this process knows of while its own log names none. */
@@ -53,7 +56,7 @@
 type AdmissionEffect = Extract<Effect, { kind: 'askAdmission' }>
 
 /** Effects that rest on no decision, and so wait for no commit. */
-const IMMEDIATE_EFFECTS: ReadonlySet<Effect['kind']> = new Set(['askAdmission', 'watchWorker', 'unwatchWorker'])
+const IMMEDIATE_EFFECTS: ReadonlySet<Effect['kind']> = new Set(['askAdmission', 'listVms', 'watchWorker', 'unwatchWorker'])
 
 export class Controller implements ReplicaOwner {
   readonly entries = EntryTable.create()
@@ -333,6 +336,12 @@
       case 'watchWorker':
       case 'unwatchWorker':
       case 'ackEnds': this.options.orders?.carry(effect); return
+      case 'listVms': this.listVms().catch((thrown: unknown) => {
+        this.options.log.error('list_vms_failed', { error: toFailure(thrown).message })
+      }); return
+      case 'orderUpkeep': this.orderUpkeep(effect.wave, effect.vm).catch((thrown: unknown) => {
+        this.options.log.error('order_upkeep_failed', { wave: effect.wave, vm: effect.vm, error: toFailure(thrown).message })
+      }); return
       case 'command': this.execute(effect).catch((thrown: unknown) => {
         this.options.log.error('execute_failed', { target: effect.target, error: toFailure(thrown).message })
       })
@@ -355,6 +364,28 @@
     this.feed({ kind: 'admissionAnswered', entry, stage, workers, tickets, askedAt, isAnswered: answer !== undefined })
   }
 
+  private async listVms (): Promise<void> {
+    const sentAt = clusterNow()
+    let vms: ListedVm[] | undefined
+    try {
+      vms = await this.vmService().list()
+    } catch (thrown) {
+      this.options.log.warn('vms_not_listed', { error: toFailure(thrown).message })
+    }
+    if (this.isLeading) this.feed({ kind: 'vmsListed', vms, sentAt })
+  }
+
+  private async orderUpkeep (wave: number, vm: string): Promise<void> {
+    const { term } = this.replica.status()
+    if (!this.isAuthoritative) return
+    const outcome = await this.vmService().orderUpkeep(wave, vm, term)
+    if (this.isLeading && this.replica.status().term === term) this.feed({ kind: 'upkeepOrdered', wave, vm, outcome })
+  }
+
+  private vmService (): VmService {
+    return this.options.vms ?? fail(ErrorKind.failedPrecondition, 'no VM service is configured')
+  }
+
   private async execute (effect: ExecuteEffect): Promise<void> {
     const { target, address, session, fence, commands } = effect
     const body: ExecuteBody = { target, address, session, fence, commands }
--- a/packages/runtime/src/core/decision-log.ts
+++ b/packages/runtime/src/core/decision-log.ts
@@ -21,6 +21,7 @@
       log.info('admission_answered', { job: stage.slice(0, stage.indexOf('/')), stage, entry, asked: workers.length, granted: tickets.length, askedAt, isAnswered })
       break
     }
+    case 'upkeepOrdered': log.info('upkeep_ordered', { wave: event.wave, vm: event.vm, outcome: event.outcome }); break
     case 'runOrdered': {
       const { id, order, task, run, outcome, sentAt } = event
       if (outcome !== 'done') log.warn('order_not_done', { job: task.slice(0, task.indexOf('/')), worker: id, order, task, run, outcome, sentAt })
@@ -69,6 +70,11 @@
     }
     case 'calledWorkerForgotten': return log.info('worker_forgotten', { worker: decision.id, incarnation: decision.incarnation, change })
     case 'cellConfigured': return log.info('cell_configured', { version: decision.cell.version, queues: decision.cell.queues.length, change })
+    case 'upkeepWaveAccepted': {
+      const { id, vms, cap, durationMs } = decision.wave
+      return log.info('upkeep_wave_accepted', { wave: id, vms: vms.size, cap, durationMs, change })
+    }
+    case 'upkeepPhaseSet': return log.info('upkeep_phase_set', { wave: decision.wave, vm: decision.vm, phase: decision.phase, change })
     case 'occurrenceOpened': return log.info('occurrence_opened', { job: decision.id, occurrence: decision.occurrence, change })
   }
 }
--- /dev/null
+++ b/packages/scheduler/__tests__/upkeep.test.ts
@@ -0,0 +1,150 @@
+/**
+ * Orders for the upkeep of VMs whose answers are lost, scripted event by event.
+ */
+
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import {
+  createClusterState, Scheduler, StagedJobs, StageTaskPhase, UpkeepPhase, type ClusterState, type Event, type StepResult, type UpkeepOutcome
+} from '../src/index.js'
+import { createStage } from './support/stages.js'
+
+const VM = 'vm-1'
+
+class Script {
+  private at = 1_000
+
+  private constructor (readonly scheduler: Scheduler) {}
+
+  static create (state: ClusterState = createClusterState()): Script {
+    const script = new Script(Scheduler.create([StagedJobs.create()], state))
+    script.scheduler.lead(script.at)
+    return script
+  }
+
+  feed (event: Event): StepResult {
+    return this.scheduler.handle(event, this.at)
+  }
+
+  /** Lets ticks pass and answers each question for the list of VMs. */
+  pass (ms: number): string[] {
+    const orders: string[] = []
+    for (const end = this.at + ms; this.at < end; this.at += 100) {
+      const { effects } = this.feed({ kind: 'tick' })
+      for (const effect of effects) {
+        if (effect.kind === 'orderUpkeep') orders.push(effect.vm)
+        if (effect.kind === 'listVms') this.feed({ kind: 'vmsListed', sentAt: this.at, vms: [{ name: VM, isUp: true, worker: 'worker-1' }] })
+      }
+    }
+    return orders
+  }
+
+  addWorker (incarnation: number): void {
+    this.feed({
+      kind: 'workerReported',
+      call: 1,
+      worker: {
+        id: 'worker-1',
+        incarnation,
+        address: '127.0.0.1:1',
+        service: 'work',
+        availabilityZone: 'zone',
+        rack: 'rack',
+        labels: [],
+        capacity: { millicores: 16_000, memoryMib: 65_536, accelerators: 0 },
+        isDraining: false,
+        hasLeft: false
+      }
+    })
+    this.feed({ kind: 'workerListed', id: 'worker-1', incarnation, sentAt: this.at, running: [], ended: [] })
+  }
+
+  answer (outcome: UpkeepOutcome): void {
+    this.feed({ kind: 'upkeepOrdered', wave: 1, vm: VM, outcome })
+  }
+
+  get phase (): UpkeepPhase | undefined {
+    return this.scheduler.state.upkeepWaves.get(1)?.vms.get(VM)
+  }
+
+  startWave (): void {
+    this.feed({ kind: 'startUpkeepWave', call: 2, id: 1, vms: [VM], cap: 1, durationMs: 3_000 })
+  }
+}
+
+describe('an order for upkeep', () => {
+  it('that was not answered keeps its VM counted as down, also when a repeat finds it busy', () => {
+    const script = Script.create()
+    script.startWave()
+    script.pass(1_000)
+    script.answer('unknown')
+    script.answer('busy')
+    assert.equal(script.phase, UpkeepPhase.ordered)
+    assert.deepEqual(script.pass(2_000).length > 0, true)
+  })
+
+  it('that found its VM busy is given anew', () => {
+    const script = Script.create()
+    script.startWave()
+    script.pass(1_000)
+    script.answer('busy')
+    assert.equal(script.phase, UpkeepPhase.waiting)
+    assert.ok(script.pass(2_000).includes(VM))
+  })
+
+  it('of a former leader does not end what the worker runs that came after', () => {
+    const before = Script.create()
+    before.startWave()
+    before.pass(1_000)
+    const { state } = before.scheduler
+    const script = Script.create(state)
+    script.feed({
+      kind: 'configureCell',
+      call: 3,
+      cell: {
+        version: 1,
+        retired: [],
+        services: [{ name: 'work', standby: false }],
+        document: '',
+        queues: [{ name: 'q', host: 'h', pathPrefix: '/q/', service: 'work', priority: 0, attemptLimit: 2, stretch: 2, targetMs: 500, timeoutMs: 1_000 }]
+      }
+    })
+    script.addWorker(2)
+    script.feed({ kind: 'acceptJob', call: 4, host: 'h', path: '/q/job', spec: { payload: '', stages: [createStage({ estimateMs: 60_000 })] } })
+    script.pass(100)
+    const task = state.jobs.get('job')?.occurrences.get(0)?.[0][0]
+    assert.equal(task?.phase, StageTaskPhase.placed)
+    script.pass(1_000)
+    script.answer('done')
+    assert.equal(task?.phase, StageTaskPhase.placed)
+    script.pass(1_500)
+    assert.equal(script.phase, UpkeepPhase.back)
+  })
+
+  it('after which the VM is gone ends with it', () => {
+    const script = Script.create()
+    script.startWave()
+    script.pass(1_000)
+    script.answer('unfit')
+    assert.equal(script.phase, UpkeepPhase.skipped)
+  })
+
+  it('stops all orders of a leader that finds a higher fence', () => {
+    const script = Script.create()
+    script.startWave()
+    script.pass(1_000)
+    script.answer('fenced')
+    assert.deepEqual(script.pass(3_000), [])
+  })
+})
+
+describe('a wave of upkeep that names nothing', () => {
+  for (const [what, wave] of Object.entries({
+    'no VM': { vms: [], cap: 1, durationMs: 1 }, 'no cap': { vms: [VM], cap: 0, durationMs: 1 }, 'no time': { vms: [VM], cap: 1, durationMs: 0 }
+  })) {
+    it(`is refused: ${what}`, () => {
+      const { effects } = Script.create().feed({ kind: 'startUpkeepWave', call: 2, id: 1, ...wave })
+      assert.equal(effects[0].kind, 'refuse')
+    })
+  }
+})
--- a/packages/scheduler/src/core/jobs/apply.ts
+++ b/packages/scheduler/src/core/jobs/apply.ts
@@ -6,6 +6,7 @@
 import type { Decision, DecisionOf } from '../../types/decisions.js'
 import { createOccurrence, JobPhase, StageTaskPhase, type StageTask, type TaskRef } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
+import { isWaveOver } from '../../types/upkeep.js'
 
 export function applyJobDecision (state: ClusterState, decision: Decision): void {
   switch (decision.kind) {
@@ -19,6 +20,8 @@
     case 'runPlaced': return placeRun(state, decision)
     case 'runEnded': return endRun(state, decision)
     case 'runReleased': return releaseRun(state, decision)
+    case 'upkeepWaveAccepted': return acceptWave(state, decision)
+    case 'upkeepPhaseSet': state.upkeepWaves.get(decision.wave)?.vms.set(decision.vm, decision.phase)
   }
 }
 
@@ -81,3 +84,12 @@
   task.phase = StageTaskPhase.waiting
   if (decision.checkpoint !== '') task.checkpoint = decision.checkpoint
 }
+
+function acceptWave (state: ClusterState, { wave, limit }: DecisionOf<'upkeepWaveAccepted'>): void {
+  // A copy, since the decision may still wait to be encoded while the phases change.
+  state.upkeepWaves.set(wave.id, { ...wave, vms: new Map(wave.vms) })
+  for (const [id, held] of state.upkeepWaves) {
+    if (state.upkeepWaves.size <= limit) return
+    if (isWaveOver(held)) state.upkeepWaves.delete(id)
+  }
+}
--- a/packages/scheduler/src/core/jobs/placing.ts
+++ b/packages/scheduler/src/core/jobs/placing.ts
@@ -12,7 +12,7 @@
 import type { Resources } from '../../types/resources.js'
 import { QUESTION_WORKERS, type Tickets } from './tickets.js'
 import type { Unit } from './units.js'
-import { RunStatus, type Run, type WorkerView } from './workers.js'
+import { isServing, RunStatus, type Run, type WorkerView } from './workers.js'
 
 /** Units without room that claim some, in one pass. */
 const CLAIM_LIMIT = 12
@@ -314,9 +314,12 @@
 /** Millicores that a worker whose recent runs all failed is worse by. */
 const FAILURE_PENALTY = 200_000
 
+/** Millicores that a worker whose tasks serve users is worse by for what would disturb them. */
+const SERVING_PENALTY = 500_000
+
 function scoreOf (room: Room, { spec }: Unit, counts: ReadonlyMap<string, number>): number {
   let score = room.free.millicores + FAILURE_PENALTY * room.view.failureRate
-  if (spec.fills) score = -room.free.millicores
+  if (spec.fills) score = (isServing(room.view) ? SERVING_PENALTY : 0) - room.free.millicores
   if (room.isClaimed && !spec.gang) score += CLAIMED_PENALTY
   if (spec.dataRack !== '' && room.view.worker.rack !== spec.dataRack) score += FAR_PENALTY
   if (spec.rackLocal && counts.size > 0 && !counts.has(room.view.id)) score += FAR_PENALTY / 2
--- a/packages/scheduler/src/core/jobs/runs.ts
+++ b/packages/scheduler/src/core/jobs/runs.ts
@@ -8,16 +8,17 @@
 import type { EndedRow, EventOf, RunningRow } from '../../types/events.js'
 import { OrderOutcome, RunEnd } from '../../types/events.js'
 import {
-  formatTaskRef, isLiveJob, parseTaskRef, StageTaskPhase, type CalledWorker, type StagedJob, type StageTask, type TaskRef
+  formatTaskRef, isLiveJob, parseTaskRef, StageTaskPhase, stageKey, type CalledWorker, type StagedJob, type StageTask, type TaskRef
 } from '../../types/jobs.js'
 import { NO_RESOURCES } from '../../types/resources.js'
 import type { ClusterState } from '../../types/state.js'
 import type { Step } from '../step.js'
 import { findStageTask } from './apply.js'
+import { FIRST_PACE, paceWorker } from './pacing.js'
 import { isStill, isStuck } from './progress.js'
 import { expectedMs, findQueue } from './queues.js'
 import type { Unit } from './units.js'
-import { createOrphan, createRun, RunStatus, WorkerView, type Run } from './workers.js'
+import { createOrphan, createRun, isServing, RunStatus, WorkerView, type Run } from './workers.js'
 
 /** Pause before an order without an answer is sent again, in milliseconds. */
 const REPEAT_MS = 150
@@ -25,6 +26,9 @@
 /** How long a start may go without any answer before the run is stopped instead, in milliseconds: all its repeats. */
 const START_PATIENCE_MS = 4_000
 
+/** Percent that a long-running task tells once it is at work. */
+const AT_WORK_PERCENT = 100
+
 /** How long a worker gets no new work after it refused a start, in milliseconds. */
 const AVOID_MS = { noRoom: 300, unhealthy: 2_000, stuck: 3_000 } as const
 
@@ -48,6 +52,14 @@
  */
 const UNREACHED_LAPSE_MS = 9_000
 
+/** A step on one worker whose tasks serve and may not all be away. */
+interface ServingStep {
+  /** Its tasks on the worker. */
+  refs: TaskRef[]
+  budget: number
+  awayElsewhere: number
+}
+
 export class Runs {
   readonly views = new Map<string, WorkerView>()
   /** Mean run time of the tasks of a queue in milliseconds, as far as it was seen. */
@@ -106,6 +118,48 @@
     this.orderStop(step, view, run)
   }
 
+  /** Stops what loses nothing by it. */
+  stopPreemptible (step: Step, view: WorkerView, reason: string): void {
+    for (const run of [...view.runs.values()]) {
+      if (run.isPreemptible && run.status === RunStatus.running) this.stop(step, view, run, reason)
+    }
+  }
+
+  /** True when no step misses more serving tasks than it may, once all that runs on a worker is gone. */
+  mayTakeDown (step: Step, view: WorkerView): boolean {
+    return this.servingOn(step, view).every(({ refs, budget, awayElsewhere }) => awayElsewhere + refs.length <= budget)
+  }
+
+  /** Moves one task of a step that has more on a worker than may be away at once. */
+  thinOut (step: Step, view: WorkerView): void {
+    for (const { refs, budget, awayElsewhere } of this.servingOn(step, view)) {
+      if (refs.length <= budget || awayElsewhere > 0) continue
+      const run = view.runs.get(formatTaskRef(refs[0]))
+      if (run !== undefined) this.stop(step, view, run, 'its VM goes down for upkeep, and others of its step with it')
+    }
+  }
+
+  /** The steps with a disruption budget that have tasks on a worker, and how many of their other tasks are away. */
+  private servingOn (step: Step, view: WorkerView): ServingStep[] {
+    const steps = new Map<string, TaskRef[]>()
+    for (const { ref, isOrphan } of view.runs.values()) {
+      const budget = step.state.jobs.get(ref.job)?.spec.stages[ref.stage]?.disruptionBudget ?? 0
+      if (budget > 0 && !isOrphan) steps.set(stageKey(ref), [...steps.get(stageKey(ref)) ?? [], ref])
+    }
+    return [...steps.values()].map(refs => {
+      const [{ job, occurrence, stage }] = refs
+      const tasks = step.state.jobs.get(job)?.occurrences.get(occurrence)?.[stage] ?? []
+      const isAway = (task: StageTask, index: number): boolean => task.worker !== view.id && !this.isAtWork(task, { job, occurrence, stage, index })
+      return { refs, budget: step.state.jobs.get(job)?.spec.stages[stage]?.disruptionBudget ?? 0, awayElsewhere: tasks.filter(isAway).length }
+    })
+  }
+
+  private isAtWork (task: StageTask, ref: TaskRef): boolean {
+    const view = this.views.get(task.worker)
+    const run = view?.runs.get(formatTaskRef(ref))
+    return view?.isGoingDown === false && run?.status === RunStatus.running && run.percent === AT_WORK_PERCENT
+  }
+
   /** Stops what runs, or may run, of a job. */
   stopJob (step: Step, job: string): void {
     const stages = step.state.jobs.get(job)?.occurrences ?? new Map()
@@ -161,6 +215,7 @@
     for (const run of [...view.runs.values()]) {
       if (!listed.has(run.task)) this.takeMissing(step, view, run, event.sentAt)
     }
+    paceWorker(step, view)
     if (view.cursor > 0 && event.ended.length > 0) {
       step.effects.push({ kind: 'ackEnds', id: event.id, incarnation: event.incarnation, cursor: view.cursor })
     }
@@ -178,6 +233,12 @@
     if (event.outcome === OrderOutcome.replaced) return this.lapse(step, event.id, event.incarnation, 'another worker answers at its address')
     if (event.order === 'stop') return this.stopAnswered(step, view, run, event.outcome)
     if (run.status === RunStatus.starting) this.startAnswered(step, view, run, event.outcome)
+    if (run.fills && run.status === RunStatus.running && isServing(view)) this.pace(step, view, run, FIRST_PACE)
+  }
+
+  private pace (step: Step, view: WorkerView, run: Run, percent: number): void {
+    run.pace = percent
+    step.effects.push({ kind: 'paceRun', worker: view.worker, task: run.task, run: run.run, percent })
   }
 
   /** Nothing of an incarnation runs any more. */
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -18,6 +18,7 @@
 import { Runs } from './runs.js'
 import { Tickets } from './tickets.js'
 import { dueAt, UnitBook } from './units.js'
+import { Upkeep } from './upkeep.js'
 
 /** How long the phase of a closed job is kept, in milliseconds of cluster time. */
 const KEEP_CLOSED_MS = 300_000
@@ -40,10 +41,12 @@
 export class StagedJobs extends Part {
   readonly handles = [
     'acceptJob', 'readJob', 'cancelJob', 'configureCell', 'readCell', 'workerReported', 'workerLeft', 'workerListed',
-    'workerSilent', 'workerLapsed', 'runOrdered', 'admissionAnswered', 'advisorsChanged'
+    'workerSilent', 'workerLapsed', 'runOrdered', 'admissionAnswered', 'advisorsChanged', 'startUpkeepWave', 'readUpkeepWave',
+    'vmsListed', 'upkeepOrdered'
   ] as const
 
   private readonly runs = Runs.create()
+  private readonly upkeep = Upkeep.create(this.runs)
   private readonly units = UnitBook.create()
   private readonly tickets = Tickets.create()
   /** Jobs that changed in this step. */
@@ -62,6 +65,7 @@
 
   reset (state: ClusterState, now: number): void {
     this.runs.reset(state, now)
+    this.upkeep.reset(now)
     this.units.clear()
     this.tickets.clear()
     this.changed.clear()
@@ -90,6 +94,10 @@
         return
       case 'runOrdered': return this.ordered(event, step)
       case 'admissionAnswered': return this.admitted(event, step)
+      case 'startUpkeepWave': return this.upkeep.startWave(event, step)
+      case 'readUpkeepWave': return this.upkeep.readWave(event, step)
+      case 'vmsListed': return this.upkeep.listed(event)
+      case 'upkeepOrdered': return this.upkeep.ordered(event, step)
       case 'advisorsChanged':
         this.tickets.setEntries(event.entries)
         this.isPassDue = true
@@ -110,6 +118,7 @@
 
   override tick (step: Step): void {
     this.runs.tick(step)
+    this.upkeep.tick(step)
     this.openDue(step)
     this.forgetClosed(step)
     if (step.now - this.passedAt >= IDLE_PASS_MS) this.isPassDue = true
--- a/packages/scheduler/src/core/jobs/workers.ts
+++ b/packages/scheduler/src/core/jobs/workers.ts
@@ -6,6 +6,7 @@
 
 import { parseTaskRef, type CalledWorker, type StageSpec, type TaskRef } from '../../types/jobs.js'
 import type { Resources } from '../../types/resources.js'
+import { FULL_PACE } from './pacing.js'
 import type { Progress } from './progress.js'
 
 export const RunStatus = Object.freeze({
@@ -43,6 +44,10 @@
   /** Where its speed is counted from; undefined before the worker listed it. */
   progress: Progress | undefined
   load: number
+  /** Tail latency that it must stay below as it serves, in milliseconds; 0 when it serves nobody. */
+  targetMs: number
+  /** Share of its speed at which it may work, in percent. */
+  pace: number
   checkpoint: string
   /** Why it is being stopped. */
   stopReason: string
@@ -61,6 +66,10 @@
   isSilent = false
   /** The highest number of an end that was taken in. */
   cursor = 0
+  /** Its VM goes down next: it gets no new work. */
+  isEvacuating = false
+  /** The order to take its VM down may be on its way. */
+  isGoingDown = false
   /** Cluster time before which it gets no new work. */
   avoidUntil = 0
   /** Share of recent runs that failed here, 0 to 1. */
@@ -92,7 +101,7 @@
   }
 
   takesWork (now: number): boolean {
-    return this.isFenced && !this.isSilent && !this.worker.isDraining && now >= this.avoidUntil
+    return this.isFenced && !this.isSilent && !this.isEvacuating && !this.worker.isDraining && now >= this.avoidUntil
   }
 
   add (run: Run): void {
@@ -137,6 +146,8 @@
     percent: 0,
     progress: undefined,
     load: 0,
+    targetMs: stage.targetMs,
+    pace: FULL_PACE,
     checkpoint: '',
     stopReason: '',
     isResumed: false,
@@ -166,6 +177,8 @@
     percent: 0,
     progress: undefined,
     load: 0,
+    targetMs: 0,
+    pace: FULL_PACE,
     checkpoint: '',
     stopReason: '',
     isResumed: false,
@@ -173,3 +186,11 @@
     isOrphan: true
   }
 }
+
+/** True when a task on the worker serves users under a target. */
+export function isServing (view: WorkerView): boolean {
+  for (const run of view.runs.values()) {
+    if (run.targetMs > 0 && !run.fills) return true
+  }
+  return false
+}
--- a/packages/scheduler/src/types/answers.ts
+++ b/packages/scheduler/src/types/answers.ts
@@ -20,6 +20,7 @@
   | { kind: 'job', phase: JobPhase | undefined, isStarted: boolean }
   | { kind: 'jobsWaiting', count: number }
   | { kind: 'cell', version: number, document: string }
+  | { kind: 'upkeepWave', isKnown: boolean, isOver: boolean }
   | { kind: 'workerKnown' }
 
 export interface Constraint { name: string, failingVms: number, detail: string }
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -9,6 +9,7 @@
 import type { EntryState, RequestState, Outcome } from './requests.js'
 import type { TargetPhase, TargetState } from './targets.js'
 import type { EndCause, TaskPhase, WorkloadSpec } from './workloads.js'
+import type { UpkeepPhase, UpkeepWave } from './upkeep.js'
 
 export type Decision =
   | { kind: 'workloadApplied', id: string, owner: string, spec: WorkloadSpec, version: number, at: number }
@@ -51,6 +52,9 @@
   | { kind: 'cellConfigured', cell: CellConfiguration }
   | { kind: 'calledWorkerKnown', worker: CalledWorker }
   | { kind: 'calledWorkerForgotten', id: string, incarnation: number }
+  /** The oldest waves that are over are dropped beyond `limit`. */
+  | { kind: 'upkeepWaveAccepted', wave: UpkeepWave, limit: number }
+  | { kind: 'upkeepPhaseSet', wave: number, vm: string, phase: UpkeepPhase }
   | { kind: 'jobAccepted', id: string, queue: string, spec: JobSpec, at: number }
   | { kind: 'jobClosed', id: string, phase: JobPhase, at: number }
   | { kind: 'jobForgotten', id: string }
--- a/packages/scheduler/src/types/effects.ts
+++ b/packages/scheduler/src/types/effects.ts
@@ -27,6 +27,10 @@
   | { kind: 'unwatchWorker', id: string, incarnation: number }
   /** Ends up to a number are in the log; the worker may forget them. */
   | { kind: 'ackEnds', id: string, incarnation: number, cursor: number }
+  /** Ask the VM service which VMs there are and whether they are up. */
+  | { kind: 'listVms' }
+  /** Have a VM taken down for its upkeep; a repeat is carried out once. */
+  | { kind: 'orderUpkeep', wave: number, vm: string }
   /** Ask the external admission service, by way of an entry. */
   | { kind: 'askAdmission', entry: string, stage: string, workers: string[], timeoutMs: number }
   | { kind: 'command', entry: string, target: string, address: string, session: string, fence: number, commands: Command[] }
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -10,6 +10,7 @@
 import type { Failure } from '../utils/errors.js'
 import type { TargetKind } from './targets.js'
 import type { WorkloadSpec } from './workloads.js'
+import type { ListedVm, UpkeepOutcome } from './upkeep.js'
 
 /** Identifies a change that an actor may send again after a lost answer. */
 export interface ChangeOrigin {
@@ -85,6 +86,11 @@
   | { kind: 'cancelJob', call: number, host: string, path: string }
   | { kind: 'configureCell', call: number, cell: CellConfiguration }
   | { kind: 'readCell', call: number }
+  | { kind: 'startUpkeepWave', call: number, id: number, vms: string[], cap: number, durationMs: number }
+  | { kind: 'readUpkeepWave', call: number, id: number }
+  /** The VMs as they were after `sentAt`, in cluster time; undefined when the VM service did not answer. */
+  | { kind: 'vmsListed', vms: ListedVm[] | undefined, sentAt: number }
+  | { kind: 'upkeepOrdered', wave: number, vm: string, outcome: UpkeepOutcome }
   /** A worker that is called told of itself. */
   | { kind: 'workerReported', call: number, worker: CalledWorker }
   | { kind: 'workerLeft', call: number, id: string, incarnation: number }
--- a/packages/scheduler/src/types/state.ts
+++ b/packages/scheduler/src/types/state.ts
@@ -7,6 +7,7 @@
 import type { AnsweredChange, AuditEntry, DocumentState, PolicyState, TeamState } from './configuration.js'
 import type { CalledWorker, CellConfiguration, StagedJob } from './jobs.js'
 import type { EntryState, RequestState } from './requests.js'
+import type { UpkeepWave } from './upkeep.js'
 import type { TargetState } from './targets.js'
 import type { WorkloadState } from './workloads.js'
 
@@ -49,6 +50,8 @@
   /** Workers that the leader calls, by id. */
   calledWorkers: Map<string, CalledWorker>
   cell: CellConfiguration | undefined
+  /** Waves of upkeep by number, oldest first. */
+  upkeepWaves: Map<number, UpkeepWave>
 }
 
 export function createClusterState (): ClusterState {
@@ -75,6 +78,7 @@
     auditNumber: 0,
     jobs: new Map(),
     calledWorkers: new Map(),
-    cell: undefined
+    cell: undefined,
+    upkeepWaves: new Map()
   }
 }
