--- /dev/null
+++ b/packages/runtime/src/core/directory.ts
@@ -0,0 +1,33 @@
+/**
+ * Tells other processes which controllers there are, in a process that serves
+ * operators and workers but keeps no state: one on a VM without a disk.
+ */
+
+import { InternalMethod, LinkServer, parseAddress, type CallFrame, type HelloFrame, type Link, type MembersAnswer } from '@flamingorouter/controllers'
+import { ErrorKind, fail } from '@flamingorouter/scheduler'
+import type { LeaderClient } from './leader-client.js'
+import type { RuntimeLog } from './runtime-log.js'
+
+export class Directory {
+  private constructor (private readonly server: LinkServer) {}
+
+  /** Listens on host:port with what the way to the leader has learnt. */
+  static async start (hello: HelloFrame, listen: string, leader: LeaderClient, log: RuntimeLog): Promise<Directory> {
+    const server = LinkServer.create(hello, {
+      opened: () => {},
+      called: async (_link: Link, { method }: CallFrame): Promise<MembersAnswer> => {
+        if (method !== InternalMethod.members) fail(ErrorKind.notLeader, 'this process keeps no state')
+        return { controllers: leader.controllers }
+      },
+      replication: () => {},
+      notice: () => {},
+      closed: (link, reason) => { if (link.peer !== undefined) log.warn('peer_lost', { peer: link.peer.process, role: link.peer.role, reason }) }
+    })
+    await server.listen(parseAddress(listen))
+    return new Directory(server)
+  }
+
+  close (): void {
+    this.server.close()
+  }
+}
