Order units by when they must start, and split the runs module

Change: a unit knows the time that its job takes from here to the end; it is due when it must start for that. What a worker tells of itself and the steps that serve have modules of their own (reports.ts, serving.ts).

--- a/packages/scheduler/__tests__/staged-jobs.test.ts
+++ b/packages/scheduler/__tests__/staged-jobs.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import {
-  chainMs, findRoute, isStuck, PlacementPass, Scheduler, sortUnits, StagedJobs, Tickets, WorkerView, createRun,
+  chainMs, findRoute, isStuck, remainingMs, PlacementPass, Scheduler, sortUnits, StagedJobs, Tickets, WorkerView, createRun,
   type Answer, type CalledWorker, type CellConfiguration, type Event, type JobQueue, type StageSpec, type Unit
 } from '../src/index.js'
 import { createStage } from './support/stages.js'
@@ -29,6 +29,7 @@
     queue: createQueue(),
     objectiveAt: 10_000,
     worthlessAt: 30_000,
+    remainingMs: spec.estimateMs,
     waiting: Array.from({ length: spec.taskCount }, (_, index) => index),
     placedOn: new Map(),
     ...unit
@@ -82,6 +83,7 @@
   describe('the objective', () => {
     it('counts the longest chain and one question for each stage', () => {
       const spec = { payload: '', stages: [createStage({ estimateMs: 1_000 }), createStage({ estimateMs: 500, dependsOn: [0] }), createStage({ estimateMs: 100 })] }
+      assert.equal(remainingMs(spec, createQueue(), undefined, 1), 500)
       assert.equal(chainMs(spec, createQueue({ admission: { decideMs: 10, perWorkerMs: 1, validMs: 1 } }), undefined), 1_580)
     })
   })
@@ -95,6 +97,13 @@
       assert.deepEqual(sortUnits([late, later, soon, urgent], 1_000).map(({ key }) => key), ['urgent', 'soon', 'later', 'late'])
     })
 
+    it('puts the stage first that must start first for the rest of its job to end in time', () => {
+      const short = createUnit({ key: 'short', objectiveAt: 8_000, remainingMs: 500 })
+      const long = createUnit({ key: 'long', objectiveAt: 9_000, remainingMs: 4_000 })
+      const hopeless = createUnit({ key: 'hopeless', objectiveAt: 9_000, remainingMs: 8_500 })
+      assert.deepEqual(sortUnits([hopeless, short, long], 1_000).map(({ key }) => key), ['long', 'short', 'hopeless'])
+    })
+
     it('puts late work before work that is two ranks less urgent, and worthless work last', () => {
       const late = createUnit({ key: 'late', queue: createQueue({ priority: 0 }), objectiveAt: 900 })
       const bulk = createUnit({ key: 'bulk', queue: createQueue({ priority: 2 }) })
--- a/packages/scheduler/src/core/jobs/placing.ts
+++ b/packages/scheduler/src/core/jobs/placing.ts
@@ -10,6 +10,7 @@
  */
 
 import type { Resources } from '../../types/resources.js'
+import { isInTime } from './order.js'
 import { QUESTION_WORKERS, type Tickets } from './tickets.js'
 import type { Unit } from './units.js'
 import { isServing, RunStatus, type Run, type WorkerView } from './workers.js'
@@ -134,7 +135,7 @@
     const allowed = isKnown ? rooms.filter(room => this.tickets.isGranted(unit.key, room.view.id)) : rooms
     const counts = new Map(unit.placedOn)
     for (let count = 0; count < missing; count++) {
-      const mayPreempt = this.now + unit.spec.estimateMs < unit.objectiveAt
+      const mayPreempt = isInTime(unit, this.now)
       const room = this.findClaim(unit, allowed, counts) ?? (mayPreempt ? this.preemptFor(unit, allowed, counts) : undefined)
       if (room === undefined) {
         if (unit.spec.gang || isLarge(unit)) this.claimAnyway(unit, allowed, missing - count, waitsFor)
--- a/packages/scheduler/src/core/jobs/queues.ts
+++ b/packages/scheduler/src/core/jobs/queues.ts
@@ -31,14 +31,24 @@
 
 /** Time of the longest chain of stages in milliseconds, by declared or learnt times of one task. */
 export function chainMs (spec: JobSpec, queue: JobQueue, learntMs: number | undefined): number {
-  const ends: number[] = []
+  return Math.max(0, ...spec.stages.map((_stage, index) => remainingMs(spec, queue, learntMs, index)))
+}
+
+/** Time of the longest chain that begins with a stage, in milliseconds. */
+export function remainingMs (spec: JobSpec, queue: JobQueue, learntMs: number | undefined, first: number): number {
   const { admission } = queue
   const askMs = admission === undefined ? 0 : admission.decideMs + OBJECTIVE_WORKERS * admission.perWorkerMs
-  for (const stage of spec.stages) {
-    const begin = Math.max(0, ...stage.dependsOn.map(index => ends[index] ?? 0))
-    ends.push(begin + askMs + expectedMs(stage.estimateMs, learntMs))
+  // Stages depend on earlier ones only, so one sweep finds the end of each.
+  const ends: Array<number | undefined> = []
+  let longest = 0
+  for (const [index, { dependsOn, estimateMs }] of spec.stages.entries()) {
+    const before = dependsOn.flatMap(stage => ends[stage] ?? [])
+    if (index !== first && before.length === 0) continue
+    const end = Math.max(0, ...before) + askMs + expectedMs(estimateMs, learntMs)
+    ends[index] = end
+    longest = Math.max(longest, end)
   }
-  return Math.max(0, ...ends)
+  return longest
 }
 
 /** Declared times are far off, so the mean of the queue counts as much. */
--- a/packages/scheduler/src/core/jobs/runs.ts
+++ b/packages/scheduler/src/core/jobs/runs.ts
@@ -8,7 +8,7 @@
 import type { EndedRow, EventOf, RunningRow } from '../../types/events.js'
 import { OrderOutcome, RunEnd } from '../../types/events.js'
 import {
-  formatTaskRef, isLiveJob, parseTaskRef, StageTaskPhase, stageKey, type CalledWorker, type StagedJob, type StageTask, type TaskRef
+  formatTaskRef, isLiveJob, parseTaskRef, StageTaskPhase, type CalledWorker, type StagedJob, type StageTask, type TaskRef
 } from '../../types/jobs.js'
 import { NO_RESOURCES } from '../../types/resources.js'
 import type { ClusterState } from '../../types/state.js'
@@ -16,6 +16,8 @@
 import { findStageTask } from './apply.js'
 import { FIRST_PACE, paceWorker } from './pacing.js'
 import { isStill, isStuck } from './progress.js'
+import { isSameReport, mergeReport } from './reports.js'
+import { listServingSteps } from './serving.js'
 import { expectedMs, findQueue } from './queues.js'
 import type { Unit } from './units.js'
 import { createOrphan, createRun, isServing, RunStatus, WorkerView, type Run } from './workers.js'
@@ -26,9 +28,6 @@
 /** How long a start may go without any answer before the run is stopped instead, in milliseconds: all its repeats. */
 const START_PATIENCE_MS = 4_000
 
-/** Percent that a long-running task tells once it is at work. */
-const AT_WORK_PERCENT = 100
-
 /** How long a worker gets no new work after it refused a start, in milliseconds. */
 const AVOID_MS = { noRoom: 300, unhealthy: 2_000, stuck: 3_000 } as const
 
@@ -52,14 +51,6 @@
  */
 const UNREACHED_LAPSE_MS = 9_000
 
-/** A step on one worker whose tasks serve and may not all be away. */
-interface ServingStep {
-  /** Its tasks on the worker. */
-  refs: TaskRef[]
-  budget: number
-  awayElsewhere: number
-}
-
 export class Runs {
   readonly views = new Map<string, WorkerView>()
   /** Mean run time of the tasks of a queue in milliseconds, as far as it was seen. */
@@ -125,41 +116,15 @@
     }
   }
 
-  /** True when no step misses more serving tasks than it may, once all that runs on a worker is gone. */
-  mayTakeDown (step: Step, view: WorkerView): boolean {
-    return this.servingOn(step, view).every(({ refs, budget, awayElsewhere }) => awayElsewhere + refs.length <= budget)
-  }
-
-  /** Moves one task of a step that has more on a worker than may be away at once. */
+  /** Moves one task of each step that has more on a worker than may be away at once. */
   thinOut (step: Step, view: WorkerView): void {
-    for (const { refs, budget, awayElsewhere } of this.servingOn(step, view)) {
-      if (refs.length <= budget || awayElsewhere > 0) continue
+    for (const { refs, budget, awayElsewhere } of listServingSteps(step.state, this.views, view)) {
       const run = view.runs.get(formatTaskRef(refs[0]))
-      if (run !== undefined) this.stop(step, view, run, 'its VM goes down for upkeep, and others of its step with it')
+      if (refs.length <= budget || awayElsewhere > 0 || run === undefined) continue
+      this.stop(step, view, run, 'its VM goes down for upkeep, and others of its step with it')
     }
   }
 
-  /** The steps with a disruption budget that have tasks on a worker, and how many of their other tasks are away. */
-  private servingOn (step: Step, view: WorkerView): ServingStep[] {
-    const steps = new Map<string, TaskRef[]>()
-    for (const { ref, isOrphan } of view.runs.values()) {
-      const budget = step.state.jobs.get(ref.job)?.spec.stages[ref.stage]?.disruptionBudget ?? 0
-      if (budget > 0 && !isOrphan) steps.set(stageKey(ref), [...steps.get(stageKey(ref)) ?? [], ref])
-    }
-    return [...steps.values()].map(refs => {
-      const [{ job, occurrence, stage }] = refs
-      const tasks = step.state.jobs.get(job)?.occurrences.get(occurrence)?.[stage] ?? []
-      const isAway = (task: StageTask, index: number): boolean => task.worker !== view.id && !this.isAtWork(task, { job, occurrence, stage, index })
-      return { refs, budget: step.state.jobs.get(job)?.spec.stages[stage]?.disruptionBudget ?? 0, awayElsewhere: tasks.filter(isAway).length }
-    })
-  }
-
-  private isAtWork (task: StageTask, ref: TaskRef): boolean {
-    const view = this.views.get(task.worker)
-    const run = view?.runs.get(formatTaskRef(ref))
-    return view?.isGoingDown === false && run?.status === RunStatus.running && run.percent === AT_WORK_PERCENT
-  }
-
   /** Stops what runs, or may run, of a job. */
   stopJob (step: Step, job: string): void {
     const stages = step.state.jobs.get(job)?.occurrences ?? new Map()
@@ -503,18 +468,6 @@
   return one.job === other.job && one.occurrence === other.occurrence && one.stage === other.stage
 }
 
-/** A worker that drains, or left, does so for the rest of its incarnation: what says otherwise was sent before. */
-function mergeReport (known: CalledWorker | undefined, told: CalledWorker): CalledWorker {
-  if (known === undefined || known.incarnation !== told.incarnation) return told
-  return { ...told, isDraining: known.isDraining || told.isDraining, hasLeft: known.hasLeft || told.hasLeft }
-}
-
-function isSameReport (one: CalledWorker, other: CalledWorker): boolean {
-  return one.isDraining === other.isDraining && one.hasLeft === other.hasLeft && one.address === other.address && one.service === other.service &&
-    one.capacity.millicores === other.capacity.millicores && one.capacity.memoryMib === other.capacity.memoryMib &&
-    one.capacity.accelerators === other.capacity.accelerators && one.labels.join() === other.labels.join()
-}
-
 function createUnknownWorker (id: string, task: StageTask): CalledWorker {
   return {
     id,
--- a/packages/scheduler/src/core/jobs/units.ts
+++ b/packages/scheduler/src/core/jobs/units.ts
@@ -6,7 +6,7 @@
 import {
   isLiveJob, StageTaskPhase, stageKey, type CellConfiguration, type Occurrence, type JobQueue, type StagedJob, type StageSpec
 } from '../../types/jobs.js'
-import { chainMs, findQueue } from './queues.js'
+import { chainMs, findQueue, remainingMs } from './queues.js'
 
 /** Times the objective after which the end of a job is worth nothing to its caller. */
 const WORTHLESS_AFTER = 3
@@ -21,6 +21,8 @@
   queue: JobQueue
   /** Cluster time at which the objective of the job is missed. */
   objectiveAt: number
+  /** Time that the job takes from the start of this stage to its end, in milliseconds. */
+  remainingMs: number
   /** Cluster time at which its end is worth nothing any more. */
   worthlessAt: number
   /** Indexes of the tasks that wait. */
@@ -108,6 +110,7 @@
     queue,
     objectiveAt: begin + objectiveMs,
     worthlessAt: begin + WORTHLESS_AFTER * objectiveMs,
+    remainingMs: remainingMs(job.spec, queue, learntMs, stage),
     waiting,
     placedOn
   }
--- a/packages/scheduler/src/core/jobs/upkeep.ts
+++ b/packages/scheduler/src/core/jobs/upkeep.ts
@@ -11,6 +11,7 @@
 import { ErrorKind } from '../../utils/errors.js'
 import type { Step } from '../step.js'
 import type { Runs } from './runs.js'
+import { mayTakeDown } from './serving.js'
 import type { WorkerView } from './workers.js'
 
 /** Time between two readings of the list of VMs while a wave is on, in milliseconds; each reading has a price. */
@@ -183,7 +184,7 @@
     if (!isEmpty && step.now < downAt) return
     const down = [...wave.vms.values()].filter(phase => phase === UpkeepPhase.ordered || phase === UpkeepPhase.begun).length
     if (down >= wave.cap) return
-    if (view !== undefined && !this.runs.mayTakeDown(step, view)) return this.runs.thinOut(step, view)
+    if (view !== undefined && !mayTakeDown(step.state, this.runs.views, view)) return this.runs.thinOut(step, view)
     if (view !== undefined) view.isGoingDown = true
     this.setPhase(step, wave.id, vm, UpkeepPhase.ordered)
     this.order(step, wave.id, vm)
