--- a/packages/scheduler/__tests__/staged-jobs.test.ts
+++ b/packages/scheduler/__tests__/staged-jobs.test.ts
@@ -254,4 +254,24 @@
       assert.equal(ask({ kind: 'acceptJob', ...at, spec: { payload: '', stages: [createStage({ dependsOn: [0] })] } }), 'invalidArgument')
     })
   })
+
+  describe('tickets that took long to get', () => {
+    it('are used for as long as they are valid since the answer', () => {
+      const scheduler = Scheduler.create([StagedJobs.create()])
+      scheduler.lead(0)
+      const queue = createQueue({ admission: { decideMs: 600, perWorkerMs: 6, validMs: 2_500 } })
+      scheduler.handle({ kind: 'configureCell', call: 1, cell: { version: 1, queues: [queue], retired: [], services: [], document: '' } }, 0)
+      scheduler.handle({ kind: 'advisorsChanged', entries: ['entry'] }, 0)
+      const { worker } = createView('one')
+      scheduler.handle({ kind: 'workerReported', call: 2, worker }, 0)
+      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [] }, 0)
+      const stage = createStage({ resources: { millicores: 16_000, memoryMib: 1_024, accelerators: 0 }, estimateMs: 3_000 })
+      scheduler.handle({ kind: 'acceptJob', call: 3, host: 'jobs.example', path: '/q/job', spec: { payload: '', stages: [stage] } }, 0)
+      scheduler.handle({ kind: 'workerSilent', id: 'one', incarnation: 1 }, 600)
+      const tickets = [{ worker: 'one', ticket: 'ticket' }]
+      scheduler.handle({ kind: 'admissionAnswered', entry: 'entry', stage: 'job/0/0', workers: ['one'], tickets, askedAt: 0, isAnswered: true }, 1_200)
+      const { effects } = scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 3_000, running: [], ended: [] }, 3_000)
+      assert.deepEqual(effects.map(({ kind }) => kind), ['startRun'])
+    })
+  })
 })
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -162,7 +162,8 @@
     this.isPassDue = true
     if (!event.isAnswered) return this.tickets.failed(event.stage, event.entry, step.now)
     const validMs = this.units.get(event.stage)?.queue.admission?.validMs ?? 0
-    this.tickets.answered(event.stage, event.entry, event.workers, event.tickets, event.askedAt + validMs)
+    // The service issues tickets as it answers; a question on many workers takes half of their time.
+    this.tickets.answered(event.stage, event.entry, event.workers, event.tickets, step.now + validMs)
   }
 
   /** Closes a job whose tasks have all ended or one of which is given up; brings its units up to date. */
