--- a/features/steps/cell.ts
+++ b/features/steps/cell.ts
@@ -39,10 +39,6 @@
 
 After(async function (this: CellWorld, { result }) {
   const faults = this.findFaults()
-  await Promise.all(this.workers.map(worker => worker.stop()))
-  await Promise.all(this.runners.map(runner => runner.die()))
-  await Promise.all([...this.targetProxies.values()].map(proxy => proxy.close()))
-  await this.client.destroy()
-  await this.cell?.close()
+  await this.close()
   if (result?.status === Status.PASSED) assert.deepEqual(faults, [])
 })
--- a/features/steps/targets.ts
+++ b/features/steps/targets.ts
@@ -5,7 +5,8 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { waitFor } from '../support/real-cell.js'
-import { SLOTS, type CellWorld } from '../support/world.js'
+import { SLOTS } from '../support/cell-bench.js'
+import type { CellWorld } from '../support/world.js'
 
 const STOP_TIMEOUT_MS = 10_000
 
