Tell each second how full the cell is and what waits

On-call could not tell a job that waited with room free from one that waited for room. The leader now writes one cell_load line a second: workers, room, what is placed, and tasks placed and waiting by queue.

--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -12,7 +12,7 @@
 } from '@flamingorouter/controllers'
 import type { Binding, CallContext } from '@flamingorouter/rpc'
 import {
-  createClusterState, ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type ListedVm, type Scheduler
+  createClusterState, ErrorKind, fail, summarizeLoad, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type ListedVm, type Scheduler
 } from '@flamingorouter/scheduler'
 import { Calls } from './calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
@@ -26,6 +26,9 @@
 import type { VmService } from './vm-service.js'
 import { Watches } from './watches.js'
 
+/** Time between two lines on how full the cell is, in milliseconds. */
+const LOAD_REPORT_MS = 1_000
+
 /** How long an entry may take to carry commands, in milliseconds. */
 const EXECUTE_TIMEOUT_MS = 2_000
 
@@ -62,6 +65,8 @@
   readonly entries = EntryTable.create()
   private attached: { replica: Replica, proposals: Proposals } | undefined
   private readonly calls = Calls.create()
+  /** Monotonic time of the last line on how full the cell is. */
+  private loadReportedAt = -Infinity
   private readonly watches = Watches.create()
   private readonly bindings = new Map<string, Binding>()
   private readonly links = new Map<string, Link>()
@@ -139,6 +144,15 @@
     this.entries.sweep(monotonicNow())
     this.tellAdvisors()
     this.watches.check(this.state)
+    this.reportLoad()
+  }
+
+  private reportLoad (): void {
+    const now = monotonicNow()
+    if (this.state.calledWorkers.size === 0 || now - this.loadReportedAt < LOAD_REPORT_MS) return
+    this.loadReportedAt = now
+    const { placed, waiting, ...room } = summarizeLoad(this.state)
+    this.options.log.info('cell_load', { ...room, placed: formatCounts(placed), waiting: formatCounts(waiting), change: this.state.change })
   }
 
   // What the replica tells.
@@ -406,3 +420,7 @@
   // A snapshot of an earlier version lacks what was added since.
   return { ...createClusterState(), ...decodeValue(snapshot) as Partial<ClusterState> }
 }
+
+function formatCounts (counts: Record<string, number>): string {
+  return Object.entries(counts).map(([queue, count]) => `${queue}:${count}`).join(' ')
+}
--- a/packages/scheduler/__tests__/staged-jobs.test.ts
+++ b/packages/scheduler/__tests__/staged-jobs.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import {
-  chainMs, findRoute, isStuck, remainingMs, PlacementPass, Scheduler, sortUnits, StagedJobs, Tickets, WorkerView, createRun,
+  chainMs, findRoute, isStuck, remainingMs, PlacementPass, Scheduler, sortUnits, StagedJobs, summarizeLoad, Tickets, WorkerView, createRun,
   type Answer, type CalledWorker, type CellConfiguration, type Event, type JobQueue, type StageSpec, type Unit
 } from '../src/index.js'
 import { createStage } from './support/stages.js'
@@ -274,4 +274,27 @@
       assert.deepEqual(effects.map(({ kind }) => kind), ['startRun'])
     })
   })
+
+  describe('the load of a cell', () => {
+    it('counts the room of workers that stay, what is placed, and what may start', () => {
+      const scheduler = Scheduler.create([StagedJobs.create()])
+      scheduler.lead(0)
+      scheduler.handle({ kind: 'configureCell', call: 1, cell: { version: 1, queues: [createQueue()], retired: [], services: [], document: '' } }, 0)
+      for (const [id, isDraining] of [['one', false], ['two', true]] as const) {
+        scheduler.handle({ kind: 'workerReported', call: 2, worker: { ...createView(id).worker, isDraining } }, 0)
+      }
+      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [] }, 0)
+      const stages = [createStage({ taskCount: 5 }), createStage({ taskCount: 9, dependsOn: [0] })]
+      scheduler.handle({ kind: 'acceptJob', call: 3, host: 'jobs.example', path: '/q/job', spec: { payload: '', stages } }, 0)
+      assert.deepEqual(summarizeLoad(scheduler.state), {
+        workers: 1,
+        capacityMillicores: 16_000,
+        placedMillicores: 16_000,
+        capacityMemoryMib: 65_536,
+        placedMemoryMib: 16_384,
+        placed: { q: 4 },
+        waiting: { q: 1 }
+      })
+    })
+  })
 })
--- /dev/null
+++ b/packages/scheduler/src/core/jobs/load.ts
@@ -0,0 +1,46 @@
+/**
+ * How full the cell of called workers is, and what waits, as the durable state
+ * has it: it tells a refusal or a wait with room from one without.
+ */
+
+import { isLiveJob, StageTaskPhase } from '../../types/jobs.js'
+import type { ClusterState } from '../../types/state.js'
+import { isStageOpen } from './units.js'
+
+export interface CellLoad {
+  /** Workers that neither drain nor left. */
+  workers: number
+  capacityMillicores: number
+  placedMillicores: number
+  capacityMemoryMib: number
+  placedMemoryMib: number
+  /** Tasks by queue: placed, and waiting in stages that may start. */
+  placed: Record<string, number>
+  waiting: Record<string, number>
+}
+
+export function summarizeLoad (state: ClusterState): CellLoad {
+  const load: CellLoad = { workers: 0, capacityMillicores: 0, placedMillicores: 0, capacityMemoryMib: 0, placedMemoryMib: 0, placed: {}, waiting: {} }
+  for (const { isDraining, hasLeft, capacity } of state.calledWorkers.values()) {
+    if (isDraining || hasLeft) continue
+    load.workers += 1
+    load.capacityMillicores += capacity.millicores
+    load.capacityMemoryMib += capacity.memoryMib
+  }
+  for (const job of state.jobs.values()) {
+    if (!isLiveJob(job)) continue
+    for (const occurrence of job.occurrences.values()) {
+      for (const [stage, tasks] of occurrence.entries()) {
+        const { resources, fills } = job.spec.stages[stage]
+        const placed = tasks.filter(({ phase }) => phase === StageTaskPhase.placed).length
+        load.placed[job.queue] = (load.placed[job.queue] ?? 0) + placed
+        load.placedMillicores += fills ? 0 : placed * resources.millicores
+        load.placedMemoryMib += placed * resources.memoryMib
+        if (!isStageOpen(job, occurrence, stage)) continue
+        const waiting = tasks.filter(({ phase }) => phase === StageTaskPhase.waiting).length
+        load.waiting[job.queue] = (load.waiting[job.queue] ?? 0) + waiting
+      }
+    }
+  }
+  return load
+}
