Let processes without state hear of the controllers

Change: a controller always tells where it is with its heartbeat, also to a process that keeps no state, which passes it on to whoever asks. directory.test.ts fails without it.

--- a/packages/runtime/src/core/directory.ts
+++ b/packages/runtime/src/core/directory.ts
@@ -3,7 +3,7 @@
  * operators and workers but keeps no state: one on a VM without a disk.
  */
 
-import { InternalMethod, LinkServer, parseAddress, type CallFrame, type HelloFrame, type Link, type MembersAnswer } from '@flamingorouter/controllers'
+import { InternalMethod, LinkServer, parseAddress, type CallFrame, type HeartbeatBody, type HelloFrame, type Link, type MembersAnswer } from '@flamingorouter/controllers'
 import { ErrorKind, fail } from '@flamingorouter/scheduler'
 import type { LeaderClient } from './leader-client.js'
 import type { RuntimeLog } from './runtime-log.js'
@@ -15,9 +15,11 @@
   static async start (hello: HelloFrame, listen: string, leader: LeaderClient, log: RuntimeLog): Promise<Directory> {
     const server = LinkServer.create(hello, {
       opened: () => {},
-      called: async (_link: Link, { method }: CallFrame): Promise<MembersAnswer> => {
-        if (method !== InternalMethod.members) fail(ErrorKind.notLeader, 'this process keeps no state')
-        return { controllers: leader.controllers }
+      called: async (_link: Link, frame: CallFrame): Promise<MembersAnswer> => {
+        if (frame.method === InternalMethod.members) return { controllers: leader.controllers }
+        // After a restart of all, with seeds that keep no state, this is how they hear of those that do.
+        if (frame.method === InternalMethod.heartbeat) learn(leader, frame.body as HeartbeatBody)
+        fail(ErrorKind.notLeader, 'this process keeps no state')
       },
       replication: () => {},
       notice: () => {},
@@ -31,3 +33,7 @@
     this.server.close()
   }
 }
+
+function learn (leader: LeaderClient, { candidate }: HeartbeatBody): void {
+  if (candidate !== undefined) leader.addControllers([{ id: candidate.id, address: candidate.address }])
+}
--- a/packages/runtime/src/core/job-gate.ts
+++ b/packages/runtime/src/core/job-gate.ts
@@ -28,7 +28,7 @@
   controllers: readonly ControllerAddress[]
   /** Absent for a process that carries no questions. */
   admission?: AdmissionService
-  /** Set while this process is a controller that would like to be a member. */
+  /** Set in a controller: it offers itself as a member, and tells where it is. */
   candidate?: () => MemberCandidate | undefined
 }
 
