--- a/bench/measures/index.ts
+++ b/bench/measures/index.ts
@@ -7,6 +7,7 @@
 import { wholePathMeasures } from './whole-path.js'
 import { decisionTime, placementGrowth, placementRate } from './placement.js'
 import { fairness, urgentStart, waitingCoastline, waitingConsortium } from './waiting.js'
+import { calledLoad } from './called.js'
 import { entryRate } from './flow.js'
 import { requestWaiting, retryStorm } from './requests.js'
 
@@ -22,5 +23,6 @@
   requestWaiting,
   retryStorm,
   entryRate,
+  calledLoad,
   ...wholePathMeasures
 ]
--- a/packages/scheduler/src/core/jobs/placing.ts
+++ b/packages/scheduler/src/core/jobs/placing.ts
@@ -11,7 +11,7 @@
 
 import type { Resources } from '../../types/resources.js'
 import { isInTime } from './order.js'
-import { QUESTION_WORKERS, type Tickets } from './tickets.js'
+import { isValid, QUESTION_WORKERS, type Tickets } from './tickets.js'
 import type { Unit } from './units.js'
 import { isServing, RunStatus, type Run, type WorkerView } from './workers.js'
 
@@ -52,6 +52,8 @@
   leaving: Amounts
   /** Less urgent units claimed room there in the pass before. */
   isClaimed: boolean
+  /** Runs there that may be stopped without loss, largest first; found when first asked for. */
+  preemptible: Run[] | undefined
 }
 
 interface Amounts { millicores: number, memoryMib: number, accelerators: number }
@@ -62,7 +64,10 @@
   readonly preemptions: RunPreemption[] = []
   /** Workers on which waiting units claimed room in this pass. */
   readonly claimed = new Set<string>()
-  private readonly rooms: Room[]
+  private readonly rooms: Room[] = []
+  /** Rooms by service and label. */
+  private readonly eligible = new Map<string, Room[]>()
+  private readonly stopped = new Set<Run>()
   private claims = 0
 
   private constructor (
@@ -71,11 +76,10 @@
     private readonly now: number,
     claimedBefore: ReadonlySet<string>
   ) {
-    this.rooms = []
     for (const view of views) {
       if (!view.takesWork(now)) continue
       const free = { millicores: view.freeMillicores, memoryMib: view.freeMemory, accelerators: view.freeAccelerators }
-      this.rooms.push({ view, free, leaving: leavingOf(view), isClaimed: claimedBefore.has(view.id) })
+      this.rooms.push({ view, free, leaving: leavingOf(view), isClaimed: claimedBefore.has(view.id), preemptible: undefined })
     }
   }
 
@@ -87,8 +91,8 @@
   }
 
   place (unit: Unit): void {
-    const rooms = this.rooms.filter(room => isEligible(room, unit))
-    const usable = unit.queue.admission === undefined ? rooms : rooms.filter(room => this.ticketOf(unit, room) !== undefined)
+    const rooms = this.roomsFor(unit)
+    const usable = this.usableFor(unit, rooms)
     const chosen = this.choose(unit, usable)
     const isWhole = chosen.length === unit.waiting.length
     if (isWhole || !unit.spec.gang) {
@@ -118,6 +122,27 @@
     return chosen
   }
 
+  private roomsFor (unit: Unit): Room[] {
+    const key = `${unit.queue.service} ${unit.spec.requiredLabel}`
+    let rooms = this.eligible.get(key)
+    if (rooms === undefined) {
+      rooms = this.rooms.filter(room => isEligible(room, unit))
+      this.eligible.set(key, rooms)
+    }
+    return rooms
+  }
+
+  /** The rooms for which the unit needs no ticket, or has one. */
+  private usableFor (unit: Unit, rooms: Room[]): Room[] {
+    if (unit.queue.admission === undefined) return rooms
+    if (!this.tickets.hasValid(unit.key, this.now)) return []
+    const { granted } = this.tickets.of(unit.key)
+    return rooms.filter(({ view }) => {
+      const ticket = granted.get(view.id)
+      return ticket !== undefined && isValid(ticket, this.now)
+    })
+  }
+
   private ticketOf (unit: Unit, room: Room): string | undefined {
     return unit.queue.admission === undefined ? '' : this.tickets.find(unit.key, room.view.id, this.now)
   }
@@ -131,8 +156,8 @@
     const waitsFor = new Set<string>()
     if (this.claims >= CLAIM_LIMIT) return waitsFor
     this.claims += 1
-    const isKnown = unit.queue.admission !== undefined
-    const allowed = isKnown ? rooms.filter(room => this.tickets.isGranted(unit.key, room.view.id)) : rooms
+    const { granted } = this.tickets.of(unit.key)
+    const allowed = unit.queue.admission === undefined ? rooms : rooms.filter(({ view }) => granted.has(view.id))
     const counts = new Map(unit.placedOn)
     for (let count = 0; count < missing; count++) {
       const mayPreempt = isInTime(unit, this.now)
@@ -167,6 +192,7 @@
     const { room, victims } = best
     for (const run of victims) {
       this.preemptions.push({ view: room.view, run, unit })
+      this.stopped.add(run)
       add(room.leaving, run.resources, 1)
     }
     take(room, unit)
@@ -174,16 +200,13 @@
   }
 
   private findVictims (unit: Unit, room: Room): Run[] | undefined {
-    const taken = new Set(this.preemptions.map(({ run }) => run))
-    const candidates = [...room.view.runs.values()].filter(run => {
-      return run.isPreemptible && run.status === RunStatus.running && run.priority > unit.queue.priority &&
-        hasSlack(run, this.now) && !taken.has(run)
-    })
-    candidates.sort((one, other) => other.resources.millicores - one.resources.millicores)
+    room.preemptible ??= listPreemptible(room.view, this.now)
+    if (room.preemptible.length === 0) return undefined
     const sum = sumOf(room)
     const victims: Run[] = []
-    for (const run of candidates) {
+    for (const run of room.preemptible) {
       if (fits(sum, unit.spec.resources, unit.spec.fills)) break
+      if (run.priority <= unit.queue.priority || this.stopped.has(run)) continue
       add(sum, run.resources, 1)
       victims.push(run)
     }
@@ -206,14 +229,18 @@
    */
   private ask (unit: Unit, rooms: Room[], waitsFor: ReadonlySet<string>): void {
     const { tickets } = this
-    if (!tickets.mayAsk(unit.key, this.now)) return
+    const keepFree = unit.queue.priority === 0 ? 0 : URGENT_ENTRIES
+    if (!tickets.mayAsk(unit.key, this.now) || tickets.findEntry(keepFree) === undefined) return
+    const { granted, refused } = tickets.of(unit.key)
     const wanted = rooms.filter(room => {
       const { id } = room.view
-      if (tickets.isRefused(unit.key, id) || this.ticketOf(unit, room) !== undefined) return false
-      return !tickets.isGranted(unit.key, id) || waitsFor.has(id) || fits(room.free, unit.spec.resources, unit.spec.fills)
+      if (refused.has(id)) return false
+      const ticket = granted.get(id)
+      if (ticket === undefined) return true
+      return !isValid(ticket, this.now) && (waitsFor.has(id) || fits(room.free, unit.spec.resources, unit.spec.fills))
     })
     if (wanted.length === 0) return
-    const entry = tickets.takeEntry(unit.queue.priority === 0 ? 0 : URGENT_ENTRIES)
+    const entry = tickets.takeEntry(keepFree)
     if (entry === undefined) return
     wanted.sort((one, other) => other.free.millicores - one.free.millicores)
     const workers = wanted.slice(0, QUESTION_WORKERS).map(room => room.view.id)
@@ -222,6 +249,15 @@
   }
 }
 
+/** Runs of a worker that lose nothing by a stop, largest first. */
+function listPreemptible (view: WorkerView, now: number): Run[] {
+  const found: Run[] = []
+  for (const run of view.runs.values()) {
+    if (run.isPreemptible && run.status === RunStatus.running && hasSlack(run, now)) found.push(run)
+  }
+  return found.sort((one, other) => other.resources.millicores - one.resources.millicores)
+}
+
 /** What the runs of a worker that are being stopped will leave. */
 function leavingOf (view: WorkerView): Amounts {
   const leaving = { millicores: 0, memoryMib: 0, accelerators: 0 }
--- a/packages/scheduler/src/core/jobs/tickets.ts
+++ b/packages/scheduler/src/core/jobs/tickets.ts
@@ -12,14 +12,24 @@
   validUntil: number
 }
 
-interface StageTickets {
+/** What is known of one stage. */
+export interface StageTickets {
+  granted: ReadonlyMap<string, Ticket>
+  refused: ReadonlySet<string>
+}
+
+interface StageRecord extends StageTickets {
   granted: Map<string, Ticket>
   refused: Set<string>
+  /** Cluster time until which the latest tickets are valid. */
+  validUntil: number
   isAsked: boolean
   /** Cluster time before which it is not asked again. */
   notBefore: number
 }
 
+const NOTHING_KNOWN: StageTickets = Object.freeze({ granted: new Map<string, Ticket>(), refused: new Set<string>() })
+
 /** Time that a ticket must still be valid for a start to be ordered with it, in milliseconds: a commit and a call. */
 const TICKET_MARGIN_MS = 250
 
@@ -30,7 +40,7 @@
 export const QUESTION_WORKERS = 100
 
 export class Tickets {
-  private readonly stages = new Map<string, StageTickets>()
+  private readonly stages = new Map<string, StageRecord>()
   /** Entries and how many questions each has in flight. */
   private readonly entries = new Map<string, number>()
 
@@ -54,17 +64,18 @@
 
   /** The ticket with which a start on a worker may be ordered now. */
   find (stage: string, worker: string, now: number): string | undefined {
-    const ticket = this.stages.get(stage)?.granted.get(worker)
-    return ticket !== undefined && ticket.validUntil - now > TICKET_MARGIN_MS ? ticket.ticket : undefined
+    const ticket = this.of(stage).granted.get(worker)
+    return ticket !== undefined && isValid(ticket, now) ? ticket.ticket : undefined
   }
 
-  /** True when the worker is known not to be allowed. */
-  isRefused (stage: string, worker: string): boolean {
-    return this.stages.get(stage)?.refused.has(worker) === true
+  /** Which workers are known to be allowed, or not, for a stage. */
+  of (stage: string): StageTickets {
+    return this.stages.get(stage) ?? NOTHING_KNOWN
   }
 
-  isGranted (stage: string, worker: string): boolean {
-    return this.stages.get(stage)?.granted.has(worker) === true
+  /** True when some ticket of the stage may be valid: a cheap question before the tickets are looked at one by one. */
+  hasValid (stage: string, now: number): boolean {
+    return (this.stages.get(stage)?.validUntil ?? 0) - now > TICKET_MARGIN_MS
   }
 
   /** True when a question on the stage may be asked now. */
@@ -78,6 +89,15 @@
    * entries are left for more urgent questions.
    */
   takeEntry (keepFree: number): string | undefined {
+    const free = this.findEntry(keepFree)
+    if (free === undefined) return undefined
+    this.entries.delete(free)
+    this.entries.set(free, 1)
+    return free
+  }
+
+  /** The entry that would be taken. */
+  findEntry (keepFree: number): string | undefined {
     let free: string | undefined
     let count = 0
     for (const [name, inFlight] of this.entries) {
@@ -85,10 +105,7 @@
       free ??= name
       count += 1
     }
-    if (free === undefined || count <= Math.min(keepFree, this.entries.size - 1)) return undefined
-    this.entries.delete(free)
-    this.entries.set(free, 1)
-    return free
+    return count <= Math.min(keepFree, this.entries.size - 1) ? undefined : free
   }
 
   asked (stage: string): void {
@@ -99,6 +116,7 @@
     this.returned(entry)
     const known = this.stageOf(stage)
     known.isAsked = false
+    known.validUntil = validUntil
     for (const { worker, ticket } of tickets) known.granted.set(worker, { ticket, validUntil })
     for (const worker of workers) {
       if (!known.granted.has(worker)) known.refused.add(worker)
@@ -126,12 +144,17 @@
     if (this.entries.has(entry)) this.entries.set(entry, 0)
   }
 
-  private stageOf (stage: string): StageTickets {
+  private stageOf (stage: string): StageRecord {
     let known = this.stages.get(stage)
     if (known === undefined) {
-      known = { granted: new Map(), refused: new Set(), isAsked: false, notBefore: 0 }
+      known = { granted: new Map(), refused: new Set(), validUntil: 0, isAsked: false, notBefore: 0 }
       this.stages.set(stage, known)
     }
     return known
   }
 }
+
+/** True while a start may be ordered with the ticket. */
+export function isValid (ticket: Ticket, now: number): boolean {
+  return ticket.validUntil - now > TICKET_MARGIN_MS
+}
