--- a/packages/scheduler/__tests__/staged-jobs.test.ts
+++ b/packages/scheduler/__tests__/staged-jobs.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import {
-  chainMs, findRoute, isStuck, PlacementPass, Scheduler, sortUnits, StagedJobs, Tickets, WorkerView, createRun,
+  chainMs, findRoute, isStuck, remainingMs, PlacementPass, Scheduler, sortUnits, StagedJobs, summarizeLoad, Tickets, WorkerView, createRun,
   type Answer, type CalledWorker, type CellConfiguration, type Event, type JobQueue, type StageSpec, type Unit
 } from '../src/index.js'
 import { createStage } from './support/stages.js'
@@ -29,6 +29,7 @@
     queue: createQueue(),
     objectiveAt: 10_000,
     worthlessAt: 30_000,
+    remainingMs: spec.estimateMs,
     waiting: Array.from({ length: spec.taskCount }, (_, index) => index),
     placedOn: new Map(),
     ...unit
@@ -82,6 +83,7 @@
   describe('the objective', () => {
     it('counts the longest chain and one question for each stage', () => {
       const spec = { payload: '', stages: [createStage({ estimateMs: 1_000 }), createStage({ estimateMs: 500, dependsOn: [0] }), createStage({ estimateMs: 100 })] }
+      assert.equal(remainingMs(spec, createQueue(), undefined, 1), 500)
       assert.equal(chainMs(spec, createQueue({ admission: { decideMs: 10, perWorkerMs: 1, validMs: 1 } }), undefined), 1_580)
     })
   })
@@ -95,6 +97,13 @@
       assert.deepEqual(sortUnits([late, later, soon, urgent], 1_000).map(({ key }) => key), ['urgent', 'soon', 'later', 'late'])
     })
 
+    it('puts the stage first that must start first for the rest of its job to end in time', () => {
+      const short = createUnit({ key: 'short', objectiveAt: 8_000, remainingMs: 500 })
+      const long = createUnit({ key: 'long', objectiveAt: 9_000, remainingMs: 4_000 })
+      const hopeless = createUnit({ key: 'hopeless', objectiveAt: 9_000, remainingMs: 8_500 })
+      assert.deepEqual(sortUnits([hopeless, short, long], 1_000).map(({ key }) => key), ['long', 'short', 'hopeless'])
+    })
+
     it('puts late work before work that is two ranks less urgent, and worthless work last', () => {
       const late = createUnit({ key: 'late', queue: createQueue({ priority: 0 }), objectiveAt: 900 })
       const bulk = createUnit({ key: 'bulk', queue: createQueue({ priority: 2 }) })
@@ -245,4 +254,47 @@
       assert.equal(ask({ kind: 'acceptJob', ...at, spec: { payload: '', stages: [createStage({ dependsOn: [0] })] } }), 'invalidArgument')
     })
   })
+
+  describe('tickets that took long to get', () => {
+    it('are used for as long as they are valid since the answer', () => {
+      const scheduler = Scheduler.create([StagedJobs.create()])
+      scheduler.lead(0)
+      const queue = createQueue({ admission: { decideMs: 600, perWorkerMs: 6, validMs: 2_500 } })
+      scheduler.handle({ kind: 'configureCell', call: 1, cell: { version: 1, queues: [queue], retired: [], services: [], document: '' } }, 0)
+      scheduler.handle({ kind: 'advisorsChanged', entries: ['entry'] }, 0)
+      const { worker } = createView('one')
+      scheduler.handle({ kind: 'workerReported', call: 2, worker }, 0)
+      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [] }, 0)
+      const stage = createStage({ resources: { millicores: 16_000, memoryMib: 1_024, accelerators: 0 }, estimateMs: 3_000 })
+      scheduler.handle({ kind: 'acceptJob', call: 3, host: 'jobs.example', path: '/q/job', spec: { payload: '', stages: [stage] } }, 0)
+      scheduler.handle({ kind: 'workerSilent', id: 'one', incarnation: 1 }, 600)
+      const tickets = [{ worker: 'one', ticket: 'ticket' }]
+      scheduler.handle({ kind: 'admissionAnswered', entry: 'entry', stage: 'job/0/0', workers: ['one'], tickets, askedAt: 0, isAnswered: true }, 1_200)
+      const { effects } = scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 3_000, running: [], ended: [] }, 3_000)
+      assert.deepEqual(effects.map(({ kind }) => kind), ['startRun'])
+    })
+  })
+
+  describe('the load of a cell', () => {
+    it('counts the room of workers that stay, what is placed, and what may start', () => {
+      const scheduler = Scheduler.create([StagedJobs.create()])
+      scheduler.lead(0)
+      scheduler.handle({ kind: 'configureCell', call: 1, cell: { version: 1, queues: [createQueue()], retired: [], services: [], document: '' } }, 0)
+      for (const [id, isDraining] of [['one', false], ['two', true]] as const) {
+        scheduler.handle({ kind: 'workerReported', call: 2, worker: { ...createView(id).worker, isDraining } }, 0)
+      }
+      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [] }, 0)
+      const stages = [createStage({ taskCount: 5 }), createStage({ taskCount: 9, dependsOn: [0] })]
+      scheduler.handle({ kind: 'acceptJob', call: 3, host: 'jobs.example', path: '/q/job', spec: { payload: '', stages } }, 0)
+      assert.deepEqual(summarizeLoad(scheduler.state), {
+        workers: 1,
+        capacityMillicores: 16_000,
+        placedMillicores: 16_000,
+        capacityMemoryMib: 65_536,
+        placedMemoryMib: 16_384,
+        placed: { q: 4 },
+        waiting: { q: 1 }
+      })
+    })
+  })
 })
