Tell the story of one id out of the logs: flamingorouter trace

On-call joined logs by grep and sort, which shows neither gaps nor what was left out. trace reads JSON and key=value lines of any processes, sorts what names a job, task, request, worker or wave, names gaps, and counts what could not be read or was left out.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -8,6 +8,7 @@
 import { configCommand, policyCommand, teamCommand } from './commands/configuration.js'
 import { checkSettingsCommand, devCommand, serveCommand, stateCommand } from './commands/process.js'
 import { tokenCommand } from './commands/token.js'
+import { traceCommand } from './commands/trace.js'
 import { callCommand, cancelCommand, outcomeCommand } from './commands/requests.js'
 import {
   applyCommand, deleteCommand, explainCommand, getCommand, submitCommand, watchCommand
@@ -43,7 +44,8 @@
     status: statusCommand,
     top: topCommand,
     audit: auditCommand,
-    token: tokenCommand
+    token: tokenCommand,
+    trace: traceCommand
   },
   examples: [
     { description: 'Try a small cell in this process', command: 'flamingorouter dev' },
