--- a/packages/runtime/__tests__/called-workers.test.ts
+++ b/packages/runtime/__tests__/called-workers.test.ts
@@ -7,9 +7,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { createStage } from '../../scheduler/__tests__/support/stages.js'
-import { CalledCell, type Plan } from './support/called-cell.js'
-
-const QUIET: Plan = { seed: 1, workers: 6, lostRequests: 0, lostAnswers: 0, lateOrders: 0 }
+import { CalledCell } from './support/called-cell.js'
 
 /** Schedules that a run in CI plays. */
 const SCHEDULES = 40
@@ -29,26 +27,21 @@
 describe('staged jobs on workers that are called', () => {
   describe('without faults', () => {
     it('run every stage in turn and end', async () => {
-      const cell = CalledCell.create(QUIET)
-      await cell.time.runUntil(500)
+      const cell = await CalledCell.start()
       const ids = submitMixture(cell, 12)
       await cell.time.runUntil(20_000)
-      cell.check()
-      for (const id of ids) assert.equal(cell.phaseOf(id), 'completed', id)
+      cell.assertCompleted(ids)
     })
 
     it('start only where the admission service allows it', async () => {
-      const cell = CalledCell.create({ ...QUIET, hasAdmission: true })
-      await cell.time.runUntil(500)
+      const cell = await CalledCell.start({ hasAdmission: true })
       const ids = submitMixture(cell, 12)
       await cell.time.runUntil(20_000)
-      cell.check()
-      for (const id of ids) assert.equal(cell.phaseOf(id), 'completed', id)
+      cell.assertCompleted(ids)
     })
 
     it('stop all runs of a job that is cancelled', async () => {
-      const cell = CalledCell.create(QUIET)
-      await cell.time.runUntil(500)
+      const cell = await CalledCell.start()
       cell.submit('job-1', 'bulk', [createStage({ taskCount: 8 })])
       await cell.time.runUntil(650)
       cell.cancel('job-1', 'bulk')
@@ -60,53 +53,45 @@
 
   describe('a worker that crashes', () => {
     it('loses its runs, which start elsewhere', async () => {
-      const cell = CalledCell.create(QUIET)
-      await cell.time.runUntil(500)
+      const cell = await CalledCell.start()
       const ids = submitMixture(cell, 8)
       await cell.time.runUntil(700)
       cell.crashWorker('worker-0')
       cell.crashWorker('worker-1')
       await cell.time.runUntil(30_000)
-      cell.check()
-      for (const id of ids) assert.equal(cell.phaseOf(id), 'completed', id)
+      cell.assertCompleted(ids)
     })
   })
 
   describe('a worker that is cut off and runs on', () => {
     it('is left alone until its lease has lapsed on its own clock', async () => {
-      const cell = CalledCell.create(QUIET)
-      await cell.time.runUntil(500)
+      const cell = await CalledCell.start()
       const ids = submitMixture(cell, 8)
       await cell.time.runUntil(700)
       const model = cell.models.get('worker-0')
-      if (model !== undefined) model.isCut = true
+      cell.cut('worker-0')
       await cell.time.runUntil(12_000)
       if (model !== undefined) model.isCut = false
       await cell.time.runUntil(30_000)
-      cell.check()
-      for (const id of ids) assert.equal(cell.phaseOf(id), 'completed', id)
+      cell.assertCompleted(ids)
     })
   })
 
   describe('a worker that is gone for good', () => {
     it('gives its tasks up within the longest lease', async () => {
-      const cell = CalledCell.create(QUIET)
-      await cell.time.runUntil(500)
+      const cell = await CalledCell.start()
       const ids = submitMixture(cell, 8)
       await cell.time.runUntil(700)
-      const model = cell.models.get('worker-0')
-      if (model !== undefined) model.isCut = true
+      cell.cut('worker-0')
       await cell.time.runUntil(10_000)
-      cell.check()
-      for (const id of ids) assert.equal(cell.phaseOf(id), 'completed', id)
+      cell.assertCompleted(ids)
     })
   })
 
   describe('generated schedules of lost and late calls, crashes, cuts and new leaders', () => {
     for (let seed = 1; seed <= SCHEDULES; seed++) {
       it(`keep every promise with seed ${seed}`, async () => {
-        const cell = CalledCell.create({ seed, workers: 5, lostRequests: 20, lostAnswers: 30, lateOrders: 20, hasAdmission: seed % 2 === 0 })
-        await cell.time.runUntil(500)
+        const cell = await CalledCell.start({ seed, workers: 5, lostRequests: 20, lostAnswers: 30, lateOrders: 20, hasAdmission: seed % 2 === 0 })
         const ids = submitMixture(cell, 14)
         for (let at = 1_000; at < 16_000; at += 1_000) {
           await cell.time.runUntil(at)
--- a/packages/runtime/__tests__/load.test.ts
+++ b/packages/runtime/__tests__/load.test.ts
@@ -6,9 +6,9 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { createStage } from '../../scheduler/__tests__/support/stages.js'
-import { CalledCell, type Plan } from './support/called-cell.js'
+import { CalledCell } from './support/called-cell.js'
 
-const QUIET: Plan = { seed: 7, workers: 6, lostRequests: 0, lostAnswers: 0, lateOrders: 0 }
+const SEED = 7
 
 /** Within which urgent work starts, in milliseconds. */
 const URGENT_START_MS = 2_600
@@ -20,9 +20,7 @@
 const WORTHLESS_MS = 4_500
 
 async function startCell (): Promise<CalledCell> {
-  const cell = CalledCell.create(QUIET)
-  await cell.time.runUntil(500)
-  return cell
+  return await CalledCell.start({ seed: SEED })
 }
 
 function submitUrgent (cell: CalledCell, count: number): string[] {
@@ -32,10 +30,6 @@
   })
 }
 
-function assertCompleted (cell: CalledCell, ids: string[]): void {
-  for (const id of ids) assert.equal(cell.phaseOf(id), 'completed', id)
-}
-
 describe('load at its worst', () => {
   it('a burst of urgent work over a pool full of work that keeps checkpoints starts in time', async () => {
     const cell = await startCell()
@@ -45,8 +39,7 @@
     await cell.time.runUntil(2_000)
     const urgent = submitUrgent(cell, 8)
     await cell.time.runUntil(2_000 + URGENT_START_MS + URGENT_RUN_MS)
-    cell.check()
-    assertCompleted(cell, urgent)
+    cell.assertCompleted(urgent)
   })
 
   it('a gang finds room in a pool that a stream of small work keeps full', async () => {
@@ -70,8 +63,7 @@
     await cell.time.runUntil(800)
     const urgent = submitUrgent(cell, 4)
     await cell.time.runUntil(800 + WORTHLESS_MS)
-    cell.check()
-    assertCompleted(cell, urgent)
+    cell.assertCompleted(urgent)
   })
 
   it('a worker that hangs and looks healthy does not make urgent work worthless', async () => {
@@ -80,8 +72,7 @@
     if (model !== undefined) model.isHung = true
     const urgent = submitUrgent(cell, 8)
     await cell.time.runUntil(500 + WORTHLESS_MS)
-    cell.check()
-    assertCompleted(cell, urgent)
+    cell.assertCompleted(urgent)
   })
 
   it('work that can never be done is given up and spoils nothing else', async () => {
@@ -92,7 +83,7 @@
     await cell.time.runUntil(4_000 + WORTHLESS_MS)
     cell.check()
     for (let index = 0; index < 10; index++) assert.equal(cell.phaseOf(`poison-${index}`), 'failed')
-    assertCompleted(cell, urgent)
+    cell.assertCompleted(urgent)
   })
 
   it('a wave of cancellations stops what runs, and the rest goes on', async () => {
@@ -102,8 +93,7 @@
     for (let index = 0; index < 200; index++) cell.cancel(`bulk-${index}`, 'bulk')
     const urgent = submitUrgent(cell, 8)
     await cell.time.runUntil(1_500 + URGENT_START_MS + URGENT_RUN_MS)
-    cell.check()
-    assertCompleted(cell, urgent)
+    cell.assertCompleted(urgent)
     assert.ok(cell.journal.every(({ task, to }) => !task.startsWith('bulk') || to < 2_500), 'a cancelled task ran on')
   })
 
@@ -111,12 +101,8 @@
     const cell = await startCell()
     for (let index = 0; index < 4; index++) cell.submit(`gang-${index}`, 'urgent', [createStage({ taskCount: 3, gang: true, estimateMs: 1_000 })])
     await cell.time.runUntil(800)
-    for (const id of ['worker-0', 'worker-1']) {
-      const model = cell.models.get(id)
-      if (model !== undefined) model.isCut = true
-    }
+    for (const id of ['worker-0', 'worker-1']) cell.cut(id)
     await cell.time.runUntil(9_000)
-    cell.check()
-    assertCompleted(cell, [0, 1, 2, 3].map(index => `gang-${index}`))
+    cell.assertCompleted([0, 1, 2, 3].map(index => `gang-${index}`))
   })
 })
--- a/packages/runtime/__tests__/support/called-cell.ts
+++ b/packages/runtime/__tests__/support/called-cell.ts
@@ -28,6 +28,12 @@
 const TICKET_MS = 2_500
 const UNANSWERED_MS = 500
 
+/** Time in which a new cell has reached its workers. */
+const FORMED_MS = 500
+
+/** No call is lost or late. */
+export const QUIET: Plan = Object.freeze({ seed: 1, workers: 6, lostRequests: 0, lostAnswers: 0, lateOrders: 0 })
+
 export interface Plan {
   seed: number
   workers: number
@@ -96,6 +102,13 @@
     return cell
   }
 
+  /** A cell that has reached its workers. */
+  static async start (plan: Partial<Plan> = {}): Promise<CalledCell> {
+    const cell = CalledCell.create({ ...QUIET, ...plan })
+    await cell.time.runUntil(FORMED_MS)
+    return cell
+  }
+
   /** A number from 0 to below a limit. */
   pick (limit: number): number {
     return uniformInt(this.random, 0, limit - 1)
@@ -191,6 +204,18 @@
     return this.durable.jobs.get(id)?.phase
   }
 
+  /** Nothing passes between the leader and a worker from now on. */
+  cut (worker: string): void {
+    const model = this.models.get(worker)
+    if (model !== undefined) model.isCut = true
+  }
+
+  /** The promises hold, and these jobs have completed. */
+  assertCompleted (ids: readonly string[]): void {
+    this.check()
+    for (const id of ids) assert.equal(this.phaseOf(id), 'completed', id)
+  }
+
   /** Checks what every worker wrote down against the promises. */
   check (): void {
     this.checkOverlaps()
--- a/packages/runtime/__tests__/upkeep.test.ts
+++ b/packages/runtime/__tests__/upkeep.test.ts
@@ -7,21 +7,14 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { createStage } from '../../scheduler/__tests__/support/stages.js'
-import { CalledCell, type Plan } from './support/called-cell.js'
+import { CalledCell } from './support/called-cell.js'
 
-const QUIET: Plan = { seed: 11, workers: 6, lostRequests: 0, lostAnswers: 0, lateOrders: 0 }
 const WAVE_MS = 20_000
 const CAP = 2
 
 /** Within which a tail over its target must come down, in milliseconds. */
 const HARM_MS = 4_000
 
-async function startCell (plan: Partial<Plan> = {}): Promise<CalledCell> {
-  const cell = CalledCell.create({ ...QUIET, ...plan })
-  await cell.time.runUntil(500)
-  return cell
-}
-
 /** Work in a steady stream, and a step that serves and may miss one of its tasks. */
 function keepBusy (cell: CalledCell): void {
   cell.submit('serving', 'urgent', [createStage({ taskCount: 4, longRunning: true, disruptionBudget: 1 })])
@@ -45,7 +38,7 @@
 
 describe('a wave of upkeep', () => {
   it('is over in time, under its cap, with no serving step short of more than it may miss', async () => {
-    const cell = await startCell()
+    const cell = await CalledCell.start()
     keepBusy(cell)
     await cell.time.runUntil(3_000)
     cell.startWave(CAP, WAVE_MS)
@@ -59,7 +52,7 @@
 
   for (let seed = 1; seed <= 12; seed++) {
     it(`keeps its cap when orders are lost or late, workers crash and leaders change (seed ${seed})`, async () => {
-      const cell = await startCell({ seed, lostUpkeep: 150, lateUpkeep: 300, lostAnswers: 20 })
+      const cell = await CalledCell.start({ seed, lostUpkeep: 150, lateUpkeep: 300, lostAnswers: 20 })
       keepBusy(cell)
       await cell.time.runUntil(3_000)
       cell.startWave(CAP, WAVE_MS)
@@ -77,7 +70,7 @@
   }
 
   it('lets what runs on a VM end first, while there is time', async () => {
-    const cell = await startCell()
+    const cell = await CalledCell.start()
     cell.submit('work', 'urgent', [createStage({ taskCount: 6, perWorkerLimit: 1, estimateMs: 2_000 })])
     await cell.time.runUntil(800)
     cell.startWave(CAP, WAVE_MS)
@@ -87,7 +80,7 @@
   })
 
   it('passes over a VM that does not exist', async () => {
-    const cell = await startCell()
+    const cell = await CalledCell.start()
     cell.feed({ kind: 'startUpkeepWave', call: 99, id: 1, vms: ['nowhere'], cap: 1, durationMs: 5_000 })
     await cell.time.runUntil(5_000)
     assert.ok(cell.isWaveOver())
@@ -96,7 +89,7 @@
 
 describe('best-effort work beside serving tasks', () => {
   it('is slowed before it harms them for long, and works on', async () => {
-    const cell = await startCell({ workers: 1 })
+    const cell = await CalledCell.start({ workers: 1 })
     cell.submit('serving', 'urgent', [createStage({ longRunning: true, targetMs: 100 })])
     await cell.time.runUntil(2_000)
     cell.submit('filling', 'bulk', [createStage({ taskCount: 4, fills: true, longRunning: true })])
