--- a/features/steps/cell.ts
+++ b/features/steps/cell.ts
@@ -33,7 +33,10 @@
 AfterStep(function (this: CellWorld, { result }) {
   if (result.status !== Status.FAILED) return
   for (const { name, output } of this.cell?.processes.values() ?? []) {
-    this.log([name, ...output.slice(-SHOWN_LINES)].join('\n'))
+    const shown = [name, ...output.slice(-SHOWN_LINES)].join('\n')
+    this.log(shown)
+    // The formatter of CI leaves attachments out.
+    process.stdout.write(`${shown}\n`)
   }
 })
 
--- a/features/support/real-cell.ts
+++ b/features/support/real-cell.ts
@@ -8,6 +8,7 @@
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { createInterface } from 'node:readline'
 import { findFreePorts } from '../../packages/cli/src/utils/ports.js'
 import { FaultProxy } from './fault-proxy.js'
 
@@ -114,7 +115,7 @@
     this.children.push(child)
     state.isFrozen = false
     for (const stream of [child.stdout, child.stderr]) {
-      stream.on('data', (chunk: Buffer) => { state.output.push(...chunk.toString().split('\n').filter(line => line !== '')) })
+      createInterface({ input: stream }).on('line', line => { if (line !== '') state.output.push(line) })
     }
   }
 
