Write the log in pieces of up to 64 KiB, so that it keeps up with a busy leader

Cause: one write takes one turn of the event loop and carried 4 KiB at most. A leader that needs 60 ms for a turn writes 65 KB a second and logs 250. Change: a write carries up to 64 KiB. A pipe that accepts only a part of it gets the rest in the next write, as before.

--- a/packages/runtime/__tests__/json-log.test.ts
+++ b/packages/runtime/__tests__/json-log.test.ts
@@ -37,6 +37,16 @@
     assert.ok(last.leftOutForTheReader > 100)
   })
 
+  it('writes what gathered during a slow turn of the event loop in a few writes', () => {
+    const pendingWrites: Done[] = []
+    const log = JsonLog.create('p', (_bytes, done) => { pendingWrites.push(done) })
+    // About a second of log lines of a busy leader.
+    for (let index = 0; index < 1_000; index++) log.info(`event-${index}`, { text: 'x'.repeat(200) })
+    let writes = 0
+    for (let done = pendingWrites.shift(); done !== undefined; done = pendingWrites.shift(), writes++) done(null)
+    assert.ok(writes <= 8, `${writes} writes for 300 KB`)
+  })
+
   it('drops lines of an event beyond its rate limit', () => {
     let lines = 0
     const log = JsonLog.create('p', (bytes, done) => { lines += bytes.toString().split('\n').length - 1; done(null) })
--- a/packages/runtime/src/core/json-log.ts
+++ b/packages/runtime/src/core/json-log.ts
@@ -16,8 +16,8 @@
 /** Length of the window over which the lines of one event are counted, in milliseconds. */
 const RATE_WINDOW_MS = 1_000
 
-/** Maximum size of one write of several lines; a pipe accepts a write of up to 4096 bytes whole or not at all. */
-const WRITE_LIMIT_BYTES = 4_096
+/** Maximum size of one write of several lines: the capacity of a pipe on Linux, which may accept only a part of it. */
+const WRITE_LIMIT_BYTES = 65_536
 
 /** Writes all bytes, or fails; calls `done` with null or the error. */
 export type WriteBytes = (bytes: Buffer, done: (error: Error | null) => void) => void
