Show how busy the leader is, and which queue ends late

Metrics: loop_delay_ms, placement_wait_ms by queue, jobs_closed_total by queue and result. The load line moved from Controller to a class of its own.

--- a/packages/cli/src/metrics/metrics.ts
+++ b/packages/cli/src/metrics/metrics.ts
@@ -51,6 +51,7 @@
   private readonly requestSeconds: Summary<'urgency'>
   private readonly stepSeconds: Summary<'event'>
   private readonly commitSeconds: Summary<never>
+  private readonly loopDelaySeconds: Summary<never>
 
   private readonly trafficReaders = new Map<string, () => Traffic>()
   private readCellLoad: (() => CellLoad | undefined) | undefined
@@ -66,6 +67,7 @@
     this.requestSeconds = this.createSummary('request_seconds', 'From the arrival of a request to its outcome.')
     this.stepSeconds = this.createSummary('step_seconds', 'Time of the scheduler for one event.')
     this.commitSeconds = this.createSummary('commit_seconds', 'From a decision to its commit.')
+    this.loopDelaySeconds = this.createSummary('loop_delay_seconds', 'How late the event loop ran a timer.')
     this.registerProcessMetrics()
   }
 
@@ -89,6 +91,10 @@
     this.commitSeconds.record({}, durationMs)
   }
 
+  override recordLoopDelay (durationMs: number): void {
+    this.loopDelaySeconds.record({}, durationMs)
+  }
+
   /** Records decisions of the leader that were just applied to `state`; `now` is the cluster time in milliseconds. */
   override recordDecisions (decisions: readonly Decision[], state: ClusterState, now: number): void {
     for (const decision of decisions) {
--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -12,6 +12,8 @@
 import { Controller, type ControllerHooks } from './controller.js'
 import { ControllerLinks } from './controller-links.js'
 import type { LocalMethod } from './local-methods.js'
+import { monotonicNow } from './clock.js'
+import { LoopMonitor } from './loop-monitor.js'
 import type { MetricsRecorder } from './metrics-recorder.js'
 import type { RuntimeLog } from './runtime-log.js'
 
@@ -70,13 +72,15 @@
     readonly controller: Controller,
     readonly replica: Replica,
     private readonly links: ControllerLinks,
-    private readonly server: LinkServer
+    private readonly server: LinkServer,
+    private readonly loopMonitor: LoopMonitor
   ) {}
 
   /** Opens the data folder, starts the replica and listens on the control port; rejects when one of these fails. */
   static async start (settings: ControllerSettings, context: ControllerContext): Promise<ControllerNode> {
     const { id, group, availabilityZone } = settings
     const hello: HelloFrame = { kind: 'hello', group, process: id, role: 'controller', availabilityZone }
+    const loopMonitor = createLoopMonitor(context)
     const controller = Controller.create({
       scheduler: Scheduler.create(createComponents(settings.limits)),
       bindings: context.bindings,
@@ -87,6 +91,7 @@
       knownControllers: context.knownControllers,
       log: context.log,
       metrics: context.metrics,
+      loopMonitor,
       handleFault: context.handleFault
     })
     const members = (): readonly MemberFacts[] => {
@@ -111,7 +116,7 @@
     links.handleMessage = (from, message) => { replica.receive(from, message) }
     const server = LinkServer.create(hello, { ...createHandlers(controller, replica, links, context.log), traffic: context.traffic }, context.peerKeys?.())
     await server.listen(parseAddress(settings.listen))
-    const node = new ControllerNode(controller, replica, links, server)
+    const node = new ControllerNode(controller, replica, links, server, loopMonitor)
     node.timer = setInterval(() => { node.tick() }, TICK_INTERVAL_MS)
     return node
   }
@@ -136,6 +141,7 @@
   }
 
   private tick (): void {
+    this.loopMonitor.tick()
     this.controller.flush()
     this.replica.tick()
     this.tickCount += 1
@@ -154,6 +160,18 @@
   }
 }
 
+function createLoopMonitor ({ log, metrics }: ControllerContext): LoopMonitor {
+  return LoopMonitor.create({
+    intervalMs: TICK_INTERVAL_MS,
+    now: monotonicNow,
+    readProcessorTime: () => process.cpuUsage(),
+    handleDelay: (delayMs, isStalled) => {
+      metrics?.recordLoopDelay(delayMs)
+      if (isStalled) log.warn('event_loop_stalled', { delayMs: Math.round(delayMs) })
+    }
+  })
+}
+
 function createHandlers (controller: Controller, replica: Replica, links: ControllerLinks, log: RuntimeLog): LinkHandlers {
   return {
     opened: link => {
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -12,23 +12,22 @@
 } from '@flamingorouter/controllers'
 import type { Binding, CallContext } from '@flamingorouter/rpc'
 import {
-  createClusterState, ErrorKind, fail, summarizeCellLoad, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type ListedVm, type Scheduler
+  createClusterState, ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type ListedVm, type Scheduler
 } from '@flamingorouter/scheduler'
 import { PendingCalls } from './pending-calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
 import { logTransientEvents, logDecisions } from './decision-log.js'
 import { EntryTable } from './entry-table.js'
 import type { MetricsRecorder } from './metrics-recorder.js'
+import { LoadReporter } from './load-reporter.js'
 import type { LocalMethod } from './local-methods.js'
+import type { LoopMonitor } from './loop-monitor.js'
 import type { OrderDispatcher } from './order-dispatcher.js'
 import { ProposalQueue } from './proposal-queue.js'
 import type { RuntimeLog } from './runtime-log.js'
 import type { VmService } from './vm-service.js'
 import { StateWatches } from './state-watches.js'
 
-/** Minimum time between two log lines about the load of the cell, in milliseconds. */
-const LOAD_REPORT_INTERVAL_MS = 1_000
-
 /** How long an entry may take to deliver commands to a worker and return the results, in milliseconds; longer than the entry waits for the worker. */
 const EXECUTE_TIMEOUT_MS = 2_000
 
@@ -51,6 +50,8 @@
   localMethods: ReadonlyMap<string, LocalMethod>
   log: RuntimeLog
   metrics?: MetricsRecorder
+  /** Measures the event loop of this process; its figures are logged with the load of the cell and with a lost leadership. */
+  loopMonitor?: LoopMonitor
   /** Called when the replica has failed and this controller cannot continue. */
   handleFault: (reason: string) => void
 }
@@ -65,8 +66,7 @@
   readonly entries = EntryTable.create()
   private attached: { replica: Replica, proposals: ProposalQueue } | undefined
   private readonly pendingCalls = PendingCalls.create()
-  /** Monotonic time of the last log line about the load of the cell, in milliseconds. */
-  private loadReportedAt = -Infinity
+  private readonly loadReporter: LoadReporter
   private readonly watches = StateWatches.create()
   private readonly bindings = new Map<string, Binding>()
   /** Open links to entries, by the name of the process. */
@@ -76,6 +76,7 @@
   private isLeading = false
 
   private constructor (private readonly options: ControllerOptions) {
+    this.loadReporter = LoadReporter.create(options.log, options.loopMonitor)
     for (const binding of options.bindings) {
       this.bindings.set(`${binding.method.parent.typeName}/${binding.method.name}`, binding)
     }
@@ -149,15 +150,7 @@
     this.entries.removeExpired(monotonicNow())
     this.reportAdvisors()
     this.watches.completeChanged(this.state)
-    this.reportLoad()
-  }
-
-  private reportLoad (): void {
-    const now = monotonicNow()
-    if (this.state.calledWorkers.size === 0 || now - this.loadReportedAt < LOAD_REPORT_INTERVAL_MS) return
-    this.loadReportedAt = now
-    const { placed, waiting, ...load } = summarizeCellLoad(this.state)
-    this.options.log.info('cell_load', { ...load, placed: formatCounts(placed), waiting: formatCounts(waiting), change: this.state.change })
+    this.loadReporter.report(this.state, monotonicNow())
   }
 
   // Callbacks of the replica.
@@ -187,7 +180,7 @@
   }
 
   stopLeading (leader: string): void {
-    if (this.isLeading) this.options.log.warn('leadership_lost', { leader })
+    if (this.isLeading) this.options.log.warn('leadership_lost', { leader, ...this.options.loopMonitor?.takeReport() })
     this.isLeading = false
     this.options.orderDispatcher?.stopLeading()
     this.attached?.proposals.discard()
@@ -430,7 +423,3 @@
   // A snapshot of an earlier version lacks the fields that were added later; they get their initial values.
   return { ...createClusterState(), ...decodeValue(snapshot) as Partial<ClusterState> }
 }
-
-function formatCounts (counts: Record<string, number>): string {
-  return Object.entries(counts).map(([queue, count]) => `${queue}:${count}`).join(' ')
-}
--- a/packages/runtime/src/core/decision-log.ts
+++ b/packages/runtime/src/core/decision-log.ts
@@ -4,7 +4,7 @@
  * that a failure can be explained afterwards. Other decisions are not logged.
  */
 
-import { formatTaskRef, type ClusterState, type Decision, type Effect, type Event } from '@flamingorouter/scheduler'
+import { formatTaskRef, isClosedInTime, type ClusterState, type Decision, type Effect, type Event } from '@flamingorouter/scheduler'
 import type { RuntimeLog } from './runtime-log.js'
 
 /** Logs decisions of the leader that were just applied; the field `change` is the version of the resulting state. */
@@ -54,7 +54,8 @@
     }
     case 'jobClosed': {
       const { id, phase, at } = decision
-      return log.info('job_closed', { job: id, phase, ageMs: at - (state.jobs.get(id)?.acceptedAt ?? at), change })
+      const job = state.jobs.get(id)
+      return log.info('job_closed', { job: id, queue: job?.queue ?? '', phase, ageMs: at - (job?.acceptedAt ?? at), inTime: job !== undefined && isClosedInTime(job, state.cell), change })
     }
     case 'runPlaced': {
       const { ref, run, worker, incarnation } = decision
--- a/packages/runtime/src/core/metrics-recorder.ts
+++ b/packages/runtime/src/core/metrics-recorder.ts
@@ -9,6 +9,8 @@
   abstract recordStep (event: string, durationMs: number): void
   /** Records the commit of a log entry, `durationMs` after its proposal. */
   abstract recordCommit (durationMs: number): void
+  /** Records how late the event loop ran a timer. */
+  abstract recordLoopDelay (durationMs: number): void
   /** Records decisions of the leader that were just applied to `state`; `now` is the cluster time in milliseconds. */
   abstract recordDecisions (decisions: readonly Decision[], state: ClusterState, now: number): void
   /** Records how long a request waited until a runner was granted to it. */
--- a/packages/runtime/src/core/metrics-registry.ts
+++ b/packages/runtime/src/core/metrics-registry.ts
@@ -4,7 +4,7 @@
  * so that they take a few kilobytes regardless of the load.
  */
 
-import type { ClusterState, Decision } from '@flamingorouter/scheduler'
+import { isClosedInTime, type ClusterState, type Decision } from '@flamingorouter/scheduler'
 import { MetricsRecorder } from './metrics-recorder.js'
 
 /** Upper bounds of the histogram buckets in milliseconds. */
@@ -55,15 +55,30 @@
     this.recordDuration('commit_ms', '', durationMs)
   }
 
+  override recordLoopDelay (durationMs: number): void {
+    this.recordDuration('loop_delay_ms', '', durationMs)
+  }
+
   override recordDecisions (decisions: readonly Decision[], state: ClusterState, now: number): void {
     for (const decision of decisions) {
       this.incrementCounter('decisions_total', `kind="${decision.kind}"`)
-      if (decision.kind !== 'jobClosed') continue
-      const job = state.jobs.get(decision.id)
-      if (job !== undefined) this.recordDuration('job_ms', `queue="${job.queue}",phase="${job.phase}"`, now - job.acceptedAt)
+      if (decision.kind === 'jobClosed') this.recordClosing(decision.id, state, now)
+      if (decision.kind === 'runPlaced' && isFirstRun(decision)) this.recordFirstPlacement(decision.ref.job, state, now)
     }
   }
 
+  private recordClosing (id: string, state: ClusterState, now: number): void {
+    const job = state.jobs.get(id)
+    if (job === undefined) return
+    this.recordDuration('job_ms', `queue="${job.queue}",phase="${job.phase}"`, now - job.acceptedAt)
+    this.incrementCounter('jobs_closed_total', `queue="${job.queue}",phase="${job.phase}",in_time="${isClosedInTime(job, state.cell)}"`)
+  }
+
+  private recordFirstPlacement (id: string, state: ClusterState, now: number): void {
+    const job = state.jobs.get(id)
+    if (job !== undefined && job.spec.recurrence === undefined) this.recordDuration('placement_wait_ms', `queue="${job.queue}"`, now - job.acceptedAt)
+  }
+
   override recordRequestWait (): void {}
   override recordRequest (): void {}
 
@@ -77,6 +92,11 @@
   }
 }
 
+/** True for the first run of the first task of a job. */
+function isFirstRun ({ ref, run }: Extract<Decision, { kind: 'runPlaced' }>): boolean {
+  return run === 1 && ref.occurrence === 0 && ref.stage === 0 && ref.index === 0
+}
+
 function renderHistogram (key: string, { counts, sum, count }: Histogram): string[] {
   const separator = key.indexOf('|')
   const name = `flamingorouter_${key.slice(0, separator)}`
--- a/packages/scheduler/src/core/jobs/queues.ts
+++ b/packages/scheduler/src/core/jobs/queues.ts
@@ -3,7 +3,7 @@
  * of a job is based.
  */
 
-import type { CellConfiguration, JobSpec, JobQueue } from '../../types/jobs.js'
+import { JobPhase, type CellConfiguration, type JobSpec, type JobQueue, type StagedJob } from '../../types/jobs.js'
 
 /** Number of workers that each admission query is assumed to cover when the objective of a job is computed. */
 const OBJECTIVE_QUERY_WORKERS = 30
@@ -38,6 +38,17 @@
   return Math.max(0, ...spec.stages.map((_stage, index) => remainingPathMs(spec, queue, meanRunMs, index)))
 }
 
+/** Time from the acceptance of a job to its objective, in milliseconds; see `criticalPathMs`. */
+export function objectiveMs (spec: JobSpec, queue: JobQueue, meanRunMs: number | undefined): number {
+  return queue.stretch * criticalPathMs(spec, queue, meanRunMs) + queue.targetMs
+}
+
+/** True when a closed job was completed within its objective, by the run times that its caller declared. */
+export function isClosedInTime (job: StagedJob, cell: CellConfiguration | undefined): boolean {
+  const queue = findQueue(cell, job.queue)
+  return job.phase === JobPhase.completed && queue !== undefined && job.closedAt - job.acceptedAt <= objectiveMs(job.spec, queue, undefined)
+}
+
 /** Length of the critical path that begins with stage `first`, in milliseconds. */
 export function remainingPathMs (spec: JobSpec, queue: JobQueue, meanRunMs: number | undefined, first: number): number {
   const { admission } = queue
--- a/packages/scheduler/src/core/jobs/scheduling-units.ts
+++ b/packages/scheduler/src/core/jobs/scheduling-units.ts
@@ -7,7 +7,7 @@
 import {
   isLiveJob, StageTaskPhase, stageKey, type CellConfiguration, type Occurrence, type JobQueue, type StagedJob, type StageSpec
 } from '../../types/jobs.js'
-import { criticalPathMs, findQueue, remainingPathMs } from './queues.js'
+import { findQueue, objectiveMs, remainingPathMs } from './queues.js'
 
 /** Multiple of the objective after which the result of a job has no value to its caller. */
 const WORTHLESS_FACTOR = 3
@@ -100,7 +100,7 @@
   job: StagedJob, occurrenceNumber: number, stage: number, queue: JobQueue, waiting: number[], meanRunMs: number | undefined
 ): SchedulingUnit {
   const startAt = occurrenceDueAt(job, occurrenceNumber)
-  const objectiveMs = queue.stretch * criticalPathMs(job.spec, queue, meanRunMs) + queue.targetMs
+  const jobObjectiveMs = objectiveMs(job.spec, queue, meanRunMs)
   const placedCounts = new Map<string, number>()
   for (const { worker } of job.occurrences.get(occurrenceNumber)?.[stage] ?? []) {
     if (worker !== '') placedCounts.set(worker, (placedCounts.get(worker) ?? 0) + 1)
@@ -113,8 +113,8 @@
     spec: job.spec.stages[stage],
     payload: job.spec.payload,
     queue,
-    objectiveAt: startAt + objectiveMs,
-    worthlessAt: startAt + WORTHLESS_FACTOR * objectiveMs,
+    objectiveAt: startAt + jobObjectiveMs,
+    worthlessAt: startAt + WORTHLESS_FACTOR * jobObjectiveMs,
     remainingMs: remainingPathMs(job.spec, queue, meanRunMs, stage),
     waiting,
     placedCounts
