--- a/packages/runtime/__tests__/loop-monitor.test.ts
+++ b/packages/runtime/__tests__/loop-monitor.test.ts
@@ -55,8 +55,16 @@
 
 function createWorker (): CalledWorker {
   return {
-    id: 'worker', incarnation: 1, address: 'worker:1', service: 'work', availabilityZone: 'zone', rack: 'rack', labels: [],
-    capacity: { millicores: 16_000, memoryMib: 65_536, accelerators: 0 }, isDraining: false, hasLeft: false
+    id: 'worker',
+    incarnation: 1,
+    address: 'worker:1',
+    service: 'work',
+    availabilityZone: 'zone',
+    rack: 'rack',
+    labels: [],
+    capacity: { millicores: 16_000, memoryMib: 65_536, accelerators: 0 },
+    isDraining: false,
+    hasLeft: false
   }
 }
 
