Keep writes of the log within what a shared pipe does not mix

Cause: the processes of a VM share one pipe, and a pipe keeps only writes of up to 4096 bytes whole. Change: back to 4096 bytes, with two writes in flight instead of one, which doubles what one turn of the event loop carries. Not more: each write holds a thread of the pool that syncs the replicated log while a reader does not read.

--- a/packages/runtime/src/core/json-log.ts
+++ b/packages/runtime/src/core/json-log.ts
@@ -1,7 +1,8 @@
 /**
  * A log on a file descriptor, one JSON object per line. It never blocks: when the
  * reader stops reading, a bounded buffer fills and further lines are dropped and
- * counted. Lines of one event beyond a rate limit are also dropped and counted.
+ * counted. Lines of one event beyond a rate limit are also dropped and counted. While
+ * several writes are in flight, lines may change places; each has its time.
  */
 
 import { write } from 'node:fs'
@@ -16,8 +17,17 @@
 /** Length of the window over which the lines of one event are counted, in milliseconds. */
 const RATE_WINDOW_MS = 1_000
 
-/** Maximum size of one write of several lines: the capacity of a pipe on Linux, which may accept only a part of it. */
-const WRITE_LIMIT_BYTES = 65_536
+/**
+ * Maximum size of one write of several lines. A pipe accepts a write of up to 4096 bytes whole or not at all; longer ones
+ * mix with those of other processes that share the pipe.
+ */
+const WRITE_LIMIT_BYTES = 4_096
+
+/**
+ * Maximum number of writes in flight. Each occupies a thread of the pool that also syncs the replicated log, for as long
+ * as the reader of a blocking pipe does not read.
+ */
+const WRITES_IN_FLIGHT_MAX = 2
 
 /** Writes all bytes, or fails; calls `done` with null or the error. */
 export type WriteBytes = (bytes: Buffer, done: (error: Error | null) => void) => void
@@ -25,7 +35,7 @@
 export class JsonLog extends RuntimeLog {
   private bufferedLines: string[] = []
   private bufferedBytes = 0
-  private isWriting = false
+  private writesInFlight = 0
   private droppedLines = 0
   private readonly rates = new Map<string, { since: number, count: number }>()
 
@@ -64,7 +74,7 @@
     this.droppedLines = 0
     this.bufferedLines.push(text)
     this.bufferedBytes += text.length
-    if (!this.isWriting) this.flush()
+    if (this.writesInFlight < WRITES_IN_FLIGHT_MAX) this.flush()
   }
 
   /**
@@ -87,9 +97,9 @@
     while (lineCount < this.bufferedLines.length && (lineCount === 0 || size + this.bufferedLines[lineCount].length <= WRITE_LIMIT_BYTES)) size += this.bufferedLines[lineCount++].length
     const bytes = Buffer.from(this.bufferedLines.splice(0, lineCount).join(''))
     this.bufferedBytes -= size
-    this.isWriting = true
+    this.writesInFlight += 1
     this.writeBytes(bytes, error => {
-      this.isWriting = false
+      this.writesInFlight -= 1
       if (error !== null) this.droppedLines += lineCount
       if (this.bufferedLines.length > 0) this.flush()
     })
