Keep a leader that was stalled until it has read the answers that wait for it

Eight changes of leadership followed within 4 s. All leases lapsed meanwhile: placed tasks fell from 1,148 to 68, 1,984 alert tasks waited. Evidence: leadership_lost names no other leader and a timer 311 ms late; the same for each of the leaders that followed (223 to 309 ms). Cause: a timer of a stalled process runs before the messages that arrived during the stall are read. The leader took the time of its own stall for silence of the quorum and stepped down, after 300 ms. The next leader has more to do (it queries every worker) and stalls for longer: the failure feeds itself. Change: silence is counted in the leader's own ticks; a gap between two ticks counts as one heartbeat interval. The lease still counts from the time at which an acknowledged request was sent, so a leader that kept its role grants nothing until a quorum answers; one that stays cut off steps down as before, also while each turn of its loop is slow. Tests: the first of the three new ones fails without the change.

--- a/packages/controllers/__tests__/raft.test.ts
+++ b/packages/controllers/__tests__/raft.test.ts
@@ -108,6 +108,45 @@
     })
   })
 
+  describe('a leader whose process is stalled', () => {
+    const ELECTED_AT = AFTER_ELECTION_TIMEOUT_MS
+    const STALL_MS = TIMING.electionMs + 2 * TIMING.heartbeatMs
+
+    function createLeader (): Raft {
+      const raft = createRaft(3, 1, 2)
+      elect(raft)
+      sync(raft, ELECTED_AT)
+      raft.receive('b', createMessage(4, createAcceptance(3), 'b1'), ELECTED_AT)
+      return raft
+    }
+
+    it('does not step down before it can read the answers that arrived during the stall', () => {
+      const raft = createLeader()
+      raft.tick(ELECTED_AT + STALL_MS)
+      assert.equal(raft.role, 'leader')
+      raft.receive('b', createMessage(4, { ...createAcceptance(3), sentAt: ELECTED_AT + STALL_MS }, 'b1'), ELECTED_AT + STALL_MS)
+      raft.tick(ELECTED_AT + STALL_MS + TIMING.electionMs)
+      assert.equal(raft.role, 'leader')
+    })
+
+    it('holds no lease after the stall until a quorum answers', () => {
+      const raft = createLeader()
+      assert.equal(raft.holdsLease(ELECTED_AT + 1), true)
+      raft.tick(ELECTED_AT + STALL_MS)
+      assert.equal(raft.holdsLease(ELECTED_AT + STALL_MS), false)
+    })
+
+    it('steps down when a quorum stays silent after the stall, also while every turn of its event loop is slow', () => {
+      for (const tickMs of [10, 2 * TIMING.heartbeatMs]) {
+        const raft = createLeader()
+        raft.tick(ELECTED_AT + STALL_MS)
+        const ticks = Math.ceil(2 * TIMING.electionMs / Math.min(tickMs, TIMING.heartbeatMs))
+        for (let tick = 1; tick <= ticks; tick++) raft.tick(ELECTED_AT + STALL_MS + tick * tickMs)
+        assert.notEqual(raft.role, 'leader', `ticks every ${tickMs} ms`)
+      }
+    })
+  })
+
   describe('a message with the wrong disk identity', () => {
     it('is not counted as a vote', () => {
       const raft = createRaft(3, 1)
--- a/packages/controllers/src/core/raft/leader.ts
+++ b/packages/controllers/src/core/raft/leader.ts
@@ -31,6 +31,11 @@
   private readonly termStartIndex: number
   private transfer: LeadershipTransfer | undefined
   private lastHeartbeatAt: number
+  private lastTickAt: number
+  /** Time of the last contact with a quorum, as of the last tick. */
+  private quorumContactAt = -Infinity
+  /** Time since the last contact with a quorum in which this process was stalled and could not read answers, in milliseconds. */
+  private stalledMs = 0
 
   private constructor (
     private readonly state: RaftState,
@@ -39,6 +44,7 @@
   ) {
     state.leader = state.id
     this.lastHeartbeatAt = now
+    this.lastTickAt = now
     this.refreshProgress(now)
     this.termStartIndex = this.propose(EntryKind.noop, new Uint8Array())
     this.broadcast(now)
@@ -82,11 +88,25 @@
 
   /** Steps down when a quorum has not answered for an election timeout or a transfer timed out; otherwise sends heartbeats when due. */
   tick (now: number): void {
-    if (now - this.findQuorumContactTime(now) > this.state.timing.electionMs) return this.stepDown(now)
+    if (this.updateQuorumSilence(now) > this.state.timing.electionMs) return this.stepDown(now)
     if (this.transfer !== undefined && now >= this.transfer.deadline) return this.stepDown(now)
     if (now - this.lastHeartbeatAt >= this.state.timing.heartbeatMs) this.broadcast(now)
   }
 
+  /**
+   * Time for which a quorum has been silent, in milliseconds. The time between two ticks counts as one heartbeat interval
+   * at most: after a stall of this process, timers run before the answers that arrived meanwhile are read. The lease
+   * does not depend on this, so a leader that kept its role by it grants nothing until a quorum answers.
+   */
+  private updateQuorumSilence (now: number): number {
+    const contactAt = this.findQuorumContactTime(now)
+    if (contactAt !== this.quorumContactAt) this.stalledMs = 0
+    this.quorumContactAt = contactAt
+    this.stalledMs += Math.max(0, now - this.lastTickAt - this.state.timing.heartbeatMs)
+    this.lastTickAt = now
+    return now - contactAt - this.stalledMs
+  }
+
   /** Sends proposed entries to every member that is neither probed nor receiving a snapshot. */
   flush (now: number): void {
     for (const [id, progress] of this.progressById) this.sendPending(id, progress, now)
