Send the leader's orders in slices, so that a burst does not hold up its event loop

Cause: the orders of one pass, and the first lists of a new leader, were sent in one turn of the event loop. 246 lists or some hundred starts take 200 ms and more on the users' machine, as long as an election takes. Heartbeats of the replicas, answers of workers and calls of entries wait behind them. Evidence: event_loop_stalled of 202 to 311 ms at each of the new leaders within 2 s of 'leading', with starts of 200 tasks and more between two load lines.

--- a/packages/controllers/__tests__/raft.test.ts
+++ b/packages/controllers/__tests__/raft.test.ts
@@ -55,8 +55,8 @@
   raft.receive('b', createMessage(term, VOTE, voterDisk), AFTER_ELECTION_TIMEOUT_MS)
 }
 
-function createAcceptance (index: number): MessageBody {
-  return { kind: 'appendAnswer', accepted: true, index, refusedIndex: 0, sentAt: AFTER_ELECTION_TIMEOUT_MS }
+function createAcceptance (index: number, sentAt = AFTER_ELECTION_TIMEOUT_MS): MessageBody {
+  return { kind: 'appendAnswer', accepted: true, index, refusedIndex: 0, sentAt }
 }
 
 describe('the Raft state machine', () => {
@@ -124,7 +124,7 @@
       const raft = createLeader()
       raft.tick(ELECTED_AT + STALL_MS)
       assert.equal(raft.role, 'leader')
-      raft.receive('b', createMessage(4, { ...createAcceptance(3), sentAt: ELECTED_AT + STALL_MS }, 'b1'), ELECTED_AT + STALL_MS)
+      raft.receive('b', createMessage(4, createAcceptance(3, ELECTED_AT + STALL_MS), 'b1'), ELECTED_AT + STALL_MS)
       raft.tick(ELECTED_AT + STALL_MS + TIMING.electionMs)
       assert.equal(raft.role, 'leader')
     })
--- a/packages/runtime/src/core/worker-sessions.ts
+++ b/packages/runtime/src/core/worker-sessions.ts
@@ -6,6 +6,7 @@
 import { clusterNow, monotonicNow } from './clock.js'
 import { OrderDispatcher, type WorkerEffect } from './order-dispatcher.js'
 import type { RuntimeLog } from './runtime-log.js'
+import { SlicedQueue } from './sliced-queue.js'
 import { WorkerSession, type LeaseLimits, type SessionOwner, type WorkerClient } from './worker-session.js'
 
 export class WorkerSessions extends OrderDispatcher {
@@ -13,6 +14,10 @@
   /** Fencing token of new sessions: the term in which this process leads. */
   private fence = 0
   private owner: SessionOwner | undefined
+  /** A new leader establishes all sessions at once, and a pass may order hundreds of starts. */
+  private readonly effects = SlicedQueue.create<WorkerEffect>({
+    carryOut: effect => { this.carryOut(effect) }, now: monotonicNow, defer: setImmediate
+  })
 
   private constructor (
     private readonly client: WorkerClient,
@@ -35,10 +40,15 @@
   override stopLeading (): void {
     for (const session of this.sessions.values()) session.stop()
     this.sessions.clear()
+    this.effects.clear()
     this.owner = undefined
   }
 
   override dispatch (effect: WorkerEffect): void {
+    this.effects.push(effect)
+  }
+
+  private carryOut (effect: WorkerEffect): void {
     if (effect.kind === 'watchWorker') return this.startSession(effect.worker)
     if (effect.kind === 'unwatchWorker') return this.endSession(effect.id, effect.incarnation)
     if (effect.kind === 'ackEnds') {
