Let a leader step down that cannot renew its lease

Cause: each turn of the leader's event loop took longer than the lease lasts. It read the answers of the others in each turn, so the quorum did not count as silent, but too late to hold the lease: it led, and answered notLeader. Evidence: no cell_load line, which needs the lease, from 28 s on; entries and controllers got no answer; the process ended at 37.4 s, and another leader stood 0.4 s later. Change: a leader that has not held the lease for three election timeouts steps down, whatever the reason. Tests: a leader with turns as long as an election timeout; fails without the change.

--- a/packages/controllers/__tests__/raft.test.ts
+++ b/packages/controllers/__tests__/raft.test.ts
@@ -136,6 +136,16 @@
       assert.equal(raft.holdsLease(ELECTED_AT + STALL_MS), false)
     })
 
+    it('steps down when each of its turns is so slow that it cannot renew the lease', () => {
+      const raft = createLeader()
+      for (let turn = 1; turn <= 4; turn++) {
+        const now = ELECTED_AT + turn * TIMING.electionMs
+        raft.tick(now)
+        raft.receive('b', createMessage(4, createAcceptance(3, now - TIMING.electionMs), 'b1'), now)
+      }
+      assert.notEqual(raft.role, 'leader')
+    })
+
     it('steps down when a quorum stays silent after the stall, also while every turn of its event loop is slow', () => {
       for (const tickMs of [10, 2 * TIMING.heartbeatMs]) {
         const raft = createLeader()
--- a/packages/controllers/src/core/raft/leader.ts
+++ b/packages/controllers/src/core/raft/leader.ts
@@ -19,6 +19,12 @@
 /** Bytes of a snapshot in one message. */
 const SNAPSHOT_CHUNK_BYTES = 256 * 1024
 
+/**
+ * Number of election timeouts without a lease after which a leader steps down. A leader whose answers always arrive too
+ * late grants nothing; another controller may have more processor time.
+ */
+const LEASELESS_LIMIT_FACTOR = 3
+
 interface LeadershipTransfer {
   to: string
   /** Time at which the transfer is given up and the leader steps down, in milliseconds. */
@@ -36,6 +42,8 @@
   private quorumContactAt = -Infinity
   /** Time since the last contact with a quorum in which this process was stalled and could not read answers, in milliseconds. */
   private stalledMs = 0
+  /** Time at which this leader last held the lease; initially the start of its term. */
+  private leaseHeldAt: number
 
   private constructor (
     private readonly state: RaftState,
@@ -45,6 +53,7 @@
     state.leader = state.id
     this.lastHeartbeatAt = now
     this.lastTickAt = now
+    this.leaseHeldAt = now
     this.refreshProgress(now)
     this.termStartIndex = this.propose(EntryKind.noop, new Uint8Array())
     this.broadcast(now)
@@ -86,9 +95,15 @@
     return index
   }
 
-  /** Steps down when a quorum has not answered for an election timeout or a transfer timed out; otherwise sends heartbeats when due. */
+  /**
+   * Steps down when a quorum has not answered for an election timeout, when the lease could not be renewed for several,
+   * or when a transfer timed out; otherwise sends heartbeats when due.
+   */
   tick (now: number): void {
-    if (this.updateQuorumSilence(now) > this.state.timing.electionMs) return this.stepDown(now)
+    const { electionMs } = this.state.timing
+    if (this.updateQuorumSilence(now) > electionMs) return this.stepDown(now)
+    this.recordLease(now)
+    if (now - this.leaseHeldAt > LEASELESS_LIMIT_FACTOR * electionMs) return this.stepDown(now)
     if (this.transfer !== undefined && now >= this.transfer.deadline) return this.stepDown(now)
     if (now - this.lastHeartbeatAt >= this.state.timing.heartbeatMs) this.broadcast(now)
   }
@@ -107,6 +122,10 @@
     return now - contactAt - this.stalledMs
   }
 
+  private recordLease (now: number): void {
+    if (this.holdsLease(now)) this.leaseHeldAt = now
+  }
+
   /** Sends proposed entries to every member that is neither probed nor receiving a snapshot. */
   flush (now: number): void {
     for (const [id, progress] of this.progressById) this.sendPending(id, progress, now)
@@ -138,6 +157,7 @@
     const progress = this.findAnsweringProgress(from, answer.disk, now)
     if (progress === undefined) return
     progress.recordAnswer(answer.sentAt, now)
+    this.recordLease(now)
     if (answer.accepted) {
       progress.recordAcceptance(answer.index, this.countBytesBetween(progress.matchIndex, answer.index))
       this.advanceCommitIndex()
