--- a/packages/runtime/src/core/sliced-queue.ts
+++ b/packages/runtime/src/core/sliced-queue.ts
@@ -4,8 +4,11 @@
  * busy process from taking its peers for silent.
  */
 
-/** Time for which items are carried out in one turn, in milliseconds; well below a heartbeat interval of the replicas. */
-const SLICE_MS = 10
+/**
+ * Time for which items are carried out in one turn, in milliseconds: below a heartbeat interval of the replicas, and long
+ * enough that a process whose turns are slow still sends as much as it decides.
+ */
+const SLICE_MS = 40
 
 export interface SlicedQueueOptions<T> {
   carryOut: (item: T) => void
