Place no more work while orders wait to be sent

Cause: orders leave in the order of their decision. What a pass has placed goes out first, however urgent what comes after it is. Change: WorkerSessions tells the scheduler when 100 orders wait and when 20 are left; no pass runs in between. Work that is not placed is ordered by urgency in the next pass.

--- a/packages/runtime/src/core/worker-sessions.ts
+++ b/packages/runtime/src/core/worker-sessions.ts
@@ -9,14 +9,27 @@
 import { SlicedQueue } from './sliced-queue.js'
 import { WorkerSession, type LeaseLimits, type SessionOwner, type WorkerClient } from './worker-session.js'
 
+/** Number of effects that wait to be carried out from which no more work is placed; sending them takes about one slice. */
+const BACKLOG_LIMIT = 100
+
+/** Number of waiting effects at which work is placed again; hysteresis avoids a report for each effect. */
+const BACKLOG_END = 20
+
 export class WorkerSessions extends OrderDispatcher {
   private readonly sessions = new Map<string, WorkerSession>()
   /** Fencing token of new sessions: the term in which this process leads. */
   private fence = 0
   private owner: SessionOwner | undefined
+  /** True once the scheduler was told that effects wait to be carried out. */
+  private isBacklogged = false
   /** A new leader establishes all sessions at once, and a pass may order hundreds of starts. */
   private readonly effects = SlicedQueue.create<WorkerEffect>({
-    carryOut: effect => { this.carryOut(effect) }, now: monotonicNow, defer: setImmediate
+    carryOut: effect => { this.carryOut(effect) },
+    now: monotonicNow,
+    defer: run => setImmediate(() => {
+      run()
+      this.reportBacklog()
+    })
   })
 
   private constructor (
@@ -41,11 +54,21 @@
     for (const session of this.sessions.values()) session.stop()
     this.sessions.clear()
     this.effects.clear()
+    this.isBacklogged = false
     this.owner = undefined
   }
 
   override dispatch (effect: WorkerEffect): void {
     this.effects.push(effect)
+    this.reportBacklog()
+  }
+
+  private reportBacklog (): void {
+    const { length } = this.effects
+    const isBacklogged = this.isBacklogged ? length > BACKLOG_END : length >= BACKLOG_LIMIT
+    if (isBacklogged === this.isBacklogged) return
+    this.isBacklogged = isBacklogged
+    this.owner?.feed({ kind: 'orderBacklogChanged', isBacklogged })
   }
 
   private carryOut (effect: WorkerEffect): void {
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -44,7 +44,7 @@
 export class StagedJobs extends Component {
   readonly handledKinds = [
     'acceptJob', 'readJob', 'cancelJob', 'configureCell', 'readCell', 'workerReported', 'workerLeft', 'workerListed',
-    'workerSilent', 'workerLapsed', 'runOrdered', 'admissionAnswered', 'advisorsChanged', 'startUpkeepWave', 'readUpkeepWave',
+    'workerSilent', 'workerLapsed', 'runOrdered', 'admissionAnswered', 'advisorsChanged', 'orderBacklogChanged', 'startUpkeepWave', 'readUpkeepWave',
     'vmsListed', 'upkeepOrdered'
   ] as const
 
@@ -57,6 +57,8 @@
   /** Ids of workers on which units reserved capacity in the last pass. */
   private reservedWorkers: ReadonlySet<string> = new Set()
   private isPassDue = false
+  /** True while orders wait to be sent. A pass would only add to them, and would commit work that urgent work could overtake later. */
+  private hasOrderBacklog = false
   /** True from the start of this leader until it watches the workers in the replicated state. */
   private isWatchDue = false
   /** Cluster time of the last pass. */
@@ -76,6 +78,7 @@
     this.changedJobs.clear()
     for (const job of state.jobs.values()) this.changedJobs.add(job.id)
     this.isPassDue = true
+    this.hasOrderBacklog = false
     this.isWatchDue = true
     this.lastPassAt = now
   }
@@ -103,6 +106,10 @@
       case 'readUpkeepWave': return this.upkeep.readWave(event, step)
       case 'vmsListed': return this.upkeep.handleVmList(event)
       case 'upkeepOrdered': return this.upkeep.handleOrderAnswer(event, step)
+      case 'orderBacklogChanged':
+        this.hasOrderBacklog = event.isBacklogged
+        this.isPassDue = true
+        return
       case 'advisorsChanged':
         this.tickets.setEntries(event.entries)
         this.isPassDue = true
@@ -136,7 +143,11 @@
     }
     for (const id of this.changedJobs) this.updateJob(step, id)
     this.changedJobs.clear()
-    if (this.isPassDue && !this.runManager.isFencedOff && step.now - this.lastPassAt >= this.passPauseMs) this.runPass(step)
+    if (this.isPassDue && this.mayRunPass(step.now)) this.runPass(step)
+  }
+
+  private mayRunPass (now: number): boolean {
+    return !this.runManager.isFencedOff && !this.hasOrderBacklog && now - this.lastPassAt >= this.passPauseMs
   }
 
   private handleLeave (event: EventOf<'workerLeft'>, step: Step): void {
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -132,6 +132,8 @@
   | { kind: 'admissionAnswered', entry: string, stage: string, workers: string[], tickets: Array<{ worker: string, ticket: string }>, askedAt: number, isAnswered: boolean }
   /** The set of entries that can reach the admission service changed. */
   | { kind: 'advisorsChanged', entries: string[] }
+  /** Orders to called workers gather faster than they are sent (`isBacklogged`), or have been sent. */
+  | { kind: 'orderBacklogChanged', isBacklogged: boolean }
   /** An entry stopped answering; its grants may still be in use. */
   | { kind: 'entryLost', entry: string }
 
