Drop the tasks of a job from the state once it is completed

Closed jobs are kept for 300 s, and their finished tasks made half of it. Change: a completed job keeps its phase, times and specification, not its tasks. Cancelled and failed jobs keep them, since their runs may still be stopping. Test: fails before; a completed job is read and submitted again as before.

--- a/packages/scheduler/__tests__/staged-jobs.test.ts
+++ b/packages/scheduler/__tests__/staged-jobs.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import {
-  criticalPathMs, findRoute, isTooSlow, remainingPathMs, PlacementPass, Scheduler, sortUnits, StagedJobs, summarizeCellLoad, AdmissionTickets, WorkerView, createRun,
+  criticalPathMs, findRoute, isTooSlow, remainingPathMs, PlacementPass, Scheduler, sortUnits, StagedJobs, summarizeCellLoad, AdmissionTickets, WorkerView, createRun, RunEndCause,
   type Answer, type CalledWorker, type CellConfiguration, type Effect, type Event, type JobQueue, type StageSpec, type SchedulingUnit
 } from '../src/index.js'
 import { createStage } from './support/stages.js'
@@ -299,6 +299,25 @@
     })
   })
 
+  describe('a completed job', () => {
+    it('keeps no record of its tasks, which would hold up the leader at each snapshot', () => {
+      const scheduler = Scheduler.create([StagedJobs.create()])
+      scheduler.startLeading(0)
+      scheduler.handle({ kind: 'configureCell', call: 1, cell: { version: 1, queues: [createQueue()], retired: [], services: [], document: '' } }, 0)
+      scheduler.handle({ kind: 'workerReported', call: 2, worker: createView('one').worker }, 0)
+      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [] }, 0)
+      const call = { call: 3, host: 'jobs.example', path: '/q/job' }
+      const spec = { payload: '', stages: [createStage({ taskCount: 2 })] }
+      const tasks = listStarts(scheduler.handle({ kind: 'acceptJob', ...call, spec }, 10).effects)
+      const ended = tasks.map((task, index) => ({ number: index + 1, task, run: 1, cause: RunEndCause.done, checkpoint: '' }))
+      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 20, running: [], ended }, 20)
+      assert.equal(scheduler.state.jobs.get('job')?.occurrences.size, 0)
+      const { effects } = scheduler.handle({ kind: 'readJob', ...call }, 30)
+      assert.deepEqual(effects, [{ kind: 'reply', call: 3, answer: { kind: 'job', phase: 'completed', isStarted: true } }])
+      assert.deepEqual(listStarts(scheduler.handle({ kind: 'acceptJob', ...call, spec }, 40).effects), [])
+    })
+  })
+
   describe('the load of a cell', () => {
     it('counts the capacity of workers that are not draining, the placed tasks, and the waiting tasks that may start', () => {
       const scheduler = Scheduler.create([StagedJobs.create()])
--- a/packages/scheduler/src/core/jobs/apply-job-decision.ts
+++ b/packages/scheduler/src/core/jobs/apply-job-decision.ts
@@ -49,6 +49,8 @@
   // A closed job starts no more runs, so its payload is dropped. The spec is copied because the decision that
   // carried it may not have been encoded yet.
   job.spec = { ...job.spec, payload: '' }
+  // All tasks of a completed job are done. Keeping them would make most of a snapshot, which holds up the leader.
+  if (decision.phase === JobPhase.completed) job.occurrences.clear()
 }
 
 function openOccurrence (state: ClusterState, decision: DecisionOf<'occurrenceOpened'>): void {
--- a/packages/scheduler/src/types/jobs.ts
+++ b/packages/scheduler/src/types/jobs.ts
@@ -101,7 +101,7 @@
   closedAt: number
   /** True once any task has been placed. */
   started: boolean
-  /** Occurrences that are due, by number. */
+  /** Occurrences that are due, by number; none once the job is completed. */
   occurrences: Map<number, Occurrence>
 }
 
