Log what distinguishes the ways in which a task may run twice

order_not_done now has the number of unanswered attempts and appears also if a later attempt succeeded; run_anomaly (and the counter run_anomalies_total) names runs and ends that contradict the state, with what the state has instead; worker_lapsed names the end of the lease and the clock that passed it. No decision changes.

--- a/bench/support/staged-job-simulation.ts
+++ b/bench/support/staged-job-simulation.ts
@@ -275,7 +275,7 @@
     const fails = run === 1 && this.random.sampleFraction() < job.jobClass.failureShare
     const active: ActiveRun = { progress: { task, run, checkpoint, percent: 0, load: 0 }, workMs, doneMs, workingSince: this.clock.now, fails, gang: stage.gang ? stageKey(ref) : '', isStopping: false }
     model.active.set(task, active)
-    this.handleEvent({ kind: 'runOrdered', id: worker.id, incarnation: 1, order: 'start', task, run, outcome: OrderOutcome.done, sentAt: this.clock.now })
+    this.handleEvent({ kind: 'runOrdered', id: worker.id, incarnation: 1, order: 'start', task, run, outcome: OrderOutcome.done, unanswered: 0, sentAt: this.clock.now })
     // The tasks of a gang begin to work when the last of them has started.
     if (active.gang !== '' && this.listGangMembers(active.gang, run).length < stage.taskCount) return
     const members = active.gang === '' ? [{ model, active }] : this.listGangMembers(active.gang, run)
@@ -298,7 +298,7 @@
     const model = this.models.get(worker)
     const active = model?.active.get(task)
     this.stops += 1
-    this.handleEvent({ kind: 'runOrdered', id: worker, incarnation: 1, order: 'stop', task, run, outcome: OrderOutcome.done, sentAt: this.clock.now })
+    this.handleEvent({ kind: 'runOrdered', id: worker, incarnation: 1, order: 'stop', task, run, outcome: OrderOutcome.done, unanswered: 0, sentAt: this.clock.now })
     if (model === undefined || active === undefined || active.progress.run !== run || active.isStopping) return
     active.isStopping = true
     this.clock.schedule(this.options.stopMs, () => { this.endRun(model, active, RunEndCause.stopped) })
--- a/packages/cli/src/metrics/metrics.ts
+++ b/packages/cli/src/metrics/metrics.ts
@@ -9,7 +9,7 @@
 import Registry from 'prom-client/lib/registry.js'
 import { MetricsRecorder } from '@flamingorouter/runtime'
 import { getUrgencyName, type CallRecord, type PlainResponse } from '@flamingorouter/rpc'
-import type { ClusterState, Decision, OutcomeKind, Resources, Urgency } from '@flamingorouter/scheduler'
+import type { ClusterState, Decision, Effect, OutcomeKind, Resources, Urgency } from '@flamingorouter/scheduler'
 import { readProcessUsage } from './process-usage.js'
 import { Summary } from './summary.js'
 
@@ -44,6 +44,7 @@
   private readonly registry = new Registry()
   private readonly calls = this.createCounter('calls_total', 'Calls answered over HTTP.', ['method', 'kind'])
   private readonly decisions = this.createCounter('decisions_total', 'Decisions by kind.', ['kind'])
+  private readonly runAnomalies = this.createCounter('run_anomalies_total', 'Runs on called workers that contradict the state of the leader.', ['anomaly'])
   private readonly outcomes = this.createCounter('request_outcomes_total', 'Requests by outcome and urgency.', ['outcome', 'urgency'])
   private readonly callSeconds: Summary<'method'>
   private readonly taskWait: Summary<'kind' | 'urgency'>
@@ -108,6 +109,12 @@
     }
   }
 
+  override recordEffects (effects: readonly Effect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'noteRunAnomaly') this.runAnomalies.inc({ anomaly: effect.anomaly })
+    }
+  }
+
   /** Records the waiting time of a request that was assigned to a runner. */
   override recordRequestWait (urgency: Urgency, durationMs: number): void {
     this.requestWait.record({ urgency: getUrgencyName(urgency) }, durationMs)
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -327,6 +327,7 @@
     const result = scheduler.handle(event, now)
     metrics?.recordStep(event.kind, monotonicNow() - startedAt)
     metrics?.recordDecisions(result.decisions, scheduler.state, now)
+    metrics?.recordEffects(result.effects)
     logDecisions(this.options.log, result.decisions, scheduler.state, now)
     logTransientEvents(this.options.log, event, result.effects)
     const deferred: Effect[] = []
--- a/packages/runtime/src/core/decision-log.ts
+++ b/packages/runtime/src/core/decision-log.ts
@@ -14,7 +14,8 @@
 
 /**
  * Logs what no decision records: silent and lapsed workers, upkeep orders and their
- * outcomes, orders on runs that were not carried out, answers of the external
+ * outcomes, orders on runs that were not carried out at the first attempt, runs that
+ * contradict the state, answers of the external
  * admission service, orders to stop runs, and refused calls on jobs.
  */
 export function logTransientEvents (log: RuntimeLog, event: Event, effects: readonly Effect[]): void {
@@ -28,8 +29,9 @@
     }
     case 'upkeepOrdered': log.info('upkeep_ordered', { wave: event.wave, vm: event.vm, outcome: event.outcome }); break
     case 'runOrdered': {
-      const { id, order, task, run, outcome, sentAt } = event
-      if (outcome !== 'done') log.warn('order_not_done', { job: task.slice(0, task.indexOf('/')), worker: id, order, task, run, outcome, sentAt })
+      const { id, incarnation, order, task, run, outcome, unanswered, sentAt } = event
+      const isAnswered = outcome === 'done' && unanswered === 0
+      if (!isAnswered) log.warn('order_not_done', { job: task.slice(0, task.indexOf('/')), worker: id, incarnation, order, task, run, outcome, unanswered, sentAt })
     }
   }
   for (const effect of effects) logEffect(log, event, effect)
@@ -39,6 +41,9 @@
   if (effect.kind === 'stopRun') {
     const { worker, task, run, reason } = effect
     log.info('run_stopping', { job: task.slice(0, task.indexOf('/')), worker: worker.id, task, run, reason })
+  } else if (effect.kind === 'noteRunAnomaly') {
+    const { anomaly, worker, incarnation, task, run, detail } = effect
+    log.warn('run_anomaly', { job: task.slice(0, task.indexOf('/')), anomaly, worker, incarnation, task, run, detail })
   } else if (effect.kind === 'refuse' && 'path' in event) {
     log.info('call_refused', { call: event.kind, path: event.path, error: effect.error, message: effect.message, retryAfterMs: effect.retryAfterMs })
   }
--- a/packages/runtime/src/core/metrics-recorder.ts
+++ b/packages/runtime/src/core/metrics-recorder.ts
@@ -2,7 +2,7 @@
  * The measurements that the runtime reports to the metrics of a process.
  */
 
-import type { ClusterState, Decision, OutcomeKind, Urgency } from '@flamingorouter/scheduler'
+import type { ClusterState, Decision, Effect, OutcomeKind, Urgency } from '@flamingorouter/scheduler'
 
 export abstract class MetricsRecorder {
   /** Records that the scheduler handled an event of this kind, and how long that took. */
@@ -13,6 +13,8 @@
   abstract recordLoopDelay (durationMs: number): void
   /** Records decisions of the leader that were just applied to `state`; `now` is the cluster time in milliseconds. */
   abstract recordDecisions (decisions: readonly Decision[], state: ClusterState, now: number): void
+  /** Records effects of the scheduler that operators need to know of; the others are ignored. */
+  abstract recordEffects (effects: readonly Effect[]): void
   /** Records how long a request waited until a runner was granted to it. */
   abstract recordRequestWait (urgency: Urgency, durationMs: number): void
   /** Records a finished request. */
--- a/packages/runtime/src/core/metrics-registry.ts
+++ b/packages/runtime/src/core/metrics-registry.ts
@@ -4,7 +4,7 @@
  * so that they take a few kilobytes regardless of the load.
  */
 
-import { isClosedInTime, type ClusterState, type Decision } from '@flamingorouter/scheduler'
+import { isClosedInTime, type ClusterState, type Decision, type Effect } from '@flamingorouter/scheduler'
 import { MetricsRecorder } from './metrics-recorder.js'
 
 /** Upper bounds of the histogram buckets in milliseconds. */
@@ -67,6 +67,12 @@
     }
   }
 
+  override recordEffects (effects: readonly Effect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'noteRunAnomaly') this.incrementCounter('run_anomalies_total', `anomaly="${effect.anomaly}"`)
+    }
+  }
+
   private recordClosing (id: string, state: ClusterState, now: number): void {
     const job = state.jobs.get(id)
     if (job === undefined) return
--- a/packages/runtime/src/core/worker-session.ts
+++ b/packages/runtime/src/core/worker-session.ts
@@ -144,29 +144,31 @@
   async orderStart (order: Omit<StartOrder, 'fence' | 'untilMs'>): Promise<void> {
     const sentAt = this.owner.clusterNow()
     let answer: OrderAnswer = { outcome: OrderOutcome.unknown }
-    for (let attempts = 0; attempts < START_ATTEMPT_LIMIT && answer.outcome === OrderOutcome.unknown && !this.isStopped; attempts++) {
+    let unanswered = 0
+    while (unanswered < START_ATTEMPT_LIMIT && answer.outcome === OrderOutcome.unknown && !this.isStopped) {
       const untilMs = this.extendLease()
       answer = await this.client.start(this.worker, { ...order, fence: this.fence, untilMs }, this.limits.answerTimeoutMs)
       this.recordClock(answer)
+      if (answer.outcome === OrderOutcome.unknown) unanswered += 1
     }
-    this.reportOutcome('start', order.task, order.run, answer, sentAt)
+    this.reportOutcome('start', order.task, order.run, answer, unanswered, sentAt)
   }
 
   async orderStop (task: string, run: number): Promise<void> {
     const sentAt = this.owner.clusterNow()
     const answer = await this.client.stop(this.worker, task, run, this.fence, this.limits.answerTimeoutMs)
     this.recordClock(answer)
-    this.reportOutcome('stop', task, run, answer, sentAt)
+    this.reportOutcome('stop', task, run, answer, answer.outcome === OrderOutcome.unknown ? 1 : 0, sentAt)
   }
 
   async orderPace (task: string, run: number, percent: number): Promise<void> {
     await this.client.pace(this.worker, task, run, percent, this.fence, this.limits.answerTimeoutMs)
   }
 
-  private reportOutcome (order: 'start' | 'stop', task: string, run: number, answer: OrderAnswer, sentAt: number): void {
+  private reportOutcome (order: 'start' | 'stop', task: string, run: number, answer: OrderAnswer, unanswered: number, sentAt: number): void {
     if (this.isStopped) return
     const { id, incarnation } = this.worker
-    this.owner.feed({ kind: 'runOrdered', id, incarnation, order, task, run, outcome: answer.outcome, sentAt })
+    this.owner.feed({ kind: 'runOrdered', id, incarnation, order, task, run, outcome: answer.outcome, unanswered, sentAt })
   }
 
   private async requestList (): Promise<void> {
@@ -207,7 +209,9 @@
     if (this.worker.hasLeft && answer.isRefused === true) return 'it left, and nothing listens at its address'
     if (this.clockReading === undefined) return ''
     const elapsedMs = (this.owner.monotonicNow() - this.clockReading.atMs) * (1 - this.limits.clockDrift)
-    return this.clockReading.workerMs + elapsedMs > this.leaseUntilMs + LEASE_MARGIN_MS ? 'its lease lapsed on its own clock' : ''
+    const workerNow = Math.floor(this.clockReading.workerMs + elapsedMs)
+    if (workerNow <= this.leaseUntilMs + LEASE_MARGIN_MS) return ''
+    return `its lease until ${this.leaseUntilMs} lapsed on its own clock, which shows ${workerNow} or more`
   }
 
   /**
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -6,7 +6,7 @@
  */
 
 import type { EndedRun, EventOf, ReportedRun } from '../../types/events.js'
-import { OrderOutcome, RunEndCause } from '../../types/events.js'
+import { OrderOutcome, RunAnomaly, RunEndCause } from '../../types/events.js'
 import {
   formatTaskRef, isLiveJob, parseTaskRef, StageTaskPhase, type CalledWorker, type StagedJob, type StageTask, type TaskRef
 } from '../../types/jobs.js'
@@ -304,9 +304,9 @@
   /** Handles the end of a run: records a result, or releases the task so that it waits again. */
   private handleEnd (step: Step, view: WorkerView, endedRun: EndedRun): void {
     const run = view.runs.get(endedRun.task)
-    if (run === undefined || run.run !== endedRun.run) return
+    if (run === undefined || run.run !== endedRun.run) return this.handleUntrackedEnd(step, view, endedRun)
     view.remove(endedRun.task)
-    if (run.isOrphan) return
+    if (run.isOrphan) return this.handleUntrackedEnd(step, view, endedRun)
     const checkpoint = endedRun.checkpoint === '' ? run.checkpoint : endedRun.checkpoint
     const job = step.state.jobs.get(run.ref.job)
     const stage = job?.spec.stages[run.ref.stage]
@@ -331,6 +331,11 @@
     if (stage.gang) this.stopGang(step, run)
   }
 
+  private handleUntrackedEnd (step: Step, view: WorkerView, endedRun: EndedRun): void {
+    const isResult = endedRun.cause === RunEndCause.done || endedRun.cause === RunEndCause.failed
+    if (isResult) this.noteAnomaly(step, view, RunAnomaly.untrackedEnd, endedRun, endedRun.cause)
+  }
+
   /** Records success for all members of a gang run; the success of one member implies that of the others. */
   private completeGang (step: Step, ended: Run): void {
     const { ref, run } = ended
@@ -369,6 +374,7 @@
       const stage = ref === undefined ? undefined : step.state.jobs.get(ref.job)?.spec.stages[ref.stage]
       const orphan = createOrphanRun(reportedRun.task, reportedRun.run, stage?.fills === true ? NO_RESOURCES : stage?.resources ?? NO_RESOURCES, step.now)
       view.add(orphan)
+      this.noteAnomaly(step, view, RunAnomaly.unplacedRun, reportedRun, `${reportedRun.percent} percent`)
       return this.stopRun(step, view, orphan, 'the replicated state does not place this run on the worker')
     }
     if (run.run > reportedRun.run) return
@@ -382,6 +388,14 @@
     this.stopIfSlow(step, view, run, job)
   }
 
+  private noteAnomaly (step: Step, view: WorkerView, anomaly: RunAnomaly, { task, run }: { task: string, run: number }, report: string): void {
+    const ref = parseTaskRef(task)
+    const placed = ref === undefined ? undefined : findStageTask(step.state, ref)
+    const place = placed?.worker === '' ? '' : ` on ${placed?.worker} (${placed?.incarnation})`
+    const detail = `listed: ${report}; in the state: ${placed === undefined ? 'unknown' : `run ${placed.run} ${placed.phase}${place}`}`
+    step.effects.push({ kind: 'noteRunAnomaly', anomaly, worker: view.id, incarnation: view.worker.incarnation, task, run, detail })
+  }
+
   private recordProgress (run: Run, percent: number, now: number): void {
     // A run that resumes from a checkpoint does not start at 0 percent.
     if (run.progress === undefined || percent < run.progress.basePercent) run.progress = { baseAt: now, basePercent: percent }
--- a/packages/scheduler/src/types/effects.ts
+++ b/packages/scheduler/src/types/effects.ts
@@ -7,7 +7,7 @@
 
 import type { ErrorKind } from '../utils/errors.js'
 import type { Answer } from './answers.js'
-import type { Command } from './events.js'
+import type { Command, RunAnomaly } from './events.js'
 import type { CalledWorker } from './jobs.js'
 
 /** True for the effects that end a call. */
@@ -26,6 +26,8 @@
   /** Keep extending the lease of a worker and report its runs. */
   | { kind: 'watchWorker', worker: CalledWorker }
   | { kind: 'unwatchWorker', id: string, incarnation: number }
+  /** Record a contradiction about a run for operators. `detail` says what the replicated state has for its task. */
+  | { kind: 'noteRunAnomaly', anomaly: RunAnomaly, worker: string, incarnation: number, task: string, run: number, detail: string }
   /** Run ends numbered up to `cursor` are committed; the worker may discard them. */
   | { kind: 'ackEnds', id: string, incarnation: number, cursor: number }
   /** Ask the VM service for the VMs that exist and whether they are up. */
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -123,8 +123,11 @@
    * another worker answers at its address, or it has left and nothing listens there.
    */
   | { kind: 'workerLapsed', id: string, incarnation: number, reason: string }
-  /** The outcome of an order to start or stop a run; `sentAt` is the cluster time in milliseconds of the first attempt. */
-  | { kind: 'runOrdered', id: string, incarnation: number, order: 'start' | 'stop', task: string, run: number, outcome: OrderOutcome, sentAt: number }
+  /**
+   * The outcome of the last attempt of an order to start or stop a run. `sentAt` is the cluster time in milliseconds of the
+   * first attempt; `unanswered` is the number of attempts without an answer, each of which may still be carried out.
+   */
+  | { kind: 'runOrdered', id: string, incarnation: number, order: 'start' | 'stop', task: string, run: number, outcome: OrderOutcome, unanswered: number, sentAt: number }
   /**
    * The end of an admission query about some workers, sent through an entry at `askedAt` (cluster time
    * in milliseconds). A worker without a ticket is not allowed. `isAnswered` is false when no answer arrived.
@@ -170,6 +173,15 @@
 } as const)
 export type RunEndCause = typeof RunEndCause[keyof typeof RunEndCause]
 
+/** A contradiction between what a called worker lists and what the leader knows. */
+export const RunAnomaly = Object.freeze({
+  /** A worker runs what the replicated state does not place there. */
+  unplacedRun: 'unplacedRun',
+  /** A run ended that the leader does not track. */
+  untrackedEnd: 'untrackedEnd'
+} as const)
+export type RunAnomaly = typeof RunAnomaly[keyof typeof RunAnomaly]
+
 export const OrderOutcome = Object.freeze({
   done: 'done',
   /** The worker has too little free capacity; nothing was done. */
