Take a refused start for its last attempt only

Cause: a session repeats a start that gets no answer and reports the answer to the last attempt. A refusal (unhealthy, no room, no ticket, late, malformed) released the task at once, although an earlier attempt may have been carried out, or may be seconds later. Likewise any answer to a stop but silence and unhealthy counted as its confirmation, so a stop that a worker refused released the task.

Evidence: uncertain-orders.test.ts failed before with 5 of 6 cases of a start ("start run 2 on two" where a stop of run 1 was due) and 3 of 5 of a stop.

Why it works: the outcome now carries how many attempts got no answer. If any did, the run is stopped like one whose start was never answered, and its task waits until the stop is confirmed and the worker no longer lists the run. Only an answer that rules out a later start confirms a stop.

--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -210,8 +210,8 @@
       return
     }
     if (event.outcome === OrderOutcome.replaced) return this.handleLapse(step, event.id, event.incarnation, 'another worker answers at its address')
-    if (event.order === 'stop') return this.handleStopAnswer(step, view, run, event.outcome)
-    if (run.status === RunStatus.starting) this.handleStartAnswer(step, view, run, event.outcome)
+    if (event.order === 'stop') return this.handleStopAnswer(step, run, event.outcome)
+    if (run.status === RunStatus.starting) this.handleStartAnswer(step, view, run, event)
     if (run.fills && run.status === RunStatus.running && isServing(view)) this.orderPace(step, view, run, INITIAL_PACE_PERCENT)
   }
 
@@ -445,7 +445,7 @@
     if (run.status === RunStatus.running && sentAt > run.confirmedAt) this.stopRun(step, view, run, 'the worker does not list it')
   }
 
-  private handleStartAnswer (step: Step, view: WorkerView, run: Run, outcome: OrderOutcome): void {
+  private handleStartAnswer (step: Step, view: WorkerView, run: Run, { outcome, unanswered }: EventOf<'runOrdered'>): void {
     switch (outcome) {
       case OrderOutcome.done: return this.confirmStart(run, step.now)
       // It may be running, may start late or may have ended; a confirmed stop makes its end certain.
@@ -454,12 +454,15 @@
       case OrderOutcome.noRoom: view.cooldownUntil = step.now + COOLDOWN_MS.noRoom; break
       case OrderOutcome.unhealthy: view.cooldownUntil = step.now + COOLDOWN_MS.unhealthy
     }
+    // The refusal answers only the last attempt.
+    if (unanswered > 0) return this.stopRun(step, view, run, `its start was refused (${outcome}) after ${unanswered} attempts without an answer`)
     this.removeRun(step, view, run, outcome)
   }
 
-  private handleStopAnswer (step: Step, view: WorkerView, run: Run, outcome: OrderOutcome): void {
+  private handleStopAnswer (step: Step, run: Run, outcome: OrderOutcome): void {
     if (run.status !== RunStatus.stopping) return
-    if (outcome === OrderOutcome.unknown || outcome === OrderOutcome.unhealthy) {
+    // Only these outcomes rule out that the run starts later.
+    if (outcome !== OrderOutcome.done && outcome !== OrderOutcome.superseded) {
       run.resendWaitStartsAt = step.now
       return
     }
