Count the end of every run that is acknowledged

Cause: the end of a run that the leader no longer tracks, or that the state does not place on that worker, was ignored, yet its number was acknowledged and the worker forgot it. A failure then did not count towards the limit and a success did not end the task. Failures of a gang were told apart by a table that a new leader does not have, so there two members of one run could count twice.

Why it works: such an end is recorded in the replicated state before it is acknowledged. The numbers of failed runs are kept with the task, so that a failure counts once whoever lists it, and the failures of a gang are its distinct failed runs. A success ends the task, and a later run is stopped.

--- a/packages/scheduler/src/core/jobs/apply-job-decision.ts
+++ b/packages/scheduler/src/core/jobs/apply-job-decision.ts
@@ -71,12 +71,21 @@
 
 function endRun (state: ClusterState, decision: DecisionOf<'runEnded'>): void {
   const task = findStageTask(state, decision.ref)
-  if (task === undefined || task.run !== decision.run || task.phase === StageTaskPhase.done) return
-  task.worker = ''
-  task.incarnation = 0
-  task.phase = decision.succeeded ? StageTaskPhase.done : StageTaskPhase.waiting
-  if (decision.succeeded) task.checkpoint = ''
-  else task.failures += 1
+  const { run, succeeded } = decision
+  if (task === undefined || run > task.run || task.phase === StageTaskPhase.done) return
+  if (succeeded || run === task.run) {
+    task.worker = ''
+    task.incarnation = 0
+    task.phase = succeeded ? StageTaskPhase.done : StageTaskPhase.waiting
+  }
+  if (succeeded) task.checkpoint = ''
+  else recordFailure(task, run)
+}
+
+function recordFailure (task: StageTask, run: number): void {
+  if (task.failedRuns?.includes(run) === true) return
+  task.failures += 1
+  task.failedRuns = [...task.failedRuns ?? [], run]
 }
 
 function releaseRun (state: ClusterState, decision: DecisionOf<'runReleased'>): void {
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -65,8 +65,6 @@
   private leaderSince = 0
   /** True once a worker refused an order because it has seen a higher fencing token: another process leads. */
   isFencedOff = false
-  /** Number of the last run that failed, by gang; only the first failure of a run is counted. */
-  private readonly gangFailures = new Map<string, number>()
 
   static create (): RunManager {
     return new RunManager()
@@ -74,7 +72,6 @@
 
   reset (state: ClusterState, now: number): void {
     this.views.clear()
-    this.gangFailures.clear()
     this.meanRunMs.clear()
     this.leaderSince = now
     this.isFencedOff = false
@@ -288,7 +285,7 @@
     let view = this.views.get(task.worker)
     if (view === undefined || view.worker.incarnation !== task.incarnation) {
       // The worker is no longer known under this incarnation. A view of its own keeps the run until its lease has lapsed.
-      const id = `${task.worker}#${task.incarnation}`
+      const id = formatFormerWorker(task.worker, task.incarnation)
       view = this.views.get(id) ?? WorkerView.create(createUnknownWorker(id, task))
       this.views.set(id, view)
     }
@@ -314,16 +311,11 @@
     if (endedRun.cause === RunEndCause.done && !stage.longRunning) {
       this.recordSuccess(view)
       this.recordRunTime(run, job.queue, step.now)
-      if (!stage.gang) return step.decide({ kind: 'runEnded', ref: run.ref, run: run.run, succeeded: true })
-      return this.completeGang(step, run)
+      return stage.gang ? this.completeGang(step, run.ref, run.run) : this.completeTask(step, run.ref, run.run)
     }
     if (endedRun.cause === RunEndCause.failed && !stage.longRunning) {
       this.recordFailure(view, step.now)
-      if (!stage.gang || this.recordGangFailure(run)) {
-        step.decide({ kind: 'runEnded', ref: run.ref, run: run.run, succeeded: false })
-      } else {
-        this.releaseTask(step, run, checkpoint, endedRun.cause)
-      }
+      step.decide({ kind: 'runEnded', ref: run.ref, run: run.run, succeeded: false })
       if (stage.gang) this.stopGang(step, run)
       return
     }
@@ -331,23 +323,53 @@
     if (stage.gang) this.stopGang(step, run)
   }
 
+  /**
+   * Records the result of a run that was released or belongs to an earlier leader. The worker forgets its end once it is
+   * acknowledged, so it is counted now or never.
+   */
   private handleUntrackedEnd (step: Step, view: WorkerView, endedRun: EndedRun): void {
-    const isResult = endedRun.cause === RunEndCause.done || endedRun.cause === RunEndCause.failed
-    if (isResult) this.noteAnomaly(step, view, RunAnomaly.untrackedEnd, endedRun, endedRun.cause)
+    const { cause, run } = endedRun
+    if (cause !== RunEndCause.done && cause !== RunEndCause.failed) return
+    const ref = parseTaskRef(endedRun.task)
+    const task = ref === undefined ? undefined : findStageTask(step.state, ref)
+    const stage = ref === undefined ? undefined : step.state.jobs.get(ref.job)?.spec.stages[ref.stage]
+    if (ref === undefined || task === undefined || stage === undefined || stage.longRunning || run > task.run) return
+    if (task.phase === StageTaskPhase.done || task.failedRuns?.includes(run) === true) return
+    this.noteAnomaly(step, view, RunAnomaly.untrackedEnd, endedRun, cause)
+    if (cause === RunEndCause.failed) return step.decide({ kind: 'runEnded', ref, run, succeeded: false })
+    if (stage.gang) this.completeGang(step, ref, run)
+    else this.completeTask(step, ref, run)
   }
 
   /** Records success for all members of a gang run; the success of one member implies that of the others. */
-  private completeGang (step: Step, ended: Run): void {
-    const { ref, run } = ended
+  private completeGang (step: Step, ref: TaskRef, run: number): void {
     const tasks = step.state.jobs.get(ref.job)?.occurrences.get(ref.occurrence)?.[ref.stage] ?? []
     tasks.forEach((task, index) => {
-      if (task.phase === StageTaskPhase.done || task.run !== run) return
-      const member = { ...ref, index }
-      this.views.get(task.worker)?.remove(formatTaskRef(member))
-      step.decide({ kind: 'runEnded', ref: member, run, succeeded: true })
+      if (task.phase !== StageTaskPhase.done && task.run >= run) this.completeTask(step, { ...ref, index }, run)
     })
   }
 
+  /** Records the success of a run, and stops a later run of its task. */
+  private completeTask (step: Step, ref: TaskRef, run: number): void {
+    const task = findStageTask(step.state, ref)
+    const view = task === undefined ? undefined : this.findPlacement(task)
+    const placed = view?.runs.get(formatTaskRef(ref))
+    if (view !== undefined && placed !== undefined && !placed.isOrphan) {
+      if (placed.run === run) {
+        view.remove(placed.task)
+      } else {
+        placed.isOrphan = true
+        this.stopRun(step, view, placed, 'an earlier run of its task succeeded')
+      }
+    }
+    step.decide({ kind: 'runEnded', ref, run, succeeded: true })
+  }
+
+  /** The view that tracks the run of a placed task. */
+  private findPlacement ({ worker, incarnation }: StageTask): WorkerView | undefined {
+    return this.views.get(formatFormerWorker(worker, incarnation)) ?? this.views.get(worker)
+  }
+
   /** Stops the other members after one member of a gang run ended. The gang cannot continue and is restarted as a whole. */
   private stopGang (step: Step, ended: Run): void {
     for (const view of this.views.values()) {
@@ -358,14 +380,6 @@
     }
   }
 
-  /** Returns true for the first failure of a gang run; only that one counts towards the attempt limit. */
-  private recordGangFailure (run: Run): boolean {
-    const key = `${run.ref.job}/${run.ref.occurrence}/${run.ref.stage}`
-    if (this.gangFailures.get(key) === run.run) return false
-    this.gangFailures.set(key, run.run)
-    return true
-  }
-
   /** Handles a run that a worker lists as running; one that the replicated state does not place there is stopped. */
   private handleRunning (step: Step, view: WorkerView, reportedRun: ReportedRun): void {
     const run = view.runs.get(reportedRun.task)
@@ -515,6 +529,11 @@
   return one.job === other.job && one.occurrence === other.occurrence && one.stage === other.stage
 }
 
+/** Id of the view that keeps the runs of an incarnation that is no longer known. */
+function formatFormerWorker (worker: string, incarnation: number): string {
+  return `${worker}#${incarnation}`
+}
+
 /** A placeholder for a worker that is no longer known; it has no address and gets no work. */
 function createUnknownWorker (id: string, task: StageTask): CalledWorker {
   return {
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -6,7 +6,7 @@
 import type { Decision } from '../../types/decisions.js'
 import type { Event, EventOf } from '../../types/events.js'
 import {
-  isLiveJob, JobPhase, StageTaskPhase, type StagedJob
+  isLiveJob, JobPhase, StageTaskPhase, type StagedJob, type StageTask
 } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
 import { Component } from '../component.js'
@@ -253,7 +253,7 @@
 }
 
 /**
- * The phase in which a job closes; undefined while it continues. Failures are counted for each task, in a gang for all
+ * The phase in which a job closes; undefined while it continues. Failed runs are counted for each task, in a gang for all
  * of its tasks together; long-running tasks have no limit.
  */
 function findClosingPhase (job: StagedJob, state: ClusterState): JobPhase | undefined {
@@ -262,10 +262,15 @@
   for (const occurrence of job.occurrences.values()) {
     for (const [stage, tasks] of occurrence.entries()) {
       const { gang, longRunning } = job.spec.stages[stage]
-      const failures = gang ? tasks.reduce((sum, task) => sum + task.failures, 0) : Math.max(...tasks.map(task => task.failures))
+      const failures = Math.max(gang ? countFailedGangRuns(tasks) : 0, ...tasks.map(task => task.failures))
       if (failures >= limit && !longRunning) return JobPhase.failed
       if (tasks.some(task => task.phase !== StageTaskPhase.done)) isDone = false
     }
   }
   return isDone ? JobPhase.completed : undefined
 }
+
+/** The members of a gang share their run numbers, and several members of one run may fail. */
+function countFailedGangRuns (tasks: readonly StageTask[]): number {
+  return new Set(tasks.flatMap(task => task.failedRuns ?? [])).size
+}
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -66,7 +66,10 @@
   | { kind: 'jobForgotten', id: string }
   | { kind: 'occurrenceOpened', id: string, occurrence: number }
   | { kind: 'runPlaced', ref: TaskRef, run: number, worker: string, incarnation: number }
-  /** A run succeeded or failed; a failure counts towards the attempt limit of the queue. */
+  /**
+   * A run succeeded or failed, which may be an earlier one than the run that is placed. A success ends the task; a failure
+   * counts once towards the attempt limit of the queue.
+   */
   | { kind: 'runEnded', ref: TaskRef, run: number, succeeded: boolean }
   /** A run is over or never started, and its task waits again. `checkpoint` is empty unless there is a newer one. */
   | { kind: 'runReleased', ref: TaskRef, run: number, checkpoint: string, reason: string }
--- a/packages/scheduler/src/types/jobs.ts
+++ b/packages/scheduler/src/types/jobs.ts
@@ -79,6 +79,8 @@
   run: number
   /** Number of failed runs. */
   failures: number
+  /** Numbers of the failed runs, by which a failure that is listed again is recognised; undefined while there is none. */
+  failedRuns?: number[]
   /** Worker of the last run while the task is placed; empty otherwise. */
   worker: string
   /** Incarnation of that worker. */
