Stop what a worker may still start when it starts again under its id

Cause: a worker that starts again under its id carries out orders that were sent to its former incarnation, and knows none of the stops that it had confirmed. The leader took a new incarnation, in a report or in the answer to a list, as proof that no run of the former one exists, and released all of its tasks at once. The answer to a start does not name the incarnation, so it may come from the new one too.

Why it works: only a list names the incarnation, so a run is lost with its worker only if that incarnation listed it and no attempt to start it is open. Any other run is stopped at the new incarnation, which rejects the start from then on, before its task is released. A worker found restarted by a list keeps its runs until the new incarnation reports itself, or until every lease must have lapsed. A task is not placed on a worker that is still to reject an earlier run of it.

--- a/packages/runtime/src/core/decision-log.ts
+++ b/packages/runtime/src/core/decision-log.ts
@@ -13,7 +13,7 @@
 }
 
 /**
- * Logs what no decision records: silent and lapsed workers, upkeep orders and their
+ * Logs what no decision records: silent, restarted and lapsed workers, upkeep orders and their
  * outcomes, orders on runs that were not carried out at the first attempt, runs that
  * contradict the state, answers of the external
  * admission service, orders to stop runs, and refused calls on jobs.
@@ -21,6 +21,7 @@
 export function logTransientEvents (log: RuntimeLog, event: Event, effects: readonly Effect[]): void {
   switch (event.kind) {
     case 'workerSilent': log.warn('worker_silent', { worker: event.id, incarnation: event.incarnation }); break
+    case 'workerRestarted': log.warn('worker_restarted', { worker: event.id, incarnation: event.incarnation }); break
     case 'workerLapsed': log.warn('worker_lapsed', { worker: event.id, incarnation: event.incarnation, reason: event.reason }); break
     case 'admissionAnswered': {
       const { stage, entry, workers, tickets, askedAt, isAnswered } = event
--- a/packages/runtime/src/core/worker-session.ts
+++ b/packages/runtime/src/core/worker-session.ts
@@ -182,6 +182,10 @@
     if (this.isStopped) return
     this.recordClock(answer)
     const { id, incarnation } = this.worker
+    if (answer.outcome === OrderOutcome.restarted) {
+      this.stop()
+      return this.owner.feed({ kind: 'workerRestarted', id, incarnation })
+    }
     if (answer.outcome === OrderOutcome.replaced) {
       this.stop()
       return this.owner.feed({ kind: 'workerLapsed', id, incarnation, reason: 'another worker answers at its address' })
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -20,6 +20,7 @@
 import { listServingStages } from './serving-stages.js'
 import { computeExpectedRunMs, findQueue } from './queues.js'
 import type { SchedulingUnit } from './scheduling-units.js'
+import { UnansweredStarts } from './unanswered-starts.js'
 import { createOrphanRun, createRun, isServing, RunStatus, WorkerView, type Run } from './worker-view.js'
 
 /**
@@ -61,6 +62,8 @@
   readonly views = new Map<string, WorkerView>()
   /** Moving average of the run times of a queue in milliseconds, by queue name; no value before the first observed run. */
   readonly meanRunMs = new Map<string, number>()
+  /** Starts on workers that may still carry them out. */
+  private readonly unansweredStarts = UnansweredStarts.create()
   /** Cluster time at which this leader took over. */
   private leaderSince = 0
   /** True once a worker refused an order because it has seen a higher fencing token: another process leads. */
@@ -72,6 +75,7 @@
 
   reset (state: ClusterState, now: number): void {
     this.views.clear()
+    this.unansweredStarts.clear()
     this.meanRunMs.clear()
     this.leaderSince = now
     this.isFencedOff = false
@@ -149,7 +153,7 @@
 
   /**
    * Handles the report in which a worker describes itself: a new worker, a new incarnation or a change. Reports of an
-   * older incarnation are ignored; a new incarnation ends all runs of the previous one.
+   * older incarnation are ignored.
    */
   handleReport (step: Step, reported: CalledWorker): void {
     const view = this.views.get(reported.id)
@@ -158,10 +162,12 @@
     const incarnation = known?.incarnation ?? view?.worker.incarnation ?? -1
     if (worker.incarnation < incarnation) return
     if (worker.incarnation > incarnation) {
-      if (view !== undefined) this.removeAllRuns(step, view, 'the worker started anew')
+      const successor = WorkerView.create(worker)
       step.decide({ kind: 'calledWorkerKnown', worker })
-      this.views.set(worker.id, WorkerView.create(worker))
+      this.views.set(worker.id, successor)
       step.effects.push({ kind: 'watchWorker', worker })
+      if (view !== undefined) this.passOnRuns(step, view, successor)
+      this.rejectUnansweredStarts(step, successor)
       return
     }
     if (known !== undefined && isSameReport(known, worker)) return
@@ -217,6 +223,45 @@
     step.effects.push({ kind: 'paceRun', worker: view.worker, task: run.task, run: run.run, percent })
   }
 
+  /**
+   * Ends the runs of an incarnation that its successor replaces. A run that the successor may start, since the start was
+   * not answered by the former incarnation for certain, is stopped there before its task is released.
+   */
+  private passOnRuns (step: Step, former: WorkerView, successor: WorkerView): void {
+    const reason = 'its worker started again'
+    for (const run of [...former.runs.values()]) {
+      if (run.isOrphan) continue
+      if (run.isListed && !run.hasOpenStart) {
+        this.removeRun(step, former, run, reason)
+        continue
+      }
+      former.remove(run.task)
+      run.status = RunStatus.starting
+      successor.add(run)
+      this.stopRun(step, successor, run, reason)
+      if (step.state.jobs.get(run.ref.job)?.spec.stages[run.ref.stage]?.gang === true) this.stopGang(step, run)
+    }
+  }
+
+  /** Has a new incarnation reject the starts that were sent to its predecessors and got no answer. */
+  private rejectUnansweredStarts (step: Step, view: WorkerView): void {
+    for (const { task, run } of this.unansweredStarts.list(view.id, step.now)) {
+      if (view.runs.has(task)) continue
+      const orphan = createOrphanRun(task, run, NO_RESOURCES, step.now)
+      view.add(orphan)
+      this.stopRun(step, view, orphan, 'a start that was sent before its worker started again got no answer')
+    }
+  }
+
+  /** Keeps the runs of a worker until its new incarnation reports itself; until then it gets no work. */
+  handleRestart (step: Step, id: string, incarnation: number): void {
+    const view = this.findView(id, incarnation)
+    if (view === undefined) return
+    view.hasAcceptedToken = false
+    view.isSilent = true
+    view.restartedAt = step.now
+  }
+
   /** Records that no run of an incarnation of a worker exists any more; the worker counts as silent until it lists its runs again. */
   handleLapse (step: Step, id: string, incarnation: number, reason: string): void {
     const view = this.findView(id, incarnation)
@@ -241,10 +286,15 @@
 
   /**
    * Resends stop orders without an answer and stops runs whose start was not answered. Removes the runs of workers that
-   * this leader never reached once their leases must have lapsed.
+   * this leader never reached, or that started again and did not report themselves, once their leases must have lapsed.
    */
   tick (step: Step): void {
+    this.unansweredStarts.prune(step.now)
     for (const view of this.views.values()) {
+      if (view.restartedAt > 0) {
+        if (step.now - view.restartedAt > UNREACHED_LEASE_TIMEOUT_MS) this.forgetWorker(step, view.id, view.worker.incarnation, 'it started again and did not report itself')
+        continue
+      }
       for (const run of [...view.runs.values()]) this.resendOrder(step, view, run)
       const isUnreached = !view.hasAcceptedToken && view.runs.size > 0 && step.now - this.leaderSince > UNREACHED_LEASE_TIMEOUT_MS
       if (isUnreached && step.now - this.lastPlacementAt(view) > UNREACHED_LEASE_TIMEOUT_MS) {
@@ -302,7 +352,7 @@
   private handleEnd (step: Step, view: WorkerView, endedRun: EndedRun): void {
     const run = view.runs.get(endedRun.task)
     if (run === undefined || run.run !== endedRun.run) return this.handleUntrackedEnd(step, view, endedRun)
-    view.remove(endedRun.task)
+    this.untrack(step, view, run)
     if (run.isOrphan) return this.handleUntrackedEnd(step, view, endedRun)
     const checkpoint = endedRun.checkpoint === '' ? run.checkpoint : endedRun.checkpoint
     const job = step.state.jobs.get(run.ref.job)
@@ -356,7 +406,7 @@
     const placed = view?.runs.get(formatTaskRef(ref))
     if (view !== undefined && placed !== undefined && !placed.isOrphan) {
       if (placed.run === run) {
-        view.remove(placed.task)
+        this.untrack(step, view, placed)
       } else {
         placed.isOrphan = true
         this.stopRun(step, view, placed, 'an earlier run of its task succeeded')
@@ -392,6 +442,7 @@
       return this.stopRun(step, view, orphan, 'the replicated state does not place this run on the worker')
     }
     if (run.run > reportedRun.run) return
+    run.isListed = true
     this.recordProgress(run, reportedRun.percent, step.now)
     run.load = reportedRun.load
     if (reportedRun.checkpoint !== '') run.checkpoint = reportedRun.checkpoint
@@ -460,6 +511,7 @@
   }
 
   private handleStartAnswer (step: Step, view: WorkerView, run: Run, { outcome, unanswered }: EventOf<'runOrdered'>): void {
+    run.hasOpenStart = unanswered > 0
     switch (outcome) {
       case OrderOutcome.done: return this.confirmStart(run, step.now)
       // It may be running, may start late or may have ended; a confirmed stop makes its end certain.
@@ -497,13 +549,18 @@
 
   /** Removes a run that cannot exist any more and releases its task; a gang is stopped as a whole. */
   private removeRun (step: Step, view: WorkerView, run: Run, reason: string): void {
-    view.remove(run.task)
+    this.untrack(step, view, run)
     if (run.isOrphan) return
     this.releaseTask(step, run, run.checkpoint, reason)
     const stage = step.state.jobs.get(run.ref.job)?.spec.stages[run.ref.stage]
     if (stage?.gang === true) this.stopGang(step, run)
   }
 
+  private untrack (step: Step, view: WorkerView, run: Run): void {
+    view.remove(run.task)
+    if (run.hasOpenStart) this.unansweredStarts.record(view.id, run.task, run.run, step.now)
+  }
+
   private removeAllRuns (step: Step, view: WorkerView, reason: string): void {
     for (const run of [...view.runs.values()]) this.removeRun(step, view, run, reason)
   }
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -6,7 +6,7 @@
 import type { Decision } from '../../types/decisions.js'
 import type { Event, EventOf } from '../../types/events.js'
 import {
-  isLiveJob, JobPhase, StageTaskPhase, type StagedJob, type StageTask
+  formatTaskRef, isLiveJob, JobPhase, StageTaskPhase, type StagedJob, type StageTask
 } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
 import { Component } from '../component.js'
@@ -44,7 +44,7 @@
 export class StagedJobs extends Component {
   readonly handledKinds = [
     'acceptJob', 'readJob', 'cancelJob', 'configureCell', 'readCell', 'workerReported', 'workerLeft', 'workerListed',
-    'workerSilent', 'workerLapsed', 'runOrdered', 'admissionAnswered', 'advisorsChanged', 'orderBacklogChanged', 'startUpkeepWave', 'readUpkeepWave',
+    'workerSilent', 'workerLapsed', 'workerRestarted', 'runOrdered', 'admissionAnswered', 'advisorsChanged', 'orderBacklogChanged', 'startUpkeepWave', 'readUpkeepWave',
     'vmsListed', 'upkeepOrdered'
   ] as const
 
@@ -100,6 +100,7 @@
         this.runManager.forgetWorker(step, event.id, event.incarnation, event.reason)
         this.isPassDue = true
         return
+      case 'workerRestarted': return this.runManager.handleRestart(step, event.id, event.incarnation)
       case 'runOrdered': return this.handleOrderAnswer(event, step)
       case 'admissionAnswered': return this.handleAdmissionAnswer(event, step)
       case 'startUpkeepWave': return this.upkeep.startWave(event, step)
@@ -217,7 +218,9 @@
   /** Decides and orders the chosen placements. All tasks of a gang get the same run number. */
   private startRuns (step: Step, placements: readonly RunPlacement[]): void {
     const gangRuns = new Map<string, number>()
+    const blockedUnits = new Set(placements.filter(isBlocked).map(({ unit }) => unit))
     for (const { unit, index, view, ticket } of placements) {
+      if (blockedUnits.has(unit)) continue
       const { job, occurrence, stage } = unit
       const tasks = step.state.jobs.get(job)?.occurrences.get(occurrence)?.[stage]
       if (tasks === undefined) continue
@@ -270,6 +273,11 @@
   return isDone ? JobPhase.completed : undefined
 }
 
+/** True while the worker is still to stop or reject an earlier run of the task. */
+function isBlocked ({ unit: { job, occurrence, stage }, index, view }: RunPlacement): boolean {
+  return view.runs.has(formatTaskRef({ job, occurrence, stage, index }))
+}
+
 /** The members of a gang share their run numbers, and several members of one run may fail. */
 function countFailedGangRuns (tasks: readonly StageTask[]): number {
   return new Set(tasks.flatMap(task => task.failedRuns ?? [])).size
--- a/packages/scheduler/src/core/jobs/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/worker-view.ts
@@ -62,6 +62,10 @@
   isResumed: boolean
   /** True once the worker confirmed that the run was started. */
   hasStarted: boolean
+  /** True once the worker listed the run. Unlike the answer to a start, a list names the incarnation that answered. */
+  isListed: boolean
+  /** True while an attempt to start it has no answer, so that it may be carried out later. */
+  hasOpenStart: boolean
   /** The replicated state does not contain this placement; the run is tracked only until it has ended. */
   isOrphan: boolean
 }
@@ -70,6 +74,8 @@
   readonly runs = new Map<string, Run>()
   /** True once the worker has answered a query with the fencing token of this leader; reset when its runs have lapsed. */
   hasAcceptedToken = false
+  /** Cluster time at which the worker was found to have started again, before it reported its new incarnation; 0 if it was not. */
+  restartedAt = 0
   /** True while the worker does not answer. */
   isSilent = false
   /** Highest number of a run end that was processed. */
@@ -162,11 +168,13 @@
     stopReason: '',
     isResumed: false,
     hasStarted: false,
+    isListed: false,
+    hasOpenStart: true,
     isOrphan: false
   }
 }
 
-/** Creates a run that a worker lists although the replicated state does not place it there. */
+/** Creates a run that a worker has or may start although the replicated state does not place it there. */
 export function createOrphanRun (task: string, run: number, resources: Resources, now: number): Run {
   const ref = parseTaskRef(task) ?? { job: task, occurrence: 0, stage: 0, index: 0 }
   return {
@@ -192,7 +200,9 @@
     checkpoint: '',
     stopReason: '',
     isResumed: false,
-    hasStarted: true,
+    hasStarted: false,
+    isListed: false,
+    hasOpenStart: false,
     isOrphan: true
   }
 }
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -123,6 +123,8 @@
    * another worker answers at its address, or it has left and nothing listens there.
    */
   | { kind: 'workerLapsed', id: string, incarnation: number, reason: string }
+  /** A list of that incarnation was answered by a later one, which may also have carried out orders sent to the former. */
+  | { kind: 'workerRestarted', id: string, incarnation: number }
   /**
    * The outcome of the last attempt of an order to start or stop a run. `sentAt` is the cluster time in milliseconds of the
    * first attempt; `unanswered` is the number of attempts without an answer, each of which may still be carried out.
@@ -196,8 +198,10 @@
   noTicket: 'noTicket',
   /** The worker is unhealthy and did nothing. */
   unhealthy: 'unhealthy',
-  /** Another incarnation of the worker answered. */
+  /** A worker with another id answered at the address; nothing was done. */
   replaced: 'replaced',
+  /** Another incarnation of the worker answered, and carried out the order. */
+  restarted: 'restarted',
   /** The worker rejected the order as malformed; nothing was done. */
   invalid: 'invalid',
   /** No answer: the order may have been carried out, or may still be. */
