Ignore an announcement of leaving by a worker that does not drain

Cause: an announcement of leaving names no incarnation (the platform sends neither a body nor a header with it) and was applied to whatever incarnation was known. One that arrived late marked the next incarnation as draining and left; a refused connection then counted as proof that its runs are over.

Evidence: restarted-workers.test.ts, "does not mark the next incarnation as left", failed before.

Why it works: a worker drains before it leaves, and says so in its reports, which name the incarnation. An announcement counts only for an incarnation that has said so.

--- a/packages/scheduler/__tests__/restarted-workers.test.ts
+++ b/packages/scheduler/__tests__/restarted-workers.test.ts
@@ -138,3 +138,20 @@
     assert.deepEqual(listOrders(leader.report('one', 2)).length, 2)
   })
 })
+
+describe('an announcement of leaving that arrives late', () => {
+  it('does not mark the next incarnation as left', () => {
+    const leader = createPlacedTask()
+    leader.report('one', 2)
+    leader.handle({ kind: 'workerLeft', call: 4, id: 'one', incarnation: 0 })
+    assert.equal(leader.state.calledWorkers.get('one')?.hasLeft, false)
+    assert.equal(leader.state.calledWorkers.get('one')?.isDraining, false)
+  })
+
+  it('marks a worker that has announced that it drains', () => {
+    const leader = createPlacedTask()
+    leader.report('one', 1, { isDraining: true })
+    leader.handle({ kind: 'workerLeft', call: 4, id: 'one', incarnation: 0 })
+    assert.equal(leader.state.calledWorkers.get('one')?.hasLeft, true)
+  })
+})
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -153,7 +153,8 @@
 
   private handleLeave (event: EventOf<'workerLeft'>, step: Step): void {
     const known = step.state.calledWorkers.get(event.id)
-    if (known !== undefined) this.runManager.handleReport(step, { ...known, isDraining: true, hasLeft: true })
+    // The announcement names no incarnation. A worker drains before it leaves, so one that does not drain has not sent it.
+    if (known?.isDraining === true) this.runManager.handleReport(step, { ...known, isDraining: true, hasLeft: true })
     step.reply(event.call, { kind: 'workerKnown' })
   }
 
