Let the simulated worker do all that a worker may do, and generate schedules of it

The worker of called-workers.test.ts was kinder than the protocol: late orders were never carried out by the next incarnation, a call that reached the next incarnation was not carried out, starts were never refused, and a list request waited before it was carried out.

A plan of faults switches on: late orders and calls that the next incarnation carries out, leases counted from the arrival of a late order, refused connections, starts refused as unhealthy or for want of room or a ticket, longer stops, long polling, answers that overtake each other, random failures, gangs that end with one member, long runs, and late reports and announcements.

Runs that are not next to each other by their start are compared for overlaps too.

--- /dev/null
+++ b/packages/runtime/__tests__/support/run-journal.ts
@@ -0,0 +1,135 @@
+/**
+ * The journal of all runs in a simulated cell, as the workers saw them, and the
+ * invariants that it must keep under every schedule of faults.
+ */
+
+import assert from 'node:assert/strict'
+import { parseTaskRef, RunEndCause, type JobSpec, type Resources } from '@flamingorouter/scheduler'
+
+/** One run in the journal of a worker: from its start to its end in virtual milliseconds, and the cause of its end. */
+export interface RunInterval {
+  task: string
+  run: number
+  worker: string
+  from: number
+  to: number
+  endCause: string
+  resources: Resources
+  /** True if its end was acknowledged while the worker's lease had not lapsed since that end. */
+  isAcknowledged: boolean
+  /** How the order to start it arrived, if it was late or meant for another incarnation; for messages. */
+  origin: string
+}
+
+/** What the checks of a journal need to know about the cell. */
+export interface JournalContext {
+  /** Description of the schedule for messages. */
+  schedule: string
+  specs: ReadonlyMap<string, JobSpec>
+  capacity: Resources
+  /** Number of failed runs after which a task, or a gang, is not started again. */
+  attemptLimit: number
+}
+
+/**
+ * Asserts that no task runs twice at once or is started after its success or its last attempt, that stages keep their
+ * order, and that no worker exceeds its capacity.
+ */
+export function assertInvariants (journal: readonly RunInterval[], context: JournalContext): void {
+  const byTask = groupBy(journal, ({ task }) => task)
+  for (const [task, intervals] of byTask) {
+    assertNoOverlap(task, intervals, context)
+    assertNoStartAfterSuccess(task, intervals, context)
+  }
+  assertWithinAttemptLimit(journal, context)
+  assertStageOrder(byTask, context)
+  assertWithinCapacity(journal, context)
+}
+
+function assertNoOverlap (task: string, intervals: readonly RunInterval[], { schedule }: JournalContext): void {
+  const sorted = [...intervals].sort((one, other) => one.from - other.from)
+  for (const [index, interval] of sorted.entries()) {
+    const overlapping = sorted.slice(0, index).find(({ to }) => to > interval.from)
+    if (overlapping === undefined) continue
+    assert.fail(`${schedule}: ${task} ran twice at once: ${describeInterval(overlapping)} and ${describeInterval(interval)}`)
+  }
+}
+
+function assertNoStartAfterSuccess (task: string, intervals: readonly RunInterval[], { schedule, specs }: JournalContext): void {
+  const ref = parseTaskRef(task)
+  if (ref === undefined || specs.get(ref.job)?.stages[ref.stage].longRunning === true) return
+  for (const done of intervals) {
+    if (done.endCause !== RunEndCause.done || !done.isAcknowledged) continue
+    const later = intervals.find(other => other !== done && other.from >= done.to)
+    if (later === undefined) continue
+    assert.fail(`${schedule}: ${task} started after an acknowledged success: ${describeInterval(done)} and ${describeInterval(later)}`)
+  }
+}
+
+/** Failures count for each task; in a gang, those of one run number count once for all of its tasks. */
+function assertWithinAttemptLimit (journal: readonly RunInterval[], { schedule, specs, attemptLimit }: JournalContext): void {
+  const byUnit = groupBy(journal, ({ task }) => {
+    const ref = parseTaskRef(task)
+    return ref !== undefined && specs.get(ref.job)?.stages[ref.stage].gang === true ? formatStageId(task) : task
+  })
+  for (const [unit, intervals] of byUnit) {
+    const ref = parseTaskRef(intervals[0].task)
+    if (ref === undefined || specs.get(ref.job)?.stages[ref.stage].longRunning === true) continue
+    const failedAt = new Map<number, number>()
+    for (const { run, to, endCause, isAcknowledged } of intervals) {
+      if (endCause === RunEndCause.failed && isAcknowledged) failedAt.set(run, Math.min(to, failedAt.get(run) ?? Infinity))
+    }
+    const lastFailureAt = [...failedAt.values()].sort((one, other) => one - other)[attemptLimit - 1] ?? Infinity
+    const later = intervals.find(({ from }) => from >= lastFailureAt)
+    if (later === undefined) continue
+    assert.fail(`${schedule}: ${unit} started after ${attemptLimit} acknowledged failures, the last at ${lastFailureAt}: ${describeInterval(later)}`)
+  }
+}
+
+function assertStageOrder (byTask: ReadonlyMap<string, readonly RunInterval[]>, { schedule, specs }: JournalContext): void {
+  for (const interval of [...byTask.values()].flat()) {
+    const ref = parseTaskRef(interval.task)
+    const spec = ref === undefined ? undefined : specs.get(ref.job)
+    if (ref === undefined || spec === undefined) continue
+    for (const dependency of spec.stages[ref.stage].dependsOn) {
+      for (let index = 0; index < spec.stages[dependency].taskCount; index++) {
+        const name = `${ref.job}/${ref.occurrence}/${dependency}/${index}`
+        const isDone = byTask.get(name)?.some(({ endCause, to }) => endCause === RunEndCause.done && to <= interval.from) === true
+        assert.ok(isDone, `${schedule}: ${interval.task} started before ${name} was done`)
+      }
+    }
+  }
+}
+
+/** A run that is being stopped uses its capacity until its end. */
+function assertWithinCapacity (journal: readonly RunInterval[], { schedule, capacity }: JournalContext): void {
+  for (const [worker, intervals] of groupBy(journal, interval => interval.worker)) {
+    for (const { from } of intervals) {
+      const active = intervals.filter(other => other.from <= from && other.to > from)
+      const millicores = active.reduce((sum, { resources }) => sum + resources.millicores, 0)
+      const memoryMib = active.reduce((sum, { resources }) => sum + resources.memoryMib, 0)
+      assert.ok(millicores <= capacity.millicores, `${schedule}: ${worker} used ${millicores} millicores at ${from}`)
+      assert.ok(memoryMib <= capacity.memoryMib, `${schedule}: ${worker} used ${memoryMib} MiB at ${from}`)
+    }
+  }
+}
+
+/** Identifies the stage of a task within one occurrence of its job. */
+export function formatStageId (task: string): string {
+  const ref = parseTaskRef(task)
+  return ref === undefined ? '' : `${ref.job}/${ref.occurrence}/${ref.stage}`
+}
+
+function describeInterval ({ worker, run, from, to, endCause, origin }: RunInterval): string {
+  return `run ${run} on ${worker} from ${from} to ${to} (${endCause}${origin})`
+}
+
+function groupBy<T> (items: readonly T[], key: (item: T) => string): Map<string, T[]> {
+  const groups = new Map<string, T[]>()
+  for (const item of items) {
+    const group = groups.get(key(item))
+    if (group === undefined) groups.set(key(item), [item])
+    else group.push(item)
+  }
+  return groups
+}
--- /dev/null
+++ b/packages/runtime/__tests__/support/schedule-groups.ts
@@ -0,0 +1,45 @@
+/**
+ * The groups of generated schedules. Each adds one kind of fault to those that all
+ * groups have: lost and late calls, answers that overtake each other, runs that take
+ * time to stop or fail, crashed and cut-off workers, and new leaders.
+ */
+
+import type { FaultPlan } from './fault-plan.js'
+import type { FaultRates, ScheduleGroup } from './fault-schedule.js'
+
+const COMMON_PLAN: Partial<FaultPlan> = {
+  lostRequests: 20, lostAnswers: 30, lateOrders: 40, jitterMs: 40, stopMs: 800, hasLongPolling: true, failures: 200, hasGangBreaks: true
+}
+
+const COMMON_RATES: Partial<FaultRates> = { crashes: 150, cuts: 200, newLeaders: 100 }
+
+const SHORT_TASKS = { jobs: 24, estimateMs: 500, faultsEndAt: 16_000, jobsEndAt: 90_000 }
+
+const LONG_TASKS = { jobs: 10, estimateMs: 8_000, faultsEndAt: 30_000, jobsEndAt: 240_000 }
+
+const RESTART_PLAN: Partial<FaultPlan> = { ...COMMON_PLAN, hasStrayLateOrders: true, hasStrayCalls: true, delayedReports: 100 }
+
+const RESTART_RATES: Partial<FaultRates> = { ...COMMON_RATES, quickRestarts: 250, cutRestarts: 200 }
+
+const REFUSALS: Partial<FaultPlan> = { unhealthyStarts: 100, hasTicketCheck: true }
+
+const LONG_RUNS: Partial<FaultPlan> = { runMs: [6_000, 10_000] }
+
+export const SCHEDULE_GROUPS = {
+  knownFaults: { plan: COMMON_PLAN, rates: COMMON_RATES, ...SHORT_TASKS },
+  refusedStarts: { plan: { ...COMMON_PLAN, ...REFUSALS }, rates: COMMON_RATES, ...SHORT_TASKS },
+  restarts: { plan: RESTART_PLAN, rates: RESTART_RATES, ...SHORT_TASKS },
+  refusedAfterRestarts: { plan: { ...RESTART_PLAN, ...REFUSALS, hasRoomCheck: true }, rates: RESTART_RATES, ...SHORT_TASKS },
+  departures: {
+    plan: { ...RESTART_PLAN, delayedLeaves: 500, refusedConnections: 500 }, rates: { ...COMMON_RATES, retirements: 250 }, ...SHORT_TASKS
+  },
+  longTasks: { plan: { ...COMMON_PLAN, ...LONG_RUNS }, rates: COMMON_RATES, ...LONG_TASKS },
+  lateLeases: { plan: { ...COMMON_PLAN, ...LONG_RUNS, hasLateLeases: true }, rates: COMMON_RATES, ...LONG_TASKS },
+  newLeaders: {
+    plan: { ...RESTART_PLAN, ...REFUSALS, ...LONG_RUNS, refusedConnections: 200 },
+    rates: { ...RESTART_RATES, newLeaders: 300 },
+    ...LONG_TASKS
+  }
+} as const satisfies Record<string, ScheduleGroup>
+
+export type ScheduleGroupName = keyof typeof SCHEDULE_GROUPS
--- a/packages/runtime/__tests__/support/virtual-time.ts
+++ b/packages/runtime/__tests__/support/virtual-time.ts
@@ -7,14 +7,15 @@
 export class VirtualTime {
   now = 0
   private order = 0
-  private timers: Timer[] = []
+  /** A binary heap: each timer is due no later than those at twice its index plus one and plus two. */
+  private readonly timers: Timer[] = []
 
   static create (): VirtualTime {
     return new VirtualTime()
   }
 
   after (ms: number, run: () => void): void {
-    this.timers.push({ dueAt: this.now + Math.max(0, ms), order: this.order++, run })
+    this.push({ dueAt: this.now + Math.max(0, ms), order: this.order++, run })
   }
 
   pause (ms: number): Promise<void> {
@@ -25,19 +26,49 @@
   async runUntil (until: number): Promise<void> {
     for (;;) {
       await flushPromises()
-      const next = this.timers.reduce<Timer | undefined>((first, timer) => {
-        return first === undefined || timer.dueAt < first.dueAt || (timer.dueAt === first.dueAt && timer.order < first.order) ? timer : first
-      }, undefined)
+      const next = this.timers[0]
       if (next === undefined || next.dueAt > until) break
-      this.timers.splice(this.timers.indexOf(next), 1)
+      this.removeFirst()
       this.now = Math.max(this.now, next.dueAt)
       next.run()
     }
     this.now = until
   }
+
+  private push (timer: Timer): void {
+    const { timers } = this
+    let index = timers.length
+    while (index > 0) {
+      const parent = (index - 1) >> 1
+      if (!isBefore(timer, timers[parent])) break
+      timers[index] = timers[parent]
+      index = parent
+    }
+    timers[index] = timer
+  }
+
+  private removeFirst (): void {
+    const { timers } = this
+    const last = timers.pop()
+    if (last === undefined || timers.length === 0) return
+    let index = 0
+    for (;;) {
+      let child = 2 * index + 1
+      if (child >= timers.length) break
+      if (child + 1 < timers.length && isBefore(timers[child + 1], timers[child])) child += 1
+      if (!isBefore(timers[child], last)) break
+      timers[index] = timers[child]
+      index = child
+    }
+    timers[index] = last
+  }
+}
+
+function isBefore (one: Timer, other: Timer): boolean {
+  return one.dueAt < other.dueAt || (one.dueAt === other.dueAt && one.order < other.order)
 }
 
-/** Runs the continuations of resolved promises, in chains of up to eight. */
-async function flushPromises (): Promise<void> {
-  for (let round = 0; round < 8; round++) await Promise.resolve()
+/** Runs the continuations of all resolved promises; one turn of the event loop is cheaper than a chain of promises under the hooks of node:test. */
+function flushPromises (): Promise<void> {
+  return new Promise(resolve => { setImmediate(resolve) })
 }
