Tell a restarted worker from a replaced one in the simulation

A list that the next incarnation answers has the outcome restarted now, as in the HTTP client; the simulated client still called it replaced.

--- a/packages/runtime/__tests__/support/simulated-orders.ts
+++ b/packages/runtime/__tests__/support/simulated-orders.ts
@@ -145,7 +145,7 @@
     const answerDelayMs = CALL_DELAY_MS + this.drawJitter()
     if (plan.jitterMs !== undefined && time.now + answerDelayMs > deadline) return await this.timeOut(deadline - time.now)
     await time.pause(answerDelayMs)
-    return isReplaced && isList ? { outcome: OrderOutcome.replaced } : answer
+    return isReplaced && isList ? { outcome: OrderOutcome.restarted } : answer
   }
 
   /** Does not deliver a call, or delivers it seconds later to the worker that then has the id. */
