Take the lease that outlasts a leader from the settings

Cause: a new leader released the runs of a worker that it did not reach after a constant 9 s, while the longest lease comes from the settings.

Evidence: uncertain-orders.test.ts, "keeps its runs for the longest lease that workers grant", with a lease of 20 s: with the constant the second run starts after 9 s.

Why it works: the time is the longest lease on a clock 2% slow and 3 s in which orders of the previous leader may still arrive; 9.1 s for the leases of the platform's sheets.

--- a/packages/scheduler/__tests__/uncertain-orders.test.ts
+++ b/packages/scheduler/__tests__/uncertain-orders.test.ts
@@ -53,3 +53,16 @@
     })
   }
 })
+
+describe('a worker that a new leader does not reach', () => {
+  it('keeps its runs for the longest lease that workers grant', () => {
+    const leader = ScriptedLeader.create(20_000)
+    leader.addWorker('one')
+    leader.submit()
+    leader.addWorker('two')
+    leader.replaceLeader()
+    leader.list('two')
+    assert.deepEqual(listOrders(leader.advance(23_000)), [])
+    assert.deepEqual(listOrders(leader.advance(1_000)), [`start ${TASK} run 2 on two`])
+  })
+})
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -50,12 +50,11 @@
 /** Time for which a worker above the failure rate limit gets no new work. */
 const FAILURE_COOLDOWN_MS = 3_000
 
-/**
- * Time after which a leader treats the lease of a worker that it never reached as
- * lapsed: the longest lease on a clock that is 2% slow, and the time in which a
- * previous leader may have extended it.
- */
-const UNREACHED_LEASE_TIMEOUT_MS = 9_000
+/** Bound on how much slower the clock of a worker may run than cluster time, as a share. */
+const CLOCK_DRIFT = 0.02
+
+/** Time after the start of a leader in which orders of the previous one may still extend leases, in milliseconds. */
+const PREVIOUS_LEADER_MS = 3_000
 
 export class RunManager {
   /** Views of the called workers, by worker id. */
@@ -69,8 +68,16 @@
   /** True once a worker refused an order because it has seen a higher fencing token: another process leads. */
   isFencedOff = false
 
-  static create (): RunManager {
-    return new RunManager()
+  /** Time after which no lease remains on a worker that this leader never reached, in milliseconds. */
+  private readonly unreachedLeaseMs: number
+
+  private constructor (runLeaseMs: number) {
+    this.unreachedLeaseMs = runLeaseMs / (1 - CLOCK_DRIFT) + PREVIOUS_LEADER_MS
+  }
+
+  /** `runLeaseMs` is the longest lease that a called worker grants to its runs, in milliseconds of its clock. */
+  static create (runLeaseMs: number): RunManager {
+    return new RunManager(runLeaseMs)
   }
 
   reset (state: ClusterState, now: number): void {
@@ -292,12 +299,12 @@
     this.unansweredStarts.prune(step.now)
     for (const view of this.views.values()) {
       if (view.restartedAt > 0) {
-        if (step.now - view.restartedAt > UNREACHED_LEASE_TIMEOUT_MS) this.forgetWorker(step, view.id, view.worker.incarnation, 'it started again and did not report itself')
+        if (step.now - view.restartedAt > this.unreachedLeaseMs) this.forgetWorker(step, view.id, view.worker.incarnation, 'it started again and did not report itself')
         continue
       }
       for (const run of [...view.runs.values()]) this.resendOrder(step, view, run)
-      const isUnreached = !view.hasAcceptedToken && view.runs.size > 0 && step.now - this.leaderSince > UNREACHED_LEASE_TIMEOUT_MS
-      if (isUnreached && step.now - this.lastPlacementAt(view) > UNREACHED_LEASE_TIMEOUT_MS) {
+      const isUnreached = !view.hasAcceptedToken && view.runs.size > 0 && step.now - this.leaderSince > this.unreachedLeaseMs
+      if (isUnreached && step.now - this.lastPlacementAt(view) > this.unreachedLeaseMs) {
         this.removeAllRuns(step, view, 'it was never reached by this leader, and its lease is over')
       }
     }
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -8,6 +8,7 @@
 import {
   formatTaskRef, isLiveJob, JobPhase, StageTaskPhase, type StagedJob, type StageTask
 } from '../../types/jobs.js'
+import { DEFAULT_LIMITS } from '../../types/limits.js'
 import type { ClusterState } from '../../types/state.js'
 import { Component } from '../component.js'
 import type { Step } from '../step.js'
@@ -48,8 +49,7 @@
     'vmsListed', 'upkeepOrdered'
   ] as const
 
-  private readonly runManager = RunManager.create()
-  private readonly upkeep = Upkeep.create(this.runManager)
+  private readonly upkeep: Upkeep
   private readonly units = SchedulingUnitIndex.create()
   private readonly tickets = AdmissionTickets.create()
   /** Ids of jobs that changed in this step. */
@@ -66,8 +66,14 @@
   /** Minimum time from the last pass to the next; while passes are expensive, it lets one pass handle several events. */
   private passPauseMs = 0
 
-  static create (): StagedJobs {
-    return new StagedJobs()
+  private constructor (private readonly runManager: RunManager) {
+    super()
+    this.upkeep = Upkeep.create(runManager)
+  }
+
+  /** `runLeaseMs` is the longest lease that a called worker grants to its runs, in milliseconds of its clock. */
+  static create (runLeaseMs = DEFAULT_LIMITS.runLeaseMs): StagedJobs {
+    return new StagedJobs(RunManager.create(runLeaseMs))
   }
 
   reset (state: ClusterState, now: number): void {
--- a/packages/scheduler/src/types/limits.ts
+++ b/packages/scheduler/src/types/limits.ts
@@ -38,6 +38,8 @@
   endedLimit: number
   /** Audit entries kept in the state. */
   auditLimit: number
+  /** Longest lease that a called worker grants to its runs, on its own clock. */
+  runLeaseMs: number
 }
 
 export const DEFAULT_LIMITS: Readonly<Limits> = Object.freeze({
@@ -58,5 +60,6 @@
   entryLimit: 16,
   lateMs: 2_000,
   endedLimit: 10_000,
-  auditLimit: 20_000
+  auditLimit: 20_000,
+  runLeaseMs: 6_000
 })
