Report a lost answer when the repeat of a call is refused

Callers saw 503 or 404 for a submission that may have been accepted: an entry repeats a call whose answer was lost, and reported the refusal of the repeat as the answer to the whole call. 503 promises that the job never runs. The first attempt may have been carried out by an earlier leader before its queue was removed, or may still arrive over the former link.

A refusal that says that nothing was done is now taken for the last attempt only: after a lost answer, the call fails with deadlineExceeded (504), as it does when there is no repeat. A refusal of the content is the same for every attempt and is passed on.

--- a/packages/runtime/src/core/leader-client.ts
+++ b/packages/runtime/src/core/leader-client.ts
@@ -22,6 +22,14 @@
 /** Time between two checks whether a leader was found, in milliseconds. */
 const SEARCH_POLL_INTERVAL_MS = 25
 
+/**
+ * Failures that say that a call was not carried out. After a lost answer this is true of the last attempt only: the one
+ * before may have been carried out, by the same leader or by an earlier one, or may still arrive there.
+ */
+const NOT_DONE_KINDS: ReadonlySet<ErrorKind> = new Set([
+  ErrorKind.unavailable, ErrorKind.notLeader, ErrorKind.resourceExhausted, ErrorKind.notFound
+])
+
 /** The process on whose behalf heartbeats are sent: supplies their contents and handles their answers. */
 export abstract class HeartbeatOwner {
   /** Creates the contents of the next heartbeat. */
@@ -109,8 +117,8 @@
    * unknown. A call that was certainly not acted on is sent again, unless the failure
    * sets a retry delay; one whose answer was lost is sent again only if
    * `lostAnswerPolicy` allows it. Rejects with the failure that the leader answered,
-   * with unavailable when the call was not acted on, and with deadlineExceeded when
-   * an answer was lost.
+   * with unavailable when no attempt was acted on, and with deadlineExceeded when
+   * an answer was lost and the repeats do not show what became of the call.
    */
   async call (
     method: string, body: unknown, timeoutMs: number, lostAnswerPolicy: LostAnswerPolicy, searchTimeoutMs = SEARCH_TIMEOUT_MS
@@ -125,8 +133,10 @@
         return await link.call(method, body, Math.max(1, deadline - monotonicNow()))
       } catch (thrown) {
         const failure = toFailure(thrown)
-        if (!isRetryable(failure, lostAnswerPolicy) || monotonicNow() >= deadline) throw failure
         if (failure.kind === ErrorKind.deadlineExceeded) lostAnswer = failure
+        if (!isRetryable(failure, lostAnswerPolicy) || monotonicNow() >= deadline) {
+          throw lostAnswer !== undefined && NOT_DONE_KINDS.has(failure.kind) ? lostAnswer : failure
+        }
         if (this.leader === link) this.clearLeader(link)
         this.sendHeartbeats()
       }
