Do not report a call in flight as unsent when its client is destroyed

isUnsent was true for a call that the server had received already, so a caller that relies on it would send the call a second time. It was decided by the code of the error. Undici gives the code of a destroyed client to calls in flight too, and EHOSTUNREACH or ENETUNREACH also end established connections.

It is now decided by the system call that failed (connect or getaddrinfo), by the timeout of a connection, or by a client that was closed before the call.

Evidence: the new test of server.test.ts fails without the change (true instead of false).

--- a/packages/rpc/__tests__/server.test.ts
+++ b/packages/rpc/__tests__/server.test.ts
@@ -250,6 +250,22 @@
       assert.ok(late instanceof Failure && late.kind === ErrorKind.deadlineExceeded && !isUnsent(late))
       await client.destroy()
     })
+
+    it('does not report a call as unsent that was in flight when the client was destroyed', async () => {
+      const client = RpcClient.create()
+      const arrived = new Promise<void>(resolve => {
+        handle = () => {
+          resolve()
+          return new Promise(() => {})
+        }
+      })
+      const call = client.call(`127.0.0.1:${port}`, CallerService.method.submit, create(SubmitRequestSchema, VALID)).catch((error: Failure) => error)
+      await arrived
+      await client.destroy()
+      const failure = await call
+      assert.ok(failure instanceof Failure && failure.kind === ErrorKind.unavailable)
+      assert.equal(isUnsent(failure), false)
+    })
   })
 
   describe('close', () => {
--- a/packages/rpc/src/core/client.ts
+++ b/packages/rpc/src/core/client.ts
@@ -17,11 +17,14 @@
 const KEEP_ALIVE_MS = 30_000
 const HTTP_OK = 200
 
-/** Codes of errors that occur before a connection is established, so that no byte of the request was sent. */
-const UNSENT_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EAI_AGAIN', 'EADDRNOTAVAIL',
-  'UND_ERR_CONNECT_TIMEOUT', 'UND_ERR_DESTROYED', 'UND_ERR_CLOSED'
-])
+/** System calls that come before a connection is established. */
+const CONNECTION_SYSCALLS: ReadonlySet<string> = new Set(['connect', 'getaddrinfo'])
+
+/**
+ * Codes of errors before a connection is established. The code of a destroyed client is not among them: a call in flight
+ * fails with it too.
+ */
+const UNSENT_CODES: ReadonlySet<string> = new Set(['UND_ERR_CONNECT_TIMEOUT', 'UND_ERR_CLOSED'])
 
 export interface RpcClientOptions {
   /** Largest number of connections to one address. */
@@ -152,6 +155,14 @@
   if (failure === thrown) return failure
   const code = (thrown as { code?: string }).code ?? ''
   const connectionFailure = Failure.create(ErrorKind.unavailable, `${address}: ${code === '' ? String(thrown) : code}`, { cause: thrown as Error })
-  if (UNSENT_CODES.has(code)) unsentFailures.add(connectionFailure)
+  if (isBeforeConnection(thrown)) unsentFailures.add(connectionFailure)
   return connectionFailure
 }
+
+/** The code alone proves nothing: a network that becomes unreachable also ends established connections. */
+function isBeforeConnection (thrown: unknown): boolean {
+  // Node tries all addresses of a name and reports their errors together.
+  if (thrown instanceof AggregateError) return thrown.errors.every(isBeforeConnection)
+  const { code, syscall } = thrown as { code?: string, syscall?: string }
+  return CONNECTION_SYSCALLS.has(syscall ?? '') || UNSENT_CODES.has(code ?? '')
+}
