Keep a leader's lease on its own clock when it led before a restart

Two controllers could hold the lease at once, so that both granted slots and answered reads. A follower that has moved to a new term answered a late append request of the earlier leader with the time of sending of that request. The leader of the new term takes such times for its own. If it is the earlier leader after a restart, the time comes from the clock of the process before, which may be far ahead: monotonic clocks start anew with each process. The lease then ends only when a quorum has been silent for an election timeout, and a process that was suspended holds it when it resumes.

The sender of a late request has to learn the term only. The answer is now a refused vote of the new term, as for a late vote request, which makes an earlier leader step down and counts for nothing else.

The clock of a simulated node went on through restarts, so no schedule could show the fault; it starts anew with each process now.

--- a/packages/controllers/__tests__/raft.test.ts
+++ b/packages/controllers/__tests__/raft.test.ts
@@ -99,6 +99,19 @@
       assert.equal(raft.holdsLease(end), false)
     })
 
+    it('is not extended by the answer to a late request of the process that led before a restart, whose clock was another one', () => {
+      const raft = createLeader()
+      const follower = createRaft(4, 1)
+      const late: MessageBody = {
+        kind: 'appendRequest', previousIndex: 1, previousTerm: 1, entries: [], commitIndex: 0, sentAt: 1_000_000
+      }
+      follower.receive('b', createMessage(3, late, 'b1'), 1)
+      const answers = sync(follower, 1)
+      assert.deepEqual(answers.map(answer => answer.term), [4])
+      for (const answer of answers) raft.receive('b', { ...answer, disk: 'b1', toDisk: 'a1' }, AFTER_ELECTION_TIMEOUT_MS + 51)
+      assert.equal(raft.holdsLease(AFTER_ELECTION_TIMEOUT_MS + TIMING.electionMs - TIMING.driftMs), false)
+    })
+
     it('is given up when a leadership transfer starts', () => {
       const raft = createLeader()
       raft.propose(new Uint8Array())
--- a/packages/controllers/__tests__/support/node.ts
+++ b/packages/controllers/__tests__/support/node.ts
@@ -77,11 +77,12 @@
   }
 
   async start (): Promise<void> {
-    const { environment } = this
+    const { environment, rate } = this
+    const startedAt = environment.now()
+    // The monotonic clock of a process starts anew with the process.
     const clock = new (class extends Clock {
-      constructor (private readonly rate: number) { super() }
-      now (): number { return environment.now() * this.rate }
-    })(this.rate)
+      now (): number { return (environment.now() - startedAt) * rate }
+    })()
     const generation = ++this.generation
     const disk = FakeDisk.create(this.medium, done => { environment.delay(done) })
     this.disk = disk
--- a/packages/controllers/src/core/raft/raft.ts
+++ b/packages/controllers/src/core/raft/raft.ts
@@ -191,9 +191,9 @@
   private handleLeaderMessage (from: string, message: Extract<Message, { kind: 'appendRequest' | 'snapshotRequest' }>): void {
     const { state } = this
     if (message.term < state.term) {
-      state.send(from, message.disk, {
-        kind: 'appendAnswer', accepted: false, index: 0, refusedIndex: 0, sentAt: message.sentAt
-      })
+      // The sender only has to learn the term. It may have restarted since and lead this term under another clock, in
+      // which the time of sending means nothing, so the answer must not count towards its lease.
+      state.send(from, message.disk, { kind: 'voteAnswer', pre: false, granted: false })
       return
     }
     if (message.term > state.term || this.role === 'candidate') this.becomeFollower(message.term)
