Ignore messages of an entry that arrive after their link was replaced

The record of a request that must not run twice could say that it did not run, although it ran: its caller got `pending` instead of the answer, and every later call under the same id got notRun, after which callers send the request again under another id. A slot could also be granted twice.

An entry whose link to the leader is lost opens another one and reports the grants that it uses. What it had sent over the former link may still arrive after that, and was applied to the state as of the new link. A late report does not contain the grants given since, so the leader freed them and settled their requests as never sent. A late attempt to acquire a grant, repeated by the entry over the new link, counted as proof that the grant of the repeat was lost; while the request waited, it took the answer from the repeat.

Reports are now numbered by the process of the entry, and attempts to acquire by the execution of Submit; the leader ignores a report and refuses an attempt with a lower number than the latest. The number of the attempt is part of the durable claim, since the late message may reach a former leader that leads again.

Evidence: the two new tests of faults.test.ts and the three of requests.test.ts fail without the change. The model of the request flow can hold up messages and deliver them late, and its check of the records is stricter: a record must not deny a run.

--- a/bench/support/dispatchers.ts
+++ b/bench/support/dispatchers.ts
@@ -87,7 +87,8 @@
       digest: '',
       createdMs: START_TIME_MS + request.arrivedAt,
       instance: String(request.entry),
-      token: request.id
+      token: request.id,
+      attempt: this.lastCall
     }
     this.handleEvent({ kind: 'acquire', call: this.lastCall, entry: String(request.entry), facts })
   }
@@ -114,7 +115,7 @@
         const ids = { id: grant.id, runner: grant.runner, slot: grant.slot, caller: 'ann', requestId: request.id }
         grants.push({ ...ids, expiresInMs: request.deadlineAt + DEFAULT_LIMITS.lateMs - this.simulation.now })
       }
-      this.handleEvent({ kind: 'grantsHeld', report: { instance: String(entry), grants, tokens: [] } })
+      this.handleEvent({ kind: 'grantsHeld', report: { instance: String(entry), sequence: this.lastCall, grants, tokens: [] } })
     }
   }
 
--- a/packages/callers/__tests__/faults.test.ts
+++ b/packages/callers/__tests__/faults.test.ts
@@ -1,9 +1,11 @@
 /**
  * Random fault schedules around requests: leader changes between grant and send, lost
- * answers, disconnected links, crashed entries, runners that restart, refuse or answer late,
- * cancellations, deadlines, and repeats through other entries.
+ * answers, disconnected links, messages that arrive after their link was replaced, crashed
+ * entries, runners that restart, refuse or answer late, cancellations, deadlines, and
+ * repeats through other entries.
  */
 
+import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
 import { ENTRY_COUNT, RUNNER_COUNT, type RunnerPlan } from './model-runner.js'
@@ -53,6 +55,9 @@
   { weight: 2, arbitrary: createAction('disconnect', fc.tuple(entry), (model, index) => { model.links[index].disconnect() }) },
   { weight: 2, arbitrary: createAction('reconnect', fc.tuple(entry), (model, index) => { model.links[index].reconnect() }) },
   { weight: 2, arbitrary: createAction('report', fc.tuple(entry), (model, index) => { model.links[index].report() }) },
+  { weight: 2, arbitrary: createAction('holdUp', fc.tuple(entry), (model, index) => { model.links[index].isHeldUp = true }) },
+  { weight: 1, arbitrary: createAction('release', fc.tuple(entry), (model, index) => { model.links[index].release() }) },
+  { weight: 2, arbitrary: createAction('deliverLate', fc.tuple(), model => { model.deliverLate() }) },
   { weight: 1, arbitrary: createAction('disconnectEntry', fc.tuple(entry), (model, index) => { model.disconnectEntry(index) }) },
   { weight: 1, arbitrary: createAction('restartEntry', fc.tuple(entry), (model, index) => { model.restartEntry(index) }) },
   { weight: 1, arbitrary: createAction('restartRunner', fc.tuple(fc.nat(RUNNER_COUNT - 1)), (model, index) => { model.restartRunner(index) }) },
@@ -60,6 +65,42 @@
 )
 
 describe('requests under faults', () => {
+  describe('a message that arrives after its link was replaced', () => {
+    it('does not free the grants that the entry got since its report', async () => {
+      const model = new RequestFlowModel()
+      const [link] = model.links
+      link.isHeldUp = true
+      link.report()
+      link.disconnect()
+      link.reconnect()
+      model.plans = ['slow']
+      model.submit(0, 'n0', 2_000, 2, START_MS)
+      await model.advance(50)
+      model.deliverLate()
+      await model.advance(1_000)
+      assert.deepEqual(model.listOutcomes(), ['done'])
+      await model.recover()
+      model.assertInvariants()
+    })
+
+    it('does not free the grant that the entry got for a later attempt to acquire it', async () => {
+      const model = new RequestFlowModel()
+      const [link] = model.links
+      link.isHeldUp = true
+      model.plans = ['slow']
+      model.submit(0, 'n0', 2_000, 2, START_MS)
+      await model.advance(1)
+      link.disconnect()
+      link.reconnect()
+      await model.advance(50)
+      model.deliverLate()
+      await model.advance(1_000)
+      assert.deepEqual(model.listOutcomes(), ['done'])
+      await model.recover()
+      model.assertInvariants()
+    })
+  })
+
   it('run at most once unless idempotent, use free slots only, and get outcomes that agree with what ran', async () => {
     const schedules = fc.array(action, { minLength: 5, maxLength: 60 })
     await fc.assert(fc.asyncProperty(schedules, async actions => {
--- a/packages/callers/__tests__/request-flow-model.ts
+++ b/packages/callers/__tests__/request-flow-model.ts
@@ -57,10 +57,16 @@
 
 interface PendingCall { resolve: (answer: Answer) => void, reject: (error: Error) => void }
 
-/** A link to the leader that can be disconnected; calls in progress are then rejected and their answers dropped. */
+/**
+ * A link to the leader that can be disconnected; calls in progress are then rejected and their answers dropped. What is
+ * held up in the network when the link is disconnected arrives later than what is sent after the link is up again.
+ */
 class ModelLink extends LeaderChannel {
   isUp = true
   isDead = false
+  /** True while what is sent does not arrive. */
+  isHeldUp = false
+  private heldUp: Event[] = []
   readonly pendingCalls = new Map<number, PendingCall>()
 
   constructor (private readonly entry: number, private readonly model: RequestFlowModel) {
@@ -73,12 +79,25 @@
     return await new Promise((resolve, reject) => {
       const call = this.model.nextCall()
       this.pendingCalls.set(call, { resolve, reject })
-      this.model.handleEvent({ ...leaderCall, call, entry: entryName(this.entry) } as Event)
+      this.send({ ...leaderCall, call, entry: entryName(this.entry) } as Event)
     })
   }
 
+  private send (event: Event): void {
+    if (this.isHeldUp) this.heldUp.push(event)
+    else this.model.handleEvent(event)
+  }
+
+  /** Delivers what was held up, in order. */
+  release (): void {
+    this.isHeldUp = false
+    for (const event of this.heldUp.splice(0)) this.model.handleEvent(event)
+  }
+
   disconnect (): void {
     this.isUp = false
+    this.isHeldUp = false
+    this.model.lateEvents.push(...this.heldUp.splice(0))
     const lost = [...this.pendingCalls.values()]
     this.pendingCalls.clear()
     for (const pendingCall of lost) pendingCall.reject(Failure.create(ErrorKind.unavailable, 'the link was lost'))
@@ -93,7 +112,7 @@
   /** Reports the grants in use, as an entry does whenever it connects to a leader; does nothing while disconnected. */
   report (): void {
     if (!this.isUp) return
-    this.model.handleEvent({ kind: 'grantsHeld', report: this.model.flows[this.entry].createReport() })
+    this.send({ kind: 'grantsHeld', report: this.model.flows[this.entry].createReport() })
   }
 }
 
@@ -115,6 +134,8 @@
   private readonly clients: ModelRunnerClient[] = []
   private readonly unanswered: number[] = []
   plans: RunnerPlan[] = []
+  /** What was held up in the network when its link was disconnected, in order. */
+  lateEvents: Event[] = []
   committed: ClusterState = createClusterState()
   submitted = 0
   answered = 0
@@ -150,6 +171,7 @@
     this.links[entry].isDead = true
     this.clients[entry].isDead = true
     this.links[entry].pendingCalls.clear()
+    this.links[entry].disconnect()
     this.submitted -= this.unanswered[entry] ?? 0
     this.unanswered[entry] = 0
     this.handleEvent({ kind: 'entryLost', entry: entryName(entry) })
@@ -182,10 +204,16 @@
     this.batches = []
     this.skewMs = skewMs
     for (const link of this.links) link.disconnect()
+    this.lateEvents = []
     this.scheduler = this.startLeader()
     this.links.forEach((link, entry) => { if (entry !== disconnectedEntry) link.reconnect() })
   }
 
+  /** Delivers what was sent over links that are disconnected since. */
+  deliverLate (): void {
+    for (const event of this.lateEvents.splice(0)) this.handleEvent(event)
+  }
+
   async advance (durationMs: number): Promise<void> {
     for (let remainingMs = durationMs; remainingMs > 0; remainingMs -= TICK_MS) {
       await this.timers.advance(Math.min(remainingMs, TICK_MS))
@@ -248,11 +276,20 @@
   async recover (): Promise<void> {
     this.commitsImmediately = true
     this.commit()
-    for (const link of this.links) link.reconnect()
+    for (const link of this.links) {
+      link.release()
+      link.reconnect()
+    }
+    this.deliverLate()
     this.plans = []
     await this.advance(6_000)
   }
 
+  /** Kinds of the recorded outcomes, in the order of the claims. */
+  listOutcomes (): string[] {
+    return [...this.committed.requests.values()].map(record => record.outcome.kind)
+  }
+
   assertInvariants (): void {
     if (this.fault !== undefined) throw this.fault
     assert.equal(this.answered, this.submitted, 'not every caller was answered')
@@ -260,9 +297,19 @@
     for (const runner of this.runners) assert.equal(this.requests.countInFlight(runner.name), 0, `${runner.name} still has a slot in use`)
     for (const record of this.committed.requests.values()) assert.notEqual(record.outcome.kind, OutcomeKind.pending)
     this.checkRuns()
+    this.checkRecords()
     this.checkAnswers()
   }
 
+  /** Repeats get the recorded outcome, so it must not deny a run. */
+  private checkRecords (): void {
+    for (const { caller, requestId, outcome } of this.committed.requests.values()) {
+      const key = `${caller} ${requestId}`
+      const deniesRun = outcome.kind === OutcomeKind.notRun || outcome.kind === OutcomeKind.cancelled
+      if (deniesRun) assert.ok(this.runStarts.every(start => start.key !== key), `${key} was recorded as ${outcome.kind}, although it ran: ${outcome.reason}`)
+    }
+  }
+
   private checkRuns (): void {
     const runs = new Map<string, number>()
     for (const start of this.runStarts) {
--- a/packages/callers/src/core/request-flow.ts
+++ b/packages/callers/src/core/request-flow.ts
@@ -31,6 +31,8 @@
   private readonly timers: Timers
   /** Identifies this process of the entry to the leader; a restarted entry has another one. */
   private readonly instance = randomUUID()
+  /** Number of reports so far. */
+  private reportCount = 0
   private isDraining = false
   private drainWaiters: Array<() => void> = []
 
@@ -75,7 +77,8 @@
 
   /** The grants in use and the pending requests. A new leader receives them before any other call. */
   createReport (): EntryReport {
-    const report: EntryReport = { instance: this.instance, grants: [], tokens: [] }
+    this.reportCount += 1
+    const report: EntryReport = { instance: this.instance, sequence: this.reportCount, grants: [], tokens: [] }
     for (const submission of this.submissions) {
       const grant = submission.createReportedGrant()
       if (grant !== undefined) report.grants.push(grant)
@@ -134,7 +137,8 @@
     digest: computeContentDigest(request),
     createdMs: Number(request.createdMs),
     instance,
-    token: randomUUID()
+    token: randomUUID(),
+    attempt: 0
   }
 }
 
--- a/packages/callers/src/core/submission.ts
+++ b/packages/callers/src/core/submission.ts
@@ -35,6 +35,8 @@
   /** True once a call may have reached a runner that did not refuse it. */
   private mayHaveRun = false
   private isAnswered = false
+  /** Number of acquire calls so far. */
+  private acquireCount = 0
   /** The outcome of the runner's answer, which the leader may not have recorded yet. */
   private runnerOutcome: Outcome | undefined
   private cancelTimer: () => void
@@ -91,8 +93,9 @@
     const { facts, limits } = this.options
     for (;;) {
       const deadlineMs = Math.max(0, Math.floor(this.remainingMs))
+      this.acquireCount += 1
       try {
-        return await this.options.leader.call({ kind: 'acquire', facts: { ...facts, deadlineMs } })
+        return await this.options.leader.call({ kind: 'acquire', facts: { ...facts, deadlineMs, attempt: this.acquireCount } })
       } catch (error) {
         if (!isLeaderLost(error) || this.remainingMs + limits.leaderGraceMs <= 0) throw error
         await this.options.timers.pause(limits.leaderRetryDelayMs)
--- a/packages/runtime/src/core/entry.ts
+++ b/packages/runtime/src/core/entry.ts
@@ -42,7 +42,7 @@
   readonly leader: LeaderClient
   readonly configuration: ConfigurationCache
   /** Returns the grants in use, to report them to a new leader; replaced by the owner of the request flow. */
-  reportGrants: () => EntryReport = () => ({ instance: '', grants: [], tokens: [] })
+  reportGrants: () => EntryReport = () => ({ instance: '', sequence: 0, grants: [], tokens: [] })
   private isDraining = false
   private callsInFlight = 0
 
--- a/packages/scheduler/__tests__/leaving.test.ts
+++ b/packages/scheduler/__tests__/leaving.test.ts
@@ -48,7 +48,8 @@
       digest: requestId,
       createdMs: this.now,
       instance: 'e1',
-      token: requestId
+      token: requestId,
+      attempt: 1
     }
     const [effect] = this.feed({ kind: 'acquire', call: ++this.call, entry: 'entry', facts })
     return effect?.kind === 'reply' && effect.answer.kind === 'granted' ? effect.answer.grant.runner : undefined
--- a/packages/scheduler/__tests__/requests.test.ts
+++ b/packages/scheduler/__tests__/requests.test.ts
@@ -44,6 +44,7 @@
     createdMs: START,
     instance: 'e1',
     token: `token-${requestId}`,
+    attempt: 1,
     ...changes
   }
 }
@@ -205,7 +206,7 @@
       scheduler.startLeading(now)
       assert.equal(listReplies(acquire(createFacts('2'), 'e2')).length, 0)
       const held = { id: grant.id, runner: 'a', slot: 0, caller: 'ann', requestId: '1', expiresInMs: 5_000 }
-      const result = handle({ kind: 'grantsHeld', report: { instance: 'e1', grants: [held], tokens: ['token-1'] } })
+      const result = handle({ kind: 'grantsHeld', report: { instance: 'e1', sequence: 1, grants: [held], tokens: ['token-1'] } })
       assert.equal(getGrant(result).runner, 'a')
       assert.equal(listReplies(acquire(createFacts('3'), 'e2')).length, 0)
       assert.equal(listReplies(settle(grant, '1')).length, 2)
@@ -226,16 +227,50 @@
       start(createRunner('a'))
       acquire(createFacts('1'))
       acquire(createFacts('other'), 'e2')
-      handle({ kind: 'grantsHeld', report: { instance: 'e1', grants: [], tokens: ['token-1'] } })
-      handle({ kind: 'grantsHeld', report: { instance: 'restarted', grants: [], tokens: [] } })
+      handle({ kind: 'grantsHeld', report: { instance: 'e1', sequence: 1, grants: [], tokens: ['token-1'] } })
+      handle({ kind: 'grantsHeld', report: { instance: 'restarted', sequence: 1, grants: [], tokens: [] } })
       assert.equal(listReplies(handle({ kind: 'tick' })).length, 0)
       handle({ kind: 'cancelRequest', call: 9, caller: 'ann', requestId: 'other' })
-      const again = handle({ kind: 'grantsHeld', report: { instance: 'e1', grants: [], tokens: [] } })
+      const again = handle({ kind: 'grantsHeld', report: { instance: 'e1', sequence: 2, grants: [], tokens: [] } })
       assert.equal(listReplies(again).length, 0)
       assert.equal(getGrant(acquire(createFacts('2'))).runner, 'a')
     })
   })
 
+  describe('an attempt to acquire a grant that arrives after a later attempt', () => {
+    function assertRefused (result: StepResult): void {
+      assert.deepEqual(listReplies(result).map(effect => effect.kind), ['refuse'])
+    }
+
+    it('does not get the grant instead of the later one', () => {
+      start(createRunner('a'))
+      const first = getGrant(acquire(createFacts('1')))
+      acquire(createFacts('2', { attempt: 1 }))
+      acquire(createFacts('2', { attempt: 3 }))
+      assertRefused(acquire(createFacts('2', { attempt: 2 })))
+      const granted = settle(first, '1').effects.filter(effect => effect.kind === 'reply' && effect.answer.kind === 'granted')
+      assert.deepEqual(granted.map(effect => effect.kind === 'reply' && effect.call), [3])
+    })
+
+    it('does not get the outcome instead of the later one when another call runs the request', () => {
+      start(createRunner('a'))
+      const grant = getGrant(acquire(createFacts('1')))
+      acquire(createFacts('1', { token: 'other', attempt: 2 }), 'e2')
+      assertRefused(acquire(createFacts('1', { token: 'other', attempt: 1 }), 'e2'))
+      const replies = settle(grant, '1').effects.filter(effect => effect.kind === 'reply')
+      assert.deepEqual(replies.map(effect => effect.kind === 'reply' && effect.call).sort(), [2, 4])
+    })
+
+    it('does not free a grant that a new leader inherited', () => {
+      start(createRunner('a'))
+      const grant = getGrant(acquire(createFacts('1', { idempotent: false, attempt: 2 })))
+      scheduler.startLeading(now)
+      assertRefused(acquire(createFacts('1', { idempotent: false, attempt: 1 })))
+      settle(grant, '1')
+      assert.deepEqual([...scheduler.state.requests.values()].map(record => record.outcome.kind), [OutcomeKind.done])
+    })
+  })
+
   describe('an overloaded service', () => {
     it('refuses a request immediately when its turn would come too late, states when to retry, and still queues an urgent one', () => {
       start(createRunner('a'))
--- a/packages/scheduler/src/core/requests/entry-horizons.ts
+++ b/packages/scheduler/src/core/requests/entry-horizons.ts
@@ -14,10 +14,14 @@
 const HORIZON_STEP_MS = 5_000
 /** Time within which an entry closes idle connections. */
 const IDLE_CONNECTION_TIMEOUT_MS = 5_000
+/** Number of instances whose latest report is remembered. */
+const REPORTED_INSTANCE_LIMIT = 1_000
 
 export class EntryHorizons {
   /** Instances that have not reported their grants, with the time until which they may use them. */
   private readonly unreportedUntil = new Map<string, number>()
+  /** Number of the latest report of each instance, in the order of the reports. */
+  private readonly latestReports = new Map<string, number>()
   /** Distinguishes the grants of this term from those of others; 0 until this term has logged a horizon. */
   private epoch = 0
   private grantCount = 0
@@ -37,8 +41,15 @@
     return this.unreportedUntil.size
   }
 
-  markReported (instance: string): void {
+  /** Records that an instance has reported its grants; returns false when a later report has arrived before. */
+  recordReport (instance: string, sequence: number): boolean {
+    const latest = this.latestReports.get(instance) ?? 0
+    if (sequence < latest) return false
     this.unreportedUntil.delete(instance)
+    this.latestReports.delete(instance)
+    this.latestReports.set(instance, sequence)
+    if (this.latestReports.size > REPORTED_INSTANCE_LIMIT) this.latestReports.delete(this.latestReports.keys().next().value as string)
+    return true
   }
 
   /** Makes sure that a later leader waits until a grant has expired; returns false when there are too many entries. */
--- a/packages/scheduler/src/core/requests/live-request.ts
+++ b/packages/scheduler/src/core/requests/live-request.ts
@@ -29,6 +29,8 @@
   entry: string
   instance: string
   token: string
+  /** Number of its acquire event; see `RequestFacts`. */
+  attempt: number
   deadlineAt: number
 }
 
--- a/packages/scheduler/src/core/requests/request-records.ts
+++ b/packages/scheduler/src/core/requests/request-records.ts
@@ -107,6 +107,7 @@
     grant: grant?.id ?? '',
     instance: grant?.instance ?? '',
     token: live.facts.token,
+    attempt: live.facts.attempt,
     createdMs: live.facts.createdMs,
     expiresAt: grant?.expiresAt ?? 0,
     outcome: createOutcome(OutcomeKind.pending, ''),
--- a/packages/scheduler/src/core/requests/request-recovery.ts
+++ b/packages/scheduler/src/core/requests/request-recovery.ts
@@ -32,7 +32,8 @@
       digest: request.digest,
       createdMs: request.createdMs,
       instance: request.instance,
-      token: request.token
+      token: request.token,
+      attempt: request.attempt
     }
     const live = createLiveRequest(key, facts, '', 0, request.claimedAt)
     live.phase = 'granted'
@@ -51,9 +52,12 @@
     this.table.grants.add(live.grant)
   }
 
-  /** Handles the report of an entry on the grants that it has in use. */
-  handleGrantReport ({ instance, grants, tokens }: EntryReport, step: Step): void {
-    this.table.entryHorizons.markReported(instance)
+  /**
+   * Handles the report of an entry on the grants that it has in use. A report that arrives after a later one is ignored:
+   * it does not contain the grants of the time between the two.
+   */
+  handleGrantReport ({ instance, sequence, grants, tokens }: EntryReport, step: Step): void {
+    if (!this.table.entryHorizons.recordReport(instance, sequence)) return
     const reported = new Set([...grants.map(grant => grant.id), ...tokens])
     for (const activeGrant of this.table.grants.all) {
       if (activeGrant.instance !== instance || reported.has(activeGrant.id) || reported.has(activeGrant.token)) continue
@@ -111,7 +115,7 @@
     const next = live.waiters.shift()
     if (next === undefined) return
     const deadlineMs = Math.max(0, next.deadlineAt - step.now)
-    const facts = { ...live.facts, deadlineMs, instance: next.instance, token: next.token }
+    const facts = { ...live.facts, deadlineMs, instance: next.instance, token: next.token, attempt: next.attempt }
     const request = createLiveRequest(live.key, facts, next.entry, next.call, step.now)
     request.order = live.order
     request.waiters = live.waiters
--- a/packages/scheduler/src/core/requests/requests.ts
+++ b/packages/scheduler/src/core/requests/requests.ts
@@ -141,13 +141,20 @@
   private joinLive (live: LiveRequest, event: Acquire, step: Step): void {
     const { facts, call, entry } = event
     if (live.facts.digest !== facts.digest) return this.refuseConflict(call, step)
-    if (live.facts.token !== facts.token) {
-      live.waiters = live.waiters.filter(waiter => waiter.token !== facts.token)
-      live.waiters.push({ call, entry, instance: facts.instance, token: facts.token, deadlineAt: step.now + facts.deadlineMs })
+    const { token, attempt } = facts
+    const earlier = live.facts.token === token ? live.facts : live.waiters.find(waiter => waiter.token === token)
+    // It was sent over a link that was replaced since, so the entry may use the grant that it got over the new one.
+    if (earlier !== undefined && attempt < earlier.attempt) return step.refuse(call, ErrorKind.cancelled, 'a later call of the same execution has arrived')
+    if (live.facts.token !== token) {
+      live.waiters = live.waiters.filter(waiter => waiter.token !== token)
+      live.waiters.push({ call, entry, instance: facts.instance, token, attempt, deadlineAt: step.now + facts.deadlineMs })
       return
     }
     live.call = call
-    if (live.phase === 'waiting') return
+    if (live.phase === 'waiting') {
+      live.facts = { ...live.facts, attempt }
+      return
+    }
     // A repeat under the same token means that the answer with the grant was lost, so nothing was sent under the grant.
     if (live.grant !== undefined) this.table.releaseGrant(live.grant)
     live.grant = undefined
--- a/packages/scheduler/src/types/requests.ts
+++ b/packages/scheduler/src/types/requests.ts
@@ -47,9 +47,11 @@
   instance: string
   /**
    * Identifies one execution of Submit. An acquire event with a token implies
-   * that this execution has no grant for the request.
+   * that this execution has no grant for the request, unless it sent a later one.
    */
   token: string
+  /** Number of the acquire event among those of this execution, counted from 1. */
+  attempt: number
 }
 
 /** The durable record of a request that must not run twice. */
@@ -67,6 +69,8 @@
   instance: string
   /** Execution of Submit that asked for the grant; see `RequestFacts`. */
   token: string
+  /** Acquire event that asked for the grant; see `RequestFacts`. */
+  attempt: number
   /** See `RequestFacts`. */
   createdMs: number
   /** Cluster time in milliseconds until which the runner may work on the request. */
@@ -108,6 +112,8 @@
 /** Report of an entry to a leader: sent before its first request to that leader and after each reconnection. */
 export interface EntryReport {
   instance: string
+  /** Number of the report among those of this process, counted from 1. */
+  sequence: number
   grants: ReportedGrant[]
   /** Tokens of all requests in progress at the entry; an answer in transit may still bring a grant for any of them. */
   tokens: string[]
