Keep reporting an outcome while its grant may be valid

After an entry had been cut off from the leader for a minute, the record of a request that must not run twice could say that it did not run, although its caller had got the answer already. Later calls under the same id got notRun.

The entry gave up the report of an outcome after 60 s, also while its grant was valid for longer (deadlines are up to 300 s). Its next report on the grants in use lacked this one. The leader concluded that the answer with the grant was lost in transit and that the request was never sent.

The report is now retried at least until the grant has expired at the leader too, and the leader concludes nothing from a report that lacks an expired grant: such a grant is freed as any expired grant, and its request becomes unknown.

Evidence: the two new tests of faults.test.ts fail without the change (pending, then notRun, instead of done; notRun instead of unknown).

--- a/packages/callers/__tests__/faults.test.ts
+++ b/packages/callers/__tests__/faults.test.ts
@@ -65,6 +65,41 @@
 )
 
 describe('requests under faults', () => {
+  describe('an outcome that cannot be reported for longer than its report is repeated', () => {
+    const DEADLINE_MS = 100_000
+
+    /** Disconnects the entry while its request runs, and reconnects it after the given time. */
+    async function disconnectFor (disconnectedMs: number): Promise<RequestFlowModel> {
+      const model = new RequestFlowModel()
+      model.submit(0, 'n0', DEADLINE_MS, 2, START_MS)
+      await model.advance(2)
+      model.links[0].disconnect()
+      await model.advance(disconnectedMs)
+      model.links[0].reconnect()
+      await model.advance(1_000)
+      return model
+    }
+
+    it('is not taken for that of a request whose grant was lost, while the grant is valid', async () => {
+      const model = await disconnectFor(DEADLINE_MS - 20_000)
+      assert.deepEqual(model.listOutcomes(), ['done'])
+      await model.advance(DEADLINE_MS)
+      model.assertInvariants()
+    })
+
+    it('is not taken for that of a request whose grant was lost by a leader that learns of both later', async () => {
+      const model = new RequestFlowModel()
+      model.submit(0, 'n0', DEADLINE_MS, 2, START_MS)
+      await model.advance(2)
+      model.links[0].disconnect()
+      await model.advance(2 * DEADLINE_MS, false)
+      model.changeLeader(0, ENTRY_COUNT)
+      await model.advance(1_000)
+      assert.deepEqual(model.listOutcomes(), ['unknown'])
+      model.assertInvariants()
+    })
+  })
+
   describe('a message that arrives after its link was replaced', () => {
     it('does not free the grants that the entry got since its report', async () => {
       const model = new RequestFlowModel()
--- a/packages/callers/__tests__/request-flow-model.ts
+++ b/packages/callers/__tests__/request-flow-model.ts
@@ -214,10 +214,11 @@
     for (const event of this.lateEvents.splice(0)) this.handleEvent(event)
   }
 
-  async advance (durationMs: number): Promise<void> {
+  /** `isLed` is false for a time without a leader. */
+  async advance (durationMs: number, isLed = true): Promise<void> {
     for (let remainingMs = durationMs; remainingMs > 0; remainingMs -= TICK_MS) {
       await this.timers.advance(Math.min(remainingMs, TICK_MS))
-      this.handleEvent({ kind: 'tick' })
+      if (isLed) this.handleEvent({ kind: 'tick' })
     }
     await flushPromises()
   }
--- a/packages/callers/src/core/submission.ts
+++ b/packages/callers/src/core/submission.ts
@@ -24,6 +24,12 @@
   payload: Uint8Array
 }
 
+/**
+ * Added to the end of a grant, in milliseconds, to cover the drift between the clocks of entry and leader and the
+ * interval at which the leader frees expired grants.
+ */
+const GRANT_EXPIRY_MARGIN_MS = 1_000
+
 export class Submission {
   /** The answer to the caller; rejects with a Failure when the request was refused or the leader could not be reached. */
   readonly outcome: Promise<Outcome>
@@ -32,6 +38,8 @@
 
   private readonly deadlineAt: number
   private grant: Grant | undefined
+  /** Time after which the grant is expired at the leader as well, by the entry's clock in milliseconds. */
+  private grantExpiresAt = 0
   /** True once a call may have reached a runner that did not refuse it. */
   private mayHaveRun = false
   private isAnswered = false
@@ -113,7 +121,8 @@
     const { facts, limits } = this.options
     const { caller, requestId } = facts
     const leaderCall: LeaderCall = { kind: 'settle', grant: grant.id, caller, requestId, outcome, retry }
-    const retryUntil = this.options.timers.now() + limits.reportTimeoutMs
+    // If the entry gave up earlier, the leader would take the grant for one that never arrived, and the request for one that never ran.
+    const retryUntil = Math.max(this.options.timers.now() + limits.reportTimeoutMs, this.grantExpiresAt)
     for (;;) {
       try {
         return await this.options.leader.call(leaderCall)
@@ -129,6 +138,7 @@
 
   private async executeGrant (grant: Grant): Promise<Answer> {
     this.grant = grant
+    this.grantExpiresAt = this.options.timers.now() + grant.expiresInMs + this.options.limits.lateMs + GRANT_EXPIRY_MARGIN_MS
     const result = await this.send(grant)
     const outcome = this.toOutcome(result)
     if (result.kind === 'answered') this.handleRunnerAnswer(outcome)
--- a/packages/callers/src/types/limits.ts
+++ b/packages/callers/src/types/limits.ts
@@ -11,7 +11,7 @@
   leaderGraceMs: number
   /** Delay before a call to the leader is retried after the link was lost. */
   leaderRetryDelayMs: number
-  /** How long the report of an outcome is retried until the leader accepts it. */
+  /** How long the report of an outcome is retried until the leader accepts it; while its grant may be valid, it is retried in any case. */
   reportTimeoutMs: number
   /** Retry delay returned to callers whose request was not accepted or did not run. */
   retryAfterMs: number
--- a/packages/scheduler/src/core/requests/request-recovery.ts
+++ b/packages/scheduler/src/core/requests/request-recovery.ts
@@ -61,6 +61,8 @@
     const reported = new Set([...grants.map(grant => grant.id), ...tokens])
     for (const activeGrant of this.table.grants.all) {
       if (activeGrant.instance !== instance || reported.has(activeGrant.id) || reported.has(activeGrant.token)) continue
+      // The entry may have used an expired grant and given up the report of its outcome.
+      if (activeGrant.expiresAt <= step.now) continue
       // The answer with the grant was lost in transit, and the entry no longer works on the request.
       this.releaseLost(activeGrant)
     }
