Count a VM as down while an earlier order for it is on its way

A VM could be taken down beyond the cap of its wave. An order without an answer is repeated after 500 ms, while its answer may take up to 2 s. When the repeat was answered with busy (for example because the VM had just crashed), the VM counted as up again and another one was ordered down, although the first order could still be carried out. Its answer, done, was then ignored.

Orders that are on their way are now counted for each VM. The answer busy makes a VM wait again only if no order is unanswered and none remained without an answer.

Evidence: the new test of upkeep.test.ts fails without the change (waiting instead of ordered). A second test holds that a VM waits again when all of its orders were answered with busy; it passes with and without the change.

--- a/packages/scheduler/__tests__/upkeep.test.ts
+++ b/packages/scheduler/__tests__/upkeep.test.ts
@@ -84,6 +84,24 @@
     assert.deepEqual(harness.advance(2_000).length > 0, true)
   })
 
+  it('that is still on its way keeps its VM counted as down, even if a repeat is answered with busy', () => {
+    const harness = UpkeepHarness.create()
+    harness.startWave()
+    const orders = harness.advance(2_000)
+    assert.ok(orders.length > 1)
+    orders.slice(1).forEach(() => { harness.answer('busy') })
+    assert.equal(harness.phase, UpkeepPhase.ordered)
+    harness.answer('done')
+    assert.equal(harness.phase, UpkeepPhase.begun)
+  })
+
+  it('is sent again after a new evacuation when all of its repeats were answered with busy', () => {
+    const harness = UpkeepHarness.create()
+    harness.startWave()
+    harness.advance(2_000).forEach(() => { harness.answer('busy') })
+    assert.equal(harness.phase, UpkeepPhase.waiting)
+  })
+
   it('that was answered with busy is sent again', () => {
     const harness = UpkeepHarness.create()
     harness.startWave()
--- a/packages/scheduler/src/core/jobs/upkeep.ts
+++ b/packages/scheduler/src/core/jobs/upkeep.ts
@@ -52,6 +52,8 @@
   private readonly changedAt = new Map<string, number>()
   /** VMs with an order that got no definite answer; it may still be carried out seconds later. */
   private readonly unconfirmed = new Set<string>()
+  /** Number of orders that are on their way and may still get an answer, by VM name. */
+  private readonly unanswered = new Map<string, number>()
   /** The latest list of VMs, by name. */
   private vms = new Map<string, ListedVm>()
   /** Cluster time at which the stored list was requested; -Infinity before the first one. */
@@ -73,6 +75,7 @@
     this.evacuations.clear()
     this.changedAt.clear()
     this.unconfirmed.clear()
+    this.unanswered.clear()
     this.vms.clear()
     this.listSentAt = -Infinity
     this.lastRequestAt = -Infinity
@@ -109,11 +112,12 @@
   handleOrderAnswer (event: EventOf<'upkeepOrdered'>, step: Step): void {
     const { wave, vm, outcome } = event
     if (step.state.upkeepWaves.get(wave)?.vms.get(vm) !== UpkeepPhase.ordered) return
+    this.countUnanswered(vm, -1)
     switch (outcome) {
       case UpkeepOutcome.done: return this.confirmDown(step, wave, vm)
       case UpkeepOutcome.busy:
-        // An earlier order may still arrive, so the VM counts as down until a definite answer.
-        if (!this.unconfirmed.has(vm)) this.setPhase(step, wave, vm, UpkeepPhase.waiting)
+        // Another order may still arrive, so the VM counts as down until a definite answer.
+        if (!this.unconfirmed.has(vm) && this.unanswered.get(vm) === 0) this.setPhase(step, wave, vm, UpkeepPhase.waiting)
         return
       case UpkeepOutcome.unfit:
         this.endEvacuation(vm)
@@ -201,9 +205,14 @@
 
   private order (step: Step, wave: number, vm: string): void {
     this.changedAt.set(vm, step.now)
+    this.countUnanswered(vm, 1)
     step.effects.push({ kind: 'orderUpkeep', wave, vm })
   }
 
+  private countUnanswered (vm: string, change: number): void {
+    this.unanswered.set(vm, (this.unanswered.get(vm) ?? 0) + change)
+  }
+
   /** Records that a VM is down: no run that was on it exists any more, unless the order was inherited. */
   private confirmDown (step: Step, wave: number, vm: string): void {
     const { view, isInherited = true } = this.evacuations.get(vm) ?? {}
@@ -217,6 +226,7 @@
     if (view !== undefined) view.isEvacuating = view.isGoingDown = false
     this.evacuations.delete(vm)
     this.unconfirmed.delete(vm)
+    this.unanswered.delete(vm)
   }
 
   private setPhase (step: Step, wave: number, vm: string, phase: UpkeepPhase): void {
