Count the time without an answer from when an incarnation is known

What callers could see: two runs of one task at once, after a restart under the same id.

Cause: the runs that pass on to a new incarnation keep the time of their placement. A worker that has not answered this leader yet counted as unreached since then, so runs placed longer ago than the longest lease were released at the next tick, before their stop was confirmed.

Evidence: restarted-workers.test.ts, "long after a start without an answer", failed before.

Why it works: the time counts from when the leader learned of that incarnation.

--- a/packages/scheduler/__tests__/restarted-workers.test.ts
+++ b/packages/scheduler/__tests__/restarted-workers.test.ts
@@ -139,7 +139,7 @@
     assert.deepEqual(listOrders(leader.report('one', 2)).length, 2)
   })
 
-  it('long after a start without an answer may still carry it out, so its task waits for the stop', { todo: 'KNOWN-RED.txt, entry 1N' }, () => {
+  it('long after a start without an answer may still carry it out, so its task waits for the stop', () => {
     const leader = createPlacedTask()
     leader.answer('one', 'start', TASK, 1, OrderOutcome.unknown, { unanswered: 3 })
     leader.answer('one', 'stop', TASK, 1, OrderOutcome.unknown)
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -169,7 +169,7 @@
     const incarnation = known?.incarnation ?? view?.worker.incarnation ?? -1
     if (worker.incarnation < incarnation) return
     if (worker.incarnation > incarnation) {
-      const successor = WorkerView.create(worker)
+      const successor = WorkerView.create(worker, step.now)
       step.decide({ kind: 'calledWorkerKnown', worker })
       this.views.set(worker.id, successor)
       step.effects.push({ kind: 'watchWorker', worker })
@@ -179,7 +179,7 @@
     }
     if (known !== undefined && isSameReport(known, worker)) return
     step.decide({ kind: 'calledWorkerKnown', worker })
-    if (view === undefined) this.views.set(worker.id, WorkerView.create(worker))
+    if (view === undefined) this.views.set(worker.id, WorkerView.create(worker, step.now))
     else view.worker = worker
     step.effects.push({ kind: 'watchWorker', worker })
   }
@@ -303,8 +303,9 @@
         continue
       }
       for (const run of [...view.runs.values()]) this.resendOrder(step, view, run)
-      const isUnreached = !view.hasAcceptedToken && view.runs.size > 0 && step.now - this.leaderSince > this.unreachedLeaseMs
-      if (isUnreached && step.now - this.lastPlacementAt(view) > this.unreachedLeaseMs) {
+      const isUnreached = !view.hasAcceptedToken && view.runs.size > 0
+      const unreachedSince = Math.max(this.leaderSince, view.knownSince, this.lastPlacementAt(view))
+      if (isUnreached && step.now - unreachedSince > this.unreachedLeaseMs) {
         this.removeAllRuns(step, view, 'it was never reached by this leader, and its lease is over')
       }
     }
--- a/packages/scheduler/src/core/jobs/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/worker-view.ts
@@ -92,10 +92,14 @@
   private usedMemoryMib = 0
   private usedAccelerators = 0
 
-  private constructor (public worker: CalledWorker) {}
-
-  static create (worker: CalledWorker): WorkerView {
-    return new WorkerView(worker)
+  private constructor (
+    public worker: CalledWorker,
+    /** Cluster time at which this leader learned of this incarnation. */
+    readonly knownSince: number
+  ) {}
+
+  static create (worker: CalledWorker, knownSince = 0): WorkerView {
+    return new WorkerView(worker, knownSince)
   }
 
   get id (): string {
