Reject late starts of runs that were being stopped

What callers could see: a start after a run of the task had succeeded.

Cause: a run that is stopped because an earlier run of its task succeeded was dropped when its worker started again, though a start of it without an answer could still reach the new incarnation.

Evidence: restarted-workers.test.ts, "that was being stopped because an earlier run", failed before.

Why it works: it counts among the unanswered starts, which the new incarnation is told to reject.

--- a/packages/scheduler/__tests__/restarted-workers.test.ts
+++ b/packages/scheduler/__tests__/restarted-workers.test.ts
@@ -149,7 +149,7 @@
     assert.equal(leader.getTask()?.phase, 'placed')
   })
 
-  it('is told to reject a run that was being stopped because an earlier run of its task succeeded', { todo: 'KNOWN-RED.txt, entry 1N' }, () => {
+  it('is told to reject a run that was being stopped because an earlier run of its task succeeded', () => {
     const leader = createPlacedTask()
     leader.answer('one', 'start', TASK, 1, OrderOutcome.unhealthy)
     leader.advance(200)
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -237,8 +237,8 @@
   private passOnRuns (step: Step, former: WorkerView, successor: WorkerView): void {
     const reason = 'its worker started again'
     for (const run of [...former.runs.values()]) {
-      if (run.isOrphan) continue
-      if (run.isListed && !run.hasOpenStart) {
+      // An orphan that the successor may start is among its unanswered starts from now on.
+      if (run.isOrphan || (run.isListed && !run.hasOpenStart)) {
         this.removeRun(step, former, run, reason)
         continue
       }
