Keep capacity free for starts that are still to be rejected

What callers could see: a worker over its capacity.

Cause: a start that a restarted worker was still to reject counted with no resources, also once the worker listed it as running.

Evidence: restarted-workers.test.ts, "has no capacity for other work until that run has ended", failed before.

Why it works: such a run counts with the resources of its stage until it has ended or is rejected.

--- a/packages/scheduler/__tests__/restarted-workers.test.ts
+++ b/packages/scheduler/__tests__/restarted-workers.test.ts
@@ -158,7 +158,7 @@
     assert.deepEqual(listOrders(leader.report('two', 2)), [stop])
   })
 
-  it('and runs a late start of its former incarnation has no capacity for other work until that run has ended', { todo: 'KNOWN-RED.txt, entry 1N' }, () => {
+  it('and runs a late start of its former incarnation has no capacity for other work until that run has ended', () => {
     const resources = { millicores: 16_000, memoryMib: 4_096, accelerators: 0 }
     const leader = ScriptedLeader.create()
     leader.addWorker('one')
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -254,12 +254,20 @@
   private rejectUnansweredStarts (step: Step, view: WorkerView): void {
     for (const { task, run } of this.unansweredStarts.list(view.id, step.now)) {
       if (view.runs.has(task)) continue
-      const orphan = createOrphanRun(task, run, NO_RESOURCES, step.now)
-      view.add(orphan)
+      const orphan = this.addOrphan(step, view, task, run)
       this.stopRun(step, view, orphan, 'a start that was sent before its worker started again got no answer')
     }
   }
 
+  /** Tracks a run that the replicated state does not place on the worker; its capacity is used until it has ended. */
+  private addOrphan (step: Step, view: WorkerView, task: string, run: number): Run {
+    const ref = parseTaskRef(task)
+    const stage = ref === undefined ? undefined : step.state.jobs.get(ref.job)?.spec.stages[ref.stage]
+    const orphan = createOrphanRun(task, run, stage?.fills === true ? NO_RESOURCES : stage?.resources ?? NO_RESOURCES, step.now)
+    view.add(orphan)
+    return orphan
+  }
+
   /** Keeps the runs of a worker until its new incarnation reports itself; until then it gets no work. */
   handleRestart (step: Step, id: string, incarnation: number): void {
     const view = this.findView(id, incarnation)
@@ -442,10 +450,7 @@
   private handleRunning (step: Step, view: WorkerView, reportedRun: ReportedRun): void {
     const run = view.runs.get(reportedRun.task)
     if (run === undefined || run.run < reportedRun.run) {
-      const ref = parseTaskRef(reportedRun.task)
-      const stage = ref === undefined ? undefined : step.state.jobs.get(ref.job)?.spec.stages[ref.stage]
-      const orphan = createOrphanRun(reportedRun.task, reportedRun.run, stage?.fills === true ? NO_RESOURCES : stage?.resources ?? NO_RESOURCES, step.now)
-      view.add(orphan)
+      const orphan = this.addOrphan(step, view, reportedRun.task, reportedRun.run)
       this.noteAnomaly(step, view, RunAnomaly.unplacedRun, reportedRun, `${reportedRun.percent} percent`)
       return this.stopRun(step, view, orphan, 'the replicated state does not place this run on the worker')
     }
