Hold up only the task that its worker is still to reject

What callers could see: tasks of a stage that wait although workers have room.

Cause: a task was not placed on a worker that was still to reject an earlier run of it, and with it the pass left out all tasks of its stage.

Evidence: restarted-workers.test.ts, "does not hold up the tasks of its stage", failed before.

Why it works: only that placement is left out; a gang is left out as a whole, since it starts as a whole.

--- a/packages/scheduler/__tests__/restarted-workers.test.ts
+++ b/packages/scheduler/__tests__/restarted-workers.test.ts
@@ -174,7 +174,7 @@
     assert.deepEqual(listOrders([...accepted, ...leader.advance(300)]), [])
   })
 
-  it('and refuses to reject a run does not hold up the tasks of its stage that other workers have room for', { todo: 'KNOWN-RED.txt, entry 1N' }, () => {
+  it('and refuses to reject a run does not hold up the tasks of its stage that other workers have room for', () => {
     const leader = ScriptedLeader.create()
     leader.addWorker('one')
     leader.submit({ taskCount: 3 })
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -225,9 +225,11 @@
   /** Decides and orders the chosen placements. All tasks of a gang get the same run number. */
   private startRuns (step: Step, placements: readonly RunPlacement[]): void {
     const gangRuns = new Map<string, number>()
-    const blockedUnits = new Set(placements.filter(isBlocked).map(({ unit }) => unit))
-    for (const { unit, index, view, ticket } of placements) {
-      if (blockedUnits.has(unit)) continue
+    const blocked = placements.filter(isBlocked)
+    const blockedGangs = new Set(blocked.filter(({ unit }) => unit.spec.gang).map(({ unit }) => unit))
+    for (const placement of placements) {
+      const { unit, index, view, ticket } = placement
+      if (blocked.includes(placement) || blockedGangs.has(unit)) continue
       const { job, occurrence, stage } = unit
       const tasks = step.state.jobs.get(job)?.occurrences.get(occurrence)?.[stage]
       if (tasks === undefined) continue
