Ask the restarted worker about runs of its former incarnation

What callers could see: a task that waits for the longest lease after a change of leader, or, if the restarted worker had started it from a late order and could not be told to stop in that time, two runs of it.

Cause: a new leader kept the run of a former incarnation apart until its lease must have lapsed, and did not connect it with what the known incarnation listed.

Evidence: two tests of restarted-workers.test.ts ("is told by the next leader too", "does not delay its task by the longest lease") failed before.

Why it works: the process of the former incarnation has ended, so only the known one can run it. What its first list under the new fencing token does not name cannot start any more.

--- a/packages/scheduler/__tests__/restarted-workers.test.ts
+++ b/packages/scheduler/__tests__/restarted-workers.test.ts
@@ -194,7 +194,7 @@
     assert.deepEqual([1, 2].map(index => leader.getTask(index)?.phase), ['placed', 'placed'])
   })
 
-  it('and runs a late start is told by the next leader too to stop it, before the task starts again', { todo: 'KNOWN-RED.txt, entry 1N' }, () => {
+  it('and runs a late start is told by the next leader too to stop it, before the task starts again', () => {
     const leader = createPlacedTask()
     leader.report('one', 2)
     leader.report('one', 2, { isDraining: true })
@@ -208,7 +208,7 @@
     }
   })
 
-  it('and has nothing to stop does not delay its task by the longest lease after a change of leader', { todo: 'KNOWN-RED.txt, entry 1N' }, () => {
+  it('and has nothing to stop does not delay its task by the longest lease after a change of leader', () => {
     const leader = createPlacedTask()
     leader.report('one', 2)
     leader.replaceLeader()
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -346,11 +346,14 @@
     return Math.max(...[...view.runs.values()].map(run => run.status === RunStatus.inherited ? this.leaderSince : run.placedAt))
   }
 
-  /** Adds the run of a task that a previous leader placed. */
+  /**
+   * Adds the run of a task that a previous leader placed. If its worker has started again since, only the incarnation
+   * that is known now can still run it.
+   */
   private inheritRun (ref: TaskRef, task: StageTask, state: ClusterState, now: number): void {
     let view = this.views.get(task.worker)
-    if (view === undefined || view.worker.incarnation !== task.incarnation) {
-      // The worker is no longer known under this incarnation. A view of its own keeps the run until its lease has lapsed.
+    if (view === undefined || view.worker.incarnation < task.incarnation) {
+      // The worker is no longer known. A view of its own keeps the run until its lease has lapsed.
       const id = formatFormerWorker(task.worker, task.incarnation)
       view = this.views.get(id) ?? WorkerView.create(createUnknownWorker(id, task))
       this.views.set(id, view)
