Stop the rest of a gang with a member whose start is uncertain

What callers could see: members of a gang that wait for one that is being stopped, and hold their capacity.

Cause: the other members were stopped only once the stop of the uncertain one was confirmed.

Evidence: uncertain-orders.test.ts, "has the other members of its gang stopped", failed before.

Why it works: the gang cannot continue from then on, so all of its members are stopped at once.

--- a/packages/scheduler/__tests__/uncertain-orders.test.ts
+++ b/packages/scheduler/__tests__/uncertain-orders.test.ts
@@ -34,7 +34,7 @@
     })
   }
 
-  it('that is refused after an attempt without an answer has the other members of its gang stopped', { todo: 'KNOWN-RED.txt, entry 1N' }, () => {
+  it('that is refused after an attempt without an answer has the other members of its gang stopped', () => {
     const leader = ScriptedLeader.create()
     leader.addWorker('one')
     leader.addWorker('two')
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -125,6 +125,12 @@
     this.orderStop(step, view, run)
   }
 
+  /** Stops a run that may or may not exist, and with it the other members of its gang, which cannot continue. */
+  private abandonRun (step: Step, view: WorkerView, run: Run, reason: string): void {
+    this.stopRun(step, view, run, reason)
+    if (step.state.jobs.get(run.ref.job)?.spec.stages[run.ref.stage]?.gang === true) this.stopGang(step, run)
+  }
+
   /** Stops the running preemptible runs of a worker. */
   stopPreemptibleRuns (step: Step, view: WorkerView, reason: string): void {
     for (const run of [...view.runs.values()]) {
@@ -245,8 +251,7 @@
       former.remove(run.task)
       run.status = RunStatus.starting
       successor.add(run)
-      this.stopRun(step, successor, run, reason)
-      if (step.state.jobs.get(run.ref.job)?.spec.stages[run.ref.stage]?.gang === true) this.stopGang(step, run)
+      this.abandonRun(step, successor, run, reason)
     }
   }
 
@@ -532,12 +537,12 @@
       case OrderOutcome.done: return this.confirmStart(run, step.now)
       // It may be running, may start late or may have ended; a confirmed stop makes its end certain.
       case OrderOutcome.unknown:
-      case OrderOutcome.superseded: return this.stopRun(step, view, run, `its start was ${outcome}`)
+      case OrderOutcome.superseded: return this.abandonRun(step, view, run, `its start was ${outcome}`)
       case OrderOutcome.noRoom: view.cooldownUntil = step.now + COOLDOWN_MS.noRoom; break
       case OrderOutcome.unhealthy: view.cooldownUntil = step.now + COOLDOWN_MS.unhealthy
     }
     // The refusal answers only the last attempt.
-    if (unanswered > 0) return this.stopRun(step, view, run, `its start was refused (${outcome}) after ${unanswered} attempts without an answer`)
+    if (unanswered > 0) return this.abandonRun(step, view, run, `its start was refused (${outcome}) after ${unanswered} attempts without an answer`)
     this.removeRun(step, view, run, outcome)
   }
 
