Send an acknowledgement only until it is accepted

What callers could see: a task started again after it had succeeded, on workers that restart under their id.

Cause: each list request repeated the highest acknowledged number. One that arrived late made the next incarnation forget its own ends up to that number before the leader had read them.

Evidence: worker-session.test.ts failed before.

Why it works: only a request that carries a new acknowledgement can do harm now. A request of that kind that is itself late still can; the worker has no means to tell it apart.

--- a/packages/runtime/__tests__/worker-session.test.ts
+++ b/packages/runtime/__tests__/worker-session.test.ts
@@ -56,7 +56,7 @@
 }
 
 describe('the list requests of a session', () => {
-  it('do not repeat an acknowledgement that was answered, which the next incarnation would apply to its own ends', { todo: 'KNOWN-RED.txt, entry 1N' }, async () => {
+  it('do not repeat an acknowledgement that was answered, which the next incarnation would apply to its own ends', async () => {
     const client = ListingClient.create()
     const session = WorkerSession.create(WORKER, 1, client, LIMITS, {
       feed: event => {
--- a/packages/runtime/src/core/worker-session.ts
+++ b/packages/runtime/src/core/worker-session.ts
@@ -107,6 +107,8 @@
   private leaseUntilMs = 0
   /** Number of the last end that is committed, and so may be acknowledged to the worker. */
   private cursor = 0
+  /** Highest cursor that the worker has accepted. */
+  private acceptedCursor = 0
   private resolveAck: (() => void) | undefined
   private consecutiveFailures = 0
   private isStopped = false
@@ -177,7 +179,10 @@
     const waitMs = isFirst || this.consecutiveFailures > 0 ? 0 : this.limits.waitMs
     // The lease of a worker that does not answer is not extended, so that its runs lapse.
     const untilMs = isFirst || this.consecutiveFailures > 0 ? undefined : this.extendLease()
-    const order = { fence: this.fence, cursor: this.cursor, untilMs, waitMs }
+    // An acknowledgement is sent only until it is accepted: a request that arrives late may reach the next incarnation,
+    // which would forget its own ends up to that number.
+    const cursor = this.cursor > this.acceptedCursor ? this.cursor : 0
+    const order = { fence: this.fence, cursor, untilMs, waitMs }
     const answer = await this.client.list(this.worker, order, waitMs + this.limits.answerTimeoutMs)
     if (this.isStopped) return
     this.recordClock(answer)
@@ -192,6 +197,7 @@
     }
     if (answer.outcome !== OrderOutcome.done) return await this.handleFailedRequest(answer)
     this.consecutiveFailures = 0
+    this.acceptedCursor = Math.max(this.acceptedCursor, cursor)
     this.owner.feed({ kind: 'workerListed', id, incarnation, sentAt, running: answer.running, ended: answer.ended })
     if (answer.ended.length > 0) await this.waitForAck()
   }
