Separate the schedules by fault, and check that closed jobs were closed for a reason

Orders that the next incarnation carries out hid the failures that restarts, departures and refusals cause without them. They have groups of their own now: restarts and departures deliver no order to another incarnation, strayCalls and strayLateOrders do, strayOrdersAndRefusals adds refused starts. Departures use long tasks, so that a worker that leaves still has runs.

A job that is completed must have a success of each task, one that has failed must have a task or a gang with as many failures as its attempt limit.

Timers run without a promise for each of them.

--- a/packages/runtime/__tests__/support/run-journal.ts
+++ b/packages/runtime/__tests__/support/run-journal.ts
@@ -4,7 +4,7 @@
  */
 
 import assert from 'node:assert/strict'
-import { parseTaskRef, RunEndCause, type JobSpec, type Resources } from '@flamingorouter/scheduler'
+import { JobPhase, parseTaskRef, RunEndCause, type JobSpec, type Resources } from '@flamingorouter/scheduler'
 
 /** One run in the journal of a worker: from its start to its end in virtual milliseconds, and the cause of its end. */
 export interface RunInterval {
@@ -46,6 +46,27 @@
   assertWithinCapacity(journal, context)
 }
 
+/**
+ * Asserts that a completed job has a success of each of its tasks, where that of one member of a gang counts for all of
+ * them, and that a failed job has a task or a gang that failed as often as its attempt limit.
+ */
+export function assertJobResult (job: string, phase: JobPhase | undefined, journal: readonly RunInterval[], { schedule, specs, attemptLimit }: JournalContext): void {
+  const intervals = journal.filter(({ task }) => parseTaskRef(task)?.job === job)
+  if (phase === JobPhase.failed) {
+    const failedRuns = groupBy(intervals.filter(({ endCause }) => endCause === RunEndCause.failed), ({ task }) => formatUnit(task, specs))
+    const attempts = [...failedRuns.values()].map(runs => new Set(runs.map(({ run }) => run)).size)
+    assert.ok(Math.max(0, ...attempts) >= attemptLimit, `${schedule}: ${job} failed after ${Math.max(0, ...attempts)} failures of a task`)
+  }
+  if (phase !== JobPhase.completed) return
+  const done = new Set(intervals.filter(({ endCause }) => endCause === RunEndCause.done).map(({ task }) => formatUnit(task, specs)))
+  for (const [stage, { taskCount }] of specs.get(job)?.stages.entries() ?? []) {
+    for (let index = 0; index < taskCount; index++) {
+      const task = `${job}/0/${stage}/${index}`
+      assert.ok(done.has(formatUnit(task, specs)), `${schedule}: ${job} completed before ${task} was done`)
+    }
+  }
+}
+
 function assertNoOverlap (task: string, intervals: readonly RunInterval[], { schedule }: JournalContext): void {
   const sorted = [...intervals].sort((one, other) => one.from - other.from)
   for (const [index, interval] of sorted.entries()) {
@@ -68,10 +89,7 @@
 
 /** Failures count for each task; in a gang, those of one run number count once for all of its tasks. */
 function assertWithinAttemptLimit (journal: readonly RunInterval[], { schedule, specs, attemptLimit }: JournalContext): void {
-  const byUnit = groupBy(journal, ({ task }) => {
-    const ref = parseTaskRef(task)
-    return ref !== undefined && specs.get(ref.job)?.stages[ref.stage].gang === true ? formatStageId(task) : task
-  })
+  const byUnit = groupBy(journal, ({ task }) => formatUnit(task, specs))
   for (const [unit, intervals] of byUnit) {
     const ref = parseTaskRef(intervals[0].task)
     if (ref === undefined || specs.get(ref.job)?.stages[ref.stage].longRunning === true) continue
@@ -120,6 +138,12 @@
   return ref === undefined ? '' : `${ref.job}/${ref.occurrence}/${ref.stage}`
 }
 
+/** The unit of which failures and successes count together: a gang, or a single task. */
+function formatUnit (task: string, specs: ReadonlyMap<string, JobSpec>): string {
+  const ref = parseTaskRef(task)
+  return ref !== undefined && specs.get(ref.job)?.stages[ref.stage].gang === true ? formatStageId(task) : task
+}
+
 function describeInterval ({ worker, run, from, to, endCause, origin }: RunInterval): string {
   return `run ${run} on ${worker} from ${from} to ${to} (${endCause}${origin})`
 }
--- a/packages/runtime/__tests__/support/schedule-groups.ts
+++ b/packages/runtime/__tests__/support/schedule-groups.ts
@@ -17,10 +17,12 @@
 
 const LONG_TASKS = { jobs: 10, estimateMs: 8_000, faultsEndAt: 30_000, jobsEndAt: 240_000 }
 
-const RESTART_PLAN: Partial<FaultPlan> = { ...COMMON_PLAN, hasStrayLateOrders: true, hasStrayCalls: true, delayedReports: 100 }
+const RESTART_PLAN: Partial<FaultPlan> = { ...COMMON_PLAN, delayedReports: 100 }
 
 const RESTART_RATES: Partial<FaultRates> = { ...COMMON_RATES, quickRestarts: 250, cutRestarts: 200 }
 
+const STRAY_ORDER_PLAN: Partial<FaultPlan> = { ...RESTART_PLAN, hasStrayLateOrders: true, hasStrayCalls: true }
+
 const REFUSALS: Partial<FaultPlan> = { unhealthyStarts: 100, hasTicketCheck: true }
 
 const LONG_RUNS: Partial<FaultPlan> = { runMs: [6_000, 10_000] }
@@ -29,14 +31,16 @@
   knownFaults: { plan: COMMON_PLAN, rates: COMMON_RATES, ...SHORT_TASKS },
   refusedStarts: { plan: { ...COMMON_PLAN, ...REFUSALS }, rates: COMMON_RATES, ...SHORT_TASKS },
   restarts: { plan: RESTART_PLAN, rates: RESTART_RATES, ...SHORT_TASKS },
-  refusedAfterRestarts: { plan: { ...RESTART_PLAN, ...REFUSALS, hasRoomCheck: true }, rates: RESTART_RATES, ...SHORT_TASKS },
+  strayCalls: { plan: { ...RESTART_PLAN, hasStrayCalls: true }, rates: RESTART_RATES, ...SHORT_TASKS },
+  strayLateOrders: { plan: STRAY_ORDER_PLAN, rates: RESTART_RATES, ...SHORT_TASKS },
+  strayOrdersAndRefusals: { plan: { ...STRAY_ORDER_PLAN, ...REFUSALS, hasRoomCheck: true }, rates: RESTART_RATES, ...SHORT_TASKS },
   departures: {
-    plan: { ...RESTART_PLAN, delayedLeaves: 500, refusedConnections: 500 }, rates: { ...COMMON_RATES, retirements: 250 }, ...SHORT_TASKS
+    plan: { ...RESTART_PLAN, ...LONG_RUNS, delayedLeaves: 500, refusedConnections: 500 }, rates: { ...COMMON_RATES, retirements: 250 }, ...LONG_TASKS
   },
   longTasks: { plan: { ...COMMON_PLAN, ...LONG_RUNS }, rates: COMMON_RATES, ...LONG_TASKS },
   lateLeases: { plan: { ...COMMON_PLAN, ...LONG_RUNS, hasLateLeases: true }, rates: COMMON_RATES, ...LONG_TASKS },
   newLeaders: {
-    plan: { ...RESTART_PLAN, ...REFUSALS, ...LONG_RUNS, refusedConnections: 200 },
+    plan: { ...STRAY_ORDER_PLAN, ...REFUSALS, ...LONG_RUNS, refusedConnections: 200 },
     rates: { ...RESTART_RATES, newLeaders: 300 },
     ...LONG_TASKS
   }
--- a/packages/runtime/__tests__/support/virtual-time.ts
+++ b/packages/runtime/__tests__/support/virtual-time.ts
@@ -22,17 +22,29 @@
     return new Promise(resolve => { this.after(ms, resolve) })
   }
 
-  /** Runs the timers that are due up to a time, and lets promises settle before each of them. */
-  async runUntil (until: number): Promise<void> {
-    for (;;) {
-      await flushPromises()
-      const next = this.timers[0]
-      if (next === undefined || next.dueAt > until) break
-      this.removeFirst()
-      this.now = Math.max(this.now, next.dueAt)
-      next.run()
-    }
-    this.now = until
+  /**
+   * Runs the timers that are due up to a time, and lets all promises settle before each of them. Each timer has its own
+   * turn of the event loop, which costs less than a promise under the hooks of node:test.
+   */
+  runUntil (until: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const runNext = (): void => {
+        const next = this.timers[0]
+        if (next === undefined || next.dueAt > until) {
+          this.now = until
+          return resolve()
+        }
+        this.removeFirst()
+        this.now = Math.max(this.now, next.dueAt)
+        try {
+          next.run()
+        } catch (thrown) {
+          return reject(thrown)
+        }
+        setImmediate(runNext)
+      }
+      setImmediate(runNext)
+    })
   }
 
   private push (timer: Timer): void {
@@ -67,8 +79,3 @@
 function isBefore (one: Timer, other: Timer): boolean {
   return one.dueAt < other.dueAt || (one.dueAt === other.dueAt && one.order < other.order)
 }
-
-/** Runs the continuations of all resolved promises; one turn of the event loop is cheaper than a chain of promises under the hooks of node:test. */
-function flushPromises (): Promise<void> {
-  return new Promise(resolve => { setImmediate(resolve) })
-}
