Separate late starts that the next incarnation carries out before anybody has called it

A late start of a former incarnation can be carried out by the next one before the leader has sent it anything, also after the task is done elsewhere. The group strayLateStarts keeps these schedules with the same checks. In strayLateOrders, strayOrdersAndRefusals and newLeaders late orders reach the next incarnation only after the first list request that was meant for it, which a fencing token could reject.

--- a/packages/runtime/__tests__/called-workers.test.ts
+++ b/packages/runtime/__tests__/called-workers.test.ts
@@ -20,7 +20,8 @@
   refusedStarts: { failure: 'a start that is carried out although a repeat of it was refused', count: 15 },
   restarts: { failure: 'a task that is lost or runs twice when workers restart under their id', count: 20 },
   strayCalls: { failure: 'a call to a former incarnation that the next one carries out', count: 20 },
-  strayLateOrders: { failure: 'a late order to a former incarnation that the next one carries out', count: 20 },
+  strayLateOrders: { failure: 'a late order to a former incarnation that the next one carries out after its first list', count: 20 },
+  strayLateStarts: { failure: 'a late start that the next incarnation carries out before anybody has called it', count: 10 },
   strayOrdersAndRefusals: { failure: 'an order to a former incarnation that takes the capacity of the next one', count: 20 },
   departures: { failure: 'a worker that is taken for one that has left', count: 8 },
   longTasks: { failure: 'a task that outlives the lease of a worker that is cut off', count: 10 },
@@ -34,12 +35,13 @@
   refusedStarts: [19, 21, 31, 37, 43, 58, 110],
   restarts: [91],
   strayCalls: [18, 42, 64, 68, 80, 84, 86, 88, 91, 103, 106, 117],
-  strayLateOrders: [1, 3, 4, 5, 6, 8, 9, 12, 13, 16, 17, 20, 27, 81],
-  strayOrdersAndRefusals: [1, 3, 9, 13, 15, 28, 45, 51, 85],
+  strayLateOrders: [1, 4, 5, 6, 8, 9, 12, 13, 16, 17, 20, 40, 48, 81],
+  strayLateStarts: [1, 3, 4, 5, 6, 8, 9, 27, 48],
+  strayOrdersAndRefusals: [1, 3, 8, 9, 13, 15, 28, 45, 51, 81],
   departures: [3, 19, 20, 21, 31, 34, 40, 66, 74, 76, 79, 99, 101, 104, 105, 107, 111],
   longTasks: [],
   lateLeases: [4, 6, 13, 17, 21, 24, 26, 28, 36, 45, 54, 73, 85, 97, 102, 104, 108, 111, 118],
-  newLeaders: [1, 15, 21, 22, 36, 63, 71, 73, 87, 89, 102, 105]
+  newLeaders: [1, 22, 36, 63, 71, 73, 102, 105]
 }
 
 const RED_ENTRY = 'KNOWN-RED.txt, entry 10'
--- a/packages/runtime/__tests__/support/called-worker-model.ts
+++ b/packages/runtime/__tests__/support/called-worker-model.ts
@@ -63,7 +63,7 @@
   isHung = false
   isCrashed = false
   /** True once a list request that was meant for this life of the process was carried out. */
-  private isKnown = false
+  isKnown = false
   private fence = 0
   private leaseUntil = 0
   /** Virtual time at which the lease last lapsed. */
--- a/packages/runtime/__tests__/support/fault-plan.ts
+++ b/packages/runtime/__tests__/support/fault-plan.ts
@@ -13,6 +13,8 @@
   lateOrders: number
   /** True if a late call is carried out by whatever worker then has the id, also by the next incarnation. */
   hasStrayLateOrders?: boolean
+  /** True if the next incarnation carries out late calls only after the first list request that was meant for it. */
+  isStrayAfterFirstList?: boolean
   /** True if a call that reaches the next incarnation is carried out by it; only the answer to a list request shows this. */
   hasStrayCalls?: boolean
   /** True if the lease that a late call requests is counted from its arrival. */
--- a/packages/runtime/__tests__/support/schedule-groups.ts
+++ b/packages/runtime/__tests__/support/schedule-groups.ts
@@ -21,7 +21,7 @@
 
 const RESTART_RATES: Partial<FaultRates> = { ...COMMON_RATES, quickRestarts: 250, cutRestarts: 200 }
 
-const STRAY_ORDER_PLAN: Partial<FaultPlan> = { ...RESTART_PLAN, hasStrayLateOrders: true, hasStrayCalls: true }
+const STRAY_ORDER_PLAN: Partial<FaultPlan> = { ...RESTART_PLAN, hasStrayLateOrders: true, isStrayAfterFirstList: true, hasStrayCalls: true }
 
 const REFUSALS: Partial<FaultPlan> = { unhealthyStarts: 100, hasTicketCheck: true }
 
@@ -33,6 +33,7 @@
   restarts: { plan: RESTART_PLAN, rates: RESTART_RATES, ...SHORT_TASKS },
   strayCalls: { plan: { ...RESTART_PLAN, hasStrayCalls: true }, rates: RESTART_RATES, ...SHORT_TASKS },
   strayLateOrders: { plan: STRAY_ORDER_PLAN, rates: RESTART_RATES, ...SHORT_TASKS },
+  strayLateStarts: { plan: { ...STRAY_ORDER_PLAN, isStrayAfterFirstList: false }, rates: RESTART_RATES, ...SHORT_TASKS },
   strayOrdersAndRefusals: { plan: { ...STRAY_ORDER_PLAN, ...REFUSALS, hasRoomCheck: true }, rates: RESTART_RATES, ...SHORT_TASKS },
   departures: {
     plan: { ...RESTART_PLAN, ...LONG_RUNS, delayedLeaves: 500, refusedConnections: 500 }, rates: { ...COMMON_RATES, retirements: 250 }, ...LONG_TASKS
--- a/packages/runtime/__tests__/support/simulated-orders.ts
+++ b/packages/runtime/__tests__/support/simulated-orders.ts
@@ -166,11 +166,16 @@
     const delayMs = LATE_ORDER_MS + cell.drawInteger(LATE_ORDER_SPREAD_MS)
     cell.time.after(delayMs, () => {
       const current = cell.workerModels.get(worker.id)
-      if (current === undefined || (current !== model && cell.plan.hasStrayLateOrders !== true)) return
+      if (current === undefined || (current !== model && !this.isStrayAllowed(current))) return
       act(current, { delayMs, incarnation: worker.incarnation })
     })
   }
 
+  private isStrayAllowed (model: CalledWorkerModel): boolean {
+    const { hasStrayLateOrders, isStrayAfterFirstList } = this.cell.plan
+    return hasStrayLateOrders === true && (isStrayAfterFirstList !== true || model.isKnown)
+  }
+
   private async timeOut (ms: number): Promise<OrderAnswer> {
     await this.cell.time.pause(ms)
     return { outcome: OrderOutcome.unknown }
