Fence off each incarnation of a worker from orders to the ones before

Cause: the class of the fault is an identity that outlives the process behind it. All sessions of a leader used its term as the fencing token, so an incarnation carried out what was sent to the ones before it: starts, and lists with an acknowledgement or a lease of another incarnation. Stopping each run whose start was open at the new incarnation covered starts only, and lost the race against those that arrived before the stop.

Why it works: the fencing token rises with each session. Once an incarnation has answered one list it refuses everything sent to the incarnations before it, as it refuses the orders of earlier leaders. A restarted worker is therefore treated like one that a new leader has taken over: its runs are passed on, the first list names those that exist, and the others cannot start any more. The table of unanswered starts and its flags are gone.

The simulated worker reports that it drains before it leaves now, and ends within 20 ms of its announcement, as the protocol says; before, no announcement of it counted any more.

--- a/packages/runtime/__tests__/support/simulated-cell.ts
+++ b/packages/runtime/__tests__/support/simulated-cell.ts
@@ -44,8 +44,11 @@
 const LATE_REPORT_MS = 500
 const LATE_REPORT_SPREAD_MS = 5_000
 
-/** Longest time for which a worker runs on after it announced that it leaves, in milliseconds. */
-const LEAVING_MS = 3_000
+/** Shortest time from the report of a worker that it drains to its end, in milliseconds; the longest is twice that. */
+const DRAIN_MS = 1_000
+
+/** Longest time from the announcement of a worker that it leaves to the end of its process, in milliseconds. */
+const ENDING_MS = 20
 
 export function createConfiguration (hasAdmission: boolean, version = 1): CellConfiguration {
   const admission = hasAdmission ? { decideMs: SERVICE_DELAY_MS, perWorkerMs: 0, validMs: TICKET_VALIDITY_MS } : undefined
@@ -212,11 +215,15 @@
   retireWorker (id: string, downMs: number): void {
     const model = this.workerModels.get(id)
     if (model === undefined) return
-    // The announcement does not name the incarnation.
-    const announce = (): void => { this.feed({ kind: 'workerLeft', call: ++this.lastCall, id, incarnation: 0 }) }
-    if (this.isDelayed(this.plan.delayedLeaves)) this.time.after(this.drawReportDelay(), announce)
-    else if (!model.isDisconnected) announce()
-    this.time.after(this.drawInteger(LEAVING_MS), () => { if (this.workerModels.get(id) === model) this.takeDown(id, downMs) })
+    if (!model.isDisconnected) this.feed({ kind: 'workerReported', call: ++this.lastCall, worker: { ...model.facts, isDraining: true } })
+    this.time.after(DRAIN_MS + this.drawInteger(DRAIN_MS), () => {
+      if (this.workerModels.get(id) !== model) return
+      // The announcement does not name the incarnation.
+      const announce = (): void => { this.feed({ kind: 'workerLeft', call: ++this.lastCall, id, incarnation: 0 }) }
+      if (this.isDelayed(this.plan.delayedLeaves)) this.time.after(this.drawReportDelay(), announce)
+      else if (!model.isDisconnected) announce()
+      this.time.after(this.drawInteger(ENDING_MS), () => { if (this.workerModels.get(id) === model) this.takeDown(id, downMs) })
+    })
   }
 
   private takeDown (id: string, ms: number, isDisconnectedAfter = false): void {
--- a/packages/runtime/__tests__/support/simulated-orders.ts
+++ b/packages/runtime/__tests__/support/simulated-orders.ts
@@ -5,7 +5,7 @@
  */
 
 import {
-  OrderDispatcher, WorkerClient, WorkerSession, type ListAnswer, type ListOrder, type OrderAnswer, type StartOrder, type WorkerEffect
+  computeSessionFence, OrderDispatcher, WorkerClient, WorkerSession, type ListAnswer, type ListOrder, type OrderAnswer, type StartOrder, type WorkerEffect
 } from '@flamingorouter/runtime'
 import { OrderOutcome, type CalledWorker, type Event } from '@flamingorouter/scheduler'
 import type { Arrival, CalledWorkerModel } from './called-worker-model.js'
@@ -32,6 +32,7 @@
 /** Dispatches orders to the simulated workers through real sessions, under the same conditions as `WorkerSessions`. */
 export class SimulatedDispatcher extends OrderDispatcher {
   private readonly sessions = new Map<string, WorkerSession>()
+  private sessionCount = 0
   private isStopped = false
 
   private constructor (private readonly cell: OrderCarrier, private readonly term: number) {
@@ -75,7 +76,8 @@
     }
     existing?.stop()
     const { cell } = this
-    const session = WorkerSession.create(worker, this.term, SimulatedWorkerClient.create(cell), { longestLeaseMs: 6_000, leaseMs: 4_000, clockDrift: 0.02, waitMs: 100, answerTimeoutMs: 300 }, {
+    this.sessionCount += 1
+    const session = WorkerSession.create(worker, computeSessionFence(this.term, this.sessionCount), SimulatedWorkerClient.create(cell), { longestLeaseMs: 6_000, leaseMs: 4_000, clockDrift: 0.02, waitMs: 100, answerTimeoutMs: 300 }, {
       feed: event => { if (!this.isStopped) cell.feed(event) },
       clusterNow: () => cell.time.now,
       monotonicNow: () => cell.time.now,
--- a/packages/runtime/__tests__/worker-sessions.test.ts
+++ b/packages/runtime/__tests__/worker-sessions.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { OrderOutcome, type CalledWorker } from '@flamingorouter/scheduler'
-import { monotonicNow, NoopLog, SlicedQueue, WorkerClient, WorkerSessions, type ListAnswer, type OrderAnswer } from '../src/index.js'
+import { monotonicNow, NoopLog, SlicedQueue, WorkerClient, WorkerSessions, type ListAnswer, type ListOrder, type OrderAnswer } from '../src/index.js'
 
 const LIMITS = { longestLeaseMs: 6_000, leaseMs: 4_000, clockDrift: 0.02, waitMs: 1_000, answerTimeoutMs: 450 }
 
@@ -96,6 +96,26 @@
     sessions.stopLeading()
   })
 
+  it('have a higher fencing token for each new incarnation, so that it refuses what was sent to the ones before', () => {
+    const client = BusyClient.create()
+    const fences: number[] = []
+    client.list = async (_worker: CalledWorker, order?: ListOrder) => {
+      fences.push(order?.fence ?? 0)
+      return await new Promise(() => {})
+    }
+    const sessions = WorkerSessions.create(client, LIMITS, NoopLog.create())
+    for (const term of [1, 2]) {
+      sessions.startLeading(term, () => {})
+      sessions.dispatch({ kind: 'watchWorker', worker: createWorker('worker') })
+      sessions.dispatch({ kind: 'watchWorker', worker: { ...createWorker('worker'), incarnation: 2 } })
+      sessions.dispatch({ kind: 'unwatchWorker', id: 'worker', incarnation: 2 })
+      sessions.dispatch({ kind: 'watchWorker', worker: { ...createWorker('worker'), incarnation: 3 } })
+    }
+    sessions.stopLeading()
+    assert.equal(fences.length, 6)
+    fences.forEach((fence, index) => assert.ok(index === 0 || fence > fences[index - 1], `${fence} after ${fences[index - 1]}`))
+  })
+
   it('report that orders gather, and once when they have been sent', async () => {
     const client = BusyClient.create()
     const sessions = WorkerSessions.create(client, LIMITS, NoopLog.create())
--- a/packages/runtime/src/core/worker-session.ts
+++ b/packages/runtime/src/core/worker-session.ts
@@ -45,7 +45,7 @@
   checkpoint: string
   /** Ticket of the external admission service for this start; empty in a queue without one. */
   ticket: string
-  /** Fencing token: the term of the leader. */
+  /** Fencing token of the session; see `computeSessionFence`. */
   fence: number
   /** End of the lease in milliseconds on the clock of the worker. */
   untilMs: number
@@ -100,6 +100,17 @@
 /** Maximum number of attempts to send a start order that gets no answer. */
 const START_ATTEMPT_LIMIT = 3
 
+/** Bound on the number of sessions in one term. */
+const SESSIONS_PER_TERM = 10_000_000
+
+/**
+ * The fencing token of a session. It rises with each session, so that an incarnation that was listed once refuses what was
+ * sent to the incarnations before it, as it refuses the orders of earlier leaders.
+ */
+export function computeSessionFence (term: number, session: number): number {
+  return term * SESSIONS_PER_TERM + session
+}
+
 export class WorkerSession {
   /** Latest reading of the worker's clock, and the monotonic time of this process when it arrived; both in milliseconds. */
   private clockReading: { workerMs: number, atMs: number } | undefined
--- a/packages/runtime/src/core/worker-sessions.ts
+++ b/packages/runtime/src/core/worker-sessions.ts
@@ -7,7 +7,7 @@
 import { OrderDispatcher, type WorkerEffect } from './order-dispatcher.js'
 import type { RuntimeLog } from './runtime-log.js'
 import { SlicedQueue } from './sliced-queue.js'
-import { WorkerSession, type LeaseLimits, type SessionOwner, type WorkerClient } from './worker-session.js'
+import { computeSessionFence, WorkerSession, type LeaseLimits, type SessionOwner, type WorkerClient } from './worker-session.js'
 
 /** Number of effects that wait to be carried out from which no more work is placed; sending them takes about one slice. */
 const BACKLOG_LIMIT = 100
@@ -17,8 +17,10 @@
 
 export class WorkerSessions extends OrderDispatcher {
   private readonly sessions = new Map<string, WorkerSession>()
-  /** Fencing token of new sessions: the term in which this process leads. */
-  private fence = 0
+  /** The term in which this process leads. */
+  private term = 0
+  /** Number of sessions in this term. */
+  private sessionCount = 0
   private owner: SessionOwner | undefined
   /** True once the scheduler was told that effects wait to be carried out. */
   private isBacklogged = false
@@ -46,7 +48,8 @@
 
   override startLeading (term: number, feed: (event: Event) => void): void {
     this.stopLeading()
-    this.fence = term
+    this.term = term
+    this.sessionCount = 0
     this.owner = { feed, clusterNow, monotonicNow, pause }
   }
 
@@ -103,7 +106,8 @@
     }
     existing?.stop()
     if (existing !== undefined) this.client.close(existing.worker)
-    const session = WorkerSession.create(worker, this.fence, this.client, this.limits, owner)
+    this.sessionCount += 1
+    const session = WorkerSession.create(worker, computeSessionFence(this.term, this.sessionCount), this.client, this.limits, owner)
     this.sessions.set(worker.id, session)
     session.run().catch((thrown: unknown) => {
       this.log.error('session_failed', { worker: worker.id, incarnation: worker.incarnation, error: String(thrown) })
--- a/packages/scheduler/__tests__/uncertain-orders.test.ts
+++ b/packages/scheduler/__tests__/uncertain-orders.test.ts
@@ -1,5 +1,5 @@
 /**
- * Orders to called workers whose fate is uncertain: an order without an answer may
+ * Orders to called workers whose outcome is uncertain: an order without an answer may
  * have been carried out, or may be seconds later. Until that is impossible, its task
  * must not start elsewhere.
  */
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -20,7 +20,6 @@
 import { listServingStages } from './serving-stages.js'
 import { computeExpectedRunMs, findQueue } from './queues.js'
 import type { SchedulingUnit } from './scheduling-units.js'
-import { UnansweredStarts } from './unanswered-starts.js'
 import { createOrphanRun, createRun, isServing, RunStatus, WorkerView, type Run } from './worker-view.js'
 
 /**
@@ -61,8 +60,6 @@
   readonly views = new Map<string, WorkerView>()
   /** Moving average of the run times of a queue in milliseconds, by queue name; no value before the first observed run. */
   readonly meanRunMs = new Map<string, number>()
-  /** Starts on workers that may still carry them out. */
-  private readonly unansweredStarts = UnansweredStarts.create()
   /** Cluster time at which this leader took over. */
   private leaderSince = 0
   /** True once a worker refused an order because it has seen a higher fencing token: another process leads. */
@@ -82,7 +79,6 @@
 
   reset (state: ClusterState, now: number): void {
     this.views.clear()
-    this.unansweredStarts.clear()
     this.meanRunMs.clear()
     this.leaderSince = now
     this.isFencedOff = false
@@ -179,8 +175,7 @@
       step.decide({ kind: 'calledWorkerKnown', worker })
       this.views.set(worker.id, successor)
       step.effects.push({ kind: 'watchWorker', worker })
-      if (view !== undefined) this.passOnRuns(step, view, successor)
-      this.rejectUnansweredStarts(step, successor)
+      if (view !== undefined) passOnRuns(view, successor)
       return
     }
     if (known !== undefined && isSameReport(known, worker)) return
@@ -236,34 +231,6 @@
     step.effects.push({ kind: 'paceRun', worker: view.worker, task: run.task, run: run.run, percent })
   }
 
-  /**
-   * Ends the runs of an incarnation that its successor replaces. A run that the successor may start, since the start was
-   * not answered by the former incarnation for certain, is stopped there before its task is released.
-   */
-  private passOnRuns (step: Step, former: WorkerView, successor: WorkerView): void {
-    const reason = 'its worker started again'
-    for (const run of [...former.runs.values()]) {
-      // An orphan that the successor may start is among its unanswered starts from now on.
-      if (run.isOrphan || (run.isListed && !run.hasOpenStart)) {
-        this.removeRun(step, former, run, reason)
-        continue
-      }
-      former.remove(run.task)
-      run.status = RunStatus.starting
-      successor.add(run)
-      this.abandonRun(step, successor, run, reason)
-    }
-  }
-
-  /** Has a new incarnation reject the starts that were sent to its predecessors and got no answer. */
-  private rejectUnansweredStarts (step: Step, view: WorkerView): void {
-    for (const { task, run } of this.unansweredStarts.list(view.id, step.now)) {
-      if (view.runs.has(task)) continue
-      const orphan = this.addOrphan(step, view, task, run)
-      this.stopRun(step, view, orphan, 'a start that was sent before its worker started again got no answer')
-    }
-  }
-
   /** Tracks a run that the replicated state does not place on the worker; its capacity is used until it has ended. */
   private addOrphan (step: Step, view: WorkerView, task: string, run: number): Run {
     const ref = parseTaskRef(task)
@@ -309,7 +276,6 @@
    * this leader never reached, or that started again and did not report themselves, once their leases must have lapsed.
    */
   tick (step: Step): void {
-    this.unansweredStarts.prune(step.now)
     for (const view of this.views.values()) {
       if (view.restartedAt > 0) {
         if (step.now - view.restartedAt > this.unreachedLeaseMs) this.forgetWorker(step, view.id, view.worker.incarnation, 'it started again and did not report itself')
@@ -376,7 +342,7 @@
   private handleEnd (step: Step, view: WorkerView, endedRun: EndedRun): void {
     const run = view.runs.get(endedRun.task)
     if (run === undefined || run.run !== endedRun.run) return this.handleUntrackedEnd(step, view, endedRun)
-    this.untrack(step, view, run)
+    view.remove(endedRun.task)
     if (run.isOrphan) return this.handleUntrackedEnd(step, view, endedRun)
     const checkpoint = endedRun.checkpoint === '' ? run.checkpoint : endedRun.checkpoint
     const job = step.state.jobs.get(run.ref.job)
@@ -430,7 +396,7 @@
     const placed = view?.runs.get(formatTaskRef(ref))
     if (view !== undefined && placed !== undefined && !placed.isOrphan) {
       if (placed.run === run) {
-        this.untrack(step, view, placed)
+        view.remove(placed.task)
       } else {
         placed.isOrphan = true
         this.stopRun(step, view, placed, 'an earlier run of its task succeeded')
@@ -463,7 +429,6 @@
       return this.stopRun(step, view, orphan, 'the replicated state does not place this run on the worker')
     }
     if (run.run > reportedRun.run) return
-    run.isListed = true
     this.recordProgress(run, reportedRun.percent, step.now)
     run.load = reportedRun.load
     if (reportedRun.checkpoint !== '') run.checkpoint = reportedRun.checkpoint
@@ -477,8 +442,7 @@
   private noteAnomaly (step: Step, view: WorkerView, anomaly: RunAnomaly, { task, run }: { task: string, run: number }, report: string): void {
     const ref = parseTaskRef(task)
     const placed = ref === undefined ? undefined : findStageTask(step.state, ref)
-    const place = placed?.worker === '' ? '' : ` on ${placed?.worker} (${placed?.incarnation})`
-    const detail = `listed: ${report}; in the state: ${placed === undefined ? 'unknown' : `run ${placed.run} ${placed.phase}${place}`}`
+    const detail = `listed: ${report}; in the state: ${placed === undefined ? 'unknown' : describePlacement(placed)}`
     step.effects.push({ kind: 'noteRunAnomaly', anomaly, worker: view.id, incarnation: view.worker.incarnation, task, run, detail })
   }
 
@@ -532,7 +496,6 @@
   }
 
   private handleStartAnswer (step: Step, view: WorkerView, run: Run, { outcome, unanswered }: EventOf<'runOrdered'>): void {
-    run.hasOpenStart = unanswered > 0
     switch (outcome) {
       case OrderOutcome.done: return this.confirmStart(run, step.now)
       // It may be running, may start late or may have ended; a confirmed stop makes its end certain.
@@ -570,18 +533,13 @@
 
   /** Removes a run that cannot exist any more and releases its task; a gang is stopped as a whole. */
   private removeRun (step: Step, view: WorkerView, run: Run, reason: string): void {
-    this.untrack(step, view, run)
+    view.remove(run.task)
     if (run.isOrphan) return
     this.releaseTask(step, run, run.checkpoint, reason)
     const stage = step.state.jobs.get(run.ref.job)?.spec.stages[run.ref.stage]
     if (stage?.gang === true) this.stopGang(step, run)
   }
 
-  private untrack (step: Step, view: WorkerView, run: Run): void {
-    view.remove(run.task)
-    if (run.hasOpenStart) this.unansweredStarts.record(view.id, run.task, run.run, step.now)
-  }
-
   private removeAllRuns (step: Step, view: WorkerView, reason: string): void {
     for (const run of [...view.runs.values()]) this.removeRun(step, view, run, reason)
   }
@@ -603,10 +561,25 @@
 /** Time within which the answer to a stop order is expected; the resend interval starts after it. */
 const STOP_ANSWER_TIMEOUT_MS = 1_000
 
+/**
+ * Passes the runs of a former incarnation on to its successor, which carries out orders that were sent to the former one
+ * until its first list. What that list does not name cannot start any more.
+ */
+function passOnRuns (former: WorkerView, successor: WorkerView): void {
+  for (const run of former.runs.values()) {
+    if (run.isOrphan) continue
+    successor.add({ ...run, status: RunStatus.inherited, confirmedAt: 0, resendWaitStartsAt: 0, stopReason: '', progress: undefined })
+  }
+}
+
 function isSameStage (one: TaskRef, other: TaskRef): boolean {
   return one.job === other.job && one.occurrence === other.occurrence && one.stage === other.stage
 }
 
+function describePlacement ({ run, phase, worker, incarnation }: StageTask): string {
+  return `run ${run} ${phase}${worker === '' ? '' : ` on ${worker} (${incarnation})`}`
+}
+
 /** Id of the view that keeps the runs of an incarnation that is no longer known. */
 function formatFormerWorker (worker: string, incarnation: number): string {
   return `${worker}#${incarnation}`
--- a/packages/scheduler/src/core/jobs/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/worker-view.ts
@@ -10,7 +10,7 @@
 import type { RunProgress } from './run-progress.js'
 
 export const RunStatus = Object.freeze({
-  /** A previous leader placed it; whether it runs is unknown until the worker has been queried. */
+  /** It was placed by a previous leader, or on a former incarnation; whether it runs is unknown until the worker has been queried. */
   inherited: 'inherited',
   /** Its start was ordered but is not confirmed. */
   starting: 'starting',
@@ -62,10 +62,6 @@
   isResumed: boolean
   /** True once the worker confirmed that the run was started. */
   hasStarted: boolean
-  /** True once the worker listed the run. Unlike the answer to a start, a list names the incarnation that answered. */
-  isListed: boolean
-  /** True while an attempt to start it has no answer, so that it may be carried out later. */
-  hasOpenStart: boolean
   /** The replicated state does not contain this placement; the run is tracked only until it has ended. */
   isOrphan: boolean
 }
@@ -172,8 +168,6 @@
     stopReason: '',
     isResumed: false,
     hasStarted: false,
-    isListed: false,
-    hasOpenStart: true,
     isOrphan: false
   }
 }
@@ -205,8 +199,6 @@
     stopReason: '',
     isResumed: false,
     hasStarted: false,
-    isListed: false,
-    hasOpenStart: false,
     isOrphan: true
   }
 }
