Show that a request held up on its way may run in a slot that was granted again

A runner could run more requests than it has slots. The deadline in a request counts from its arrival, and a grant expires 2.5 s after the deadline of the caller. A request that arrives after that (its entry has closed the connection, but the network still delivers what was sent) runs beside those that got the slot meanwhile. It does not run twice: it is sent once, and its record says unknown.

Not fixed: the runner cannot tell how long a request was on its way, so the protocol of runners needs a field, for example the end of the grant on the runner's clock, with the clock in its announcement and renewals.

The model of runners found it only after another change: a failed check of a runner was passed to the flow as an error of the call, and lost when the caller had its answer already. It now fails the schedule.

--- a/packages/callers/__tests__/faults.test.ts
+++ b/packages/callers/__tests__/faults.test.ts
@@ -65,6 +65,22 @@
 )
 
 describe('requests under faults', () => {
+  describe('a request that is held up on its way to the runner until its grant has expired', () => {
+    it('does not run in a slot that was granted again', { todo: 'KNOWN-RED.txt, entry 10' }, async () => {
+      const model = new RequestFlowModel()
+      model.plans = ['heldUp']
+      model.submit(0, 'n0', 300, 2, START_MS)
+      await model.advance(1_950)
+      model.plans = Array.from({ length: 2 * RUNNER_COUNT }, () => 'slow')
+      for (let index = 1; index <= RUNNER_COUNT; index += 1) {
+        for (const entryIndex of [1, 2]) model.submit(entryIndex, `i${index}${entryIndex}`, 2_000, 2, START_MS)
+      }
+      await model.advance(1_000)
+      await model.recover()
+      model.assertInvariants()
+    })
+  })
+
   describe('an outcome that cannot be reported for longer than its report is repeated', () => {
     const DEADLINE_MS = 100_000
 
--- a/packages/callers/__tests__/model-runner.ts
+++ b/packages/callers/__tests__/model-runner.ts
@@ -18,9 +18,12 @@
  * `lostBefore` and `lostAfter`: the connection is lost before or after the request ran;
  * `slow`: runs for 700 ms; `late`: runs until the deadline and answers 50 ms after it;
  * `delayed`: receives the request after 200 ms and runs for the whole time limit that the
- * request carries, so that it answers after the deadline of the caller.
+ * request carries, so that it answers after the deadline of the caller; `heldUp`: receives
+ * the request after 2 s, when its grant has expired.
  */
-export type RunnerPlan = 'answer' | 'slow' | 'refuse' | 'unsent' | 'lostBefore' | 'lostAfter' | 'late' | 'delayed'
+export type RunnerPlan = 'answer' | 'slow' | 'refuse' | 'unsent' | 'lostBefore' | 'lostAfter' | 'late' | 'delayed' | 'heldUp'
+
+const ARRIVAL_DELAY_MS: Readonly<Partial<Record<RunnerPlan, number>>> = { delayed: 200, heldUp: 2_000 }
 
 export interface RunStart { key: string, idempotent: boolean, startedAt: number }
 
@@ -47,14 +50,14 @@
   private async execute (call: RunnerCall, plan: RunnerPlan): Promise<RunnerCallResult> {
     const { timers } = this.model
     if (plan === 'unsent') return { kind: 'notRun', reason: 'no connection' }
-    await timers.pause(plan === 'delayed' ? 200 : 5)
+    await timers.pause(ARRIVAL_DELAY_MS[plan] ?? 5)
     if (plan === 'lostBefore') return { kind: 'lost', reason: 'the connection was lost' }
     if (plan === 'refuse' || call.grant.session !== this.session) return { kind: 'notRun', reason: 'refused' }
     this.running += 1
     assert.ok(this.running <= SLOTS_PER_RUNNER, `${this.name} runs ${this.running} requests in ${SLOTS_PER_RUNNER} slots`)
     const key = `${call.caller} ${call.requestId}`
     this.model.runStarts.push({ key, idempotent: call.requestId.startsWith('i'), startedAt: timers.time })
-    const workMs = plan === 'slow' ? 700 : plan === 'late' || plan === 'delayed' ? call.deadlineMs : 20
+    const workMs = plan === 'slow' ? 700 : plan === 'late' || plan === 'delayed' || plan === 'heldUp' ? call.deadlineMs : 20
     await timers.pause(Math.min(workMs, call.deadlineMs))
     this.running -= 1
     if (plan === 'lostAfter') return { kind: 'lost', reason: 'the connection was lost' }
@@ -86,7 +89,11 @@
     const runner = this.model.runners.find(other => other.name === call.grant.runner)
     assert.ok(runner)
     const plan = this.model.plans.shift() ?? 'answer'
-    const result = await runner.serve(call, this, plan)
+    const result = await runner.serve(call, this, plan).catch((error: Error) => {
+      // The flow passes the error to the caller, which may have its answer already.
+      this.model.fault ??= error
+      throw error
+    })
     return this.isDead ? await neverSettle() : result
   }
 
