--- a/packages/controllers/__tests__/raft.test.ts
+++ b/packages/controllers/__tests__/raft.test.ts
@@ -243,6 +243,23 @@
     assert.deepEqual(log.members.map(({ id }) => id), ['a', 'b', 'c', 'd'])
   })
 
+  it('keeps the entries that a follower has acknowledged when a late chunk of a snapshot of earlier entries arrives', () => {
+    const raft = createRaft(4, 1)
+    const append: MessageBody = {
+      kind: 'appendRequest', previousIndex: 1, previousTerm: 1, entries: [createEntry(2, 4), createEntry(3, 4)], commitIndex: 0, sentAt: 2
+    }
+    raft.receive('b', createMessage(4, append, 'b1'), 2)
+    const acknowledged = sync(raft, 2).map(answer => answer.kind === 'appendAnswer' ? answer.index : 0)
+    assert.equal(acknowledged.at(-1), 3)
+    const late: MessageBody = {
+      kind: 'snapshotRequest', index: 2, lastTerm: 4, members: MEMBERS, offset: 0, totalBytes: 1, data: Buffer.from('s'), sentAt: 1
+    }
+    raft.receive('b', createMessage(4, late, 'b1'), 3)
+    sync(raft, 3)
+    assert.equal(raft.state.log.lastIndex, 3)
+    assert.equal(raft.state.commitIndex, 2)
+  })
+
   it('refuses malformed messages', () => {
     const good: MessageBody = {
       kind: 'appendRequest', previousIndex: 1, previousTerm: 1, entries: [createEntry(2, 4)], commitIndex: 0, sentAt: 0
--- a/packages/controllers/src/core/raft/follower.ts
+++ b/packages/controllers/src/core/raft/follower.ts
@@ -88,12 +88,15 @@
   /**
    * Stores one chunk of a snapshot and installs the snapshot when it is complete.
    * A chunk at an unexpected offset is dropped; the answer names the offset to
-   * continue from. A snapshot of entries that are committed here already is only
+   * continue from. A snapshot of entries that are in the log or committed here already is only
    * acknowledged.
    */
   handleSnapshotChunk (from: string, request: SnapshotRequest): void {
     const { state } = this
     this.lastRequest = { to: from, toDisk: request.disk, sentAt: request.sentAt }
+    // Raft paper, section 7: a log that contains the last entry of the snapshot is kept. The chunk is late, and entries
+    // after that one may be acknowledged and committed.
+    if (state.log.termAt(request.index) === request.lastTerm) state.commitIndex = Math.max(state.commitIndex, request.index)
     if (request.index <= state.commitIndex) {
       this.matchIndex = Math.max(this.matchIndex, state.commitIndex)
       return this.acknowledge()
