Take the runs that a restart passes on out of the former view

An evacuation for upkeep keeps the view of the former incarnation. With the runs still in it, the VM never looked empty, so its upkeep waited for the time limit. Also restores that a run that a worker lists counts as started.

--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -566,7 +566,8 @@
  * until its first list. What that list does not name cannot start any more.
  */
 function passOnRuns (former: WorkerView, successor: WorkerView): void {
-  for (const run of former.runs.values()) {
+  for (const run of [...former.runs.values()]) {
+    former.remove(run.task)
     if (run.isOrphan) continue
     successor.add({ ...run, status: RunStatus.inherited, confirmedAt: 0, resendWaitStartsAt: 0, stopReason: '', progress: undefined })
   }
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -282,7 +282,7 @@
   return isDone ? JobPhase.completed : undefined
 }
 
-/** True while the worker is still to stop or reject an earlier run of the task. */
+/** True while the worker is still to stop an earlier run of the task. */
 function isBlocked ({ unit: { job, occurrence, stage }, index, view }: RunPlacement): boolean {
   return view.runs.has(formatTaskRef({ job, occurrence, stage, index }))
 }
--- a/packages/scheduler/src/core/jobs/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/worker-view.ts
@@ -172,7 +172,7 @@
   }
 }
 
-/** Creates a run that a worker has or may start although the replicated state does not place it there. */
+/** Creates a run that a worker lists although the replicated state does not place it there. */
 export function createOrphanRun (task: string, run: number, resources: Resources, now: number): Run {
   const ref = parseTaskRef(task) ?? { job: task, occurrence: 0, stage: 0, index: 0 }
   return {
@@ -198,7 +198,7 @@
     checkpoint: '',
     stopReason: '',
     isResumed: false,
-    hasStarted: false,
+    hasStarted: true,
     isOrphan: true
   }
 }
