Keep a task from starting beside a late run of a former incarnation

What callers would see: a task that runs twice at once after a worker started again under its id.

Cause, in five forms, each left by the session fences: - a run that the replicated state does not place ("orphan") blocked a start of its task only on its own worker, so the task could start on another one while the orphan was still being stopped; - the orphan was not counted towards the limit of tasks on a worker; - a list that names an older run than the inherited one was passed over, although it proves that the inherited run never started; - a run that its former incarnation was told to stop was taken for running when the new incarnation listed it; - a start answered by another incarnation was taken for a refusal, though the new process may have carried it out.

Change: units are placed without tasks that have an orphan, and orphans count as placed; an inherited run that is older than what is listed is removed; the reason of a stop passes to the next incarnation; the answer `restarted` starts the same wait as a restart found by a list.

--- a/packages/scheduler/__tests__/restarted-workers.test.ts
+++ b/packages/scheduler/__tests__/restarted-workers.test.ts
@@ -150,6 +150,62 @@
     assert.deepEqual(orders, [STOP, 'start job/0/0/1 run 2 on one', 'start job/0/0/2 run 2 on one'])
   })
 
+  it('and lists a late start keeps its task from starting on another worker before that run has ended', () => {
+    const leader = createLateStart({ resources: { millicores: 16_000, memoryMib: 1_024, accelerators: 0 } })
+    leader.answer('two', 'start', TASK, 2, OrderOutcome.done)
+    assert.deepEqual(listOrders([...leader.listEnd('two', TASK, 2, RunEndCause.failed), ...leader.advance(140)]), [])
+    leader.answer('one', 'stop', TASK, 1, OrderOutcome.done, { incarnation: 2 })
+    const orders = listOrders([...leader.list('one', { incarnation: 2 }), ...leader.advance(200)])
+    assert.match(orders.join(), /^start job\/0\/0\/0 run 3 on (one|two)$/)
+  })
+
+  it('and lists a late start counts it towards the number of tasks of its stage that it may run', () => {
+    const leader = ScriptedLeader.create()
+    leader.addWorker('one')
+    leader.submit({ taskCount: 2, perWorkerLimit: 1 })
+    leader.report('one', 1, { isDraining: true })
+    leader.answer('one', 'start', TASK, 1, OrderOutcome.unknown, { unanswered: 3 })
+    leader.answer('one', 'stop', TASK, 1, OrderOutcome.done)
+    leader.list('one')
+    for (const id of ['two', 'three']) leader.addWorker(id)
+    leader.advance(200)
+    for (const id of ['two', 'three']) leader.report(id, 1, { isDraining: true })
+    const { worker = '', run = 0 } = leader.getTask(1) ?? {}
+    leader.answer(worker, 'start', 'job/0/0/1', run, OrderOutcome.unhealthy)
+    leader.report('one', 2)
+    const orders = listOrders([...leader.list('one', { incarnation: 2, running: [createReportedRun(TASK, 1)] }), ...leader.advance(140)])
+    assert.deepEqual(orders, [STOP])
+  })
+
+  it('and lists a former run in place of the one that was placed is told to stop it, before the task starts again', () => {
+    const leader = ScriptedLeader.create()
+    leader.addWorker('one')
+    leader.submit({ longRunning: true })
+    leader.answer('one', 'start', TASK, 1, OrderOutcome.unknown, { unanswered: 3 })
+    leader.answer('one', 'stop', TASK, 1, OrderOutcome.done)
+    assert.deepEqual(listOrders([...leader.list('one'), ...leader.advance(200)]), [`start ${TASK} run 2 on one`])
+    leader.answer('one', 'start', TASK, 2, OrderOutcome.done)
+    leader.report('one', 2)
+    const list = { incarnation: 2, running: [createReportedRun(TASK, 1)] }
+    assert.deepEqual(listOrders([...leader.list('one', list), ...leader.advance(140)]), [STOP])
+    leader.answer('one', 'stop', TASK, 1, OrderOutcome.done, { incarnation: 2 })
+    assert.deepEqual(listOrders([...leader.list('one', { incarnation: 2 }), ...leader.advance(200)]), [`start ${TASK} run 3 on one`])
+  })
+
+  it('is told to stop a member of a gang that its former incarnation was told to stop', () => {
+    const leader = ScriptedLeader.create()
+    leader.addWorker('one')
+    leader.addWorker('two')
+    leader.submit({ taskCount: 2, gang: true, perWorkerLimit: 1 })
+    const [first, second] = [0, 1].map(index => leader.getTask(index)?.worker ?? '')
+    leader.answer(first, 'start', TASK, 1, OrderOutcome.done)
+    leader.answer(second, 'start', 'job/0/0/1', 1, OrderOutcome.done)
+    const stop = `stop ${TASK} run 1 on ${first}`
+    assert.deepEqual(listOrders(leader.listEnd(second, 'job/0/0/1', 1, RunEndCause.failed)), [stop])
+    leader.report(first, 2)
+    assert.deepEqual(listOrders(leader.list(first, { incarnation: 2, running: [createReportedRun(TASK, 1)] })), [stop])
+  })
+
   it('answers a list in place of its former incarnation, whose runs are kept until the new one has listed its runs', () => {
     const leader = createPlacedTask()
     leader.answer('one', 'start', TASK, 1, OrderOutcome.done)
--- a/packages/scheduler/__tests__/uncertain-orders.test.ts
+++ b/packages/scheduler/__tests__/uncertain-orders.test.ts
@@ -43,6 +43,15 @@
     assert.deepEqual(orders, [`stop ${TASK} run 1 on one`, 'stop job/0/0/1 run 1 on two'])
   })
 
+  it('that another incarnation answered was carried out, so its task waits for the first list of that incarnation', () => {
+    const leader = createPlacedTask()
+    assert.deepEqual(listOrders([...leader.answer('one', 'start', TASK, 1, OrderOutcome.restarted), ...leader.advance(3_000)]), [])
+    leader.report('one', 2)
+    leader.list('one', { incarnation: 2, running: [createReportedRun(TASK, 1)] })
+    assert.deepEqual(listOrders(leader.advance(500)), [])
+    assert.equal(leader.getTask()?.run, 1)
+  })
+
   it('that is refused at the first attempt has its task started again at once', () => {
     const leader = createPlacedTask()
     const orders = listOrders([...leader.answer('one', 'start', TASK, 1, OrderOutcome.unhealthy), ...leader.advance(200)])
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -19,7 +19,7 @@
 import { isSameReport, mergeReport } from './worker-reports.js'
 import { listServingStages } from './serving-stages.js'
 import { computeExpectedRunMs, findQueue } from './queues.js'
-import type { SchedulingUnit } from './scheduling-units.js'
+import type { Orphan, SchedulingUnit } from './scheduling-units.js'
 import { createOrphanRun, createRun, isServing, RunStatus, WorkerView, type Run } from './worker-view.js'
 
 /**
@@ -221,6 +221,7 @@
       return
     }
     if (event.outcome === OrderOutcome.replaced) return this.handleLapse(step, event.id, event.incarnation, 'another worker answers at its address')
+    if (event.outcome === OrderOutcome.restarted) return this.handleRestart(step, event.id, event.incarnation)
     if (event.order === 'stop') return this.handleStopAnswer(step, run, event.outcome)
     if (run.status === RunStatus.starting) this.handleStartAnswer(step, view, run, event)
     if (run.fills && run.status === RunStatus.running && isServing(view)) this.orderPace(step, view, run, INITIAL_PACE_PERCENT)
@@ -231,6 +232,16 @@
     step.effects.push({ kind: 'paceRun', worker: view.worker, task: run.task, run: run.run, percent })
   }
 
+  listOrphans (): Orphan[] {
+    const orphans: Orphan[] = []
+    for (const view of this.views.values()) {
+      for (const run of view.runs.values()) {
+        if (run.isOrphan) orphans.push({ task: run.task, worker: view.id })
+      }
+    }
+    return orphans
+  }
+
   /** Tracks a run that the replicated state does not place on the worker; its capacity is used until it has ended. */
   private addOrphan (step: Step, view: WorkerView, task: string, run: number): Run {
     const ref = parseTaskRef(task)
@@ -422,7 +433,12 @@
 
   /** Handles a run that a worker lists as running; one that the replicated state does not place there is stopped. */
   private handleRunning (step: Step, view: WorkerView, reportedRun: ReportedRun): void {
-    const run = view.runs.get(reportedRun.task)
+    let run = view.runs.get(reportedRun.task)
+    if (run?.status === RunStatus.inherited && run.run > reportedRun.run) {
+      // A worker has at most one run of a task, so the inherited one never started.
+      this.removeRun(step, view, run, 'it never started')
+      run = undefined
+    }
     if (run === undefined || run.run < reportedRun.run) {
       const orphan = this.addOrphan(step, view, reportedRun.task, reportedRun.run)
       this.noteAnomaly(step, view, RunAnomaly.unplacedRun, reportedRun, `${reportedRun.percent} percent`)
@@ -434,6 +450,8 @@
     if (reportedRun.checkpoint !== '') run.checkpoint = reportedRun.checkpoint
     if (run.status === RunStatus.stopping) return
     if (run.status !== RunStatus.running) this.confirmStart(run, step.now)
+    // Its former incarnation was told to stop it.
+    if (run.stopReason !== '') return this.stopRun(step, view, run, run.stopReason)
     const job = step.state.jobs.get(run.ref.job)
     if (job === undefined || !isLiveJob(job)) return this.stopRun(step, view, run, 'its job is closed')
     this.stopIfSlow(step, view, run, job)
@@ -569,7 +587,7 @@
   for (const run of [...former.runs.values()]) {
     former.remove(run.task)
     if (run.isOrphan) continue
-    successor.add({ ...run, status: RunStatus.inherited, confirmedAt: 0, resendWaitStartsAt: 0, stopReason: '', progress: undefined })
+    successor.add({ ...run, status: RunStatus.inherited, confirmedAt: 0, resendWaitStartsAt: 0, progress: undefined })
   }
 }
 
--- a/packages/scheduler/src/core/jobs/scheduling-units.ts
+++ b/packages/scheduler/src/core/jobs/scheduling-units.ts
@@ -96,6 +96,23 @@
   return recurrence === undefined ? job.acceptedAt : recurrence.firstMs + occurrence * recurrence.intervalMs
 }
 
+/** A run that is in progress although the replicated state does not place it. */
+export interface Orphan { task: string, worker: string }
+
+/**
+ * The unit without the tasks that have an orphan; a gang starts as a whole, so it has none left then. The orphans count as
+ * placed on their workers.
+ */
+export function excludeOrphans (unit: SchedulingUnit, orphans: readonly Orphan[]): SchedulingUnit {
+  const own = orphans.filter(({ task }) => task.startsWith(`${unit.key}/`))
+  if (own.length === 0) return unit
+  const tasks = new Set(own.map(({ task }) => task))
+  const waiting = unit.waiting.filter(index => !tasks.has(`${unit.key}/${index}`))
+  const placedCounts = new Map(unit.placedCounts)
+  for (const { worker } of own) placedCounts.set(worker, (placedCounts.get(worker) ?? 0) + 1)
+  return { ...unit, waiting: unit.spec.gang && waiting.length < unit.waiting.length ? [] : waiting, placedCounts }
+}
+
 function createUnit (
   job: StagedJob, occurrenceNumber: number, stage: number, queue: JobQueue, waiting: number[], meanRunMs: number | undefined
 ): SchedulingUnit {
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -6,7 +6,7 @@
 import type { Decision } from '../../types/decisions.js'
 import type { Event, EventOf } from '../../types/events.js'
 import {
-  formatTaskRef, isLiveJob, JobPhase, StageTaskPhase, type StagedJob, type StageTask
+  isLiveJob, JobPhase, StageTaskPhase, type StagedJob, type StageTask
 } from '../../types/jobs.js'
 import { DEFAULT_LIMITS } from '../../types/limits.js'
 import type { ClusterState } from '../../types/state.js'
@@ -18,7 +18,7 @@
 import { findQueue } from './queues.js'
 import { RunManager } from './run-manager.js'
 import { AdmissionTickets } from './admission-tickets.js'
-import { occurrenceDueAt, SchedulingUnitIndex } from './scheduling-units.js'
+import { excludeOrphans, occurrenceDueAt, SchedulingUnitIndex } from './scheduling-units.js'
 import { Upkeep } from './upkeep.js'
 
 /** Cluster time for which a closed job can still be read. */
@@ -208,7 +208,11 @@
     const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers)
     const units = sortUnits(this.units.list(), step.now)
     const considered = units.slice(0, PASS_UNIT_LIMIT)
-    for (const unit of considered) pass.place(unit)
+    const orphans = this.runManager.listOrphans()
+    for (const unit of considered) {
+      const startable = excludeOrphans(unit, orphans)
+      if (startable.waiting.length > 0) pass.place(startable)
+    }
     this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, considered.length * this.runManager.views.size / PAIRS_PER_PAUSE_MS)
     this.reservedWorkers = pass.reservedWorkers
     for (const query of pass.queries) this.queryAdmission(step, query)
@@ -225,11 +229,7 @@
   /** Decides and orders the chosen placements. All tasks of a gang get the same run number. */
   private startRuns (step: Step, placements: readonly RunPlacement[]): void {
     const gangRuns = new Map<string, number>()
-    const blocked = placements.filter(isBlocked)
-    const blockedGangs = new Set(blocked.filter(({ unit }) => unit.spec.gang).map(({ unit }) => unit))
-    for (const placement of placements) {
-      const { unit, index, view, ticket } = placement
-      if (blocked.includes(placement) || blockedGangs.has(unit)) continue
+    for (const { unit, index, view, ticket } of placements) {
       const { job, occurrence, stage } = unit
       const tasks = step.state.jobs.get(job)?.occurrences.get(occurrence)?.[stage]
       if (tasks === undefined) continue
@@ -282,11 +282,6 @@
   return isDone ? JobPhase.completed : undefined
 }
 
-/** True while the worker is still to stop an earlier run of the task. */
-function isBlocked ({ unit: { job, occurrence, stage }, index, view }: RunPlacement): boolean {
-  return view.runs.has(formatTaskRef({ job, occurrence, stage, index }))
-}
-
 /**
  * The members of a gang share their run numbers, and several members of one run may fail. Snapshots of earlier versions
  * lack the numbers, but count one failure for each run of a gang.
