Refuse a job whose size or id would end every controller

What callers would see: one POST with a huge task count ends the leader, and each leader after it when the client repeats the POST, so the whole core is down.

Cause: the number of tasks was checked only for being a whole number of 1 or more. Each task is a record in the state of every replica, so a count of 2^32 throws RangeError while the decision is applied, and one of 10^8 uses up the memory. The same holds for the number of occurrences. An id with a slash or a dot was accepted too, although it cannot be told apart from the parts of a task's name, so its runs could not be tracked.

Change: at most 10,000 tasks a job and 10,000 occurrences; ids of 1 to 128 letters, digits, "_" and "-"; anything else is invalidArgument before any decision. Looked for since operators of similar systems saw one malformed message end a process. The two tests fail without the change.

--- a/packages/scheduler/__tests__/staged-jobs.test.ts
+++ b/packages/scheduler/__tests__/staged-jobs.test.ts
@@ -252,6 +252,23 @@
       assert.equal(ask({ kind: 'readJob', ...jobCall }), 'notFound')
     })
 
+    it('get invalidArgument for a job with more tasks or occurrences than the state of a replica can hold', () => {
+      const { ask } = createLeader()
+      ask({ kind: 'configureCell', call: 1, cell: createCell(1) })
+      const submit = (stages: StageSpec[], recurrence?: { count: number, firstMs: number, intervalMs: number }): Answer | string => ask({ kind: 'acceptJob', ...jobCall, spec: { payload: '', stages, recurrence } })
+      for (const taskCount of [10_001, 2 ** 32, Number.MAX_SAFE_INTEGER]) assert.equal(submit([createStage({ taskCount })]), 'invalidArgument')
+      assert.equal(submit([createStage({ taskCount: 6_000 }), createStage({ taskCount: 6_000 })]), 'invalidArgument')
+      assert.equal(submit([createStage()], { count: 1e12, firstMs: 0, intervalMs: 0 }), 'invalidArgument')
+    })
+
+    it('get invalidArgument for a job id that cannot be part of the name of a task', () => {
+      const { ask } = createLeader()
+      ask({ kind: 'configureCell', call: 1, cell: createCell(1) })
+      for (const id of ['a/b', 'a.b', 'a b', 'x'.repeat(129)]) {
+        assert.equal(ask({ kind: 'acceptJob', call: 1, host: 'jobs.example', path: `/q/${id}`, spec: { payload: '', stages: [createStage()] } }), 'invalidArgument')
+      }
+    })
+
     it('get invalidArgument for a job with a stage that does not depend on earlier stages only', () => {
       const { ask } = createLeader()
       ask({ kind: 'configureCell', call: 1, cell: createCell(1) })
--- a/packages/scheduler/src/core/jobs/job-requests.ts
+++ b/packages/scheduler/src/core/jobs/job-requests.ts
@@ -14,14 +14,23 @@
 /** Time after which a caller may retry a request that was refused because the cell has no configuration. */
 const UNCONFIGURED_RETRY_MS = 1_000
 
+/** Tasks of all stages of one occurrence of a job, at most. Each task is a record in the state of every replica. */
+const JOB_TASK_LIMIT = 10_000
+
+/** Occurrences of a recurring job, at most. */
+const OCCURRENCE_LIMIT = 10_000
+
+/** A job id is part of the names of tasks, whose parts are separated by slashes or, on some platforms, by dots. */
+const JOB_ID_PATTERN = /^[A-Za-z0-9_-]{1,128}$/
+
 /** Accepts a job. A submission under the id of a known job gets the same reply and changes nothing; its content is not compared. */
 export function acceptJob (event: EventOf<'acceptJob'>, step: Step): void {
   const route = findRouteOrRefuse(event, step)
   if (route === undefined) return
   const id = route.jobId
   if (step.state.jobs.has(id)) return step.reply(event.call, { kind: 'jobAccepted' })
-  const fault = findSpecFault(event.spec)
-  if (id === '' || fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault === '' ? 'the path contains no job id after the prefix of the queue' : fault)
+  const fault = findIdFault(id) || findSpecFault(event.spec)
+  if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
   step.decide({ kind: 'jobAccepted', id, queue: route.queue.name, spec: event.spec, at: step.now })
   step.reply(event.call, { kind: 'jobAccepted' })
 }
@@ -108,14 +117,23 @@
   return [...current.queues, ...current.retired].filter(queue => !names.has(queue.name) && used.has(queue.name))
 }
 
+/** Why a job id is invalid; empty when it is valid. */
+function findIdFault (id: string): string {
+  if (id === '') return 'the path contains no job id after the prefix of the queue'
+  return JOB_ID_PATTERN.test(id) ? '' : 'the job id is longer than 128 characters or contains other characters than letters, digits, "_" and "-"'
+}
+
 /** Why a job specification is invalid; empty when it is valid. */
-function findSpecFault (spec: JobSpec): string {
-  if (spec.stages.length === 0) return 'the job has no stage'
-  for (const [index, stage] of spec.stages.entries()) {
+function findSpecFault ({ stages, recurrence }: JobSpec): string {
+  if (stages.length === 0) return 'the job has no stage'
+  for (const [index, stage] of stages.entries()) {
     const fault = findStageFault(stage, index)
     if (fault !== '') return `stage ${index}: ${fault}`
   }
-  return ''
+  const taskCount = stages.reduce((sum, stage) => sum + stage.taskCount, 0)
+  if (taskCount > JOB_TASK_LIMIT) return `the job has ${taskCount} tasks, more than the limit of ${JOB_TASK_LIMIT}`
+  const occurrences = recurrence?.count ?? 1
+  return occurrences > OCCURRENCE_LIMIT ? `the job has ${occurrences} occurrences, more than the limit of ${OCCURRENCE_LIMIT}` : ''
 }
 
 function findStageFault (stage: StageSpec, index: number): string {
