Survive unexpected errors that concern one call or one connection

What callers would see, in three forms: - A server that cannot accept a connection (EMFILE: the VMs allow 4,100 descriptors) emits 'error'. Nothing listened after the start, so the second one ended the process. Each of the three servers reports it now. - An error while the scheduler handles an event was returned to the caller and nothing else happened, although decisions made before it were in the leader's state and not in its log: a repeat of the call would have been acknowledged and lost at the next change of leader. Such a controller ends itself now and recovers from the log. An error before any decision fails only its call, so that one bad call does not end leader after leader. - Nothing handled an uncaught exception or an unhandled rejection: the process ended without a line in its log. Both are logged with their stack; a rejection concerns one operation, so the process goes on.

computeSessionFence is bounded: sessions beyond ten million in a term share the last token of the term instead of taking tokens of the next one.

--- a/packages/cli/src/runtime/serve.ts
+++ b/packages/cli/src/runtime/serve.ts
@@ -6,7 +6,7 @@
 import { createStatusResponse, NO_FACTS } from '@flamingorouter/operators'
 import { RpcServer, toResources, type CallRecord, type PlainResponse } from '@flamingorouter/rpc'
 import {
-  ALL_BINDINGS, ALL_METHOD_RULES, ControllerNode, createLocalMethods, EntryNode, type Controller, type RuntimeLog
+  ALL_BINDINGS, ALL_METHOD_RULES, ControllerNode, createLocalMethods, EntryNode, handleUnexpectedErrors, type Controller, type RuntimeLog
 } from '@flamingorouter/runtime'
 import { AccessControl } from '../core/access-control.js'
 import { Metrics, type CellLoad } from '../metrics/metrics.js'
@@ -19,6 +19,7 @@
 /** Starts the roles, and resolves when a signal has stopped them; throws if a role fails to start. */
 export async function runServe (settings: Settings): Promise<void> {
   const log = StreamLog.create(settings.process, settings.log.level)
+  handleUnexpectedErrors(process, log)
   const serverProcess = ServerProcess.create(settings, log)
   const stopped = waitForStop(log, serverProcess)
   try {
@@ -138,6 +139,7 @@
       methodRules: [],
       handlers: new Map(),
       authenticate: this.access.authenticate,
+      handleError: error => { this.log.error('server_failed', { error: error.message }) },
       limits: http,
       pages: new Map<string, () => PlainResponse | Promise<PlainResponse>>([
         ['/livez', () => ({ status: 200, type: 'text/plain', body: 'live\n' })],
--- a/packages/controllers/src/core/link-endpoints.ts
+++ b/packages/controllers/src/core/link-endpoints.ts
@@ -35,6 +35,8 @@
 /** Accepts links from peers. */
 export class LinkServer {
   readonly links = new Set<Link>()
+  /** Called when a link cannot be accepted, for example because the process has too many open files. */
+  handleError: (error: Error) => void = () => {}
 
   private constructor (private readonly server: Server) {}
 
@@ -49,6 +51,8 @@
       handlers.closed(link, reason)
     }
     server.maxConnections = INBOUND_LINK_LIMIT
+    // Without a listener, a failure to accept a connection would end the process.
+    server.on('error', error => { linkServer.handleError(error) })
     server.on(keys === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
       linkServer.links.add(Link.create(socket, hello, { ...handlers, closed: removeLink }))
     })
--- a/packages/rpc/src/core/server.ts
+++ b/packages/rpc/src/core/server.ts
@@ -60,6 +60,8 @@
   pages?: ReadonlyMap<string, () => PlainResponse | Promise<PlainResponse>>
   /** Called with the record of each finished call. */
   handleCallRecord?: (record: CallRecord) => void
+  /** Called when a connection cannot be accepted, for example because the process has too many open files. */
+  handleError?: (error: Error) => void
   /** Serves TLS with these keys; plain HTTP when absent. */
   keys?: ServerKeys
 }
@@ -83,6 +85,8 @@
     // the limit, so that checkHeaders can detect and refuse a request that exceeds the limit.
     this.server.maxHeadersCount = limits.headerCount + 1
     this.server.maxConnections = limits.connections
+    // Without a listener, a failure to accept a connection would end the process.
+    this.server.on('error', error => { options.handleError?.(error) })
     this.server.on('clientError', (error, socket) => { refuseConnection(error, socket as Socket) })
     const connectionEvent = options.keys === undefined ? 'connection' : 'secureConnection'
     this.server.on(connectionEvent, (socket: Socket) => { this.trackConnection(socket) })
@@ -97,7 +101,6 @@
     return new Promise((resolve, reject) => {
       this.server.once('error', reject)
       this.server.listen(address.port, address.host, () => {
-        this.server.off('error', reject)
         resolve((this.server.address() as AddressInfo).port)
       })
     })
--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -115,6 +115,7 @@
     controller.attach(replica)
     links.handleMessage = (from, message) => { replica.receive(from, message) }
     const server = LinkServer.create(hello, { ...createHandlers(controller, replica, links, context.log), traffic: context.traffic }, context.peerKeys?.())
+    server.handleError = error => { context.log.error('server_failed', { error: error.message }) }
     await server.listen(parseAddress(settings.listen))
     const node = new ControllerNode(controller, replica, links, server, loopMonitor)
     node.timer = setInterval(() => { node.tick() }, TICK_INTERVAL_MS)
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -12,12 +12,13 @@
 } from '@flamingorouter/controllers'
 import type { Binding, CallContext } from '@flamingorouter/rpc'
 import {
-  createClusterState, ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type ListedVm, type Scheduler
+  createClusterState, ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type ListedVm, type Scheduler, type StepResult
 } from '@flamingorouter/scheduler'
 import { PendingCalls } from './pending-calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
 import { logTransientEvents, logDecisions } from './decision-log.js'
 import { EntryTable } from './entry-table.js'
+import { describeError } from './error-handlers.js'
 import type { MetricsRecorder } from './metrics-recorder.js'
 import { LoadReporter } from './load-reporter.js'
 import type { LocalMethod } from './local-methods.js'
@@ -156,12 +157,20 @@
   // Callbacks of the replica.
 
   applyEntry (index: number, entry: Uint8Array, isOwn: boolean): void {
-    if (isOwn) {
-      this.proposals.handleCommit(index)
-    } else {
+    if (isOwn) this.proposals.handleCommit(index)
+    else this.applyDecisions(index, entry)
+    this.watches.completeChanged(this.state)
+  }
+
+  /** A controller that cannot apply an entry must not continue with a state that differs from the log. */
+  private applyDecisions (index: number, entry: Uint8Array): void {
+    try {
       for (const decision of decodeValue(entry) as Decision[]) this.options.scheduler.apply(decision)
+    } catch (thrown) {
+      this.options.log.error('apply_failed', { index, ...describeError(thrown) })
+      this.options.handleFault(`entry ${index} of the log could not be applied: ${String(thrown)}`)
+      throw thrown
     }
-    this.watches.completeChanged(this.state)
   }
 
   restoreSnapshot (index: number, snapshot: Uint8Array): void {
@@ -324,7 +333,7 @@
     const { scheduler, metrics } = this.options
     const now = clusterNow()
     const startedAt = monotonicNow()
-    const result = scheduler.handle(event, now)
+    const result = this.handleEvent(event, now)
     metrics?.recordStep(event.kind, monotonicNow() - startedAt)
     metrics?.recordDecisions(result.decisions, scheduler.state, now)
     metrics?.recordEffects(result.effects)
@@ -338,6 +347,23 @@
     this.proposals.add({ decisions: result.decisions, effects: deferred })
   }
 
+  /**
+   * An error while a call is handled, before any decision, fails that call alone. After any other error the state may
+   * differ from the log, so that this controller must not continue.
+   */
+  private handleEvent (event: Event, now: number): StepResult {
+    const { scheduler, log } = this.options
+    const { change } = scheduler.state
+    try {
+      return scheduler.handle(event, now)
+    } catch (thrown) {
+      log.error('event_failed', { kind: event.kind, ...describeError(thrown) })
+      const isCallOnly = 'call' in event && scheduler.state.change === change
+      if (!isCallOnly) this.options.handleFault(`the scheduler failed on an event ${event.kind}: ${String(thrown)}`)
+      throw thrown
+    }
+  }
+
   // Effects whose decisions are committed, and those that need no commit.
 
   private release (effect: Effect): void {
--- a/packages/runtime/src/core/entry-node.ts
+++ b/packages/runtime/src/core/entry-node.ts
@@ -75,6 +75,7 @@
       handlers: entry.createHandlers(requests.handlers),
       authenticate: context.authenticate,
       handleCallRecord: context.handleCallRecord,
+      handleError: error => { context.log.error('server_failed', { error: error.message }) },
       limits: context.limits,
       keys: context.keys,
       pages: new Map([
--- a/packages/runtime/src/core/worker-session.ts
+++ b/packages/runtime/src/core/worker-session.ts
@@ -100,15 +100,16 @@
 /** Maximum number of attempts to send a start order that gets no answer. */
 const START_ATTEMPT_LIMIT = 3
 
-/** Bound on the number of sessions in one term. */
-const SESSIONS_PER_TERM = 10_000_000
+/** Number of fencing tokens in one term. */
+const FENCES_PER_TERM = 10_000_000
 
 /**
  * The fencing token of a session. It rises with each session, so that an incarnation that was listed once refuses what was
- * sent to the incarnations before it, as it refuses the orders of earlier leaders.
+ * sent to the incarnations before it, as it refuses the orders of earlier leaders. Sessions beyond the tokens of a term
+ * share the last one, since a token of the next term would take the worker from the next leader.
  */
 export function computeSessionFence (term: number, session: number): number {
-  return term * SESSIONS_PER_TERM + session
+  return term * FENCES_PER_TERM + Math.min(session, FENCES_PER_TERM - 1)
 }
 
 export class WorkerSession {
--- a/packages/runtime/src/internal.ts
+++ b/packages/runtime/src/internal.ts
@@ -5,6 +5,7 @@
 
 export * from './core/clock.js'
 export * from './core/runtime-log.js'
+export * from './core/error-handlers.js'
 export * from './core/metrics-recorder.js'
 export * from './core/metrics-registry.js'
 export * from './core/json-log.js'
