Let a new leader place work before it has reached every worker

What callers see: after a loss of power of all core VMs, short requests accepted before or just after it end too late.

Cause: the first lists of 378 workers gather as effects that wait, and while 100 or more effects wait nothing is placed and the admission service is not asked. That rule is meant for orders, since a pass would only add to them. And a worker was asked about only after its first list, so each stage waited for its list and then for its answer.

Change: sessions begin in a queue of their own, with 20 ms a turn; only orders count as a backlog, and they are sent between two slices. Queries cover workers that were not listed yet; they get no work before. Answers of the admission service are forgotten with their job (they were kept until the leader changed: one record with up to 378 workers a stage).

--- a/packages/runtime/src/core/sliced-queue.ts
+++ b/packages/runtime/src/core/sliced-queue.ts
@@ -4,14 +4,10 @@
  * busy process from taking its peers for silent.
  */
 
-/**
- * Time for which items are carried out in one turn, in milliseconds: below a heartbeat interval of the replicas, and long
- * enough that a process whose turns are slow still sends as much as it decides.
- */
-const SLICE_MS = 40
-
 export interface SlicedQueueOptions<T> {
   carryOut: (item: T) => void
+  /** Time for which items are carried out in one turn, in milliseconds. */
+  sliceMs: number
   /** Monotonic time in milliseconds. */
   now: () => number
   /** Runs a function in the next turn of the event loop. */
@@ -49,7 +45,7 @@
   }
 
   private carryOutSlice (): void {
-    while (this.length > 0 && this.spentMs < SLICE_MS) {
+    while (this.length > 0 && this.spentMs < this.options.sliceMs) {
       const startedAt = this.options.now()
       this.options.carryOut(this.items[this.next++])
       this.spentMs += this.options.now() - startedAt
--- a/packages/runtime/src/core/worker-sessions.ts
+++ b/packages/runtime/src/core/worker-sessions.ts
@@ -9,10 +9,22 @@
 import { SlicedQueue } from './sliced-queue.js'
 import { computeSessionFence, WorkerSession, type LeaseLimits, type SessionOwner, type WorkerClient } from './worker-session.js'
 
-/** Number of effects that wait to be carried out from which no more work is placed; sending them takes about one slice. */
+/**
+ * Time for which orders are sent in one turn of the event loop, in milliseconds: below a heartbeat interval of the replicas,
+ * and long enough that a process whose turns are slow still sends as much as it decides.
+ */
+const ORDER_SLICE_MS = 40
+
+/**
+ * Time for which sessions are established in one turn, in milliseconds. A new leader establishes all of them before leases
+ * lapse; between two slices, workers that have answered get work, and calls are accepted.
+ */
+const SESSION_SLICE_MS = 20
+
+/** Number of orders that wait to be sent from which no more work is placed; sending them takes about one slice. */
 const BACKLOG_LIMIT = 100
 
-/** Number of waiting effects at which work is placed again; hysteresis avoids a report for each effect. */
+/** Number of waiting orders at which work is placed again; hysteresis avoids a report for each order. */
 const BACKLOG_END = 20
 
 export class WorkerSessions extends OrderDispatcher {
@@ -22,17 +34,12 @@
   /** Number of sessions in this term. */
   private sessionCount = 0
   private owner: SessionOwner | undefined
-  /** True once the scheduler was told that effects wait to be carried out. */
+  /** True once the scheduler was told that orders wait to be sent. */
   private isBacklogged = false
-  /** A new leader establishes all sessions at once, and a pass may order hundreds of starts. */
-  private readonly effects = SlicedQueue.create<WorkerEffect>({
-    carryOut: effect => { this.carryOut(effect) },
-    now: monotonicNow,
-    defer: run => setImmediate(() => {
-      run()
-      this.reportBacklog()
-    })
-  })
+  /** A pass may order hundreds of starts. */
+  private readonly orders = this.createQueue(ORDER_SLICE_MS)
+  /** Sessions that begin and end, and orders that depend on one that is still to begin. */
+  private readonly sessionChanges = this.createQueue(SESSION_SLICE_MS)
 
   private constructor (
     private readonly client: WorkerClient,
@@ -56,18 +63,40 @@
   override stopLeading (): void {
     for (const session of this.sessions.values()) session.stop()
     this.sessions.clear()
-    this.effects.clear()
+    this.orders.clear()
+    this.sessionChanges.clear()
     this.isBacklogged = false
     this.owner = undefined
   }
 
   override dispatch (effect: WorkerEffect): void {
-    this.effects.push(effect)
+    if (this.changesSession(effect)) return this.sessionChanges.push(effect)
+    this.orders.push(effect)
     this.reportBacklog()
   }
 
+  private createQueue (sliceMs: number): SlicedQueue<WorkerEffect> {
+    return SlicedQueue.create<WorkerEffect>({
+      carryOut: effect => { this.carryOut(effect) },
+      sliceMs,
+      now: monotonicNow,
+      defer: run => setImmediate(() => {
+        run()
+        this.reportBacklog()
+      })
+    })
+  }
+
+  /** True for an effect that begins or ends a session, and for an order to a worker whose session may still be to begin. */
+  private changesSession (effect: WorkerEffect): boolean {
+    if (effect.kind === 'watchWorker' || effect.kind === 'unwatchWorker') return true
+    if (this.sessionChanges.length === 0) return false
+    const [id, incarnation] = effect.kind === 'ackEnds' ? [effect.id, effect.incarnation] : [effect.worker.id, effect.worker.incarnation]
+    return this.sessions.get(id)?.worker.incarnation !== incarnation
+  }
+
   private reportBacklog (): void {
-    const { length } = this.effects
+    const { length } = this.orders
     const isBacklogged = this.isBacklogged ? length > BACKLOG_END : length >= BACKLOG_LIMIT
     if (isBacklogged === this.isBacklogged) return
     this.isBacklogged = isBacklogged
--- a/packages/scheduler/__tests__/staged-jobs.test.ts
+++ b/packages/scheduler/__tests__/staged-jobs.test.ts
@@ -173,6 +173,7 @@
     it('allows starts only with a ticket that is still valid', () => {
       const tickets = AdmissionTickets.create()
       tickets.setEntries(['entry'])
+      tickets.recordQuery('job/0/0')
       tickets.recordAnswer('job/0/0', 'entry', ['one', 'two'], [{ worker: 'one', ticket: 't' }], 3_000)
       const views = [createView('one'), createView('two')]
       assert.deepEqual(place(views, [createUnit({ queue })], tickets).placements.map(({ view }) => view.id), ['one'])
@@ -183,10 +184,38 @@
     it('is queried again only about workers that it granted', () => {
       const tickets = AdmissionTickets.create()
       tickets.setEntries(['entry'])
+      tickets.recordQuery('job/0/0')
       tickets.recordAnswer('job/0/0', 'entry', ['one', 'two'], [{ worker: 'one', ticket: 't' }], 500)
       const { queries } = place([createView('one'), createView('two')], [createUnit({ queue: { ...queue, priority: 0 } })], tickets)
       assert.deepEqual(queries[0].workers, ['one'])
     })
+
+    it('is queried by a new leader about workers that it has not listed yet, which get no work before', () => {
+      const tickets = AdmissionTickets.create()
+      tickets.setEntries(['entry'])
+      const unlisted = createView('unlisted')
+      unlisted.hasAcceptedToken = false
+      const left = createView('left')
+      left.hasAcceptedToken = false
+      left.worker = { ...left.worker, isDraining: true }
+      const unit = createUnit({ queue: { ...queue, priority: 0 } }, { taskCount: 2 })
+      const pass = place([unlisted, left, createView('listed')], [unit], tickets)
+      assert.deepEqual(pass.queries.map(({ workers }) => workers), [['listed', 'unlisted']])
+      tickets.recordAnswer('job/0/0', 'entry', ['listed', 'unlisted'], ['listed', 'unlisted'].map(worker => ({ worker, ticket: 't' })), 3_000)
+      const { placements } = place([unlisted, left, createView('listed')], [unit], tickets)
+      assert.deepEqual([...new Set(placements.map(({ view }) => view.id))], ['listed'])
+    })
+
+    it('has its answers forgotten with the job, also one that arrives afterwards', () => {
+      const tickets = AdmissionTickets.create()
+      tickets.setEntries(['entry'])
+      tickets.recordQuery('job/0/0')
+      tickets.recordQuery('other/0/0')
+      tickets.forgetJob('job')
+      for (const stage of ['job/0/0', 'other/0/0']) tickets.recordAnswer(stage, 'entry', ['one'], [{ worker: 'one', ticket: 't' }], 3_000)
+      assert.equal(tickets.getStageTickets('job/0/0').granted.size, 0)
+      assert.equal(tickets.getStageTickets('other/0/0').granted.size, 1)
+    })
   })
 
   describe('the progress check', () => {
--- a/packages/scheduler/src/core/jobs/admission-tickets.ts
+++ b/packages/scheduler/src/core/jobs/admission-tickets.ts
@@ -43,6 +43,8 @@
 export class AdmissionTickets {
   /** By key of the stage: `job/occurrence/stage`. */
   private readonly stages = new Map<string, StageRecord>()
+  /** Keys of the stages with a record, by job. */
+  private readonly stagesByJob = new Map<string, string[]>()
   /** Number of queries in flight, 0 or 1, by entry name; idle entries are used in the order of insertion. */
   private readonly entries = new Map<string, number>()
 
@@ -52,6 +54,7 @@
 
   clear (): void {
     this.stages.clear()
+    this.stagesByJob.clear()
     this.entries.clear()
   }
 
@@ -123,7 +126,9 @@
    */
   recordAnswer (stage: string, entry: string, workers: readonly string[], tickets: ReadonlyArray<{ worker: string, ticket: string }>, validUntil: number): void {
     this.releaseEntry(entry)
-    const record = this.getOrCreateRecord(stage)
+    // The job may have been closed while the query was in flight.
+    const record = this.stages.get(stage)
+    if (record === undefined) return
     record.isQueryInFlight = false
     record.validUntil = validUntil
     for (const { worker, ticket } of tickets) record.granted.set(worker, { ticket, validUntil })
@@ -135,7 +140,8 @@
   /** Records that a query got no answer; the stage is queried again after a pause. */
   recordFailure (stage: string, entry: string, now: number): void {
     this.releaseEntry(entry)
-    const record = this.getOrCreateRecord(stage)
+    const record = this.stages.get(stage)
+    if (record === undefined) return
     record.isQueryInFlight = false
     record.notBefore = now + RETRY_INTERVAL_MS
   }
@@ -146,8 +152,10 @@
     if (ticket !== undefined) ticket.validUntil = 0
   }
 
-  forget (stage: string): void {
-    this.stages.delete(stage)
+  /** Forgets the answers for all stages of a job. */
+  forgetJob (job: string): void {
+    for (const stage of this.stagesByJob.get(job) ?? []) this.stages.delete(stage)
+    this.stagesByJob.delete(job)
   }
 
   private releaseEntry (entry: string): void {
@@ -159,6 +167,10 @@
     if (record === undefined) {
       record = { granted: new Map(), refused: new Set(), validUntil: 0, isQueryInFlight: false, notBefore: 0 }
       this.stages.set(stage, record)
+      const job = stage.slice(0, stage.indexOf('/'))
+      const stages = this.stagesByJob.get(job)
+      if (stages === undefined) this.stagesByJob.set(job, [stage])
+      else stages.push(stage)
     }
     return record
   }
--- a/packages/scheduler/src/core/jobs/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement-pass.ts
@@ -78,6 +78,8 @@
   /** Ids of workers on which waiting units reserved capacity in this pass. */
   readonly reservedWorkers = new Set<string>()
   private readonly candidates: Candidate[] = []
+  /** Workers whose free capacity is not known, since this leader has not listed their runs yet. They are queried about, not used. */
+  private readonly unlisted: WorkerView[] = []
   /** Results of `listEligible`, by service and required label. */
   private readonly eligible = new Map<string, Candidate[]>()
   /** The runs in `preemptions`. */
@@ -91,6 +93,7 @@
     previouslyReserved: ReadonlySet<string>
   ) {
     for (const view of views) {
+      if (view.isUnlisted) this.unlisted.push(view)
       if (!view.isSchedulable(now)) continue
       const free = { millicores: view.freeMillicores, memoryMib: view.freeMemoryMib, accelerators: view.freeAccelerators }
       this.candidates.push({ view, free, releasing: sumReleasing(view), isReserved: previouslyReserved.has(view.id), preemptible: undefined })
@@ -142,7 +145,7 @@
     const key = `${unit.queue.service} ${unit.spec.requiredLabel}`
     let candidates = this.eligible.get(key)
     if (candidates === undefined) {
-      candidates = this.candidates.filter(candidate => isEligible(candidate, unit))
+      candidates = this.candidates.filter(({ view }) => isEligible(view, unit))
       this.eligible.set(key, candidates)
     }
     return candidates
@@ -248,7 +251,8 @@
 
   /**
    * Adds a query to the admission service unless one is in flight for the unit. It covers workers without a known
-   * answer, and granted workers whose ticket has lapsed if the task fits there or capacity is reserved there.
+   * answer, and granted workers whose ticket has lapsed if the task fits there or capacity is reserved there. A new leader
+   * also queries about workers that it has not listed yet, so that their answers do not have to be waited for afterwards.
    */
   private queryAdmission (unit: SchedulingUnit, candidates: Candidate[], reservedIds: ReadonlySet<string>): void {
     const { tickets } = this
@@ -262,11 +266,12 @@
       if (ticket === undefined) return true
       return !isTicketValid(ticket, this.now) && (reservedIds.has(id) || fits(candidate.free, unit.spec.resources, unit.spec.fills))
     })
-    if (wanted.length === 0) return
+    const unlisted = this.unlisted.filter(view => isEligible(view, unit) && !refused.has(view.id) && !granted.has(view.id))
+    if (wanted.length + unlisted.length === 0) return
     const entry = tickets.acquireEntry(reservedEntries)
     if (entry === undefined) return
     wanted.sort((one, other) => other.free.millicores - one.free.millicores)
-    const workers = wanted.slice(0, QUERY_WORKER_LIMIT).map(candidate => candidate.view.id)
+    const workers = [...wanted.map(({ view }) => view), ...unlisted].slice(0, QUERY_WORKER_LIMIT).map(({ id }) => id)
     tickets.recordQuery(unit.key)
     this.queries.push({ unit, entry, workers })
   }
@@ -341,7 +346,7 @@
 /** Processor capacity of the reference worker; see `LARGE_SHARE`. */
 const LARGE_REFERENCE_MILLICORES = 32_000
 
-function isEligible ({ view }: Candidate, { queue, spec }: SchedulingUnit): boolean {
+function isEligible (view: WorkerView, { queue, spec }: SchedulingUnit): boolean {
   return view.worker.service === queue.service &&
     (spec.requiredLabel === '' || view.worker.labels.includes(spec.requiredLabel))
 }
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -197,7 +197,10 @@
     if (job === undefined) return
     const phase = isLiveJob(job) ? findClosingPhase(job, step.state) : undefined
     if (phase !== undefined) step.decide({ kind: 'jobClosed', id, phase, at: step.now })
-    if (!isLiveJob(job)) this.runManager.stopJobRuns(step, id)
+    if (!isLiveJob(job)) {
+      this.runManager.stopJobRuns(step, id)
+      this.tickets.forgetJob(id)
+    }
     this.units.refresh(job, step.state.cell, this.runManager.meanRunMs.get(job.queue))
     this.isPassDue = true
   }
--- a/packages/scheduler/src/core/jobs/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/worker-view.ts
@@ -114,6 +114,11 @@
     return this.worker.capacity.accelerators - this.usedAccelerators
   }
 
+  /** True for a worker that this leader has not listed yet, and that may take work once it has. */
+  get isUnlisted (): boolean {
+    return !this.hasAcceptedToken && !this.isSilent && !this.worker.isDraining && this.worker.address !== ''
+  }
+
   /** True when new runs may be placed on the worker. */
   isSchedulable (now: number): boolean {
     return this.hasAcceptedToken && !this.isSilent && !this.isEvacuating && !this.worker.isDraining && now >= this.cooldownUntil
