--- a/packages/runtime/__tests__/json-log.test.ts
+++ b/packages/runtime/__tests__/json-log.test.ts
@@ -12,7 +12,7 @@
 describe('the JSON log', () => {
   it('writes one object per line with its fields', () => {
     const lines: string[] = []
-    JsonLog.create('p', (bytes, done) => { lines.push(bytes.toString()); done(null) }).info('started', { role: 'entry' })
+    JsonLog.create('p', (bytes, done) => { lines.push(bytes.toString()); done(null) }, 0).info('started', { role: 'entry' })
     const record = JSON.parse(lines.join(''))
     assert.equal(record.event, 'started')
     assert.equal(record.process, 'p')
@@ -25,7 +25,7 @@
     const log = JsonLog.create('p', (bytes, done) => {
       chunks.push(bytes)
       pendingWrites.push(done)
-    })
+    }, 0)
     const text = 'x'.repeat(10_000)
     for (let index = 0; index < 300; index++) log.info(`event-${index}`, { text })
     assert.equal(chunks.length, 2)
@@ -43,7 +43,7 @@
     const log = JsonLog.create('p', (bytes, done) => {
       chunks.push(bytes)
       pendingWrites.push(done)
-    })
+    }, 0)
     // About a second of log lines of a busy leader.
     for (let index = 0; index < 1_000; index++) log.info(`event-${index}`, { text: 'x'.repeat(200) })
     let turns = 0
@@ -53,9 +53,25 @@
     assert.equal(chunks.join('').split('\n').length - 1, 1_000)
   })
 
+  it('gathers the lines of a few milliseconds in one write, and writes at once what fills one', async () => {
+    const chunks: Buffer[] = []
+    const log = JsonLog.create('p', (bytes, done) => {
+      chunks.push(bytes)
+      done(null)
+    })
+    for (let index = 0; index < 5; index++) log.info(`event-${index}`)
+    assert.equal(chunks.length, 0)
+    await new Promise(resolve => { setTimeout(resolve, 30) })
+    assert.equal(chunks.length, 1)
+    for (let index = 0; index < 40; index++) log.info(`event-${index}`, { text: 'x'.repeat(200) })
+    assert.ok(chunks.length >= 3, `${chunks.length} writes`)
+    await new Promise(resolve => { setTimeout(resolve, 30) })
+    assert.equal(chunks.join('').split('\n').length - 1, 45)
+  })
+
   it('drops lines of an event beyond its rate limit', () => {
     let lines = 0
-    const log = JsonLog.create('p', (bytes, done) => { lines += bytes.toString().split('\n').length - 1; done(null) })
+    const log = JsonLog.create('p', (bytes, done) => { lines += bytes.toString().split('\n').length - 1; done(null) }, 0)
     for (let index = 0; index < 1_000; index++) log.info('often')
     log.info('seldom')
     // The limit is 400 lines of an event per second; the loop may span two of these windows.
--- a/packages/runtime/src/core/json-log.ts
+++ b/packages/runtime/src/core/json-log.ts
@@ -1,8 +1,10 @@
 /**
  * A log on a file descriptor, one JSON object per line. It never blocks: when the
  * reader stops reading, a bounded buffer fills and further lines are dropped and
- * counted. Lines of one event beyond a rate limit are also dropped and counted. While
- * several writes are in flight, lines may change places; each has its time.
+ * counted. Lines of one event beyond a rate limit are also dropped and counted. The
+ * lines of a few milliseconds share a write, since each write costs a busy process
+ * more than its lines. While several writes are in flight, lines may change places;
+ * each has its time.
  */
 
 import { write } from 'node:fs'
@@ -29,6 +31,9 @@
  */
 const WRITES_IN_FLIGHT_MAX = 2
 
+/** Time for which a line may wait for others that share its write, in milliseconds; shorter than any delay before an exit. */
+const GATHER_MS = 10
+
 /** Writes all bytes, or fails; calls `done` with null or the error. */
 export type WriteBytes = (bytes: Buffer, done: (error: Error | null) => void) => void
 
@@ -37,14 +42,15 @@
   private bufferedBytes = 0
   private writesInFlight = 0
   private droppedLines = 0
+  private isFlushDue = false
   private readonly rates = new Map<string, { since: number, count: number }>()
 
-  private constructor (private readonly process: string, private readonly writeBytes: WriteBytes) {
+  private constructor (private readonly process: string, private readonly writeBytes: WriteBytes, private readonly gatherMs: number) {
     super()
   }
 
-  static create (process: string, writeBytes: WriteBytes = writeToStandardOutput): JsonLog {
-    return new JsonLog(process, writeBytes)
+  static create (process: string, writeBytes: WriteBytes = writeToStandardOutput, gatherMs = GATHER_MS): JsonLog {
+    return new JsonLog(process, writeBytes, gatherMs)
   }
 
   override info (event: string, fields: LogFields = {}): void {
@@ -74,7 +80,21 @@
     this.droppedLines = 0
     this.bufferedLines.push(text)
     this.bufferedBytes += text.length
-    if (this.writesInFlight < WRITES_IN_FLIGHT_MAX) this.flush()
+    if (this.bufferedBytes >= WRITE_LIMIT_BYTES || this.gatherMs === 0) this.startWrite()
+    else this.startWriteLater()
+  }
+
+  private startWrite (): void {
+    if (this.writesInFlight < WRITES_IN_FLIGHT_MAX && this.bufferedLines.length > 0) this.flush()
+  }
+
+  private startWriteLater (): void {
+    if (this.isFlushDue) return
+    this.isFlushDue = true
+    setTimeout(() => {
+      this.isFlushDue = false
+      this.startWrite()
+    }, this.gatherMs)
   }
 
   /**
