Preempt for a gang as a whole, and pass over less in each placement pass

What callers see: long wide jobs (gangs of 13 and more) wait while a tenth or more of the capacity is idle.

Change: a gang gets preemptions for all of its missing members or none. The passes cost less: granted workers are looked up by id instead of filtered from all, what runs being stopped release is summed on first use, and due occurrences and expired jobs are found without a look at every job.

The replay can be without a leader for a time, has latencies as options, and draws its jobs independently of the decisions.

--- a/bench/support/staged-job-simulation.ts
+++ b/bench/support/staged-job-simulation.ts
@@ -48,6 +48,12 @@
   durationMs: number
   /** Returns the factor by which the arrival rate of a queue is multiplied at a time. */
   burst: (queue: string, now: number) => number
+  /** Latency of an effect that has to be committed first, in milliseconds; COMMIT_LATENCY_MS when absent. */
+  commitLatencyMs?: number
+  /** Latency of a call, in milliseconds; CALL_LATENCY_MS when absent. */
+  callLatencyMs?: number
+  /** A time without a leader, in milliseconds. Calls made meanwhile reach the next leader; orders made before are carried out. */
+  withoutLeader?: { fromMs: number, toMs: number }
 }
 
 /**
@@ -63,6 +69,8 @@
 /** Interval at which a worker lists its runs to the leader. */
 const LIST_INTERVAL_MS = 1_000
 const TICK_INTERVAL_MS = 60
+/** Time that a new leader takes to list all workers. */
+const TAKEOVER_LISTS_MS = 800
 /** Additional run time of a task that resumes from a checkpoint. */
 const CHECKPOINT_RESTORE_MS = 250
 /** Interval at which a task saves a checkpoint. */
@@ -111,7 +119,9 @@
   /** Work of the runs that succeeded, in millicores times milliseconds. */
   busyMillicoreMs = 0
   private readonly clock = SimulatedClock.create()
+  /** Draws the jobs; the runs have a source of their own, so that the jobs do not depend on the decisions. */
   private readonly random: Random
+  private readonly runRandom: Random
   private readonly scheduler = Scheduler.create([StagedJobs.create()])
   private readonly models = new Map<string, WorkerModel>()
   private readonly jobs = new Map<string, SubmittedJob>()
@@ -120,6 +130,7 @@
 
   private constructor (private readonly classes: readonly JobClass[], private readonly options: StagedJobSimulationOptions) {
     this.random = Random.create(options.seed)
+    this.runRandom = Random.create(options.seed + 1)
   }
 
   static run (classes: readonly JobClass[], options: StagedJobSimulationOptions): StagedJobSimulation {
@@ -132,14 +143,14 @@
   }
 
   private setUp (): void {
-    const { workers, workerMillicores, workerMemoryMib, entries } = this.options
+    const { workers, workerMillicores, workerMemoryMib } = this.options
     this.scheduler.startLeading(0)
     this.handleEvent({
       kind: 'configureCell',
       call: 0,
       cell: { version: 1, queues: this.classes.map(({ queue }) => queue), retired: [], services: [{ name: 'service', standby: false }], document: '' }
     })
-    this.handleEvent({ kind: 'advisorsChanged', entries: Array.from({ length: entries }, (_, index) => `entry-${index}`) })
+    this.handleEvent({ kind: 'advisorsChanged', entries: this.listEntries() })
     for (let index = 0; index < workers; index++) {
       const model = WorkerModel.create({
         id: `worker-${index}`,
@@ -158,14 +169,24 @@
       this.clock.schedule(index, () => { this.sendListsPeriodically(model) })
     }
     this.scheduleTick()
+    this.scheduleTakeover()
     for (const jobClass of this.classes) this.scheduleArrival(jobClass)
   }
 
+  private get callLatencyMs (): number {
+    return this.options.callLatencyMs ?? CALL_LATENCY_MS
+  }
+
   private handleEvent (event: Event): void {
+    const { withoutLeader } = this.options
+    if (withoutLeader !== undefined && this.clock.now >= withoutLeader.fromMs && this.clock.now < withoutLeader.toMs) {
+      if (event.kind === 'acceptJob') this.clock.schedule(withoutLeader.toMs - this.clock.now + 1, () => { this.handleEvent(event) })
+      return
+    }
     const startedAt = performance.now()
     const { effects } = this.scheduler.handle(event, this.clock.now)
     this.decisionMs += performance.now() - startedAt
-    for (const effect of effects) this.clock.schedule(effect.kind === 'askAdmission' ? CALL_LATENCY_MS : COMMIT_LATENCY_MS, () => { this.handleEffect(effect) })
+    for (const effect of effects) this.clock.schedule(effect.kind === 'askAdmission' ? this.callLatencyMs : this.options.commitLatencyMs ?? COMMIT_LATENCY_MS, () => { this.handleEffect(effect) })
   }
 
   private scheduleTick (): void {
@@ -175,6 +196,25 @@
     })
   }
 
+  /** The next leader knows the replicated state and lists every worker within TAKEOVER_LISTS_MS. */
+  private scheduleTakeover (): void {
+    const { withoutLeader } = this.options
+    if (withoutLeader === undefined) return
+    this.clock.schedule(withoutLeader.toMs, () => {
+      this.scheduler.startLeading(this.clock.now)
+      this.handleEvent({ kind: 'advisorsChanged', entries: this.listEntries() })
+      let index = 0
+      for (const model of this.models.values()) {
+        this.clock.schedule(index * TAKEOVER_LISTS_MS / this.models.size, () => { this.sendList(model) })
+        index += 1
+      }
+    })
+  }
+
+  private listEntries (): string[] {
+    return Array.from({ length: this.options.entries }, (_, index) => `entry-${index}`)
+  }
+
   private scheduleArrival (jobClass: JobClass): void {
     this.clock.schedule(this.random.sampleExponential(1_000 / (jobClass.jobsPerSecond * this.options.burst(jobClass.queue.name, this.clock.now))), () => {
       if (this.clock.now > this.options.durationMs) return
@@ -272,7 +312,7 @@
     const stage = job.spec.stages[ref.stage]
     const doneMs = Number(checkpoint === '' ? 0 : checkpoint)
     const workMs = job.taskWorkMs[ref.stage][ref.index] + (doneMs > 0 ? CHECKPOINT_RESTORE_MS : 0)
-    const fails = run === 1 && this.random.sampleFraction() < job.jobClass.failureShare
+    const fails = run === 1 && this.runRandom.sampleFraction() < job.jobClass.failureShare
     const active: ActiveRun = { progress: { task, run, checkpoint, percent: 0, load: 0 }, workMs, doneMs, workingSince: this.clock.now, fails, gang: stage.gang ? stageKey(ref) : '', isStopping: false }
     model.active.set(task, active)
     this.handleEvent({ kind: 'runOrdered', id: worker.id, incarnation: 1, order: 'start', task, run, outcome: OrderOutcome.done, unanswered: 0, sentAt: this.clock.now })
@@ -312,7 +352,7 @@
     const ref = parseTaskRef(active.progress.task)
     const resources = this.jobs.get(ref?.job ?? '')?.spec.stages[ref?.stage ?? 0].resources
     if (cause === RunEndCause.done) this.busyMillicoreMs += (resources?.millicores ?? 0) * active.workMs
-    this.clock.schedule(CALL_LATENCY_MS, () => { this.sendList(model) })
+    this.clock.schedule(this.callLatencyMs, () => { this.sendList(model) })
   }
 
   private getCheckpoint (active: ActiveRun, cause: RunEndCause): string {
--- a/packages/scheduler/src/core/jobs/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement-pass.ts
@@ -14,7 +14,7 @@
 
 import type { Resources } from '../../types/resources.js'
 import { isInTime } from './unit-order.js'
-import { isTicketValid, QUERY_WORKER_LIMIT, type AdmissionTickets } from './admission-tickets.js'
+import { isTicketValid, QUERY_WORKER_LIMIT, type AdmissionTickets, type Ticket } from './admission-tickets.js'
 import type { SchedulingUnit } from './scheduling-units.js'
 import { isServing, RunStatus, type Run, type WorkerView } from './worker-view.js'
 
@@ -60,14 +60,17 @@
 interface Candidate {
   view: WorkerView
   free: Amounts
-  /** Capacity that runs being stopped will release, less what is reserved of it. */
-  releasing: Amounts
+  /** Capacity that runs being stopped will release, less what is reserved of it; computed on first use. */
+  releasing: Amounts | undefined
   /** True when units reserved capacity there in the previous pass. */
   isReserved: boolean
   /** Runs that may be stopped without loss of progress, largest processor demand first; computed on first use. */
   preemptible: Run[] | undefined
 }
 
+/** Victims on a worker, and the amounts of that worker before they were chosen. */
+interface PlannedPreemption { candidate: Candidate, victims: Run[], free: Amounts, releasing: Amounts }
+
 /** Amounts of resources that are changed in place; reservations may make them negative. */
 interface Amounts { millicores: number, memoryMib: number, accelerators: number }
 
@@ -78,6 +81,7 @@
   /** Ids of workers on which waiting units reserved capacity in this pass. */
   readonly reservedWorkers = new Set<string>()
   private readonly candidates: Candidate[] = []
+  private readonly candidatesById = new Map<string, Candidate>()
   /** Workers whose free capacity is not known, since this leader has not listed their runs yet. They are queried about, not used. */
   private readonly unlisted: WorkerView[] = []
   /** Results of `listEligible`, by service and required label. */
@@ -96,7 +100,9 @@
       if (view.isUnlisted) this.unlisted.push(view)
       if (!view.isSchedulable(now)) continue
       const free = { millicores: view.freeMillicores, memoryMib: view.freeMemoryMib, accelerators: view.freeAccelerators }
-      this.candidates.push({ view, free, releasing: sumReleasing(view), isReserved: previouslyReserved.has(view.id), preemptible: undefined })
+      const candidate = { view, free, releasing: undefined, isReserved: previouslyReserved.has(view.id), preemptible: undefined }
+      this.candidates.push(candidate)
+      this.candidatesById.set(view.id, candidate)
     }
   }
 
@@ -155,11 +161,18 @@
   private filterUsable (unit: SchedulingUnit, candidates: Candidate[]): Candidate[] {
     if (unit.queue.admission === undefined) return candidates
     if (!this.tickets.mayHaveValidTicket(unit.key, this.now)) return []
-    const { granted } = this.tickets.getStageTickets(unit.key)
-    return candidates.filter(({ view }) => {
-      const ticket = granted.get(view.id)
-      return ticket !== undefined && isTicketValid(ticket, this.now)
-    })
+    return this.listGranted(unit, ticket => isTicketValid(ticket, this.now))
+  }
+
+  /** Candidates that the admission service granted to the unit. They are looked up by id, since they are a part of all workers. */
+  private listGranted (unit: SchedulingUnit, isWanted: (ticket: Ticket) => boolean): Candidate[] {
+    const found: Candidate[] = []
+    for (const [id, ticket] of this.tickets.getStageTickets(unit.key).granted) {
+      if (!isWanted(ticket)) continue
+      const candidate = this.candidatesById.get(id)
+      if (candidate !== undefined && isEligible(candidate.view, unit)) found.push(candidate)
+    }
+    return found
   }
 
   private findTicket (unit: SchedulingUnit, candidate: Candidate): string | undefined {
@@ -175,20 +188,26 @@
     const reservedIds = new Set<string>()
     if (this.reservationCount >= RESERVATION_LIMIT) return reservedIds
     this.reservationCount += 1
-    const { granted } = this.tickets.getStageTickets(unit.key)
-    const allowed = unit.queue.admission === undefined ? candidates : candidates.filter(({ view }) => granted.has(view.id))
+    const allowed = unit.queue.admission === undefined ? candidates : this.listGranted(unit, () => true)
     const taskCounts = new Map(unit.placedCounts)
-    for (let count = 0; count < missing; count++) {
-      const mayPreempt = isInTime(unit, this.now)
-      const candidate = this.reserveReleasing(unit, allowed, taskCounts) ?? (mayPreempt ? this.preemptFor(unit, allowed, taskCounts) : undefined)
-      if (candidate === undefined) {
-        if (unit.spec.gang || isLarge(unit)) this.reserveFreest(unit, allowed, missing - count, reservedIds)
-        break
-      }
+    const note = (candidate: Candidate): void => {
       taskCounts.set(candidate.view.id, (taskCounts.get(candidate.view.id) ?? 0) + 1)
       reservedIds.add(candidate.view.id)
       this.reservedWorkers.add(candidate.view.id)
     }
+    let open = missing
+    for (; open > 0; open--) {
+      const candidate = this.reserveReleasing(unit, allowed, taskCounts)
+      if (candidate === undefined) break
+      note(candidate)
+    }
+    if (open > 0 && isInTime(unit, this.now)) {
+      for (const candidate of this.preemptFor(unit, allowed, taskCounts, open)) {
+        note(candidate)
+        open -= 1
+      }
+    }
+    if (open > 0 && (unit.spec.gang || isLarge(unit))) this.reserveFreest(unit, allowed, open, reservedIds)
     return reservedIds
   }
 
@@ -200,10 +219,32 @@
   }
 
   /**
-   * Preempts less urgent runs for one task on the worker where this takes the fewest preemptions. Only runs that lose
-   * no progress are chosen. Undefined when no worker suffices.
+   * Preempts less urgent runs for up to `count` tasks, each on the worker where this takes the fewest. Only runs that lose no
+   * progress are chosen. A gang starts as a whole, so it gets all of its tasks or no preemption: the capacity of a part would be
+   * idle, and would be taken by other work before the rest is free.
    */
-  private preemptFor (unit: SchedulingUnit, allowed: Candidate[], taskCounts: ReadonlyMap<string, number>): Candidate | undefined {
+  private preemptFor (unit: SchedulingUnit, allowed: Candidate[], taskCounts: ReadonlyMap<string, number>, count: number): Candidate[] {
+    const counts = new Map(taskCounts)
+    const planned: PlannedPreemption[] = []
+    while (planned.length < count) {
+      const preemption = this.planPreemption(unit, allowed, counts)
+      if (preemption === undefined) break
+      planned.push(preemption)
+      const { id } = preemption.candidate.view
+      counts.set(id, (counts.get(id) ?? 0) + 1)
+    }
+    if (unit.spec.gang && planned.length < count) {
+      for (const preemption of planned.reverse()) this.undo(preemption)
+      return []
+    }
+    for (const { candidate, victims } of planned) {
+      for (const run of victims) this.preemptions.push({ view: candidate.view, run, unit })
+    }
+    return planned.map(({ candidate }) => candidate)
+  }
+
+  /** Reserves the capacity of one task on the worker with the fewest victims; undefined when no worker suffices. */
+  private planPreemption (unit: SchedulingUnit, allowed: Candidate[], taskCounts: ReadonlyMap<string, number>): PlannedPreemption | undefined {
     let best: { candidate: Candidate, victims: Run[] } | undefined
     for (const candidate of allowed) {
       if (!isBelowLimit(candidate, unit, taskCounts)) continue
@@ -212,13 +253,20 @@
     }
     if (best === undefined) return undefined
     const { candidate, victims } = best
+    const releasing = getReleasing(candidate)
+    const planned = { candidate, victims, free: { ...candidate.free }, releasing: { ...releasing } }
     for (const run of victims) {
-      this.preemptions.push({ view: candidate.view, run, unit })
       this.preemptedRuns.add(run)
-      add(candidate.releasing, run.resources, 1)
+      add(releasing, run.resources, 1)
     }
     reserveTask(candidate, unit)
-    return candidate
+    return planned
+  }
+
+  private undo ({ candidate, victims, free, releasing }: PlannedPreemption): void {
+    for (const run of victims) this.preemptedRuns.delete(run)
+    candidate.free = free
+    candidate.releasing = releasing
   }
 
   /** Runs whose preemption makes one task of the unit fit; undefined when no set of preemptible runs suffices. */
@@ -286,12 +334,14 @@
   return found.sort((one, other) => other.resources.millicores - one.resources.millicores)
 }
 
-/** Capacity that the runs being stopped on a worker will release. */
-function sumReleasing (view: WorkerView): Amounts {
+/** Capacity that the runs being stopped on a worker will release, less what is reserved of it. */
+function getReleasing (candidate: Candidate): Amounts {
+  if (candidate.releasing !== undefined) return candidate.releasing
   const releasing = { millicores: 0, memoryMib: 0, accelerators: 0 }
-  for (const run of view.runs.values()) {
+  for (const run of candidate.view.runs.values()) {
     if (run.status === RunStatus.stopping && !run.fills) add(releasing, run.resources, 1)
   }
+  candidate.releasing = releasing
   return releasing
 }
 
@@ -302,7 +352,9 @@
 }
 
 /** Free capacity, counted as 0 where reservations exceed it, plus releasing capacity. */
-function sumAvailable ({ free, releasing }: Candidate): Amounts {
+function sumAvailable (candidate: Candidate): Amounts {
+  const { free } = candidate
+  const releasing = getReleasing(candidate)
   return {
     millicores: Math.max(0, free.millicores) + releasing.millicores,
     memoryMib: Math.max(0, free.memoryMib) + releasing.memoryMib,
@@ -312,11 +364,12 @@
 
 /** Deducts the demand of one task from the free capacity first, then from the releasing capacity. */
 function reserveTask (candidate: Candidate, { spec }: SchedulingUnit): void {
+  const releasing = getReleasing(candidate)
   for (const dimension of ['millicores', 'memoryMib', 'accelerators'] as const) {
     const wanted = spec.fills && dimension === 'millicores' ? 0 : spec.resources[dimension]
     const fromFree = Math.min(wanted, Math.max(0, candidate.free[dimension]))
     candidate.free[dimension] -= fromFree
-    candidate.releasing[dimension] -= wanted - fromFree
+    releasing[dimension] -= wanted - fromFree
   }
 }
 
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -52,6 +52,10 @@
   private readonly upkeep: Upkeep
   private readonly units = SchedulingUnitIndex.create()
   private readonly tickets = AdmissionTickets.create()
+  /** Ids of the recurring jobs in the replicated state. */
+  private readonly recurringJobs = new Set<string>()
+  /** Ids of the closed jobs in the replicated state, in the order in which they closed. */
+  private readonly closedJobs = new Set<string>()
   /** Ids of jobs that changed in this step. */
   private readonly changedJobs = new Set<string>()
   /** Ids of workers on which units reserved capacity in the last pass. */
@@ -82,7 +86,14 @@
     this.units.clear()
     this.tickets.clear()
     this.changedJobs.clear()
-    for (const job of state.jobs.values()) this.changedJobs.add(job.id)
+    this.recurringJobs.clear()
+    this.closedJobs.clear()
+    for (const job of state.jobs.values()) {
+      this.changedJobs.add(job.id)
+      if (job.spec.recurrence !== undefined) this.recurringJobs.add(job.id)
+    }
+    const closed = [...state.jobs.values()].filter(job => !isLiveJob(job))
+    for (const { id } of closed.sort((one, other) => one.closedAt - other.closedAt)) this.closedJobs.add(id)
     this.isPassDue = true
     this.hasOrderBacklog = false
     this.isWatchDue = true
@@ -126,7 +137,17 @@
   override observe (decision: Decision): void {
     switch (decision.kind) {
       case 'jobAccepted':
+        if (decision.spec.recurrence !== undefined) this.recurringJobs.add(decision.id)
+        this.changedJobs.add(decision.id)
+        return
       case 'jobClosed':
+        this.closedJobs.add(decision.id)
+        this.changedJobs.add(decision.id)
+        return
+      case 'jobForgotten':
+        this.recurringJobs.delete(decision.id)
+        this.closedJobs.delete(decision.id)
+        return
       case 'occurrenceOpened': this.changedJobs.add(decision.id); return
       case 'runPlaced':
       case 'runEnded':
@@ -249,9 +270,10 @@
 
   /** Opens the next occurrence of each recurring job once it is due. */
   private openDueOccurrences (step: Step): void {
-    for (const job of step.state.jobs.values()) {
-      const { recurrence } = job.spec
-      if (recurrence === undefined || !isLiveJob(job)) continue
+    for (const id of this.recurringJobs) {
+      const job = step.state.jobs.get(id)
+      const recurrence = job?.spec.recurrence
+      if (job === undefined || recurrence === undefined || !isLiveJob(job)) continue
       const next = job.occurrences.size
       if (next < recurrence.count && occurrenceDueAt(job, next) <= step.now) {
         step.decide({ kind: 'occurrenceOpened', id: job.id, occurrence: next })
@@ -260,9 +282,10 @@
   }
 
   private forgetClosedJobs (step: Step): void {
-    for (const job of step.state.jobs.values()) {
-      if (isLiveJob(job) || step.now - job.closedAt < CLOSED_JOB_RETENTION_MS) continue
-      step.decide({ kind: 'jobForgotten', id: job.id })
+    for (const id of this.closedJobs) {
+      const job = step.state.jobs.get(id)
+      if (job !== undefined && step.now - job.closedAt < CLOSED_JOB_RETENTION_MS) return
+      step.decide({ kind: 'jobForgotten', id })
     }
   }
 }
