Preempt only for work that has no time left to wait

Cause: a unit preempted as soon as it could not be placed, although bulk tasks of 2 s release as much capacity within a second or two. Each preemption costs a stop, a second start, up to 250 ms to restore the checkpoint, and the capacity while it is held: about 7 core-seconds for a task of 11 cores. Late units never preempted, ranked behind bulk work with a nearer objective, and so waited until their result had no value. And a run that missed its objective could be stopped for other work again and again, whatever was left of its value.

Change: a unit preempts once 2 s or less are left until it must start, or shortly before its result has no value any more; a late unit returns to its rank then; a late run is stopped only if its result still has a value afterwards (or has none without a stop).

--- a/packages/scheduler/src/core/jobs/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement-pass.ts
@@ -13,7 +13,7 @@
  */
 
 import type { Resources } from '../../types/resources.js'
-import { isInTime } from './unit-order.js'
+import { isPreemptionDue } from './unit-order.js'
 import { isTicketValid, QUERY_WORKER_LIMIT, type AdmissionTickets, type Ticket } from './admission-tickets.js'
 import type { SchedulingUnit } from './scheduling-units.js'
 import { isServing, RunStatus, type Run, type WorkerView } from './worker-view.js'
@@ -180,9 +180,9 @@
   }
 
   /**
-   * Reserves capacity for tasks that could not be placed: first capacity that is free or being released, then, while the
-   * unit can still meet its objective, capacity from preempted runs, then, for gangs and large tasks, the workers with
-   * the most free processor capacity. Returns the ids of the workers.
+   * Reserves capacity for tasks that could not be placed: first capacity that is free or being released, then, once the unit
+   * has no time left to wait for more, capacity from preempted runs, then, for gangs and large tasks, the workers with the
+   * most free processor capacity. Returns the ids of the workers.
    */
   private reserve (unit: SchedulingUnit, candidates: Candidate[], missing: number): Set<string> {
     const reservedIds = new Set<string>()
@@ -201,7 +201,7 @@
       if (candidate === undefined) break
       note(candidate)
     }
-    if (open > 0 && isInTime(unit, this.now)) {
+    if (open > 0 && isPreemptionDue(unit, this.now)) {
       for (const candidate of this.preemptFor(unit, allowed, taskCounts, open)) {
         note(candidate)
         open -= 1
@@ -373,14 +373,18 @@
   }
 }
 
-/** True when the job of a run still meets its objective after a preemption, or misses it in any case. */
+/**
+ * True when the job of a run still meets its objective after a preemption. If it misses it in any case, the result must still
+ * have a value after a preemption, or none without one.
+ */
 function canAffordPreemption (run: Run, now: number): boolean {
-  const leftMs = run.objectiveAt - now
   const neededMs = run.estimateMs * (100 - run.percent) / 100
+  const endsBefore = run.objectiveAt - now >= neededMs ? run.objectiveAt : run.worthlessAt
+  const leftMs = endsBefore - now
   return leftMs < neededMs || leftMs > PREEMPTION_SLACK_FACTOR * run.estimateMs + PREEMPTION_WAIT_MS
 }
 
-/** Time that must remain until the objective for a preemption, as a multiple of the estimated run time of the task. */
+/** Time that must remain for a preemption until the objective, or until the result has no value, as a multiple of the estimated run time of the task. */
 const PREEMPTION_SLACK_FACTOR = 2
 
 /** Allowance for the time that a preempted task waits for placement; added to the slack. */
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -107,8 +107,8 @@
     const task = formatTaskRef(ref)
     const priority = findQueue(step.state.cell, job.queue)?.priority ?? 0
     const checkpoint = findStageTask(step.state, ref)?.checkpoint ?? ''
-    const { objectiveAt, payload } = unit
-    view.add({ ...createRun(ref, task, run, stage, priority, step.now), checkpoint, objectiveAt, isResumed: checkpoint !== '' })
+    const { objectiveAt, worthlessAt, payload } = unit
+    view.add({ ...createRun(ref, task, run, stage, priority, step.now), checkpoint, objectiveAt, worthlessAt, isResumed: checkpoint !== '' })
     step.effects.push({ kind: 'startRun', worker: view.worker, task, run, payload, checkpoint, ticket })
   }
 
--- a/packages/scheduler/src/core/jobs/unit-order.ts
+++ b/packages/scheduler/src/core/jobs/unit-order.ts
@@ -5,8 +5,10 @@
  * urgent work on a full pool and for backlogs that contain late work. A unit that
  * can no longer meet its objective is moved back by one rank: it then does not
  * delay work of the same queue that is on time, and does not wait behind a backlog
- * of much less urgent work either. Units whose result has no value any more come
- * last. Units of long-running stages are never moved back.
+ * of much less urgent work either. Shortly before its result loses all value it
+ * returns to its rank, since work of other ranks would keep it waiting for as long
+ * as the backlog lasts. Units whose result has no value any more come last. Units
+ * of long-running stages are never moved back.
  */
 
 import type { SchedulingUnit } from './scheduling-units.js'
@@ -14,6 +16,9 @@
 /** Added to the rank of a unit that misses its objective; 1 equals one step of queue priority. */
 const LATE_RANK_PENALTY = 1
 
+/** Time left until the latest start of a unit from which it may preempt, in milliseconds; covers several stops and commits. */
+const PREEMPTION_SLACK_MS = 2_000
+
 /** Rank of units whose result has no value any more; greater than the priority of any queue. */
 const WORTHLESS_RANK = Number.MAX_SAFE_INTEGER
 
@@ -37,6 +42,7 @@
 function rankUnit (unit: SchedulingUnit, now: number): Ranked {
   const { spec, queue, objectiveAt, worthlessAt, remainingMs } = unit
   if (spec.longRunning || isInTime(unit, now)) return { unit, rank: queue.priority, latestStartAt: objectiveAt - remainingMs }
+  if (isLastChance(unit, now)) return { unit, rank: queue.priority, latestStartAt: worthlessAt - remainingMs }
   const hasValue = now + remainingMs <= worthlessAt
   return { unit, rank: hasValue ? queue.priority + LATE_RANK_PENALTY : WORTHLESS_RANK, latestStartAt: worthlessAt - remainingMs }
 }
@@ -45,3 +51,22 @@
 export function isInTime ({ remainingMs, objectiveAt }: SchedulingUnit, now: number): boolean {
   return now + remainingMs <= objectiveAt
 }
+
+/**
+ * True for a late unit that must start soon, or its result will have no value. Declared run times are often too short, so
+ * this begins one more run time before the last moment.
+ */
+export function isLastChance ({ remainingMs, worthlessAt }: SchedulingUnit, now: number): boolean {
+  const leftMs = worthlessAt - now
+  return leftMs >= remainingMs && leftMs < 2 * remainingMs
+}
+
+/**
+ * True when a unit may stop less urgent runs: it must start soon, to meet its objective or for its result to have any value.
+ * A unit with more time left waits for capacity that is released anyway, since each preemption costs a stop, a second start
+ * and the restoration of a checkpoint.
+ */
+export function isPreemptionDue (unit: SchedulingUnit, now: number): boolean {
+  const slackMs = unit.objectiveAt - unit.remainingMs - now
+  return (slackMs >= 0 && slackMs <= PREEMPTION_SLACK_MS) || isLastChance(unit, now)
+}
--- a/packages/scheduler/src/core/jobs/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/worker-view.ts
@@ -36,6 +36,8 @@
   isPreemptible: boolean
   /** Cluster time at which its job misses its objective; Infinity when not known. */
   objectiveAt: number
+  /** Cluster time after which the result of its job has no value; Infinity when not known. */
+  worthlessAt: number
   /** Declared run time in milliseconds; 0 when not known. */
   estimateMs: number
   /** Cluster time of the placement; for an inherited run, the time at which this leader took over. */
@@ -160,6 +162,7 @@
     image,
     isPreemptible,
     objectiveAt: Infinity,
+    worthlessAt: Infinity,
     estimateMs: stage.estimateMs,
     placedAt: now,
     resendWaitStartsAt: now,
@@ -191,6 +194,7 @@
     image: '',
     isPreemptible: false,
     objectiveAt: Infinity,
+    worthlessAt: Infinity,
     estimateMs: 0,
     placedAt: now,
     resendWaitStartsAt: 0,
