Leave a fifth of the entries to queries for urgent work

Cause: an entry sends one query at a time, and a query for a gang takes 0.5 to 1.2 s. Gangs that wait renew their tickets every few seconds as long as there are idle entries.

Change: less urgent queries leave a fifth of the entries idle (3 at least).

--- a/packages/scheduler/__tests__/staged-jobs.test.ts
+++ b/packages/scheduler/__tests__/staged-jobs.test.ts
@@ -252,6 +252,17 @@
       assert.deepEqual([...new Set(placements.map(({ view }) => view.id))], ['listed'])
     })
 
+    it('can always be queried for urgent work, however many less urgent units wait', () => {
+      const tickets = AdmissionTickets.create()
+      tickets.setEntries(Array.from({ length: 50 }, (_, index) => `entry-${index}`))
+      const waiting = Array.from({ length: 100 }, (_, index) => createUnit({ key: `job-${index}/0/0`, queue }))
+      assert.equal(place([createView('one')], waiting, tickets).queries.length, 40)
+      const urgent = Array.from({ length: 10 }, (_, index) => createUnit({ key: `urgent-${index}/0/0`, queue: { ...queue, priority: 0 } }))
+      const pass = PlacementPass.create([createView('one')], tickets, 1_000)
+      for (const unit of urgent) pass.place(unit)
+      assert.equal(pass.queries.length, 10)
+    })
+
     it('has its answers forgotten with the job, also one that arrives afterwards', () => {
       const tickets = AdmissionTickets.create()
       tickets.setEntries(['entry'])
--- a/packages/scheduler/src/core/jobs/admission-tickets.ts
+++ b/packages/scheduler/src/core/jobs/admission-tickets.ts
@@ -103,6 +103,11 @@
     return idle
   }
 
+  /** Number of entries through which queries can be sent. */
+  get entryCount (): number {
+    return this.entries.size
+  }
+
   /** The entry that `acquireEntry` would take; undefined when there is none. */
   findIdleEntry (reservedCount: number): string | undefined {
     let idle: string | undefined
--- a/packages/scheduler/src/core/jobs/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement-pass.ts
@@ -27,9 +27,15 @@
  */
 const LARGE_SHARE = 0.2
 
-/** Number of idle entries that queries for queues below the highest priority leave for queues of the highest priority. */
+/** Least number of idle entries that queries for queues below the highest priority leave for queues of the highest priority. */
 const URGENT_ENTRY_RESERVE = 3
 
+/**
+ * Share of all entries that they leave idle, if that is more. Under a backlog, units that wait renew their tickets as often
+ * as there are entries for it.
+ */
+const URGENT_ENTRY_SHARE = 0.2
+
 /** A decision to start one task of a unit on a worker. */
 export interface RunPlacement {
   unit: SchedulingUnit
@@ -304,7 +310,7 @@
    */
   private queryAdmission (unit: SchedulingUnit, candidates: Candidate[], reservedIds: ReadonlySet<string>): void {
     const { tickets } = this
-    const reservedEntries = unit.queue.priority === 0 ? 0 : URGENT_ENTRY_RESERVE
+    const reservedEntries = unit.queue.priority === 0 ? 0 : Math.max(URGENT_ENTRY_RESERVE, Math.ceil(URGENT_ENTRY_SHARE * tickets.entryCount))
     if (!tickets.isQueryAllowed(unit.key, this.now) || tickets.findIdleEntry(reservedEntries) === undefined) return
     const { granted, refused } = tickets.getStageTickets(unit.key)
     const wanted = candidates.filter(candidate => {
