Shorten the time without a leader after a loss of power

Controllers dialled each other only with their first message, so the first pre-vote at about 4.6 s found no open link and was dropped; links opened at 4.62 to 4.75 s and the second pre-vote succeeded. Entries found the leader between 5.2 and 6.5 s: an attempt to connect to a VM without power loses its first packet, which TCP repeats after a second and more; the time limit for the hello, 1 s, was the only other bound.

Change: a controller dials the other members when it starts. An attempt to connect is given up after 300 ms and repeated.

Tests: the first message after the start arrives; a peer whose queue of connections is full is dialled again (closed with "the peer sent no hello within the time limit" before). Both fail on the code before.

--- a/packages/controllers/src/core/link-endpoints.ts
+++ b/packages/controllers/src/core/link-endpoints.ts
@@ -15,6 +15,12 @@
 /** Longest delay before a redial, in milliseconds. */
 const REDIAL_DELAY_LIMIT_MS = 250
 
+/**
+ * Time after which an attempt to connect is given up and repeated, in milliseconds. The first packet to a VM without power
+ * is lost, and TCP repeats it only after a second or more; the VM may be back long before.
+ */
+const CONNECT_TIMEOUT_MS = 300
+
 /** Time limit of a TLS handshake, in milliseconds. */
 const HANDSHAKE_TIMEOUT_MS = 3_000
 
@@ -118,6 +124,9 @@
     const keys = this.readKeys()
     const address = parseAddress(this.address)
     const socket = keys === undefined ? connect(address) : connectTls({ ...address, ...toTlsOptions(keys) })
+    const connectTimer = setTimeout(() => { socket.destroy(new Error(`not connected within ${CONNECT_TIMEOUT_MS} ms`)) }, CONNECT_TIMEOUT_MS)
+    socket.once('connect', () => { clearTimeout(connectTimer) })
+    socket.once('close', () => { clearTimeout(connectTimer) })
     this.link = Link.create(socket, this.hello, {
       ...this.handlers,
       opened: link => {
--- a/packages/runtime/__tests__/links.test.ts
+++ b/packages/runtime/__tests__/links.test.ts
@@ -4,7 +4,9 @@
  */
 
 import assert from 'node:assert/strict'
-import { createServer, type Server, type Socket } from 'node:net'
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { connect, createServer, type Server, type Socket } from 'node:net'
 import { describe, it } from 'node:test'
 import { LinkDialler, LinkServer, type HelloFrame } from '@flamingorouter/controllers'
 import { ControllerLinks } from '../src/index.js'
@@ -13,6 +15,10 @@
   return { kind: 'hello', group: 'group', process, role: 'controller', availabilityZone: 'zone' }
 }
 
+function pause (ms: number): Promise<void> {
+  return new Promise(resolve => { setTimeout(resolve, ms) })
+}
+
 describe('links between controllers', () => {
   describe('a learner without a membership', () => {
     it('answers over the link that the leader dialled', async () => {
@@ -37,6 +43,62 @@
     })
   })
 
+  describe('the other members', () => {
+    it('are dialled at the start, so that the first messages of an election are not dropped', async () => {
+      const opened: string[] = []
+      const received: unknown[] = []
+      const server = LinkServer.create(createHello('other'), {
+        opened: link => { opened.push(link.peer?.process ?? '') },
+        called: async () => undefined,
+        replication: (_link, message) => { received.push(message) },
+        notice: () => {},
+        closed: () => {}
+      })
+      const port = await server.listen({ host: '127.0.0.1', port: 0 })
+      const members = ['self', 'other'].map(id => ({ id, address: `127.0.0.1:${port}`, availabilityZone: 'zone', role: 'voter' as const }))
+      const links = ControllerLinks.create(createHello('self'), () => members)
+      links.dialMembers()
+      for (let waitedMs = 0; opened.length === 0 && waitedMs < 2_000; waitedMs += 10) await pause(10)
+      await pause(20)
+      links.send('other', 'vote')
+      for (let waitedMs = 0; received.length === 0 && waitedMs < 2_000; waitedMs += 10) await pause(10)
+      assert.deepEqual(received, ['vote'])
+      assert.deepEqual(opened, ['self'])
+      links.close()
+      server.close()
+    })
+  })
+
+  describe('a peer that does not answer an attempt to connect', () => {
+    it('is dialled again long before TCP repeats the attempt', async () => {
+      // A process that listens and never accepts: once its queue is full, the kernel drops attempts to connect.
+      const script = `require('net').createServer().listen(0, '127.0.0.1', 1, function () {
+        require('fs').writeSync(1, String(this.address().port))
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 20000)
+      })`
+      const child = spawn(process.execPath, ['-e', script], { stdio: ['ignore', 'pipe', 'ignore'] })
+      const [text] = await once(child.stdout, 'data') as [Buffer]
+      const port = Number(text.toString())
+      const fillers = Array.from({ length: 8 }, () => connect(port, '127.0.0.1').on('error', () => {}))
+      await pause(100)
+      const reason = await new Promise<string>(resolve => {
+        const dialler = LinkDialler.create(`127.0.0.1:${port}`, createHello('entry'), {
+          opened: () => {},
+          called: async () => undefined,
+          replication: () => {},
+          notice: () => {},
+          closed: (_link, cause) => {
+            dialler.close()
+            resolve(cause)
+          }
+        })
+      })
+      for (const filler of fillers) filler.destroy()
+      child.kill('SIGKILL')
+      assert.equal(reason, 'not connected within 300 ms')
+    })
+  })
+
   describe('a peer that goes silent without a reset', () => {
     it('has its link closed, so that another one can be opened', async () => {
       // Echoes the hello and keeps reading, but sends no further bytes.
--- a/packages/runtime/src/core/controller-links.ts
+++ b/packages/runtime/src/core/controller-links.ts
@@ -46,6 +46,13 @@
     return new ControllerLinks(hello, members, keys, traffic, log)
   }
 
+  /** Dials the other members, so that the first messages of an election find open links. */
+  dialMembers (): void {
+    for (const { id } of this.members()) {
+      if (id !== this.hello.process) this.dial(id)
+    }
+  }
+
   /** Sends a message to a controller; the message is dropped when no link to it is open. */
   override send (to: string, message: unknown): void {
     const link = this.dial(to)?.link
--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -117,6 +117,7 @@
     const server = LinkServer.create(hello, { ...createHandlers(controller, replica, links, context.log), traffic: context.traffic }, context.peerKeys?.())
     server.handleError = error => { context.log.error('server_failed', { error: error.message }) }
     await server.listen(parseAddress(settings.listen))
+    links.dialMembers()
     const node = new ControllerNode(controller, replica, links, server, loopMonitor)
     node.timer = setInterval(() => { node.tick() }, TICK_INTERVAL_MS)
     return node
