--- a/packages/runtime/src/core/worker-sessions.ts
+++ b/packages/runtime/src/core/worker-sessions.ts
@@ -19,7 +19,7 @@
  * Time for which sessions are established in one turn, in milliseconds. A new leader establishes all of them before leases
  * lapse; between two slices, workers that have answered get work, and calls are accepted.
  */
-const SESSION_SLICE_MS = 20
+const SESSION_SLICE_MS = 30
 
 /** Number of orders that wait to be sent from which no more work is placed; sending them takes about one slice. */
 const BACKLOG_LIMIT = 100
