--- a/packages/scheduler/src/core/jobs/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement-pass.ts
@@ -25,7 +25,7 @@
  * Workers for each such unit in a large cell. With fewer reservations small tasks of less urgent queues fill what is released
  * before a gang that waits has all of its capacity; with more, capacity is idle.
  */
-const WORKERS_PER_RESERVATION = 12
+const WORKERS_PER_RESERVATION = 20
 
 /**
  * Share of the processor capacity of the reference worker above which a task is large. For a large task, capacity is
