Wait for the link in the test of links that are dialled at the start

The test gave the hello of the other side 20 ms to arrive, which a busy machine may exceed. It waits for controller_reached now; no time limit is left in it.

--- a/packages/runtime/__tests__/links.test.ts
+++ b/packages/runtime/__tests__/links.test.ts
@@ -9,7 +9,7 @@
 import { connect, createServer, type Server, type Socket } from 'node:net'
 import { describe, it } from 'node:test'
 import { LinkDialler, LinkServer, type HelloFrame } from '@flamingorouter/controllers'
-import { ControllerLinks } from '../src/index.js'
+import { ControllerLinks, RuntimeLog } from '../src/index.js'
 
 function createHello (process: string): HelloFrame {
   return { kind: 'hello', group: 'group', process, role: 'controller', availabilityZone: 'zone' }
@@ -19,6 +19,28 @@
   return new Promise(resolve => { setTimeout(resolve, ms) })
 }
 
+/** Tells when another controller is reached. */
+class ReachedLog extends RuntimeLog {
+  readonly reached: Promise<void>
+  private resolve: () => void = () => {}
+
+  private constructor () {
+    super()
+    this.reached = new Promise(resolve => { this.resolve = resolve })
+  }
+
+  static create (): ReachedLog {
+    return new ReachedLog()
+  }
+
+  override info (event: string): void {
+    if (event === 'controller_reached') this.resolve()
+  }
+
+  override warn (): void {}
+  override error (): void {}
+}
+
 describe('links between controllers', () => {
   describe('a learner without a membership', () => {
     it('answers over the link that the leader dialled', async () => {
@@ -46,23 +68,23 @@
   describe('the other members', () => {
     it('are dialled at the start, so that the first messages of an election are not dropped', async () => {
       const opened: string[] = []
-      const received: unknown[] = []
+      let receive: (message: unknown) => void = () => {}
+      const received = new Promise(resolve => { receive = resolve })
       const server = LinkServer.create(createHello('other'), {
         opened: link => { opened.push(link.peer?.process ?? '') },
         called: async () => undefined,
-        replication: (_link, message) => { received.push(message) },
+        replication: (_link, message) => { receive(message) },
         notice: () => {},
         closed: () => {}
       })
       const port = await server.listen({ host: '127.0.0.1', port: 0 })
       const members = ['self', 'other'].map(id => ({ id, address: `127.0.0.1:${port}`, availabilityZone: 'zone', role: 'voter' as const }))
-      const links = ControllerLinks.create(createHello('self'), () => members)
+      const log = ReachedLog.create()
+      const links = ControllerLinks.create(createHello('self'), () => members, undefined, undefined, log)
       links.dialMembers()
-      for (let waitedMs = 0; opened.length === 0 && waitedMs < 2_000; waitedMs += 10) await pause(10)
-      await pause(20)
+      await log.reached
       links.send('other', 'vote')
-      for (let waitedMs = 0; received.length === 0 && waitedMs < 2_000; waitedMs += 10) await pause(10)
-      assert.deepEqual(received, ['vote'])
+      assert.equal(await received, 'vote')
       assert.deepEqual(opened, ['self'])
       links.close()
       server.close()
