--- a/packages/scheduler/__tests__/staged-jobs.test.ts
+++ b/packages/scheduler/__tests__/staged-jobs.test.ts
@@ -114,7 +114,7 @@
     })
 
     it('returns late work to its rank shortly before its result has no value', () => {
-      const bulk = createUnit({ key: 'bulk', objectiveAt: 3_000, queue: createQueue({ priority: 2 }) })
+      const bulk = createUnit({ key: 'bulk', objectiveAt: 6_000, queue: createQueue({ priority: 2 }) })
       const late = createUnit({ key: 'late', objectiveAt: 900, remainingMs: 2_000, worthlessAt: 8_000 })
       assert.deepEqual(sortUnits([late, bulk], 1_000).map(({ key }) => key), ['bulk', 'late'])
       assert.deepEqual(sortUnits([late, bulk], 4_500).map(({ key }) => key), ['late', 'bulk'])
