--- a/packages/cli/src/metrics/metrics.ts
+++ b/packages/cli/src/metrics/metrics.ts
@@ -44,6 +44,7 @@
   private readonly registry = new Registry()
   private readonly calls = this.createCounter('calls_total', 'Calls answered over HTTP.', ['method', 'kind'])
   private readonly decisions = this.createCounter('decisions_total', 'Decisions by kind.', ['kind'])
+  private readonly workersLost = this.createCounter('workers_lost_total', 'Called workers whose runs were lost, by how that is known.', ['loss'])
   private readonly runAnomalies = this.createCounter('run_anomalies_total', 'Runs on called workers that contradict the state of the leader.', ['anomaly'])
   private readonly outcomes = this.createCounter('request_outcomes_total', 'Requests by outcome and urgency.', ['outcome', 'urgency'])
   private readonly callSeconds: Summary<'method'>
@@ -111,6 +112,7 @@
 
   override recordEffects (effects: readonly Effect[]): void {
     for (const effect of effects) {
+      if (effect.kind === 'noteWorkerLost') this.workersLost.inc({ loss: effect.loss })
       if (effect.kind === 'noteRunAnomaly') this.runAnomalies.inc({ anomaly: effect.anomaly })
     }
   }
--- a/packages/runtime/src/core/decision-log.ts
+++ b/packages/runtime/src/core/decision-log.ts
@@ -15,14 +15,14 @@
 /**
  * Logs what no decision records: silent, restarted and lapsed workers, upkeep orders and their
  * outcomes, orders on runs that were not carried out at the first attempt, runs that
- * contradict the state, answers of the external
+ * contradict the state, the runs lost with a worker, answers of the external
  * admission service, orders to stop runs, and refused calls on jobs.
  */
 export function logTransientEvents (log: RuntimeLog, event: Event, effects: readonly Effect[]): void {
   switch (event.kind) {
     case 'workerSilent': log.warn('worker_silent', { worker: event.id, incarnation: event.incarnation }); break
     case 'workerRestarted': log.warn('worker_restarted', { worker: event.id, incarnation: event.incarnation }); break
-    case 'workerLapsed': log.warn('worker_lapsed', { worker: event.id, incarnation: event.incarnation, reason: event.reason }); break
+    case 'workerLapsed': log.warn('worker_lapsed', { worker: event.id, incarnation: event.incarnation, loss: event.loss, reason: event.reason }); break
     case 'admissionAnswered': {
       const { stage, entry, workers, tickets, askedAt, isAnswered } = event
       log.info('admission_answered', { job: stage.slice(0, stage.indexOf('/')), stage, entry, asked: workers.length, granted: tickets.length, askedAt, isAnswered })
@@ -45,6 +45,9 @@
   } else if (effect.kind === 'noteRunAnomaly') {
     const { anomaly, worker, incarnation, task, run, detail } = effect
     log.warn('run_anomaly', { job: task.slice(0, task.indexOf('/')), anomaly, worker, incarnation, task, run, detail })
+  } else if (effect.kind === 'noteWorkerLost') {
+    const { worker: { id, incarnation, address, isDraining }, loss, runCount, runs } = effect
+    log.warn('worker_lost', { worker: id, incarnation, address, isDraining, loss, runCount, runs })
   } else if (effect.kind === 'refuse' && 'path' in event) {
     log.info('call_refused', { call: event.kind, path: event.path, error: effect.error, message: effect.message, retryAfterMs: effect.retryAfterMs })
   }
@@ -77,8 +80,8 @@
       return log.info('run_released', { job: ref.job, task: formatTaskRef(ref), run, reason, hasCheckpoint: checkpoint !== '', change })
     }
     case 'calledWorkerKnown': {
-      const { id, incarnation, address, service, isDraining, hasLeft } = decision.worker
-      return log.info('worker_known', { worker: id, incarnation, address, service, isDraining, hasLeft, change })
+      const { id, incarnation, address, service, isDraining, hasLeft, capacity } = decision.worker
+      return log.info('worker_known', { worker: id, incarnation, address, service, isDraining, hasLeft, ...capacity, change })
     }
     case 'calledWorkerForgotten': return log.info('worker_forgotten', { worker: decision.id, incarnation: decision.incarnation, change })
     case 'cellConfigured': return log.info('cell_configured', { version: decision.cell.version, queues: decision.cell.queues.length, change })
--- a/packages/runtime/src/core/metrics-registry.ts
+++ b/packages/runtime/src/core/metrics-registry.ts
@@ -70,6 +70,7 @@
   override recordEffects (effects: readonly Effect[]): void {
     for (const effect of effects) {
       if (effect.kind === 'noteRunAnomaly') this.incrementCounter('run_anomalies_total', `anomaly="${effect.anomaly}"`)
+      if (effect.kind === 'noteWorkerLost') this.incrementCounter('workers_lost_total', `loss="${effect.loss}"`)
     }
   }
 
--- a/packages/runtime/src/core/worker-session.ts
+++ b/packages/runtime/src/core/worker-session.ts
@@ -5,7 +5,7 @@
  * slow, so it is never compared with the clock of this process directly.
  */
 
-import { OrderOutcome, type CalledWorker, type EndedRun, type Event, type ReportedRun } from '@flamingorouter/scheduler'
+import { OrderOutcome, WorkerLoss, type CalledWorker, type EndedRun, type Event, type ReportedRun } from '@flamingorouter/scheduler'
 
 /** Limits on the leases and the answers of called workers. */
 export interface LeaseLimits {
@@ -205,7 +205,7 @@
     }
     if (answer.outcome === OrderOutcome.replaced) {
       this.stop()
-      return this.owner.feed({ kind: 'workerLapsed', id, incarnation, reason: 'another worker answers at its address' })
+      return this.owner.feed({ kind: 'workerLapsed', id, incarnation, loss: WorkerLoss.replaced, reason: 'another worker answers at its address' })
     }
     if (answer.outcome !== OrderOutcome.done) return await this.handleFailedRequest(answer)
     this.consecutiveFailures = 0
@@ -218,22 +218,22 @@
     const { id, incarnation } = this.worker
     this.consecutiveFailures += 1
     if (this.consecutiveFailures === SILENT_AFTER_FAILURES) this.owner.feed({ kind: 'workerSilent', id, incarnation })
-    const reason = this.findLapseReason(answer)
-    if (reason !== '') {
+    const lapse = this.findLapse(answer)
+    if (lapse !== undefined) {
       this.stop()
-      return this.owner.feed({ kind: 'workerLapsed', id, incarnation, reason })
+      return this.owner.feed({ kind: 'workerLapsed', id, incarnation, ...lapse })
     }
     await this.owner.pause(Math.min(BACKOFF_MAX_MS, BACKOFF_BASE_MS * 2 ** (this.consecutiveFailures - 1)))
   }
 
-  /** The reason why no run of the worker can still be active; empty while one may be. */
-  private findLapseReason (answer: ListAnswer): string {
-    if (this.worker.hasLeft && answer.isRefused === true) return 'it left, and nothing listens at its address'
-    if (this.clockReading === undefined) return ''
+  /** Why no run of the worker can still be active; undefined while one may be. */
+  private findLapse (answer: ListAnswer): { loss: WorkerLoss, reason: string } | undefined {
+    if (this.worker.hasLeft && answer.isRefused === true) return { loss: WorkerLoss.left, reason: 'it left, and nothing listens at its address' }
+    if (this.clockReading === undefined) return undefined
     const elapsedMs = (this.owner.monotonicNow() - this.clockReading.atMs) * (1 - this.limits.clockDrift)
     const workerNow = Math.floor(this.clockReading.workerMs + elapsedMs)
-    if (workerNow <= this.leaseUntilMs + LEASE_MARGIN_MS) return ''
-    return `its lease until ${this.leaseUntilMs} lapsed on its own clock, which shows ${workerNow} or more`
+    if (workerNow <= this.leaseUntilMs + LEASE_MARGIN_MS) return undefined
+    return { loss: WorkerLoss.leaseExpired, reason: `its lease until ${this.leaseUntilMs} lapsed on its own clock, which shows ${workerNow} or more` }
   }
 
   /**
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -6,7 +6,7 @@
  */
 
 import type { EndedRun, EventOf, ReportedRun } from '../../types/events.js'
-import { OrderOutcome, RunAnomaly, RunEndCause } from '../../types/events.js'
+import { OrderOutcome, RunAnomaly, RunEndCause, WorkerLoss } from '../../types/events.js'
 import {
   formatTaskRef, isLiveJob, parseTaskRef, StageTaskPhase, type CalledWorker, type StagedJob, type StageTask, type TaskRef
 } from '../../types/jobs.js'
@@ -220,7 +220,7 @@
       this.isFencedOff = true
       return
     }
-    if (event.outcome === OrderOutcome.replaced) return this.handleLapse(step, event.id, event.incarnation, 'another worker answers at its address')
+    if (event.outcome === OrderOutcome.replaced) return this.handleLapse(step, event.id, event.incarnation, WorkerLoss.replaced, 'another worker answers at its address')
     if (event.outcome === OrderOutcome.restarted) return this.handleRestart(step, event.id, event.incarnation)
     if (event.order === 'stop') return this.handleStopAnswer(step, run, event.outcome)
     if (run.status === RunStatus.starting) this.handleStartAnswer(step, view, run, event)
@@ -261,19 +261,19 @@
   }
 
   /** Records that no run of an incarnation of a worker exists any more; the worker counts as silent until it lists its runs again. */
-  handleLapse (step: Step, id: string, incarnation: number, reason: string): void {
+  handleLapse (step: Step, id: string, incarnation: number, loss: WorkerLoss, reason: string): void {
     const view = this.findView(id, incarnation)
     if (view === undefined) return
-    this.removeAllRuns(step, view, reason)
+    this.loseRuns(step, view, loss, reason)
     view.hasAcceptedToken = false
     view.isSilent = true
   }
 
   /** Removes a worker and all of its runs, and stops watching it. */
-  forgetWorker (step: Step, id: string, incarnation: number, reason: string): void {
+  forgetWorker (step: Step, id: string, incarnation: number, loss: WorkerLoss, reason: string): void {
     const view = this.findView(id, incarnation)
     if (view !== undefined) {
-      this.removeAllRuns(step, view, reason)
+      this.loseRuns(step, view, loss, reason)
       this.views.delete(id)
     }
     if (step.state.calledWorkers.get(id)?.incarnation === incarnation) {
@@ -289,14 +289,14 @@
   tick (step: Step): void {
     for (const view of this.views.values()) {
       if (view.restartedAt > 0) {
-        if (step.now - view.restartedAt > this.unreachedLeaseMs) this.forgetWorker(step, view.id, view.worker.incarnation, 'it started again and did not report itself')
+        if (step.now - view.restartedAt > this.unreachedLeaseMs) this.forgetWorker(step, view.id, view.worker.incarnation, WorkerLoss.restarted, 'it started again and did not report itself')
         continue
       }
       for (const run of [...view.runs.values()]) this.resendOrder(step, view, run)
       const isUnreached = !view.hasAcceptedToken && view.runs.size > 0
       const unreachedSince = Math.max(this.leaderSince, view.knownSince, this.lastPlacementAt(view))
       if (isUnreached && step.now - unreachedSince > this.unreachedLeaseMs) {
-        this.removeAllRuns(step, view, 'it was never reached by this leader, and its lease is over')
+        this.loseRuns(step, view, WorkerLoss.leaseExpired, 'it was never reached by this leader, and its lease is over')
       }
     }
   }
@@ -558,7 +558,9 @@
     if (stage?.gang === true) this.stopGang(step, run)
   }
 
-  private removeAllRuns (step: Step, view: WorkerView, reason: string): void {
+  /** Removes all runs of a worker, which cannot exist any more. */
+  private loseRuns (step: Step, view: WorkerView, loss: WorkerLoss, reason: string): void {
+    if (view.runs.size > 0) step.effects.push({ kind: 'noteWorkerLost', worker: view.worker, loss, runCount: view.runs.size, runs: describeYoungestRuns(view, step.now) })
     for (const run of [...view.runs.values()]) this.removeRun(step, view, run, reason)
   }
 
@@ -595,6 +597,15 @@
   return one.job === other.job && one.occurrence === other.occurrence && one.stage === other.stage
 }
 
+/** Number of runs that the description of a lost worker names. */
+const DESCRIBED_RUN_LIMIT = 10
+
+/** Names the youngest runs of a worker, with the time since their placement: those that started last may have ended its process. */
+function describeYoungestRuns (view: WorkerView, now: number): string {
+  const youngest = [...view.runs.values()].sort((one, other) => other.placedAt - one.placedAt).slice(0, DESCRIBED_RUN_LIMIT)
+  return youngest.map(({ task, run, status, placedAt }) => `${task} run ${run} ${status} ${now - placedAt} ms`).join(', ')
+}
+
 function describePlacement ({ run, phase, worker, incarnation }: StageTask): string {
   return `run ${run} ${phase}${worker === '' ? '' : ` on ${worker} (${incarnation})`}`
 }
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -114,7 +114,7 @@
       case 'workerListed': return this.handleListing(event, step)
       case 'workerSilent': return this.handleSilence(event)
       case 'workerLapsed':
-        this.runManager.forgetWorker(step, event.id, event.incarnation, event.reason)
+        this.runManager.forgetWorker(step, event.id, event.incarnation, event.loss, event.reason)
         this.isPassDue = true
         return
       case 'workerRestarted': return this.runManager.handleRestart(step, event.id, event.incarnation)
--- a/packages/scheduler/src/core/jobs/upkeep.ts
+++ b/packages/scheduler/src/core/jobs/upkeep.ts
@@ -7,7 +7,7 @@
  * until it is confirmed to be back.
  */
 
-import type { EventOf } from '../../types/events.js'
+import { WorkerLoss, type EventOf } from '../../types/events.js'
 import { isWaveOver, UpkeepOutcome, UpkeepPhase, type ListedVm, type UpkeepWave } from '../../types/upkeep.js'
 import { ErrorKind } from '../../utils/errors.js'
 import type { Step } from '../step.js'
@@ -216,7 +216,7 @@
   /** Records that a VM is down: no run that was on it exists any more, unless the order was inherited. */
   private confirmDown (step: Step, wave: number, vm: string): void {
     const { view, isInherited = true } = this.evacuations.get(vm) ?? {}
-    if (view !== undefined && !isInherited) this.runManager.handleLapse(step, view.id, view.worker.incarnation, 'its VM went down for upkeep')
+    if (view !== undefined && !isInherited) this.runManager.handleLapse(step, view.id, view.worker.incarnation, WorkerLoss.upkeep, 'its VM went down for upkeep')
     this.endEvacuation(vm)
     this.setPhase(step, wave, vm, UpkeepPhase.begun)
   }
--- a/packages/scheduler/src/types/effects.ts
+++ b/packages/scheduler/src/types/effects.ts
@@ -7,7 +7,7 @@
 
 import type { ErrorKind } from '../utils/errors.js'
 import type { Answer } from './answers.js'
-import type { Command, RunAnomaly } from './events.js'
+import type { Command, RunAnomaly, WorkerLoss } from './events.js'
 import type { CalledWorker } from './jobs.js'
 
 /** True for the effects that end a call. */
@@ -28,6 +28,8 @@
   | { kind: 'unwatchWorker', id: string, incarnation: number }
   /** Record a contradiction about a run for operators. `detail` says what the replicated state has for its task. */
   | { kind: 'noteRunAnomaly', anomaly: RunAnomaly, worker: string, incarnation: number, task: string, run: number, detail: string }
+  /** Record for operators that the runs of a worker are lost. `runs` describes the youngest of them, with their ages. */
+  | { kind: 'noteWorkerLost', worker: CalledWorker, loss: WorkerLoss, runCount: number, runs: string }
   /** Run ends numbered up to `cursor` are committed; the worker may discard them. */
   | { kind: 'ackEnds', id: string, incarnation: number, cursor: number }
   /** Ask the VM service for the VMs that exist and whether they are up. */
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -118,11 +118,8 @@
   | { kind: 'workerListed', id: string, incarnation: number, sentAt: number, running: ReportedRun[], ended: EndedRun[] }
   /** A worker does not answer. */
   | { kind: 'workerSilent', id: string, incarnation: number }
-  /**
-   * No run of that incarnation is in progress any more: the lease expired by the worker's own clock,
-   * another worker answers at its address, or it has left and nothing listens there.
-   */
-  | { kind: 'workerLapsed', id: string, incarnation: number, reason: string }
+  /** No run of that incarnation is in progress any more, as `loss` says. */
+  | { kind: 'workerLapsed', id: string, incarnation: number, loss: WorkerLoss, reason: string }
   /** A list of that incarnation was answered by a later one, which may also have carried out orders sent to the former. */
   | { kind: 'workerRestarted', id: string, incarnation: number }
   /**
@@ -175,6 +172,21 @@
 } as const)
 export type RunEndCause = typeof RunEndCause[keyof typeof RunEndCause]
 
+/** How it is known that no run of an incarnation of a worker is in progress any more. */
+export const WorkerLoss = Object.freeze({
+  /** Another worker answers at its address, so its process has ended. */
+  replaced: 'replaced',
+  /** A later incarnation answers under its id, so its process has ended. */
+  restarted: 'restarted',
+  /** It announced its end, and nothing listens at its address. */
+  left: 'left',
+  /** Its VM was taken down for upkeep. */
+  upkeep: 'upkeep',
+  /** The lease of its runs expired on its own clock; its process may still be up. */
+  leaseExpired: 'leaseExpired'
+} as const)
+export type WorkerLoss = typeof WorkerLoss[keyof typeof WorkerLoss]
+
 /** A contradiction between what a called worker lists and what the leader knows. */
 export const RunAnomaly = Object.freeze({
   /** A worker runs what the replicated state does not place there. */
