Reproduce tasks that crash each worker that starts them, listed as red

The simulated worker ends its process 10 ms after the start of a deadly task, loses all other runs with it, and starts again after 1 to 3 s under its former id or under another id at the same address.

--- a/packages/runtime/__tests__/called-workers.test.ts
+++ b/packages/runtime/__tests__/called-workers.test.ts
@@ -26,6 +26,8 @@
   departures: { failure: 'a worker that is taken for one that has left', count: 8 },
   longTasks: { failure: 'a task that outlives the lease of a worker that is cut off', count: 10 },
   lateLeases: { failure: 'a lease that a late order extends further than the session knows', count: 6 },
+  deadlyTasks: { failure: 'a task that crashes one worker after another', count: 20 },
+  deadlyTasksAndRestarts: { failure: 'a task that crashes one worker after another, all under their former ids', count: 20 },
   newLeaders: { failure: 'a new leader that does not know the orders of the one before', count: 8 }
 }
 
@@ -41,13 +43,19 @@
   departures: [19, 20, 21, 31, 34, 40, 66, 74, 76, 79, 99, 101, 104, 105, 107, 111],
   longTasks: [],
   lateLeases: [13, 17],
+  deadlyTasks: [],
+  deadlyTasksAndRestarts: [],
   newLeaders: [22, 36, 63, 71, 73, 102, 105]
 }
 
+const ALL_DEADLY_SEEDS = Array.from({ length: 20 }, (_, index) => index + 1)
+
 /** Seeds that fail and are listed in KNOWN-RED.txt; node:test prints their failures and passes over them. */
 const RED_SEEDS: Partial<Record<ScheduleGroupName, { entry: string, seeds: readonly number[] }>> = {
   strayLateStarts: { entry: 'KNOWN-RED.txt, entry 10', seeds: [1, 3, 6] },
-  lateLeases: { entry: 'KNOWN-RED.txt, entry 11', seeds: [4, 13] }
+  lateLeases: { entry: 'KNOWN-RED.txt, entry 11', seeds: [4, 13] },
+  deadlyTasks: { entry: 'KNOWN-RED.txt, entry 17', seeds: ALL_DEADLY_SEEDS },
+  deadlyTasksAndRestarts: { entry: 'KNOWN-RED.txt, entry 17', seeds: ALL_DEADLY_SEEDS }
 }
 
 describe('staged jobs on called workers', () => {
--- a/packages/runtime/__tests__/support/called-worker-model.ts
+++ b/packages/runtime/__tests__/support/called-worker-model.ts
@@ -16,7 +16,7 @@
 interface UnacknowledgedEnd { end: EndedRun, interval: RunInterval }
 
 /** The simulated behaviour of a task while it runs. */
-export interface TaskBehaviour { resources: Resources, durationMs: number, fails: boolean, gang: string, gangSize: number, fills: boolean, targetMs: number }
+export interface TaskBehaviour { resources: Resources, durationMs: number, fails: boolean, gang: string, gangSize: number, fills: boolean, targetMs: number, crashesWorker: boolean }
 
 /** The part of the simulated cell that a worker uses. */
 export interface WorkerSurroundings {
@@ -28,6 +28,8 @@
   peers: () => CalledWorkerModel[]
   /** Draws an integer from 0 up to, but not including, a limit. */
   drawInteger: (limit: number) => number
+  /** Ends the process of a worker, which starts again later. */
+  crash: (model: CalledWorkerModel) => void
 }
 
 /** Longest lease that the worker accepts, in milliseconds of its clock. */
@@ -45,6 +47,12 @@
 /** Time that a run takes to stop if the plan sets no limit, in milliseconds. */
 const STOP_MS = 100
 
+/** Time from the start of a deadly task to the crash of its worker, in milliseconds. */
+const DEADLY_MS = 10
+
+/** Cause of the end of a run that crashed its worker. */
+export const DEADLY_END = 'crashed its worker'
+
 /** Maximum number of ends in one list. */
 const LISTED_END_LIMIT = 500
 
@@ -243,13 +251,14 @@
   }
 
   private beginRun (task: string, run: number, behaviour: TaskBehaviour, origin: string): void {
-    const { resources, durationMs, fails, gang, gangSize, fills, targetMs } = behaviour
+    const { resources, durationMs, fails, gang, gangSize, fills, targetMs, crashesWorker } = behaviour
     const { time, peers, journal } = this.surroundings
     const worker = `${this.facts.id}#${this.facts.incarnation}`
     const interval: RunInterval = { task, run, worker, from: this.now, to: Infinity, endCause: '', resources, isAcknowledged: false, origin }
     const active: ActiveRun = { task, run, interval, gang, durationMs, fails, fills, targetMs, pace: 100 }
     this.activeRuns.set(task, active)
     journal.push(interval)
+    if (crashesWorker) time.after(DEADLY_MS, () => { this.endDeadly(active) })
     if (durationMs === Infinity) return
     if (gang === '') {
       time.after(durationMs, () => { if (!this.isHung) this.endRun(active, fails ? RunEndCause.failed : RunEndCause.done) })
@@ -267,6 +276,12 @@
     time.after(GANG_TIMEOUT_MS, () => { if (this.activeRuns.get(task) === active && !hasAllMembers()) this.endRun(active, RunEndCause.alone) })
   }
 
+  private endDeadly (active: ActiveRun): void {
+    if (this.activeRuns.get(active.task) !== active) return
+    this.endRun(active, DEADLY_END)
+    this.surroundings.crash(this)
+  }
+
   private endRun (active: ActiveRun, cause: string): void {
     if (this.activeRuns.get(active.task) !== active) return
     this.activeRuns.delete(active.task)
@@ -274,7 +289,7 @@
     active.interval.to = this.now
     active.interval.endCause = cause
     if (cause !== RunEndCause.done) this.breakGang(active)
-    if (cause === 'crashed') return
+    if (cause === 'crashed' || cause === DEADLY_END) return
     this.lastEndNumber += 1
     const end = { number: this.lastEndNumber, task: active.task, run: active.run, cause: cause as RunEndCause, checkpoint: '' }
     this.unacknowledgedEnds.push({ end, interval: active.interval })
--- a/packages/runtime/__tests__/support/fault-plan.ts
+++ b/packages/runtime/__tests__/support/fault-plan.ts
@@ -35,6 +35,10 @@
   jitterMs?: number
   /** Probability that a run fails, per thousand. */
   failures?: number
+  /** Probability that a job of a generated schedule has a task that crashes each worker that starts it, per thousand. */
+  deadlyJobs?: number
+  /** True if the process that follows a worker at its address has another id. */
+  hasNewIds?: boolean
   /** True if the members of a gang end once one of them has ended. */
   hasGangBreaks?: boolean
   /** Shortest and longest duration of a run in milliseconds; derived from the estimate of the stage if undefined. */
--- a/packages/runtime/__tests__/support/fault-schedule.ts
+++ b/packages/runtime/__tests__/support/fault-schedule.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict'
 import { createStage } from '../../../scheduler/__tests__/support/stages.js'
 import type { FaultPlan } from './fault-plan.js'
-import { SimulatedCell } from './simulated-cell.js'
+import { DEADLY_JOB, SimulatedCell } from './simulated-cell.js'
 
 /** Faults of workers and leaders; each probability is per thousand and second. */
 export interface FaultRates {
@@ -46,7 +46,8 @@
 }
 
 function submitMixedJob (cell: SimulatedCell, index: number, estimateMs: number): string {
-  const id = `job-${index}`
+  const isDeadly = cell.plan.deadlyJobs !== undefined && cell.drawChance(cell.plan.deadlyJobs)
+  const id = `${isDeadly ? DEADLY_JOB : 'job'}-${index}`
   const twoStages = [createStage({ taskCount: 1 + cell.drawInteger(8), estimateMs }), createStage({ taskCount: 2, dependsOn: [0], estimateMs })]
   const gang = [createStage({ taskCount: 2 + cell.drawInteger(3), gang: true, estimateMs })]
   cell.submit(id, index % 3 === 0 ? 'urgent' : 'bulk', index % 4 === 0 ? gang : twoStages)
--- a/packages/runtime/__tests__/support/run-journal.ts
+++ b/packages/runtime/__tests__/support/run-journal.ts
@@ -5,6 +5,10 @@
 
 import assert from 'node:assert/strict'
 import { JobPhase, parseTaskRef, RunEndCause, type JobSpec, type Resources } from '@flamingorouter/scheduler'
+import { DEADLY_END } from './called-worker-model.js'
+
+/** Number of workers that a task must have crashed before its job may be closed as failed for that. */
+const PROVEN_CRASHES = 2
 
 /** One run in the journal of a worker: from its start to its end in virtual milliseconds, and the cause of its end. */
 export interface RunInterval {
@@ -42,18 +46,21 @@
     assertNoStartAfterSuccess(task, intervals, context)
   }
   assertWithinAttemptLimit(journal, context)
+  assertFewCrashes(byTask, context)
   assertStageOrder(byTask, context)
   assertWithinCapacity(journal, context)
 }
 
 /**
  * Asserts that a completed job has a success of each of its tasks, where that of one member of a gang counts for all of
- * them, and that a failed job has a task or a gang that failed as often as its attempt limit.
+ * them, and that a failed job has a task or a gang that failed as often as its attempt limit, or crashed workers.
  */
 export function assertJobResult (job: string, phase: JobPhase | undefined, journal: readonly RunInterval[], { schedule, specs, attemptLimit }: JournalContext): void {
   const intervals = journal.filter(({ task }) => parseTaskRef(task)?.job === job)
   if (phase === JobPhase.failed) {
     const failedRuns = groupBy(intervals.filter(({ endCause }) => endCause === RunEndCause.failed), ({ task }) => formatUnit(task, specs))
+    const crashes = intervals.filter(({ endCause }) => endCause === DEADLY_END).length
+    if (crashes >= PROVEN_CRASHES) return
     const attempts = [...failedRuns.values()].map(runs => new Set(runs.map(({ run }) => run)).size)
     assert.ok(Math.max(0, ...attempts) >= attemptLimit, `${schedule}: ${job} failed after ${Math.max(0, ...attempts)} failures of a task`)
   }
@@ -87,6 +94,18 @@
   }
 }
 
+/** Number of workers that a task may crash, and number of its starts after that at which it counts as started too often. */
+const CRASH_LIMIT = 3
+const START_AFTER_CRASHES_LIMIT = 3
+
+function assertFewCrashes (byTask: ReadonlyMap<string, readonly RunInterval[]>, { schedule }: JournalContext): void {
+  for (const [task, intervals] of byTask) {
+    const lastCrashAt = intervals.filter(({ endCause }) => endCause === DEADLY_END).map(({ to }) => to).sort((one, other) => one - other)[CRASH_LIMIT - 1] ?? Infinity
+    const later = intervals.filter(({ from }) => from >= lastCrashAt)
+    assert.ok(later.length < START_AFTER_CRASHES_LIMIT, `${schedule}: ${task} started ${later.length} times after it had crashed ${CRASH_LIMIT} workers, the last at ${lastCrashAt}`)
+  }
+}
+
 /** Failures count for each task; in a gang, those of one run number count once for all of its tasks. */
 function assertWithinAttemptLimit (journal: readonly RunInterval[], { schedule, specs, attemptLimit }: JournalContext): void {
   const byUnit = groupBy(journal, ({ task }) => formatUnit(task, specs))
--- a/packages/runtime/__tests__/support/schedule-groups.ts
+++ b/packages/runtime/__tests__/support/schedule-groups.ts
@@ -25,6 +25,10 @@
 
 const REFUSALS: Partial<FaultPlan> = { unhealthyStarts: 100, hasTicketCheck: true }
 
+const MANY_SHORT_TASKS = { ...SHORT_TASKS, jobs: 60, jobsEndAt: 150_000 }
+
+const DEADLY: Partial<FaultPlan> = { deadlyJobs: 100, hasNewIds: true, refusedConnections: 700 }
+
 const LONG_RUNS: Partial<FaultPlan> = { runMs: [6_000, 10_000] }
 
 export const SCHEDULE_GROUPS = {
@@ -40,6 +44,8 @@
   },
   longTasks: { plan: { ...COMMON_PLAN, ...LONG_RUNS }, rates: COMMON_RATES, ...LONG_TASKS },
   lateLeases: { plan: { ...COMMON_PLAN, ...LONG_RUNS, hasLateLeases: true }, rates: COMMON_RATES, ...LONG_TASKS },
+  deadlyTasks: { plan: { ...COMMON_PLAN, ...DEADLY }, rates: COMMON_RATES, ...MANY_SHORT_TASKS },
+  deadlyTasksAndRestarts: { plan: { ...RESTART_PLAN, ...DEADLY, hasNewIds: false }, rates: RESTART_RATES, ...MANY_SHORT_TASKS },
   newLeaders: {
     plan: { ...STRAY_ORDER_PLAN, ...REFUSALS, ...LONG_RUNS, refusedConnections: 200 },
     rates: { ...RESTART_RATES, newLeaders: 300 },
--- a/packages/runtime/__tests__/support/simulated-cell.ts
+++ b/packages/runtime/__tests__/support/simulated-cell.ts
@@ -18,7 +18,7 @@
 import { CalledWorkerModel, formatTicket, type TaskBehaviour } from './called-worker-model.js'
 import { FAULT_FREE_PLAN, type FaultPlan } from './fault-plan.js'
 import { assertInvariants, assertJobResult, formatStageId, type RunInterval } from './run-journal.js'
-import { CALL_DELAY_MS, SimulatedDispatcher } from './simulated-orders.js'
+import { CALL_DELAY_MS, formatWorkerAddress, readHost, SimulatedDispatcher } from './simulated-orders.js'
 import { SimulatedVms, formatVmName } from './simulated-vms.js'
 import { VirtualTime } from './virtual-time.js'
 
@@ -50,6 +50,9 @@
 /** Longest time from the announcement of a worker that it leaves to the end of its process, in milliseconds. */
 const ENDING_MS = 20
 
+/** Prefix of the ids of jobs whose first task crashes each worker that starts it. */
+export const DEADLY_JOB = 'deadly'
+
 export function createConfiguration (hasAdmission: boolean, version = 1): CellConfiguration {
   const admission = hasAdmission ? { decideMs: SERVICE_DELAY_MS, perWorkerMs: 0, validMs: TICKET_VALIDITY_MS } : undefined
   const queue = { host: 'jobs.example', service: 'work', attemptLimit: ATTEMPT_LIMIT, stretch: 2, targetMs: 500, timeoutMs: 3_000, admission }
@@ -68,6 +71,7 @@
 export class SimulatedCell {
   readonly time = VirtualTime.create()
   readonly journal: RunInterval[] = []
+  /** The worker processes that are up, by the name of their host. */
   readonly workerModels = new Map<string, CalledWorkerModel>()
   readonly answers: Answer[] = []
   /** The durable state: the result of all committed decisions. */
@@ -161,12 +165,13 @@
     this.feed({ kind: 'cancelJob', call: ++this.lastCall, host: 'jobs.example', path: `/${queue}/${id}` })
   }
 
-  startWorker (id: string, isDisconnected = false): void {
+  /** Starts a worker process on a host; unless the plan gives each process another id, its id is the name of the host. */
+  startWorker (host: string, isDisconnected = false): void {
     this.lastIncarnation += 1
     const facts: CalledWorker = {
-      id,
+      id: this.plan.hasNewIds === true ? `${host}.${this.lastIncarnation}` : host,
       incarnation: this.lastIncarnation,
-      address: `${id}:1`,
+      address: formatWorkerAddress(host),
       service: 'work',
       availabilityZone: 'zone',
       rack: 'rack',
@@ -183,10 +188,11 @@
       journal: this.journal,
       createBehaviour: (task, run) => this.createBehaviour(task, run),
       peers: () => [...this.workerModels.values()],
-      drawInteger: limit => this.drawInteger(limit)
+      drawInteger: limit => this.drawInteger(limit),
+      crash: crashed => { if (this.workerModels.get(host) === crashed) this.crashWorker(host) }
     }, speed)
     model.isDisconnected = isDisconnected
-    this.workerModels.set(id, model)
+    this.workerModels.set(host, model)
     this.reportWorker(model)
   }
 
@@ -272,6 +278,10 @@
     for (const job of this.specs.keys()) assertJobResult(job, this.getPhase(job), this.journal, context)
   }
 
+  private findWorker (id: string): CalledWorkerModel | undefined {
+    return [...this.workerModels.values()].find(({ facts }) => facts.id === id)
+  }
+
   private createBehaviour (task: string, run: number): TaskBehaviour {
     const ref = parseTaskRef(task)
     const stage = this.specs.get(ref?.job ?? '')?.stages[ref?.stage ?? 0] ?? createStage()
@@ -282,7 +292,8 @@
     const [shortestMs, longestMs] = this.plan.runMs ?? [stage.estimateMs / 2, stage.estimateMs * 3 / 2]
     const durationMs = shortestMs + this.drawInteger(longestMs - shortestMs)
     const { longRunning, fills, targetMs } = stage
-    return { resources: stage.resources, durationMs: longRunning ? Infinity : durationMs, fails, gang: stage.gang ? formatStageId(task) : '', gangSize: stage.taskCount, fills, targetMs }
+    const crashesWorker = ref !== undefined && ref.job.startsWith(DEADLY_JOB) && ref.index === 0
+    return { resources: stage.resources, crashesWorker, durationMs: longRunning ? Infinity : durationMs, fails, gang: stage.gang ? formatStageId(task) : '', gangSize: stage.taskCount, fills, targetMs }
   }
 
   private tick (): void {
@@ -294,7 +305,7 @@
 
   /** Reports a worker to the leader every 1.5 s while the worker runs and is connected. */
   private reportWorker (model: CalledWorkerModel): void {
-    if (this.workerModels.get(model.facts.id) !== model) return
+    if (this.workerModels.get(readHost(model.facts)) !== model) return
     const report = (): void => { this.feed({ kind: 'workerReported', call: ++this.lastCall, worker: model.facts }) }
     // A report that was sent behind a cut may arrive after its sender has been replaced.
     if (this.isDelayed(this.plan.delayedReports)) this.time.after(this.drawReportDelay(), report)
@@ -333,7 +344,7 @@
       const granted = workers.filter((_worker, index) => index % 2 === 0)
       this.time.after(SERVICE_DELAY_MS, () => {
         const validUntil = this.time.now + TICKET_VALIDITY_MS
-        const tickets = granted.map(worker => ({ worker, ticket: formatTicket(stage, worker, this.workerModels.get(worker)?.facts.incarnation ?? 0, validUntil) }))
+        const tickets = granted.map(worker => ({ worker, ticket: formatTicket(stage, worker, this.findWorker(worker)?.facts.incarnation ?? 0, validUntil) }))
         if (term === this.term) this.feed({ kind: 'admissionAnswered', entry, stage, workers, tickets, askedAt, isAnswered: true })
       })
     } else if (effect.kind === 'listVms') {
--- a/packages/runtime/__tests__/support/simulated-orders.ts
+++ b/packages/runtime/__tests__/support/simulated-orders.ts
@@ -19,6 +19,14 @@
 const LATE_ORDER_MS = 2_000
 const LATE_ORDER_SPREAD_MS = 10_000
 
+export function formatWorkerAddress (host: string): string {
+  return `${host}:1`
+}
+
+export function readHost ({ address }: CalledWorker): string {
+  return address.slice(0, address.indexOf(':'))
+}
+
 /** The part of the simulated cell that carries orders. */
 export interface OrderCarrier {
   readonly time: VirtualTime
@@ -128,10 +136,10 @@
     const { plan, time } = cell
     const deadline = time.now + timeoutMs
     await time.pause(CALL_DELAY_MS + cell.drawInteger(CALL_DELAY_MS) + this.drawJitter())
-    const model = cell.workerModels.get(worker.id)
+    const model = cell.workerModels.get(readHost(worker))
     if (model === undefined || model.isDisconnected || cell.drawChance(plan.lostRequests)) return await this.lose(worker, timeoutMs, act, model)
     const isReplaced = model.facts.incarnation !== worker.incarnation
-    if (isReplaced && plan.hasStrayCalls !== true) return { outcome: OrderOutcome.replaced }
+    if (isReplaced && (plan.hasStrayCalls !== true || model.facts.id !== worker.id)) return { outcome: OrderOutcome.replaced }
     if (cell.drawChance(plan.lateOrders)) {
       this.carryOutLater(worker, act, model)
       return await this.timeOut(timeoutMs)
@@ -167,8 +175,8 @@
     const { cell } = this
     const delayMs = LATE_ORDER_MS + cell.drawInteger(LATE_ORDER_SPREAD_MS)
     cell.time.after(delayMs, () => {
-      const current = cell.workerModels.get(worker.id)
-      if (current === undefined || (current !== model && !this.isStrayAllowed(current))) return
+      const current = cell.workerModels.get(readHost(worker))
+      if (current === undefined || current.facts.id !== worker.id || (current !== model && !this.isStrayAllowed(current))) return
       act(current, { delayMs, incarnation: worker.incarnation })
     })
   }
