Keep late reports and cuts from undoing a shrunk capacity

And after a cut of some seconds a worker got work on the capacity of before the cut, as soon as it listed its runs.

Change: a report with a lower number than the highest seen changes nothing, but for the notice that the worker drains or leaves, which stays. A worker that was neither listed nor reported for 2 s gets no new work before its next report, for 3 s at most.

--- a/packages/runtime/__tests__/support/called-worker-model.ts
+++ b/packages/runtime/__tests__/support/called-worker-model.ts
@@ -13,6 +13,9 @@
 
 interface ActiveRun { task: string, run: number, interval: RunInterval, gang: string, durationMs: number, fails: boolean, fills: boolean, targetMs: number, pace: number }
 
+/** A capacity of a worker, and the virtual time from which it holds, in milliseconds. */
+export interface CapacityChange { at: number, capacity: Resources }
+
 interface UnacknowledgedEnd { end: EndedRun, interval: RunInterval }
 
 /** The simulated behaviour of a task while it runs. */
@@ -86,6 +89,9 @@
   /** Resolve the list requests that wait for an end. */
   private waiting: Array<() => void> = []
   private readonly startedAt: number
+  /** Its capacities, each with the virtual time from which it holds. */
+  readonly capacities: CapacityChange[]
+  private sequence = 0
 
   private constructor (
     readonly facts: CalledWorker,
@@ -94,12 +100,28 @@
     private readonly speed: number
   ) {
     this.startedAt = surroundings.time.now
+    this.capacities = [{ at: this.startedAt, capacity: facts.capacity }]
   }
 
   static create (facts: CalledWorker, surroundings: WorkerSurroundings, speed: number): CalledWorkerModel {
     return new CalledWorkerModel(facts, surroundings, speed)
   }
 
+  get capacity (): Resources {
+    return this.capacities[this.capacities.length - 1].capacity
+  }
+
+  /** Shrinks or grows its capacity; what runs already goes on. */
+  setCapacity (capacity: Resources): void {
+    this.capacities.push({ at: this.now, capacity })
+  }
+
+  /** What it says of itself now. */
+  createReport (): CalledWorker {
+    this.sequence += 1
+    return { ...this.facts, capacity: this.capacity, sequence: this.sequence }
+  }
+
   get clockMs (): number {
     return Math.floor(1_000 + (this.now - this.startedAt) * this.speed)
   }
@@ -249,7 +271,7 @@
     const active = [...this.activeRuns.values()].map(({ interval }) => interval.resources)
     const usedMillicores = active.reduce((sum, resources) => sum + resources.millicores, 0)
     const usedMemoryMib = active.reduce((sum, resources) => sum + resources.memoryMib, 0)
-    const { capacity } = this.facts
+    const { capacity } = this
     return usedMillicores + millicores <= capacity.millicores && usedMemoryMib + memoryMib <= capacity.memoryMib
   }
 
--- a/packages/runtime/__tests__/support/fault-schedule.ts
+++ b/packages/runtime/__tests__/support/fault-schedule.ts
@@ -20,6 +20,8 @@
   /** Workers that announce their end, and start again under their id. */
   retirements: number
   newLeaders: number
+  /** Changes of the capacity of a worker, to between none and all of its full one. */
+  resizes: number
 }
 
 /** The schedules of one group, which differ only by their seed. */
@@ -38,6 +40,9 @@
 /** Time after the end of the last job in which orders that are still late may be carried out, in milliseconds. */
 const LATE_ORDERS_MS = 13_000
 
+/** Number of quarters in the full capacity of a worker. */
+const FULL_QUARTERS = 4
+
 const FAULT_INTERVAL_MS = 1_000
 
 /** Submits jobs of one and of two stages, of which every third is urgent and every fourth is a gang. */
@@ -67,6 +72,7 @@
     while (ids.length < jobCount) ids.push(submitMixedJob(cell, ids.length, group.estimateMs))
   }
   cell.endFaults()
+  for (const host of cell.workerModels.keys()) cell.resizeWorker(host, FULL_QUARTERS)
   const isOver = (): boolean => ids.every(id => isClosed(cell, id))
   while (!isOver() && cell.time.now < group.jobsEndAt) await cell.time.runUntil(cell.time.now + FAULT_INTERVAL_MS)
   await cell.time.runUntil(cell.time.now + LATE_ORDERS_MS)
@@ -80,7 +86,7 @@
 }
 
 function generateFaults (cell: SimulatedCell, rates: Partial<FaultRates>): void {
-  const { crashes = 0, cuts = 0, quickRestarts = 0, cutRestarts = 0, retirements = 0, newLeaders = 0 } = rates
+  const { crashes = 0, cuts = 0, quickRestarts = 0, cutRestarts = 0, retirements = 0, newLeaders = 0, resizes = 0 } = rates
   const worker = `worker-${cell.drawInteger(cell.plan.workers)}`
   if (cell.drawChance(crashes)) cell.crashWorker(worker)
   else if (cell.drawChance(quickRestarts)) cell.restartWorker(worker, 10 + cell.drawInteger(80))
@@ -88,6 +94,7 @@
   else if (cell.drawChance(retirements)) cell.retireWorker(worker, 10 + cell.drawInteger(2_000))
   else if (cell.drawChance(cuts)) cut(cell, worker)
   if (cell.drawChance(newLeaders)) cell.replaceLeader()
+  if (resizes > 0 && cell.drawChance(resizes)) cell.resizeWorker(`worker-${cell.drawInteger(cell.plan.workers)}`, cell.drawInteger(FULL_QUARTERS + 1))
 }
 
 function cut (cell: SimulatedCell, worker: string): void {
--- a/packages/runtime/__tests__/support/simulated-cell.ts
+++ b/packages/runtime/__tests__/support/simulated-cell.ts
@@ -15,7 +15,7 @@
   type ClusterState, type Decision, type Effect, type Event, type JobSpec, type StageSpec
 } from '@flamingorouter/scheduler'
 import { createStage } from '../../../scheduler/__tests__/support/stages.js'
-import { CalledWorkerModel, formatTicket, type TaskBehaviour } from './called-worker-model.js'
+import { CalledWorkerModel, formatTicket, type CapacityChange, type TaskBehaviour } from './called-worker-model.js'
 import { FAULT_FREE_PLAN, type FaultPlan } from './fault-plan.js'
 import { assertInvariants, assertJobResult, formatStageId, type RunInterval } from './run-journal.js'
 import { CALL_DELAY_MS, formatWorkerAddress, readHost, SimulatedDispatcher } from './simulated-orders.js'
@@ -44,6 +44,9 @@
 const LATE_REPORT_MS = 500
 const LATE_REPORT_SPREAD_MS = 5_000
 
+/** Time without an answer after which a worker repeats a report through another entry, in milliseconds. */
+const REPORT_TIMEOUT_MS = 1_000
+
 /** Shortest time from the report of a worker that it drains to its end, in milliseconds; the longest is twice that. */
 const DRAIN_MS = 1_000
 
@@ -73,7 +76,10 @@
   readonly journal: RunInterval[] = []
   /** The worker processes that are up, by the name of their host. */
   readonly workerModels = new Map<string, CalledWorkerModel>()
+  /** The capacities of all incarnations of workers, by the names that the journal gives them. */
+  private readonly capacities = new Map<string, readonly CapacityChange[]>()
   readonly answers: Answer[] = []
+  private readonly answeredCalls = new Set<number>()
   /** The durable state: the result of all committed decisions. */
   readonly durableState: ClusterState = createClusterState()
   scheduler!: Scheduler
@@ -193,6 +199,7 @@
     }, speed)
     model.isDisconnected = isDisconnected
     this.workerModels.set(host, model)
+    this.capacities.set(`${facts.id}#${facts.incarnation}`, model.capacities)
     this.reportWorker(model)
   }
 
@@ -200,6 +207,12 @@
     this.takeDown(id, 1_000 + this.drawInteger(2_000))
   }
 
+  /** Changes the capacity of a worker to some quarters of the full one, from none to all. */
+  resizeWorker (host: string, quarters: number): void {
+    const { millicores, memoryMib, accelerators } = CAPACITY
+    this.workerModels.get(host)?.setCapacity({ millicores: millicores * quarters / 4, memoryMib: memoryMib * quarters / 4, accelerators })
+  }
+
   /** Ends a worker process without notice and starts the next one under the same id after `downMs`. */
   restartWorker (id: string, downMs: number): void {
     this.takeDown(id, downMs)
@@ -221,7 +234,7 @@
   retireWorker (id: string, downMs: number): void {
     const model = this.workerModels.get(id)
     if (model === undefined) return
-    if (!model.isDisconnected) this.feed({ kind: 'workerReported', call: ++this.lastCall, worker: { ...model.facts, isDraining: true } })
+    if (!model.isDisconnected) this.feed({ kind: 'workerReported', call: ++this.lastCall, worker: { ...model.createReport(), isDraining: true } })
     this.time.after(DRAIN_MS + this.drawInteger(DRAIN_MS), () => {
       if (this.workerModels.get(id) !== model) return
       // The announcement does not name the incarnation.
@@ -273,7 +286,7 @@
 
   /** Asserts the invariants on the journals of all workers, and that closed jobs were closed for a reason. */
   assertInvariants (): void {
-    const context = { schedule: `seed ${this.plan.seed}`, specs: this.specs, capacity: CAPACITY, attemptLimit: ATTEMPT_LIMIT }
+    const context = { schedule: `seed ${this.plan.seed}`, specs: this.specs, capacities: this.capacities, attemptLimit: ATTEMPT_LIMIT }
     assertInvariants(this.journal, context)
     for (const job of this.specs.keys()) assertJobResult(job, this.getPhase(job), this.journal, context)
   }
@@ -305,14 +318,26 @@
 
   /** Reports a worker to the leader every 1.5 s while the worker runs and is connected. */
   private reportWorker (model: CalledWorkerModel): void {
-    if (this.workerModels.get(readHost(model.facts)) !== model) return
-    const report = (): void => { this.feed({ kind: 'workerReported', call: ++this.lastCall, worker: model.facts }) }
+    if (!this.isUp(model)) return
+    const worker = model.createReport()
+    const call = ++this.lastCall
+    const report = (): void => { this.feed({ kind: 'workerReported', call, worker }) }
     // A report that was sent behind a cut may arrive after its sender has been replaced.
     if (this.isDelayed(this.plan.delayedReports)) this.time.after(this.drawReportDelay(), report)
     else if (!model.isDisconnected) report()
+    this.time.after(REPORT_TIMEOUT_MS, () => { if (!this.answeredCalls.has(call)) this.repeatReport(model) })
     this.time.after(1_500, () => { this.reportWorker(model) })
   }
 
+  /** Reports a worker whose last report got no answer, through another entry. */
+  private repeatReport (model: CalledWorkerModel): void {
+    if (this.isUp(model) && !model.isDisconnected) this.feed({ kind: 'workerReported', call: ++this.lastCall, worker: model.createReport() })
+  }
+
+  private isUp (model: CalledWorkerModel): boolean {
+    return this.workerModels.get(readHost(model.facts)) === model
+  }
+
   private isDelayed (perThousand: number | undefined): boolean {
     return perThousand !== undefined && this.drawChance(perThousand)
   }
@@ -337,6 +362,7 @@
   private carryOut (effect: Effect): void {
     if (effect.kind === 'reply') {
       this.answers.push(effect.answer)
+      this.answeredCalls.add(effect.call)
     } else if (effect.kind === 'askAdmission') {
       const { entry, stage, workers } = effect
       const { term } = this
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -85,7 +85,7 @@
     this.crashes.clear()
     this.leaderSince = now
     this.isFencedOff = false
-    for (const worker of state.calledWorkers.values()) this.views.set(worker.id, WorkerView.create(worker))
+    for (const worker of state.calledWorkers.values()) this.views.set(worker.id, WorkerView.create(worker, now))
     for (const job of state.jobs.values()) {
       for (const [occurrence, stages] of job.occurrences) {
         stages.forEach((tasks, stage) => tasks.forEach((task, index) => {
@@ -172,7 +172,7 @@
   handleReport (step: Step, reported: CalledWorker): void {
     const view = this.views.get(reported.id)
     const known = step.state.calledWorkers.get(reported.id)
-    const worker = mergeReport(known, reported)
+    const worker = mergeReport(known, reported, view?.reportSequence)
     const incarnation = known?.incarnation ?? view?.worker.incarnation ?? -1
     if (worker.incarnation < incarnation) return
     if (worker.incarnation > incarnation) {
@@ -185,6 +185,7 @@
       passOnRuns(view, successor)
       return
     }
+    view?.recordReport(reported.sequence ?? 0, step.now)
     if (known !== undefined && isSameReport(known, worker)) return
     step.decide({ kind: 'calledWorkerKnown', worker })
     if (view === undefined) this.views.set(worker.id, WorkerView.create(worker, step.now))
@@ -198,7 +199,7 @@
     if (view === undefined) return
     if (!view.hasAcceptedToken) this.loseFormerWorkers(step, view.worker)
     view.hasAcceptedToken = true
-    view.isSilent = false
+    view.recordContact(step.now)
     view.isUnreachable = false
     view.clockMs = Math.max(view.clockMs, event.clockMs ?? 0)
     const cursor = view.cursor
@@ -349,7 +350,7 @@
     if (view === undefined || view.worker.incarnation < task.incarnation) {
       // The worker is no longer known. A view of its own keeps the run until its lease has lapsed.
       const id = formatFormerWorker(task.worker, task.incarnation)
-      view = this.views.get(id) ?? WorkerView.create(createUnknownWorker(id, task))
+      view = this.views.get(id) ?? WorkerView.create(createUnknownWorker(id, task), now)
       this.views.set(id, view)
     }
     const job = state.jobs.get(ref.job)
--- a/packages/scheduler/src/core/jobs/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/worker-view.ts
@@ -76,6 +76,12 @@
   isOrphan: boolean
 }
 
+/** Time without a list or a report after which the capacity of a worker counts as stale, in milliseconds. */
+const STALE_CAPACITY_MS = 2_000
+
+/** Longest time for which a worker that answers again is given no work for want of a report, in milliseconds. */
+const REPORT_WAIT_MS = 3_000
+
 export class WorkerView {
   readonly runs = new Map<string, Run>()
   /** True once the worker has answered a query with the fencing token of this leader; reset when its runs have lapsed. */
@@ -84,8 +90,16 @@
   restartedAt = 0
   /** True while the worker does not answer. */
   isSilent = false
+  /** Cluster time until which a worker that was silent gets no new work unless it reports its capacity; 0 if it has. */
+  private awaitsReportUntil = 0
   /** True while it does not answer although its connections stay open, so that its process may end at any time without notice. */
   isUnreachable = false
+  /** Highest sequence number of its reports; 0 if they have none. */
+  reportSequence = 0
+  /** Cluster time of its last list; before the first to this leader, that at which the leader learned of it. */
+  private contactAt: number
+  /** Cluster time of its last report that was not late; 0 before the first to this leader. */
+  private reportedAt = 0
   /** Latest reading of its clock in milliseconds; 0 before the first. */
   clockMs = 0
   /** Highest number of a run end that was processed. */
@@ -108,10 +122,28 @@
     public worker: CalledWorker,
     /** Cluster time at which this leader learned of this incarnation. */
     readonly knownSince: number
-  ) {}
+  ) {
+    this.contactAt = knownSince
+  }
+
+  static create (worker: CalledWorker, knownSince: number): WorkerView {
+    const view = new WorkerView(worker, knownSince)
+    view.reportSequence = worker.sequence ?? 0
+    return view
+  }
+
+  /** Records that the worker has listed its runs. After a long time its capacity may have changed, unless it was reported meanwhile. */
+  recordContact (now: number): void {
+    if (now - Math.max(this.contactAt, this.reportedAt) > STALE_CAPACITY_MS) this.awaitsReportUntil = now + REPORT_WAIT_MS
+    this.contactAt = now
+    this.isSilent = false
+  }
 
-  static create (worker: CalledWorker, knownSince = 0): WorkerView {
-    return new WorkerView(worker, knownSince)
+  recordReport (sequence: number, now: number): void {
+    if (sequence < this.reportSequence) return
+    this.reportSequence = sequence
+    this.reportedAt = now
+    this.awaitsReportUntil = 0
   }
 
   get id (): string {
@@ -137,7 +169,7 @@
 
   /** True when new runs may be placed on the worker. */
   isSchedulable (now: number): boolean {
-    return this.hasAcceptedToken && !this.isSilent && !this.isEvacuating && !this.worker.isDraining && now >= this.cooldownUntil && !this.hasSuspectInStartup
+    return this.hasAcceptedToken && !this.isSilent && !this.isEvacuating && !this.worker.isDraining && now >= this.cooldownUntil && now >= this.awaitsReportUntil && !this.hasSuspectInStartup
   }
 
   /** True while a run that is suspected to crash workers is in its startup, so that another start could not be told apart from it. */
--- a/packages/scheduler/src/types/jobs.ts
+++ b/packages/scheduler/src/types/jobs.ts
@@ -173,6 +173,8 @@
   labels: string[]
   capacity: Resources
   isDraining: boolean
+  /** Rises with each report of one incarnation, by which a late one is recognised; undefined in reports of earlier versions. */
+  sequence?: number
   /** The worker has announced that its process is about to end. */
   hasLeft: boolean
 }
