Look again at the worker before each attempt of a start

Cause: a start is repeated up to three times, whatever is learnt of the worker meanwhile: on a capacity that has shrunk since it was decided, on a silent worker whose next process may carry it out, and with a refused connection counted as an order that may have arrived. Stops were repeated every 180 ms for each run on a silent worker.

Change: before each attempt the session compares the capacity of the decision with the present one; a silent worker gets no repeat; a start whose attempts were all refused a connection was not sent, and its task is placed elsewhere at once. Stops wait until the worker answers a list request.

--- a/packages/runtime/__tests__/support/simulated-orders.ts
+++ b/packages/runtime/__tests__/support/simulated-orders.ts
@@ -72,7 +72,7 @@
       case 'ackEnds': return session.ack(effect.cursor)
       case 'stopRun': session.orderStop(effect.task, effect.run).catch(throwAsync); return
       case 'paceRun': session.orderPace(effect.task, effect.run, effect.percent).catch(throwAsync); return
-      case 'startRun': session.orderStart(effect).catch(throwAsync)
+      case 'startRun': session.orderStart(effect, effect.worker.capacity).catch(throwAsync)
     }
   }
 
--- a/packages/runtime/src/core/worker-session.ts
+++ b/packages/runtime/src/core/worker-session.ts
@@ -5,7 +5,7 @@
  * slow, so it is never compared with the clock of this process directly.
  */
 
-import { OrderOutcome, WorkerLoss, type CalledWorker, type EndedRun, type Event, type ReportedRun } from '@flamingorouter/scheduler'
+import { OrderOutcome, WorkerLoss, type CalledWorker, type EndedRun, type Event, type ReportedRun, type Resources } from '@flamingorouter/scheduler'
 
 /** Limits on the leases and the answers of called workers. */
 export interface LeaseLimits {
@@ -156,20 +156,33 @@
     this.resolveAck?.()
   }
 
-  /** Orders a start, repeated while it gets no answer; the worker treats repeated orders of one run as one. */
-  async orderStart (order: Omit<StartOrder, 'fence' | 'untilMs'>): Promise<void> {
+  /**
+   * Orders a start on a capacity that the worker had when it was decided. The order is repeated while it gets no answer and the
+   * worker is not silent; the worker treats repeated orders of one run as one.
+   */
+  async orderStart (order: Omit<StartOrder, 'fence' | 'untilMs'>, capacity: Resources): Promise<void> {
     const sentAt = this.owner.clusterNow()
     let answer: OrderAnswer = { outcome: OrderOutcome.unknown }
     let unanswered = 0
-    while (unanswered < START_ATTEMPT_LIMIT && answer.outcome === OrderOutcome.unknown && !this.isStopped) {
-      const untilMs = this.extendLease()
-      answer = await this.client.start(this.worker, { ...order, fence: this.fence, untilMs }, this.limits.answerTimeoutMs)
-      this.recordClock(answer)
-      if (answer.outcome === OrderOutcome.unknown) unanswered += 1
+    for (let attempt = 0; attempt < START_ATTEMPT_LIMIT && answer.outcome === OrderOutcome.unknown && !this.isStopped; attempt++) {
+      // The task may not fit any more.
+      if (!isWithin(capacity, this.worker.capacity)) answer = { outcome: OrderOutcome.noRoom }
+      // Whether the process of a silent worker is still the same is not known.
+      else if (attempt > 0 && this.consecutiveFailures > 0) break
+      else answer = await this.sendStart(order)
+      if (answer.outcome === OrderOutcome.unknown && answer.isRefused !== true) unanswered += 1
     }
+    if (answer.outcome === OrderOutcome.unknown && unanswered === 0) answer = { ...answer, outcome: OrderOutcome.unsent }
     this.reportOutcome('start', order.task, order.run, answer, unanswered, sentAt)
   }
 
+  private async sendStart (order: Omit<StartOrder, 'fence' | 'untilMs'>): Promise<OrderAnswer> {
+    const untilMs = this.extendLease()
+    const answer = await this.client.start(this.worker, { ...order, fence: this.fence, untilMs }, this.limits.answerTimeoutMs)
+    this.recordClock(answer)
+    return answer
+  }
+
   async orderStop (task: string, run: number): Promise<void> {
     const sentAt = this.owner.clusterNow()
     const answer = await this.client.stop(this.worker, task, run, this.fence, this.limits.answerTimeoutMs)
@@ -264,3 +277,8 @@
     this.resolveAck = undefined
   }
 }
+
+/** True unless a capacity exceeds another one in any dimension. */
+function isWithin (capacity: Resources, other: Resources): boolean {
+  return capacity.millicores <= other.millicores && capacity.memoryMib <= other.memoryMib && capacity.accelerators <= other.accelerators
+}
--- a/packages/runtime/src/core/worker-sessions.ts
+++ b/packages/runtime/src/core/worker-sessions.ts
@@ -122,7 +122,7 @@
     if (effect.kind === 'stopRun') return await session.orderStop(effect.task, effect.run)
     if (effect.kind === 'paceRun') return await session.orderPace(effect.task, effect.run, effect.percent)
     const { task, run, payload, checkpoint, ticket } = effect
-    await session.orderStart({ task, run, payload, checkpoint, ticket })
+    await session.orderStart({ task, run, payload, checkpoint, ticket }, effect.worker.capacity)
   }
 
   private startSession (worker: CalledWorker): void {
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -32,7 +32,7 @@
 /** Time after which a run is stopped when its start order, including all repeats, got no answer. */
 const START_TIMEOUT_MS = 4_000
 
-/** Time for which a worker gets no new work after it refused a start or was found to run a task too slowly. */
+/** Time for which a worker gets no new work after it refused a start or a connection, or was found to run a task too slowly. */
 const COOLDOWN_MS = { noRoom: 300, unhealthy: 2_000, slow: 3_000 } as const
 
 /** Run number above which a slow run is no longer restarted elsewhere. */
@@ -540,7 +540,8 @@
       // It may be running, may start late or may have ended; a confirmed stop makes its end certain.
       case OrderOutcome.unknown:
       case OrderOutcome.superseded: return this.abandonRun(step, view, run, `its start was ${outcome}`)
-      case OrderOutcome.noRoom: view.cooldownUntil = step.now + COOLDOWN_MS.noRoom; break
+      case OrderOutcome.noRoom:
+      case OrderOutcome.unsent: view.cooldownUntil = step.now + COOLDOWN_MS.noRoom; break
       case OrderOutcome.unhealthy: view.cooldownUntil = step.now + COOLDOWN_MS.unhealthy
     }
     // The refusal answers only the last attempt.
@@ -560,6 +561,8 @@
   }
 
   private resendOrder (step: Step, view: WorkerView, run: Run): void {
+    // Each list request shows whether a silent worker can be reached; orders to it would only add to the load and the log.
+    if (view.isSilent) return
     if (run.resendWaitStartsAt === 0 || step.now - run.resendWaitStartsAt < RESEND_INTERVAL_MS || run.confirmedAt > 0) return
     if (run.status === RunStatus.stopping) return this.orderStop(step, view, run)
     if (run.status === RunStatus.starting && step.now - run.placedAt > START_TIMEOUT_MS) this.stopRun(step, view, run, 'its start was not answered')
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -220,6 +220,8 @@
   restarted: 'restarted',
   /** The worker rejected the order as malformed; nothing was done. */
   invalid: 'invalid',
+  /** The connection was refused, so the order was not sent. */
+  unsent: 'unsent',
   /** No answer: the order may have been carried out, or may still be. */
   unknown: 'unknown'
 } as const)
