Count what a worker runs beyond its shrunk capacity in preemptions

Callers would see: urgent work that waits while runs are stopped for it one after another.

Cause: free capacity below zero was counted as zero, since reservations lower it as well; a preemption on a worker that runs more than its shrunk capacity took too few runs, or counted on those that were being stopped, and then nothing fitted.

Change: the excess is deducted from what the runs being stopped will release.

Evidence: the test preempts no run before (expected 2), as the one being stopped seemed to suffice. Placements never used the wrong amount: a start needs free capacity, which was negative.

--- a/packages/scheduler/__tests__/capacity-changes.test.ts
+++ b/packages/scheduler/__tests__/capacity-changes.test.ts
@@ -5,8 +5,9 @@
 
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { CalledWorker, Resources } from '../src/index.js'
+import { AdmissionTickets, createRun, PlacementPass, WorkerView, type CalledWorker, type Resources, type SchedulingUnit } from '../src/index.js'
 import { createReportedRun, listOrders, ScriptedLeader } from './support/scripted-leader.js'
+import { createStage } from './support/stages.js'
 
 const FULL: Resources = { millicores: 16_000, memoryMib: 65_536, accelerators: 0 }
 const SMALL: Resources = { millicores: 4_000, memoryMib: 65_536, accelerators: 0 }
@@ -76,3 +77,32 @@
     assert.equal(listOrders([...leader.report('one', 1, { capacity: FULL, sequence: 2 }), ...leader.advance(300)]).length, 1)
   })
 })
+
+describe('a worker that runs more than its shrunk capacity', () => {
+  const stage = createStage({ checkpoints: true })
+
+  /** A worker of 8,000 millicores with four runs of 4,000 that can be preempted, one of which is being stopped. */
+  function createOverfull (): WorkerView {
+    const worker: CalledWorker = {
+      id: 'one', incarnation: 1, address: 'one:1', service: 'work', availabilityZone: 'zone', rack: 'rack', labels: [], capacity: { ...FULL, millicores: 8_000 }, isDraining: false, hasLeft: false
+    }
+    const view = WorkerView.create(worker, 0)
+    view.hasAcceptedToken = true
+    for (const index of [0, 1, 2, 3]) {
+      const ref = { job: 'bulk', occurrence: 0, stage: 0, index }
+      view.add({ ...createRun(ref, `bulk/0/0/${index}`, 1, stage, 2, 0), status: index === 3 ? 'stopping' : 'running', objectiveAt: 1_000_000 })
+    }
+    return view
+  }
+
+  it('is freed of its excess by a preemption, since less would let nothing start', () => {
+    const queue = { name: 'q', host: '', pathPrefix: '/', service: 'work', priority: 0, attemptLimit: 2, stretch: 2, targetMs: 500, timeoutMs: 3_000 }
+    const unit: SchedulingUnit = {
+      key: 'job/0/0', job: 'job', occurrence: 0, stage: 0, spec: createStage(), payload: '', queue, objectiveAt: 2_000, worthlessAt: 6_000, remainingMs: 500, waiting: [0], suspects: new Set(), placedCounts: new Map()
+    }
+    const pass = PlacementPass.create([createOverfull()], AdmissionTickets.create(), 1_000)
+    pass.place(unit)
+    assert.deepEqual(pass.placements, [])
+    assert.equal(pass.preemptions.length, 2)
+  })
+})
--- a/packages/scheduler/src/core/jobs/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement-pass.ts
@@ -396,10 +396,14 @@
   return found.sort((one, other) => other.resources.millicores - one.resources.millicores)
 }
 
-/** Capacity that the runs being stopped on a worker will release, less what is reserved of it. */
+/**
+ * Capacity that the runs being stopped on a worker will release, less what is reserved of it, and less what the worker runs
+ * beyond a capacity that has shrunk.
+ */
 function getReleasing (candidate: Candidate): Amounts {
   if (candidate.releasing !== undefined) return candidate.releasing
-  const releasing = { millicores: 0, memoryMib: 0, accelerators: 0 }
+  const { freeMillicores, freeMemoryMib, freeAccelerators } = candidate.view
+  const releasing = { millicores: Math.min(0, freeMillicores), memoryMib: Math.min(0, freeMemoryMib), accelerators: Math.min(0, freeAccelerators) }
   for (const run of candidate.view.runs.values()) {
     if (run.status === RunStatus.stopping && !run.fills) add(releasing, run.resources, 1)
   }
