Try a request on two runners at most if they end without an answer

Change: after two lost answers the outcome is unknown and final.

Evidence: the test of four runners gets a third grant without the limit.

--- a/packages/scheduler/__tests__/requests.test.ts
+++ b/packages/scheduler/__tests__/requests.test.ts
@@ -199,6 +199,16 @@
     })
   })
 
+  describe('a request whose runners end without an answer', () => {
+    it('is tried on two runners at most, since it may be what ends them', () => {
+      start(...['a', 'b', 'c', 'd'].map(name => createRunner(name, 4)))
+      const lost = createOutcome(OutcomeKind.unknown, 'the runner closed the connection')
+      const second = getGrant(settle(getGrant(acquire(createFacts('1'))), '1', lost, true))
+      const [reply] = listReplies(settle(second, '1', lost, true))
+      assert.deepEqual(reply.kind === 'reply' && reply.answer, { kind: 'outcome', outcome: lost })
+    })
+  })
+
   describe('a new leader', () => {
     it('grants no slot that an entry without a report may be using, and grants the slots that are reported free', () => {
       start(createRunner('a', 2))
--- a/packages/scheduler/src/core/requests/grant-settlement.ts
+++ b/packages/scheduler/src/core/requests/grant-settlement.ts
@@ -17,6 +17,9 @@
 /** Retry delay of a request whose grant was lost. */
 const RETRY_AFTER_MS = 1_000
 
+/** Number of lost answers after which a request is not retried: it may crash the runners that it is sent to. */
+const LOST_ANSWER_LIMIT = 2
+
 export class GrantSettlement {
   static create (table: RequestTable, hasRetryBudget: boolean): GrantSettlement {
     return new GrantSettlement(table, hasRetryBudget)
@@ -88,8 +91,11 @@
   private finishOrRetry (live: LiveRequest, event: SettleEvent, step: Step): void {
     const runner = live.grant?.runner ?? ''
     live.grant = undefined
-    const mayRetry = live.facts.idempotent || event.outcome.kind === OutcomeKind.notRun
-    if (event.outcome.kind === OutcomeKind.unknown) live.mayHaveRun = true
+    if (event.outcome.kind === OutcomeKind.unknown) {
+      live.mayHaveRun = true
+      live.lostAnswers += 1
+    }
+    const mayRetry = live.lostAnswers < LOST_ANSWER_LIMIT && (live.facts.idempotent || event.outcome.kind === OutcomeKind.notRun)
     const service = this.table.grants.getOrCreateService(live.facts.service)
     if (event.retry && mayRetry && live.deadlineAt > step.now && this.spendRetry(service)) {
       live.triedRunners.push(runner)
--- a/packages/scheduler/src/core/requests/live-request.ts
+++ b/packages/scheduler/src/core/requests/live-request.ts
@@ -53,6 +53,8 @@
   triedRunners: string[]
   /** True when one of these runners may have run the request. */
   mayHaveRun: boolean
+  /** Number of these runners whose answer was lost, for example because they ended. */
+  lostAnswers: number
 }
 
 /**
@@ -78,7 +80,8 @@
     phase: 'waiting',
     grant: undefined,
     triedRunners: [],
-    mayHaveRun: false
+    mayHaveRun: false,
+    lostAnswers: 0
   }
 }
 
