Delay a task longer after each worker in a row that is lost with it

Cause: an attempt that was lost with the session of its worker counted as no failure and had no backoff, so the next one began at once, for ever.

It is not given up, since a session also ends when a worker was only cut off.

--- a/packages/scheduler/__tests__/tasks.test.ts
+++ b/packages/scheduler/__tests__/tasks.test.ts
@@ -234,6 +234,22 @@
     })
   })
 
+  describe('a task that ends the process of each worker that starts it', () => {
+    it('waits longer after each worker in a row that was lost with it', () => {
+      cluster.runMsOf = () => 600_000
+      const id = cluster.submit({ taskCount: 1 })
+      for (let elapsedMs = 0; elapsedMs < 60_000; elapsedMs += 100) {
+        cluster.advance(100)
+        const task = cluster.state.workloads.get(id)?.tasks[0]
+        if (task?.phase !== 'running') continue
+        cluster.getWorker(task.target).crash()
+        cluster.getWorker(task.target).restart()
+      }
+      const attempts = cluster.state.workloads.get(id)?.tasks[0].attempt ?? 0
+      assert.ok(attempts <= 10, `${attempts} attempts in 60 s`)
+    })
+  })
+
   describe('a gang', () => {
     it('is restarted as a whole when the worker of one task is lost', () => {
       cluster.runMsOf = () => 8_000
--- a/packages/scheduler/src/core/apply-decision.ts
+++ b/packages/scheduler/src/core/apply-decision.ts
@@ -201,6 +201,8 @@
     task.waitingSince = decision.at
     task.notBefore = decision.notBefore
     task.failures = decision.failures
+    if (decision.losses === undefined) delete task.losses
+    else task.losses = decision.losses
   })
 }
 
--- a/packages/scheduler/src/core/tasks/backoff.ts
+++ b/packages/scheduler/src/core/tasks/backoff.ts
@@ -14,9 +14,11 @@
 
 /**
  * Delay in milliseconds before a requeued task may be placed again: exponential after a failure, the base delay after a
- * refused start, and 0 otherwise.
+ * refused start. A task that was lost with its worker waits only if that happened to the attempt before too, since it may be
+ * what ends its workers. `count` is the number of failures, or of lost attempts in a row.
  */
-export function computeBackoffMs (limits: Limits, cause: EndCause, failures: number): number {
-  if (cause === EndCause.failed) return computeExponentialBackoffMs(limits, failures)
+export function computeBackoffMs (limits: Limits, cause: EndCause, count: number): number {
+  if (cause === EndCause.failed) return computeExponentialBackoffMs(limits, count)
+  if (cause === EndCause.lost) return count <= 1 ? 0 : computeExponentialBackoffMs(limits, count - 1)
   return cause === EndCause.refused ? limits.backoffBaseMs : 0
 }
--- a/packages/scheduler/src/core/tasks/tasks.ts
+++ b/packages/scheduler/src/core/tasks/tasks.ts
@@ -10,7 +10,7 @@
 import type { Limits } from '../../types/limits.js'
 import type { ClusterState } from '../../types/state.js'
 import { TargetKind, TargetPhase } from '../../types/targets.js'
-import { EndCause, isAssigned, createTaskKey, TaskPhase, WorkloadKind } from '../../types/workloads.js'
+import { EndCause, isAssigned, createTaskKey, TaskPhase, WorkloadKind, type TaskState } from '../../types/workloads.js'
 import { RunTimeEstimates } from '../health/run-time-estimates.js'
 import { OveruseControl } from '../health/overuse-control.js'
 import { UsageTable } from '../health/usage-table.js'
@@ -271,7 +271,8 @@
       return step.decide({ kind: 'taskEnded', id, index, attempt, target, phase: resolution.phase, cause, reason })
     }
     const { failures } = resolution
-    const notBefore = step.now + computeBackoffMs(this.limits, cause, failures)
+    const losses = cause === EndCause.lost ? this.countLosses(task, step.now) : undefined
+    const notBefore = step.now + computeBackoffMs(this.limits, cause, losses ?? failures)
     step.decide({
       kind: 'taskRequeued',
       id,
@@ -279,10 +280,16 @@
       attempt,
       target,
       failures,
+      losses,
       cause,
       reason,
       at: step.now,
       notBefore
     })
   }
+
+  /** Number of attempts in a row that were lost, with the present one; a task that was running for long starts anew. */
+  private countLosses ({ losses = 0, waitingSince }: TaskState, now: number): number {
+    return now - waitingSince >= this.limits.stableRunMs ? 1 : losses + 1
+  }
 }
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -27,7 +27,7 @@
   /** The attempt is over and so is the task. `target` is the worker that the task was assigned to; empty when it was waiting. */
   | { kind: 'taskEnded', id: string, index: number, attempt: number, target: string, phase: TaskPhase, cause: EndCause, reason: string }
   /** The attempt is over and the task waits again. */
-  | { kind: 'taskRequeued', id: string, index: number, attempt: number, target: string, failures: number, cause: EndCause, reason: string, at: number, notBefore: number }
+  | { kind: 'taskRequeued', id: string, index: number, attempt: number, target: string, failures: number, losses?: number, cause: EndCause, reason: string, at: number, notBefore: number }
   | { kind: 'targetAnnounced', target: TargetState }
   | { kind: 'targetPhaseSet', name: string, session: string, phase: TargetPhase }
   | { kind: 'targetRemoved', name: string, session: string }
--- a/packages/scheduler/src/types/workloads.ts
+++ b/packages/scheduler/src/types/workloads.ts
@@ -91,6 +91,8 @@
   notBefore: number
   /** Failed attempts so far. */
   failures: number
+  /** Attempts in a row that were lost with the session of their worker; undefined while there are none. */
+  losses?: number
   /** Set when a stop was requested: `cancel` ends the task, `preempt` makes it wait again. */
   stopping: '' | 'cancel' | 'preempt'
 }
