Tell suspected tasks apart sooner, and count only runs that were there

Cause: a worker counted as free of startups only once a list showed them outlived, up to a second later, both before a suspected task starts and after. And a suspect that had ended before the crash, behind a cut, counted like one that was there.

Change: for placement a startup is over 400 ms after its confirmation, since a crash closes the connections at once. A crash counts in full only against runs placed at most 350 ms before the connections closed.

--- a/packages/scheduler/src/core/jobs/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement-pass.ts
@@ -127,7 +127,7 @@
     let probedCount = 0
     for (const view of views) {
       if (view.isUnlisted) this.unlisted.push(view)
-      if (!view.isSilent && view.hasSuspectInStartup) probedCount += 1
+      if (!view.isSilent && view.isProbed(now)) probedCount += 1
       if (!view.isSchedulable(now)) continue
       const free = { millicores: view.freeMillicores, memoryMib: view.freeMemoryMib, accelerators: view.freeAccelerators }
       const candidate = { view, free, releasing: undefined, isReserved: previouslyReserved.has(view.id), suspectUnit: undefined, isChosen: false, preemptible: undefined }
@@ -197,10 +197,10 @@
    */
   private pickSuspectWorker (unit: SchedulingUnit, usable: Candidate[], taskCounts: ReadonlyMap<string, number>): Candidate | undefined {
     const fitting = usable.filter(candidate => fits(candidate.free, unit.spec.resources, unit.spec.fills) && isBelowLimit(candidate, unit, taskCounts))
-    const shared = unit.spec.gang ? fitting.find(({ suspectUnit, view }) => suspectUnit === unit.key && view.countStartups() === 0) : undefined
+    const shared = unit.spec.gang ? fitting.find(({ suspectUnit, view }) => suspectUnit === unit.key && view.countStartups(this.now) === 0) : undefined
     if (shared !== undefined || this.suspectWorkersLeft <= 0) return shared
     const [calmest] = fitting.filter(({ suspectUnit, isChosen }) => suspectUnit === undefined && !isChosen)
-      .map(candidate => ({ candidate, startups: candidate.view.countStartups(), runs: candidate.view.runs.size }))
+      .map(candidate => ({ candidate, startups: candidate.view.countStartups(this.now), runs: candidate.view.runs.size }))
       .sort((one, other) => one.startups - other.startups || one.runs - other.runs)
     if (calmest === undefined) return undefined
     calmest.candidate.suspectUnit = unit.key
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/run-manager.ts
@@ -200,7 +200,7 @@
     if (!view.hasAcceptedToken) this.loseFormerWorkers(step, view.worker)
     view.hasAcceptedToken = true
     view.recordContact(step.now)
-    view.isUnreachable = false
+    view.closedAt = undefined
     view.clockMs = Math.max(view.clockMs, event.clockMs ?? 0)
     const cursor = view.cursor
     for (const endedRun of event.ended) {
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -113,7 +113,7 @@
         return step.reply(event.call, { kind: 'workerKnown' })
       case 'workerLeft': return this.handleLeave(event, step)
       case 'workerListed': return this.handleListing(event, step)
-      case 'workerSilent': return this.handleSilence(event)
+      case 'workerSilent': return this.handleSilence(event, step)
       case 'workerLapsed':
         this.runManager.forgetWorker(step, event.id, event.incarnation, event.loss, event.reason)
         this.isPassDue = true
@@ -194,11 +194,11 @@
     if (event.ended.length > 0 || !wasUsable) this.isPassDue = true
   }
 
-  private handleSilence (event: EventOf<'workerSilent'>): void {
+  private handleSilence (event: EventOf<'workerSilent'>, step: Step): void {
     const view = this.runManager.findView(event.id, event.incarnation)
     if (view === undefined) return
     view.isSilent = true
-    view.isUnreachable = !event.isClosed
+    if (event.isClosed) view.closedAt = step.now
   }
 
   private handleOrderAnswer (event: EventOf<'runOrdered'>, step: Step): void {
--- a/packages/scheduler/src/core/jobs/worker-crashes.ts
+++ b/packages/scheduler/src/core/jobs/worker-crashes.ts
@@ -10,11 +10,11 @@
 import type { ClusterState } from '../../types/state.js'
 import type { Step } from '../step.js'
 import { findStageTask } from './apply-job-decision.js'
-import { isInStartup, RunStatus, type Run, type WorkerView } from './worker-view.js'
+import { isInStartup, RunStatus, wasClosedInStartup, type Run, type WorkerView } from './worker-view.js'
 
 /**
- * Evidence against a task that may not have been there at a crash: its start was not confirmed, or the worker was unreachable
- * for some time before, in which the run may have ended. It is not added to other evidence.
+ * Evidence against a task that may not have been there at a crash: its start was not confirmed, or so long before that the run
+ * may have ended. It is not added to other evidence.
  */
 const UNCONFIRMED_EVIDENCE = 1
 
@@ -38,8 +38,8 @@
 
 const NO_CRASHES: TaskCrashes = Object.freeze({ evidence: 0, lostRuns: 0 })
 
-/** The runs that may have crashed a worker; `isCertain` if they were there when it crashed. */
-interface Suspects { runs: readonly Run[], isCertain: boolean }
+/** The runs that may have crashed a worker, and those of them that were certainly there when it crashed. */
+interface Suspects { runs: readonly Run[], present: readonly Run[] }
 
 /** A worker whose lease expired, and what its crash would count if it were proven. */
 interface UnprovenLoss { worker: CalledWorker, runs: readonly Run[], suspects: Suspects, at: number }
@@ -103,7 +103,7 @@
 /** The runs of a worker that may have started and were not seen to outlive their startup. */
 function findSuspects (view: WorkerView): Suspects {
   const runs = [...view.runs.values()].filter(run => isInStartup(view, run) && !isStopConfirmed(run))
-  return { runs, isCertain: !view.isUnreachable }
+  return { runs, present: runs.filter(run => wasClosedInStartup(view, run)) }
 }
 
 function isStopConfirmed ({ status, confirmedAt }: Run): boolean {
@@ -128,11 +128,11 @@
   return { evidence: computeEvidence(run, evidence, suspects, points), lostRuns: lostRuns + 1 }
 }
 
-function computeEvidence (run: Run, evidence: number, { runs, isCertain }: Suspects, points: number): number {
+function computeEvidence (run: Run, evidence: number, { runs, present }: Suspects, points: number): number {
   // The age of an inherited run is not known.
   if (run.isInherited) return evidence
   if (!runs.includes(run)) return 0
-  return isCertain && run.hasStarted ? evidence + points : Math.max(evidence, UNCONFIRMED_EVIDENCE)
+  return present.includes(run) ? evidence + points : Math.max(evidence, UNCONFIRMED_EVIDENCE)
 }
 
 /** What is given up for a task: the members of a gang end together, so it does not matter which of them caused a crash. */
--- a/packages/scheduler/src/core/jobs/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/worker-view.ts
@@ -92,8 +92,8 @@
   isSilent = false
   /** Cluster time until which a worker that was silent gets no new work unless it reports its capacity; 0 if it has. */
   private awaitsReportUntil = 0
-  /** True while it does not answer although its connections stay open, so that its process may end at any time without notice. */
-  isUnreachable = false
+  /** Cluster time at which it closed its connections, as a process that ends does; undefined while it answers, or only does not. */
+  closedAt: number | undefined
   /** Highest sequence number of its reports; 0 if they have none. */
   reportSequence = 0
   /** Cluster time of its last list; before the first to this leader, that at which the leader learned of it. */
@@ -169,18 +169,18 @@
 
   /** True when new runs may be placed on the worker. */
   isSchedulable (now: number): boolean {
-    return this.hasAcceptedToken && !this.isSilent && !this.isEvacuating && !this.worker.isDraining && now >= this.cooldownUntil && now >= this.awaitsReportUntil && !this.hasSuspectInStartup
+    return this.hasAcceptedToken && !this.isSilent && !this.isEvacuating && !this.worker.isDraining && now >= this.cooldownUntil && now >= this.awaitsReportUntil && !this.isProbed(now)
   }
 
-  /** True while a run that is suspected to crash workers is in its startup, so that another start could not be told apart from it. */
-  get hasSuspectInStartup (): boolean {
+  /** True while a run that is suspected to crash workers may still do so, and another start could not be told apart from it. */
+  isProbed (now: number): boolean {
     if (this.suspectCount === 0) return false
-    return [...this.runs.values()].some(run => run.isSuspect && isInStartup(this, run))
+    return [...this.runs.values()].some(run => run.isSuspect && mayCrashSoon(this, run, now))
   }
 
-  /** Number of runs that would be suspected if the worker crashed now. */
-  countStartups (): number {
-    return [...this.runs.values()].filter(run => isInStartup(this, run)).length
+  /** Number of runs that may still crash the worker in their startup. */
+  countStartups (now: number): number {
+    return [...this.runs.values()].filter(run => mayCrashSoon(this, run, now)).length
   }
 
   /** Adds a run and counts its resources as used; replaces another run of the same task. */
@@ -286,6 +286,25 @@
   return startedClockMs === undefined || view.clockMs - startedClockMs < STARTUP_MS
 }
 
+/** Time after the confirmation of a start in which a crash of the worker would have closed its connections, in milliseconds. */
+const CLOSING_MS = 400
+
+/** True while a run may still crash its worker in its startup: it is in its startup, and a crash might not have been noticed yet. */
+function mayCrashSoon (view: WorkerView, run: Run, now: number): boolean {
+  return isInStartup(view, run) && !(run.status === RunStatus.running && now - run.confirmedAt >= CLOSING_MS)
+}
+
+/** Time that a placement usually takes until its start order arrives, in milliseconds. */
+const START_DELAY_MS = 100
+
+/**
+ * True when a worker closed its connections so soon after the placement of a run whose start it confirmed that the run was
+ * certainly there. A confirmation may come late, after a repeated order.
+ */
+export function wasClosedInStartup ({ closedAt = Infinity }: WorkerView, { status, placedAt, isInherited }: Run): boolean {
+  return status === RunStatus.running && !isInherited && closedAt - placedAt < STARTUP_MS + START_DELAY_MS
+}
+
 /** True when the worker has a task that serves users under a latency target. */
 export function isServing (view: WorkerView): boolean {
   for (const run of view.runs.values()) {
