--- a/packages/scheduler/src/core/jobs/job-requests.ts
+++ b/packages/scheduler/src/core/jobs/job-requests.ts
@@ -9,7 +9,7 @@
 import type { ClusterState } from '../../types/state.js'
 import { ErrorKind } from '../../utils/errors.js'
 import type { Step } from '../step.js'
-import { findRoute, type Route } from './queues.js'
+import { findRoute, type Route } from './order/queues.js'
 
 /** Time after which a caller may retry a request that was refused because the cell has no configuration. */
 const UNCONFIGURED_RETRY_MS = 1_000
--- a/packages/scheduler/src/core/jobs/cell-load.ts
+++ b/packages/scheduler/src/core/jobs/order/cell-load.ts
@@ -4,8 +4,8 @@
  * whether there was free capacity when a request was refused or a task waited.
  */
 
-import { isLiveJob, StageTaskPhase } from '../../types/jobs.js'
-import type { ClusterState } from '../../types/state.js'
+import { isLiveJob, StageTaskPhase } from '../../../types/jobs.js'
+import type { ClusterState } from '../../../types/state.js'
 import { isStageReady } from './scheduling-units.js'
 
 export interface CellLoad {
--- a/packages/scheduler/src/core/jobs/queues.ts
+++ b/packages/scheduler/src/core/jobs/order/queues.ts
@@ -3,7 +3,7 @@
  * of a job is based.
  */
 
-import { JobPhase, type CellConfiguration, type JobSpec, type JobQueue, type StagedJob } from '../../types/jobs.js'
+import { JobPhase, type CellConfiguration, type JobSpec, type JobQueue, type StagedJob } from '../../../types/jobs.js'
 
 /** Number of workers that each admission query is assumed to cover when the objective of a job is computed. */
 const OBJECTIVE_QUERY_WORKERS = 30
--- a/packages/scheduler/src/core/jobs/scheduling-units.ts
+++ b/packages/scheduler/src/core/jobs/order/scheduling-units.ts
@@ -6,9 +6,9 @@
 
 import {
   isLiveJob, StageTaskPhase, stageKey, type CellConfiguration, type Occurrence, type JobQueue, type StagedJob, type StageSpec
-} from '../../types/jobs.js'
+} from '../../../types/jobs.js'
 import { findQueue, objectiveMs, remainingPathMs } from './queues.js'
-import { isSuspected } from './worker-crashes.js'
+import { isSuspected } from '../runs/worker-crashes.js'
 
 /** Multiple of the objective after which the result of a job has no value to its caller. */
 const WORTHLESS_FACTOR = 3
--- a/packages/scheduler/src/core/jobs/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -16,11 +16,11 @@
  * tells whether it was the cause.
  */
 
-import type { Resources } from '../../types/resources.js'
-import { isPreemptionDue } from './unit-order.js'
+import type { Resources } from '../../../types/resources.js'
+import { isPreemptionDue } from '../order/unit-order.js'
 import { isTicketValid, QUERY_WORKER_LIMIT, type AdmissionTickets, type Ticket } from './admission-tickets.js'
-import type { SchedulingUnit } from './scheduling-units.js'
-import { isServing, RunStatus, type Run, type WorkerView } from './worker-view.js'
+import type { SchedulingUnit } from '../order/scheduling-units.js'
+import { isServing, RunStatus, type Run, type WorkerView } from '../workers/worker-view.js'
 
 /** Least number of units for which one pass may reserve capacity because not all of their tasks could be placed. */
 const RESERVATION_MINIMUM = 12
--- a/packages/scheduler/src/core/jobs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/runs/run-manager.ts
@@ -5,23 +5,23 @@
  * replaced or its lease has lapsed.
  */
 
-import type { EndedRun, EventOf, ReportedRun } from '../../types/events.js'
-import { OrderOutcome, RunAnomaly, RunEndCause, WorkerLoss } from '../../types/events.js'
+import type { EndedRun, EventOf, ReportedRun } from '../../../types/events.js'
+import { OrderOutcome, RunAnomaly, RunEndCause, WorkerLoss } from '../../../types/events.js'
 import {
   formatTaskRef, isLiveJob, parseTaskRef, StageTaskPhase, type CalledWorker, type StagedJob, type StageTask, type TaskRef
-} from '../../types/jobs.js'
-import { NO_RESOURCES } from '../../types/resources.js'
-import type { ClusterState } from '../../types/state.js'
-import type { Step } from '../step.js'
-import { findStageTask } from './apply-job-decision.js'
-import { INITIAL_PACE_PERCENT, adjustPaces } from './pacing.js'
+} from '../../../types/jobs.js'
+import { NO_RESOURCES } from '../../../types/resources.js'
+import type { ClusterState } from '../../../types/state.js'
+import type { Step } from '../../step.js'
+import { findStageTask } from '../apply-job-decision.js'
+import { INITIAL_PACE_PERCENT, adjustPaces } from '../workers/pacing.js'
 import { isStalled, isTooSlow } from './run-progress.js'
-import { isSameReport, mergeReport } from './worker-reports.js'
-import { listServingStages } from './serving-stages.js'
-import { computeExpectedRunMs, findQueue } from './queues.js'
-import type { Orphan, SchedulingUnit } from './scheduling-units.js'
+import { isSameReport, mergeReport } from '../workers/worker-reports.js'
+import { listServingStages } from '../workers/serving-stages.js'
+import { computeExpectedRunMs, findQueue } from '../order/queues.js'
+import type { Orphan, SchedulingUnit } from '../order/scheduling-units.js'
 import { clearCrashes, isSuspected, WorkerCrashes } from './worker-crashes.js'
-import { createOrphanRun, createRun, isInStartup, isServing, RunStatus, WorkerView, type Run } from './worker-view.js'
+import { createOrphanRun, createRun, isInStartup, isServing, RunStatus, WorkerView, type Run } from '../workers/worker-view.js'
 
 /**
  * Time after which an unconfirmed stop order is sent again, counted from the end of its answer timeout or from an answer
--- a/packages/scheduler/src/core/jobs/worker-crashes.ts
+++ b/packages/scheduler/src/core/jobs/runs/worker-crashes.ts
@@ -6,11 +6,11 @@
  * that is merely silent may still be up.
  */
 
-import { isLiveJob, stageKey, StageTaskPhase, type CalledWorker, type StagedJob, type StageTask, type TaskCrashes, type TaskRef } from '../../types/jobs.js'
-import type { ClusterState } from '../../types/state.js'
-import type { Step } from '../step.js'
-import { findStageTask } from './apply-job-decision.js'
-import { isInStartup, RunStatus, wasClosedInStartup, type Run, type WorkerView } from './worker-view.js'
+import { isLiveJob, stageKey, StageTaskPhase, type CalledWorker, type StagedJob, type StageTask, type TaskCrashes, type TaskRef } from '../../../types/jobs.js'
+import type { ClusterState } from '../../../types/state.js'
+import type { Step } from '../../step.js'
+import { findStageTask } from '../apply-job-decision.js'
+import { isInStartup, RunStatus, wasClosedInStartup, type Run, type WorkerView } from '../workers/worker-view.js'
 
 /**
  * Evidence against a task that may not have been there at a crash: its start was not confirmed, or so long before that the run
--- a/packages/scheduler/src/core/jobs/upkeep.ts
+++ b/packages/scheduler/src/core/jobs/upkeep/upkeep.ts
@@ -7,13 +7,13 @@
  * until it is confirmed to be back.
  */
 
-import { WorkerLoss, type EventOf } from '../../types/events.js'
-import { isWaveOver, UpkeepOutcome, UpkeepPhase, type ListedVm, type UpkeepWave } from '../../types/upkeep.js'
-import { ErrorKind } from '../../utils/errors.js'
-import type { Step } from '../step.js'
-import type { RunManager } from './run-manager.js'
-import { isSafeToTakeDown } from './serving-stages.js'
-import type { WorkerView } from './worker-view.js'
+import { WorkerLoss, type EventOf } from '../../../types/events.js'
+import { isWaveOver, UpkeepOutcome, UpkeepPhase, type ListedVm, type UpkeepWave } from '../../../types/upkeep.js'
+import { ErrorKind } from '../../../utils/errors.js'
+import type { Step } from '../../step.js'
+import type { RunManager } from '../runs/run-manager.js'
+import { isSafeToTakeDown } from '../workers/serving-stages.js'
+import type { WorkerView } from '../workers/worker-view.js'
 
 /** Interval at which the list of VMs is requested while a wave is in progress; each request has a cost. */
 const LIST_INTERVAL_MS = 500
--- a/packages/scheduler/src/core/jobs/pacing.ts
+++ b/packages/scheduler/src/core/jobs/workers/pacing.ts
@@ -6,7 +6,7 @@
  * advance and changes within seconds.
  */
 
-import type { Step } from '../step.js'
+import type { Step } from '../../step.js'
 import { RunStatus, type Run, type WorkerView } from './worker-view.js'
 
 /** Pace of a best-effort task without restriction, in percent of its full speed. */
--- a/packages/scheduler/src/core/jobs/serving-stages.ts
+++ b/packages/scheduler/src/core/jobs/workers/serving-stages.ts
@@ -3,8 +3,8 @@
  * scheduler may make unavailable at the same time.
  */
 
-import { formatTaskRef, stageKey, type StageTask, type TaskRef } from '../../types/jobs.js'
-import type { ClusterState } from '../../types/state.js'
+import { formatTaskRef, stageKey, type StageTask, type TaskRef } from '../../../types/jobs.js'
+import type { ClusterState } from '../../../types/state.js'
 import { RunStatus, type WorkerView } from './worker-view.js'
 
 /** Progress in percent that a long-running task reports once it is ready to serve. */
--- a/packages/scheduler/src/core/jobs/worker-reports.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-reports.ts
@@ -2,7 +2,7 @@
  * Merges and compares the reports in which called workers describe themselves.
  */
 
-import type { CalledWorker } from '../../types/jobs.js'
+import type { CalledWorker } from '../../../types/jobs.js'
 
 /**
  * Merges a report into the stored description. A report that was sent before another one of the same incarnation, and
--- a/packages/scheduler/src/core/jobs/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -4,10 +4,10 @@
  * leader queries each worker again under its own fencing token.
  */
 
-import { parseTaskRef, type CalledWorker, type StageSpec, type TaskRef } from '../../types/jobs.js'
-import type { Resources } from '../../types/resources.js'
+import { parseTaskRef, type CalledWorker, type StageSpec, type TaskRef } from '../../../types/jobs.js'
+import type { Resources } from '../../../types/resources.js'
 import { FULL_PACE_PERCENT } from './pacing.js'
-import type { RunProgress } from './run-progress.js'
+import type { RunProgress } from '../runs/run-progress.js'
 
 export const RunStatus = Object.freeze({
   /** It was placed by a previous leader, or on a former incarnation; whether it runs is unknown until the worker has been queried. */
