--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -188,14 +188,14 @@
   }
 
   private handleListing (event: EventOf<'workerListed'>, step: Step): void {
-    const view = this.runManager.findView(event.id, event.incarnation)
+    const view = this.runManager.orders.findView(event.id, event.incarnation)
     const wasUsable = view?.isSchedulable(step.now) === true
     this.runManager.handleListing(step, event)
     if (event.ended.length > 0 || !wasUsable) this.isPassDue = true
   }
 
   private handleSilence (event: EventOf<'workerSilent'>, step: Step): void {
-    const view = this.runManager.findView(event.id, event.incarnation)
+    const view = this.runManager.orders.findView(event.id, event.incarnation)
     if (view === undefined) return
     view.isSilent = true
     if (event.isClosed) view.closedAt = step.now
@@ -223,10 +223,10 @@
     const closing = isLiveJob(job) ? findClosing(job, step.state) : undefined
     if (closing !== undefined) step.decide({ kind: 'jobClosed', id, ...closing, at: step.now })
     if (!isLiveJob(job)) {
-      this.runManager.stopJobRuns(step, id)
+      this.runManager.orders.stopJobRuns(step, id)
       this.tickets.forgetJob(id)
     }
-    this.units.refresh(job, step.state.cell, this.runManager.meanRunMs.get(job.queue))
+    this.units.refresh(job, step.state.cell, this.runManager.ends.meanRunMs.get(job.queue))
     this.isPassDue = true
   }
 
@@ -244,7 +244,7 @@
     this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, considered.length * this.runManager.views.size / PAIRS_PER_PAUSE_MS)
     this.reservedWorkers = pass.reservedWorkers
     for (const query of pass.queries) this.queryAdmission(step, query)
-    for (const { view, run, unit } of pass.preemptions) this.runManager.stopRun(step, view, run, `preempted to free capacity for ${unit.key}`)
+    for (const { view, run, unit } of pass.preemptions) this.runManager.orders.stopRun(step, view, run, `preempted to free capacity for ${unit.key}`)
     this.startRuns(step, pass.placements)
   }
 
--- a/packages/scheduler/src/core/jobs/upkeep/upkeep.ts
+++ b/packages/scheduler/src/core/jobs/upkeep/upkeep.ts
@@ -192,12 +192,12 @@
 
   private evacuate (step: Step, wave: UpkeepWave, vm: string, { view, stopAt, downAt }: Evacuation): void {
     if (wave.vms.get(vm) !== UpkeepPhase.waiting) return
-    if (view !== undefined && step.now >= stopAt) this.runManager.stopPreemptibleRuns(step, view, 'its VM goes down for upkeep')
+    if (view !== undefined && step.now >= stopAt) this.runManager.orders.stopPreemptibleRuns(step, view, 'its VM goes down for upkeep')
     const isEmpty = view === undefined || view.runs.size === 0
     if (!isEmpty && step.now < downAt) return
     const down = [...wave.vms.values()].filter(phase => phase === UpkeepPhase.ordered || phase === UpkeepPhase.begun).length
     if (down >= wave.cap) return
-    if (view !== undefined && !isSafeToTakeDown(step.state, this.runManager.views, view)) return this.runManager.moveExcessServingTasks(step, view)
+    if (view !== undefined && !isSafeToTakeDown(step.state, this.runManager.views, view)) return this.runManager.orders.moveExcessServingTasks(step, view)
     if (view !== undefined) view.isGoingDown = true
     this.setPhase(step, wave.id, vm, UpkeepPhase.ordered)
     this.order(step, wave.id, vm)
