Split the placement pass, and add the types of client accounts and learnt run times

Types, events, decisions and limits of docs/design/competing-and-uneven-load.md, which no code uses yet. Tests of staged jobs, crashes, capacity changes and the worst load pass.

--- a/packages/scheduler/__tests__/support/scripted-leader.ts
+++ b/packages/scheduler/__tests__/support/scripted-leader.ts
@@ -4,7 +4,7 @@
  */
 
 import {
-  Scheduler, StagedJobs, type CalledWorker, type ClusterState, type Effect, type EndedRun, type Event, type EventOf, type OrderOutcome, type ReportedRun, type RunEndCause, type StageSpec, type StageTask
+  Scheduler, StagedJobs, type CalledWorker, type ClusterState, type Effect, type EndedRun, type Event, type EventOf, type Limits, type OrderOutcome, type ReportedRun, type RunEndCause, type StageSpec, type StageTask
 } from '../../src/index.js'
 import { createStage } from './stages.js'
 
@@ -15,13 +15,13 @@
   private scheduler: Scheduler
   private readonly endNumbers = new Map<string, number>()
 
-  private constructor (private readonly runLeaseMs: number | undefined) {
-    this.scheduler = Scheduler.create([StagedJobs.create(runLeaseMs)])
+  private constructor (private readonly limits: Partial<Limits>) {
+    this.scheduler = Scheduler.create([StagedJobs.create(limits)])
     this.scheduler.startLeading(this.now)
   }
 
-  static create (runLeaseMs?: number): ScriptedLeader {
-    const leader = new ScriptedLeader(runLeaseMs)
+  static create (limits: Partial<Limits> = {}): ScriptedLeader {
+    const leader = new ScriptedLeader(limits)
     const queue = { name: 'q', host: 'jobs.example', pathPrefix: '/q/', service: 'work', priority: 1, attemptLimit: 2, stretch: 2, targetMs: 500, timeoutMs: 3_000 }
     leader.handle({ kind: 'configureCell', call: 1, cell: { version: 1, queues: [queue], retired: [], services: [], document: '' } })
     return leader
@@ -39,7 +39,7 @@
 
   /** Another process takes over with the replicated state of this one. */
   replaceLeader (): void {
-    this.scheduler = Scheduler.create([StagedJobs.create(this.runLeaseMs)], structuredClone(this.state))
+    this.scheduler = Scheduler.create([StagedJobs.create(this.limits)], structuredClone(this.state))
     this.now += 10
     this.scheduler.startLeading(this.now)
   }
--- a/packages/scheduler/__tests__/uncertain-orders.test.ts
+++ b/packages/scheduler/__tests__/uncertain-orders.test.ts
@@ -74,7 +74,7 @@
 
 describe('a worker that a new leader does not reach', () => {
   it('keeps its runs for the longest lease that workers grant', () => {
-    const leader = ScriptedLeader.create(20_000)
+    const leader = ScriptedLeader.create({ runLeaseMs: 20_000 })
     leader.addWorker('one')
     leader.submit()
     leader.addWorker('two')
--- a/packages/scheduler/src/core/create-components.ts
+++ b/packages/scheduler/src/core/create-components.ts
@@ -22,6 +22,6 @@
     ...createControlComponents(limits, { usage, estimates, countRequestsInFlight, findInfeasibility }),
     Placement.create({ usage, estimates }),
     requests,
-    StagedJobs.create(limits.runLeaseMs)
+    StagedJobs.create(limits)
   ]
 }
--- a/packages/scheduler/src/core/jobs/order/scheduling-units.ts
+++ b/packages/scheduler/src/core/jobs/order/scheduling-units.ts
@@ -22,6 +22,10 @@
   spec: StageSpec
   payload: string
   queue: JobQueue
+  /** Client account of the job; undefined if it has none. */
+  account?: string
+  /** The job is beyond what its account is owed. */
+  isBeyondWeight?: boolean
   /** Cluster time in milliseconds by which the job must end to meet its objective. */
   objectiveAt: number
   /** Expected time from the start of this stage to the end of the job, in milliseconds. */
@@ -153,6 +157,8 @@
     spec: job.spec.stages[stage],
     payload: job.spec.payload,
     queue,
+    account: job.account,
+    isBeyondWeight: job.isBeyondWeight === true,
     objectiveAt: startAt + jobObjectiveMs,
     worthlessAt: startAt + WORTHLESS_FACTOR * jobObjectiveMs,
     remainingMs: remainingPathMs(job.spec, queue, meanRunMs, stage),
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -16,11 +16,13 @@
  * tells whether it was the cause.
  */
 
-import type { Resources } from '../../../types/resources.js'
 import { isPreemptionDue } from '../order/unit-order.js'
 import { isTicketValid, QUERY_WORKER_LIMIT, type AdmissionTickets, type Ticket } from './admission-tickets.js'
 import type { SchedulingUnit } from '../order/scheduling-units.js'
-import { isServing, RunStatus, type Run, type WorkerView } from '../workers/worker-view.js'
+import type { Run, WorkerView } from '../workers/worker-view.js'
+import { add, applyDemand, fits, getReleasing, isBelowLimit, isEligible, reserveTask, sumAvailable, type Amounts, type Candidate } from './candidate.js'
+import { pickCandidate } from './candidate-score.js'
+import { listPreemptible } from './preemptible-runs.js'
 
 /** Least number of units for which one pass may reserve capacity because not all of their tasks could be placed. */
 const RESERVATION_MINIMUM = 12
@@ -78,28 +80,9 @@
   workers: string[]
 }
 
-/** A worker that can take work, with its capacity less what this pass has placed and reserved on it. */
-interface Candidate {
-  view: WorkerView
-  free: Amounts
-  /** Capacity that runs being stopped will release, less what is reserved of it; computed on first use. */
-  releasing: Amounts | undefined
-  /** True when units reserved capacity there in the previous pass. */
-  isReserved: boolean
-  /** Key of the unit whose suspected tasks have the worker for themselves in this pass; undefined if there is none. */
-  suspectUnit: string | undefined
-  /** True once a task is to be started there in this pass. */
-  isChosen: boolean
-  /** Runs that may be stopped without loss of progress, largest processor demand first; computed on first use. */
-  preemptible: Run[] | undefined
-}
-
 /** Victims on a worker, and the amounts of that worker before they were chosen. */
 interface PlannedPreemption { candidate: Candidate, victims: Run[], free: Amounts, releasing: Amounts }
 
-/** Amounts of resources that are changed in place; reservations may make them negative. */
-interface Amounts { millicores: number, memoryMib: number, accelerators: number }
-
 export class PlacementPass {
   readonly placements: RunPlacement[] = []
   readonly queries: AdmissionQuery[] = []
@@ -387,80 +370,6 @@
   }
 }
 
-/** Running preemptible runs of a worker whose jobs can afford a preemption, largest processor demand first. */
-function listPreemptible (view: WorkerView, now: number): Run[] {
-  const found: Run[] = []
-  for (const run of view.runs.values()) {
-    if (run.isPreemptible && run.status === RunStatus.running && canAffordPreemption(run, now)) found.push(run)
-  }
-  return found.sort((one, other) => other.resources.millicores - one.resources.millicores)
-}
-
-/**
- * Capacity that the runs being stopped on a worker will release, less what is reserved of it, and less what the worker runs
- * beyond a capacity that has shrunk.
- */
-function getReleasing (candidate: Candidate): Amounts {
-  if (candidate.releasing !== undefined) return candidate.releasing
-  const { freeMillicores, freeMemoryMib, freeAccelerators } = candidate.view
-  const releasing = { millicores: Math.min(0, freeMillicores), memoryMib: Math.min(0, freeMemoryMib), accelerators: Math.min(0, freeAccelerators) }
-  for (const run of candidate.view.runs.values()) {
-    if (run.status === RunStatus.stopping && !run.fills) add(releasing, run.resources, 1)
-  }
-  candidate.releasing = releasing
-  return releasing
-}
-
-function add (amounts: Amounts, { millicores, memoryMib, accelerators }: Resources, sign: number): void {
-  amounts.millicores += sign * millicores
-  amounts.memoryMib += sign * memoryMib
-  amounts.accelerators += sign * accelerators
-}
-
-/** Free capacity, counted as 0 where reservations exceed it, plus releasing capacity. */
-function sumAvailable (candidate: Candidate): Amounts {
-  const { free } = candidate
-  const releasing = getReleasing(candidate)
-  return {
-    millicores: Math.max(0, free.millicores) + releasing.millicores,
-    memoryMib: Math.max(0, free.memoryMib) + releasing.memoryMib,
-    accelerators: Math.max(0, free.accelerators) + releasing.accelerators
-  }
-}
-
-/** Deducts the demand of one task from the free capacity first, then from the releasing capacity. */
-function reserveTask (candidate: Candidate, { spec }: SchedulingUnit): void {
-  const releasing = getReleasing(candidate)
-  for (const dimension of ['millicores', 'memoryMib', 'accelerators'] as const) {
-    const wanted = spec.fills && dimension === 'millicores' ? 0 : spec.resources[dimension]
-    const fromFree = Math.min(wanted, Math.max(0, candidate.free[dimension]))
-    candidate.free[dimension] -= fromFree
-    releasing[dimension] -= wanted - fromFree
-  }
-}
-
-/**
- * True when the job of a run still meets its objective after a preemption. If it misses it in any case, the result must still
- * have a value after a preemption, or none without one.
- */
-function canAffordPreemption (run: Run, now: number): boolean {
-  const neededMs = run.estimateMs * (100 - run.percent) / 100
-  const endsBefore = run.objectiveAt - now >= neededMs ? run.objectiveAt : run.worthlessAt
-  const leftMs = endsBefore - now
-  return leftMs < neededMs || leftMs > PREEMPTION_SLACK_FACTOR * run.estimateMs + PREEMPTION_WAIT_MS
-}
-
-/** Time that must remain for a preemption until the objective, or until the result has no value, as a multiple of the estimated run time of the task. */
-const PREEMPTION_SLACK_FACTOR = 2
-
-/** Allowance for the time that a preempted task waits for placement; added to the slack. */
-const PREEMPTION_WAIT_MS = 5_000
-
-/** True when the worker may run another task of the stage. `taskCounts` are the tasks of the stage on each worker, by worker id. */
-function isBelowLimit (candidate: Candidate, { spec }: SchedulingUnit, taskCounts: ReadonlyMap<string, number>): boolean {
-  return spec.perWorkerLimit === 0 || (taskCounts.get(candidate.view.id) ?? 0) < spec.perWorkerLimit
-}
-
 function isLarge (unit: SchedulingUnit): boolean {
   const demand = unit.spec.resources.millicores
   return demand > LARGE_SHARE * LARGE_REFERENCE_MILLICORES
@@ -468,61 +377,3 @@
 
 /** Processor capacity of the reference worker; see `LARGE_SHARE`. */
 const LARGE_REFERENCE_MILLICORES = 32_000
-
-function isEligible (view: WorkerView, { queue, spec }: SchedulingUnit): boolean {
-  return view.worker.service === queue.service &&
-    (spec.requiredLabel === '' || view.worker.labels.includes(spec.requiredLabel))
-}
-
-/** True when the available amounts cover a demand. Best-effort tasks (`fills`) need no processor capacity. */
-function fits (available: Amounts, { millicores, memoryMib, accelerators }: Resources, fills: boolean): boolean {
-  return (fills || available.millicores >= millicores) && available.memoryMib >= memoryMib && available.accelerators >= accelerators
-}
-
-/** Deducts (sign -1) or returns (sign 1) the demand of one task. */
-function applyDemand (amounts: Amounts, { spec }: SchedulingUnit, sign: number): void {
-  add(amounts, spec.fills ? { ...spec.resources, millicores: 0 } : spec.resources, sign)
-}
-
-/** The candidate with the lowest score on which one task of the unit fits; undefined when there is none. */
-function pickCandidate (unit: SchedulingUnit, usable: Candidate[], taskCounts: ReadonlyMap<string, number>): Candidate | undefined {
-  const { spec } = unit
-  let best: Candidate | undefined
-  let bestScore = Infinity
-  for (const candidate of usable) {
-    if (candidate.suspectUnit !== undefined || !fits(candidate.free, spec.resources, spec.fills) || !isBelowLimit(candidate, unit, taskCounts)) continue
-    const score = computeScore(candidate, unit, taskCounts)
-    if (score >= bestScore) continue
-    best = candidate
-    bestScore = score
-  }
-  return best
-}
-
-/**
- * Penalty in millicores for a worker on another rack than the input data. Half of it applies to tasks of a rack-local
- * stage, for a worker that has none of them while other workers do.
- */
-const REMOTE_PENALTY = 1_000_000
-
-/** Penalty in millicores, for tasks that are not in a gang, for a worker with reserved capacity. */
-const RESERVED_PENALTY = 100_000
-
-/** Penalty in millicores for a worker whose recent runs all failed; scaled by the failure rate. */
-const FAILURE_PENALTY = 200_000
-
-/** Penalty in millicores, for best-effort tasks, for a worker whose tasks serve users, because best-effort tasks would slow those. */
-const SERVING_PENALTY = 500_000
-
-/**
- * Score of a candidate in millicores; lower is better. It is the free capacity (best fit) plus penalties. For
- * best-effort tasks free capacity lowers the score, since they run best on idle workers.
- */
-function computeScore (candidate: Candidate, { spec }: SchedulingUnit, taskCounts: ReadonlyMap<string, number>): number {
-  let score = candidate.free.millicores + FAILURE_PENALTY * candidate.view.failureRate
-  if (spec.fills) score = (isServing(candidate.view) ? SERVING_PENALTY : 0) - candidate.free.millicores
-  if (candidate.isReserved && !spec.gang) score += RESERVED_PENALTY
-  if (spec.dataRack !== '' && candidate.view.worker.rack !== spec.dataRack) score += REMOTE_PENALTY
-  if (spec.rackLocal && taskCounts.size > 0 && !taskCounts.has(candidate.view.id)) score += REMOTE_PENALTY / 2
-  return score
-}
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -8,7 +8,7 @@
 import {
   isLiveJob, JobPhase, StageTaskPhase, type StagedJob, type StageTask
 } from '../../types/jobs.js'
-import { DEFAULT_LIMITS } from '../../types/limits.js'
+import { DEFAULT_LIMITS, type Limits } from '../../types/limits.js'
 import type { ClusterState } from '../../types/state.js'
 import { Component } from '../component.js'
 import type { Step } from '../step.js'
@@ -71,14 +71,14 @@
   /** Minimum time from the last pass to the next; while passes are expensive, it lets one pass handle several events. */
   private passPauseMs = 0
 
-  private constructor (private readonly runManager: RunManager) {
+  private constructor (private readonly runManager: RunManager, private readonly limits: Readonly<Limits>) {
     super()
     this.upkeep = Upkeep.create(runManager)
   }
 
-  /** `runLeaseMs` is the longest lease that a called worker grants to its runs, in milliseconds of its clock. */
-  static create (runLeaseMs = DEFAULT_LIMITS.runLeaseMs): StagedJobs {
-    return new StagedJobs(RunManager.create(runLeaseMs))
+  static create (limits: Partial<Limits> = {}): StagedJobs {
+    const complete = { ...DEFAULT_LIMITS, ...limits }
+    return new StagedJobs(RunManager.create(complete.runLeaseMs), complete)
   }
 
   reset (state: ClusterState, now: number): void {
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -61,7 +61,8 @@
   /** The oldest finished waves beyond `limit` are removed. */
   | { kind: 'upkeepWaveAccepted', wave: UpkeepWave, limit: number }
   | { kind: 'upkeepPhaseSet', wave: number, vm: string, phase: UpkeepPhase }
-  | { kind: 'jobAccepted', id: string, queue: string, spec: JobSpec, at: number }
+  /** `account` and `isBeyondWeight` are as in `StagedJob`; decisions of earlier versions lack them. */
+  | { kind: 'jobAccepted', id: string, queue: string, account?: string, isBeyondWeight?: boolean, spec: JobSpec, at: number }
   /** `reason` says why a job failed; decisions of earlier versions lack it. */
   | { kind: 'jobClosed', id: string, phase: JobPhase, at: number, reason?: string }
   | { kind: 'jobForgotten', id: string }
@@ -69,9 +70,10 @@
   | { kind: 'runPlaced', ref: TaskRef, run: number, worker: string, incarnation: number }
   /**
    * A run succeeded or failed, which may be an earlier one than the run that is placed. A success ends the task; a failure
-   * counts once towards the attempt limit of the queue.
+   * counts once towards the attempt limit of the queue. `workMs` is the work of a run that succeeded, in milliseconds on a
+   * worker of speed 1; absent when it is not known.
    */
-  | { kind: 'runEnded', ref: TaskRef, run: number, succeeded: boolean }
+  | { kind: 'runEnded', ref: TaskRef, run: number, succeeded: boolean, workMs?: number }
   /** A run is over or never started, and its task waits again. `checkpoint` is empty unless there is a newer one. */
   | { kind: 'runReleased', ref: TaskRef, run: number, checkpoint: string, reason: string }
   /** Replaces the crashes that count against a task. */
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -99,9 +99,10 @@
   | { kind: 'fetchOutcome', call: number, caller: string, requestId: string }
   /** The grants that an entry has in use, reported to a new leader and after each reconnection. */
   | { kind: 'grantsHeld', report: EntryReport }
-  | { kind: 'acceptJob', call: number, host: string, path: string, spec: JobSpec }
-  | { kind: 'readJob', call: number, host: string, path: string }
-  | { kind: 'cancelJob', call: number, host: string, path: string }
+  /** `keyDigest` of this and the next two is the SHA-256 of the caller's key in hexadecimal; undefined without a key. */
+  | { kind: 'acceptJob', call: number, host: string, path: string, keyDigest?: string, spec: JobSpec }
+  | { kind: 'readJob', call: number, host: string, path: string, keyDigest?: string }
+  | { kind: 'cancelJob', call: number, host: string, path: string, keyDigest?: string }
   | { kind: 'configureCell', call: number, cell: CellConfiguration }
   | { kind: 'readCell', call: number }
   | { kind: 'startUpkeepWave', call: number, id: number, vms: string[], cap: number, durationMs: number }
--- a/packages/scheduler/src/types/jobs.ts
+++ b/packages/scheduler/src/types/jobs.ts
@@ -5,6 +5,7 @@
  * token and extends a lease that is measured on the worker's own clock.
  */
 
+import type { ClientAccount } from './accounts.js'
 import type { Resources } from './resources.js'
 
 export interface StageSpec {
@@ -105,6 +106,10 @@
 export interface StagedJob {
   id: string
   queue: string
+  /** Name of the client account that submitted it; undefined where there are no accounts, or on an open queue. */
+  account?: string
+  /** True for a job beyond the number of jobs per second that its account is owed. */
+  isBeyondWeight?: boolean
   spec: JobSpec
   phase: JobPhase
   /** Cluster time in milliseconds. */
@@ -138,6 +143,8 @@
   timeoutMs: number
   /** Set when an external service decides which workers may run a stage. */
   admission?: AdmissionTiming
+  /** Callers need no key; undefined counts as false. */
+  isOpen?: boolean
 }
 
 /** Time that the external admission service needs for one call, in milliseconds: `decideMs` plus `perWorkerMs` for each worker. */
@@ -156,6 +163,10 @@
   retired: JobQueue[]
   /** Services that queues may name; the scheduler does not use `standby`. */
   services: Array<{ name: string, standby: boolean }>
+  /** Client accounts; undefined where the cell has none, and then calls need no key. */
+  accounts?: ClientAccount[]
+  /** Accounts that were removed while they had jobs that had not ended; their keys are not valid. */
+  retiredAccounts?: ClientAccount[]
   /** The document as the operator sent it, for reading it back. */
   document: string
 }
--- a/packages/scheduler/src/types/limits.ts
+++ b/packages/scheduler/src/types/limits.ts
@@ -40,6 +40,12 @@
   auditLimit: number
   /** Longest lease that a called worker grants to its runs, on its own clock. */
   runLeaseMs: number
+  /** Estimate run times from finished runs, and tell long tasks from slow workers. */
+  learntRunTimes: boolean
+  /** Share of its cap by which an account may exceed it at most; only for the check of gangs that are wider than the cap. */
+  accountOverage: number
+  /** Window over which the jobs of an account are counted against its weight. */
+  accountWindowMs: number
 }
 
 export const DEFAULT_LIMITS: Readonly<Limits> = Object.freeze({
@@ -61,5 +67,8 @@
   lateMs: 2_000,
   endedLimit: 10_000,
   auditLimit: 20_000,
-  runLeaseMs: 6_000
+  runLeaseMs: 6_000,
+  learntRunTimes: false,
+  accountOverage: 0.1,
+  accountWindowMs: 5_000
 })
