Wait for a report of its capacity before a new leader trusts a worker after an outage

Reports that change nothing are not in the replicated state, so a leader that took over after an outage of all controllers placed work against a capacity that may have shrunk meanwhile. Now the capacity counts as known up to the last job that a leader accepted or closed; if that is over 2 s ago, a worker gets no work until it has reported itself, for 3 s at most.

--- a/packages/scheduler/__tests__/capacity-changes.test.ts
+++ b/packages/scheduler/__tests__/capacity-changes.test.ts
@@ -78,6 +78,39 @@
   })
 })
 
+// The day deploy/days/shrunk.toml, while no controller is up: the capacity in the replicated state is that of before.
+describe('a worker whose capacity may have shrunk while there was no leader', () => {
+  function takeOver (outageMs: number): ScriptedLeader {
+    const leader = createCell()
+    leader.submit({ taskCount: 4 })
+    leader.advance(100)
+    leader.listEnd('one', 'job/0/0/0', 1, 'failed')
+    leader.now += outageMs
+    leader.replaceLeader()
+    return leader
+  }
+
+  const running = [1, 2, 3].map(index => createReportedRun(`job/0/0/${index}`, 1))
+
+  it('gets no start from the next leader before it has reported its capacity', () => {
+    const leader = takeOver(4_000)
+    assert.deepEqual(listOrders([...leader.list('one', { running }), ...leader.advance(300)]), [])
+    assert.deepEqual(listOrders([...leader.report('one', 1, { capacity: { ...FULL, millicores: 8_000 }, sequence: 2 }), ...leader.advance(300)]), [])
+    assert.equal(listOrders([...leader.report('one', 1, { capacity: FULL, sequence: 3 }), ...leader.advance(300)]).length, 1)
+  })
+
+  it('gets a start at once if it has reported its capacity to the next leader before it listed its runs', () => {
+    const leader = takeOver(4_000)
+    leader.report('one', 1, { capacity: FULL, sequence: 2 })
+    assert.equal(listOrders([...leader.list('one', { running }), ...leader.advance(300)]).length, 1)
+  })
+
+  it('gets a start at once after a change of the leader within a second', () => {
+    const leader = takeOver(1_000)
+    assert.equal(listOrders([...leader.list('one', { running }), ...leader.advance(300)]).length, 1)
+  })
+})
+
 describe('a worker that runs more than its shrunk capacity', () => {
   const stage = createStage({ checkpoints: true })
 
--- a/packages/scheduler/__tests__/worker-crashes.test.ts
+++ b/packages/scheduler/__tests__/worker-crashes.test.ts
@@ -74,6 +74,24 @@
     assert.equal(script.phase, 'failed')
   })
 
+  // The day deploy/days/deadly-task.toml: each leader that ordered a start is killed, so that no leader sees a startup whole.
+  it('is started six times at most, three of them after three crashes, though the leader is killed between all of them', () => {
+    const script = CrashScript.create()
+    let starts = 1
+    for (let crashes = 0; crashes < 8 && script.phase === 'live'; crashes++) {
+      script.confirmStart()
+      script.leader.replaceLeader()
+      for (const { id, incarnation } of [...script.leader.state.calledWorkers.values()]) {
+        const { run = 0, worker } = script.leader.getTask() ?? {}
+        script.leader.list(id, { incarnation, clockMs: STARTED_MS, running: worker === id ? [createReportedRun(TASK, run)] : [] })
+      }
+      script.crash()
+      if (script.phase === 'live') starts = script.leader.getTask()?.run ?? 0
+    }
+    assert.equal(script.phase, 'failed')
+    assert.ok(starts <= 6, `${starts} starts`)
+  })
+
   it('counts as one suspect with the other members of its gang', () => {
     const script = CrashScript.create({ gang: true, taskCount: 2 })
     for (const phase of ['live', 'failed']) {
--- a/packages/scheduler/src/core/jobs/runs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/runs/run-manager.ts
@@ -68,7 +68,8 @@
     this.crashes.clear()
     this.leaderSince = now
     this.isFencedOff = false
-    for (const worker of state.calledWorkers.values()) this.views.set(worker.id, WorkerView.create(worker, now))
+    const activeAt = Math.min(now, findLastActivity(state))
+    for (const worker of state.calledWorkers.values()) this.views.set(worker.id, WorkerView.create(worker, now, activeAt))
     for (const job of state.jobs.values()) {
       for (const [occurrence, stages] of job.occurrences) {
         stages.forEach((tasks, stage) => tasks.forEach((task, index) => {
@@ -371,3 +372,13 @@
     for (const run of [...view.runs.values()]) this.orders.removeRun(step, view, run, reason)
   }
 }
+
+/**
+ * Cluster time at which a leader last accepted or closed a job; 0 if none did. Reports of workers that change nothing are not
+ * in the replicated state, so their capacities are known to hold up to that time only.
+ */
+function findLastActivity (state: ClusterState): number {
+  let latest = 0
+  for (const { acceptedAt, closedAt } of state.jobs.values()) latest = Math.max(latest, acceptedAt, closedAt)
+  return latest
+}
--- a/packages/scheduler/src/core/jobs/workers/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -96,7 +96,7 @@
   closedAt: number | undefined
   /** Highest sequence number of its reports; 0 if they have none. */
   reportSequence = 0
-  /** Cluster time of its last list; before the first to this leader, that at which the leader learned of it. */
+  /** Cluster time of its last list; before the first to this leader, that at which its capacity was still known to hold. */
   private contactAt: number
   /** Cluster time of its last report that was not late; 0 before the first to this leader. */
   private reportedAt = 0
@@ -121,13 +121,15 @@
   private constructor (
     public worker: CalledWorker,
     /** Cluster time at which this leader learned of this incarnation. */
-    readonly knownSince: number
+    readonly knownSince: number,
+    capacityKnownAt: number
   ) {
-    this.contactAt = knownSince
+    this.contactAt = capacityKnownAt
   }
 
-  static create (worker: CalledWorker, knownSince: number): WorkerView {
-    const view = new WorkerView(worker, knownSince)
+  /** `capacityKnownAt` is the cluster time at which the capacity of the worker was still known to hold. */
+  static create (worker: CalledWorker, knownSince: number, capacityKnownAt = knownSince): WorkerView {
+    const view = new WorkerView(worker, knownSince, capacityKnownAt)
     view.reportSequence = worker.sequence ?? 0
     return view
   }
