Find the client account of a caller's key and store it with the job

Entries pass on the digest of the key in Authorization, so that the leader decides by the newest configuration.

--- a/packages/scheduler/src/core/jobs/job-requests.ts
+++ b/packages/scheduler/src/core/jobs/job-requests.ts
@@ -4,6 +4,7 @@
  * cell.
  */
 
+import { findAccountByKey, hasAccounts } from '../../types/accounts.js'
 import type { EventOf } from '../../types/events.js'
 import { isLiveJob, JobPhase, type CellConfiguration, type JobSpec, type StagedJob, type StageSpec } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
@@ -31,7 +32,8 @@
   if (step.state.jobs.has(id)) return step.reply(event.call, { kind: 'jobAccepted' })
   const fault = findIdFault(id) || findSpecFault(event.spec)
   if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
-  step.decide({ kind: 'jobAccepted', id, queue: route.queue.name, spec: event.spec, at: step.now })
+  const account = findCallerAccount(step.state.cell, event.keyDigest)
+  step.decide({ kind: 'jobAccepted', id, queue: route.queue.name, ...(account === undefined ? {} : { account }), spec: event.spec, at: step.now })
   step.reply(event.call, { kind: 'jobAccepted' })
 }
 
@@ -93,6 +95,12 @@
   step.refuse(event.call, ErrorKind.notFound, `no queue at ${event.host}${event.path}`)
 }
 
+/** Name of the account whose key a caller presents; undefined without a key, and where the cell has no accounts. */
+function findCallerAccount (cell: CellConfiguration | undefined, keyDigest: string | undefined): string | undefined {
+  if (cell === undefined || !hasAccounts(cell) || keyDigest === undefined) return undefined
+  return findAccountByKey(cell, keyDigest)?.name
+}
+
 function refuseUnconfigured (call: number, step: Step): void {
   step.refuse(call, ErrorKind.unavailable, 'the cell has no configuration yet; retry after an operator has set one', UNCONFIGURED_RETRY_MS)
 }
--- a/packages/scheduler/src/types/jobs.ts
+++ b/packages/scheduler/src/types/jobs.ts
@@ -5,7 +5,7 @@
  * token and extends a lease that is measured on the worker's own clock.
  */
 
-import type { ClientAccount } from './accounts.js'
+import type { AccountDirectory } from './accounts.js'
 import type { Resources } from './resources.js'
 
 export interface StageSpec {
@@ -156,17 +156,13 @@
 }
 
 /** The configuration of the cell that an operator put in force, under a version that the operator chose. */
-export interface CellConfiguration {
+export interface CellConfiguration extends AccountDirectory {
   version: number
   queues: JobQueue[]
   /** Queues that were removed while they had jobs that had not ended. */
   retired: JobQueue[]
   /** Services that queues may name; the scheduler does not use `standby`. */
   services: Array<{ name: string, standby: boolean }>
-  /** Client accounts; undefined where the cell has none, and then calls need no key. */
-  accounts?: ClientAccount[]
-  /** Accounts that were removed while they had jobs that had not ended; their keys are not valid. */
-  retiredAccounts?: ClientAccount[]
   /** The document as the operator sent it, for reading it back. */
   document: string
 }
