Refuse calls with an unknown key, and keep accounts that are removed with live jobs

The leader refuses with 401 after a quorum round, before it looks up the job. A configuration in which two accounts share a key or a name is refused with the reason. A call that cannot be decoded is refused as before only once the leader accepts its key.

--- a/packages/scheduler/src/core/jobs/job-requests.ts
+++ b/packages/scheduler/src/core/jobs/job-requests.ts
@@ -4,12 +4,13 @@
  * cell.
  */
 
-import { findAccountByKey, hasAccounts } from '../../types/accounts.js'
 import type { EventOf } from '../../types/events.js'
 import { isLiveJob, JobPhase, type CellConfiguration, type JobSpec, type StagedJob, type StageSpec } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
 import { ErrorKind } from '../../utils/errors.js'
 import type { Step } from '../step.js'
+import { findAccountFault, listRetiredAccounts } from './accounts/account-changes.js'
+import { identifyCaller } from './accounts/caller-identity.js'
 import { findRoute, type Route } from './order/queues.js'
 
 /** Time after which a caller may retry a request that was refused because the cell has no configuration. */
@@ -28,11 +29,10 @@
 export function acceptJob (event: EventOf<'acceptJob'>, step: Step): void {
   const route = findRouteOrRefuse(event, step)
   if (route === undefined) return
-  const id = route.jobId
+  const { jobId: id, account } = route
   if (step.state.jobs.has(id)) return step.reply(event.call, { kind: 'jobAccepted' })
   const fault = findIdFault(id) || findSpecFault(event.spec)
   if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
-  const account = findCallerAccount(step.state.cell, event.keyDigest)
   step.decide({ kind: 'jobAccepted', id, queue: route.queue.name, ...(account === undefined ? {} : { account }), spec: event.spec, at: step.now })
   step.reply(event.call, { kind: 'jobAccepted' })
 }
@@ -59,11 +59,18 @@
   step.reply(event.call, { kind: 'job', phase: job?.phase, isStarted: job?.started ?? false })
 }
 
-/** Puts a configuration in force if its version is higher than the current one; others are acknowledged without effect. */
+/**
+ * Puts a configuration in force if its version is higher than the current one; others are acknowledged without effect. One
+ * whose accounts contradict each other is refused.
+ */
 export function configureCell (event: EventOf<'configureCell'>, step: Step): void {
   const current = step.state.cell
+  const fault = findAccountFault(event.cell.accounts ?? [])
+  if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
   if (current === undefined || event.cell.version > current.version) {
-    step.decide({ kind: 'cellConfigured', cell: { ...event.cell, retired: listRetired(current, event.cell, step.state) } })
+    const retiredAccounts = listRetiredAccounts(current, event.cell, step.state)
+    const kept = retiredAccounts.length === 0 ? {} : { retiredAccounts }
+    step.decide({ kind: 'cellConfigured', cell: { ...event.cell, retired: listRetired(current, event.cell, step.state), ...kept } })
   } else {
     step.decide({ kind: 'leadershipProbed' })
   }
@@ -82,23 +89,27 @@
   step.reply(call, { kind: 'cell', version, document })
 }
 
-/** The route of a call; without one, the call is refused and undefined is returned. */
-function findRouteOrRefuse (event: { call: number, host: string, path: string }, step: Step): Route | undefined {
+/** The route of a call and the account of its caller; without a route or a valid key, the call is refused and undefined is returned. */
+function findRouteOrRefuse (event: EventOf<'acceptJob' | 'readJob' | 'cancelJob'>, step: Step): Route & { account?: string } | undefined {
   const { cell } = step.state
   if (cell === undefined) {
     refuseUnconfigured(event.call, step)
     return undefined
   }
   const route = findRoute(cell, event.host, event.path)
-  if (route !== undefined) return route
-  step.decide({ kind: 'leadershipProbed' })
-  step.refuse(event.call, ErrorKind.notFound, `no queue at ${event.host}${event.path}`)
+  if (route === undefined) {
+    refuseConfirmed(event.call, step, ErrorKind.notFound, `no queue at ${event.host}${event.path}`)
+    return undefined
+  }
+  const { fault, account } = identifyCaller(cell, route.queue, event.keyDigest)
+  if (fault === '') return { ...route, account }
+  refuseConfirmed(event.call, step, ErrorKind.unauthenticated, fault)
 }
 
-/** Name of the account whose key a caller presents; undefined without a key, and where the cell has no accounts. */
-function findCallerAccount (cell: CellConfiguration | undefined, keyDigest: string | undefined): string | undefined {
-  if (cell === undefined || !hasAccounts(cell) || keyDigest === undefined) return undefined
-  return findAccountByKey(cell, keyDigest)?.name
+/** Refuses a call by the configuration. Only a confirmed leader has the newest one; the probe makes the refusal wait for a quorum round. */
+function refuseConfirmed (call: number, step: Step, error: ErrorKind, message: string): void {
+  step.decide({ kind: 'leadershipProbed' })
+  step.refuse(call, error, message)
 }
 
 function refuseUnconfigured (call: number, step: Step): void {
