Hold client accounts under their caps

A run counts from its placement until its end is certain, at every leader. A unit that waits for its cap blocks no other unit, reserves nothing and preempts nothing; a gang that can never start under it is refused as infeasible.

--- a/packages/runtime/__tests__/support/fault-plan.ts
+++ b/packages/runtime/__tests__/support/fault-plan.ts
@@ -49,6 +49,8 @@
   delayedLeaves?: number
   /** True if the stages of all queues need tickets of an admission service. */
   hasAdmission?: boolean
+  /** Cap of the client account that all jobs belong to, in millicores; the cell has no accounts if undefined. */
+  accountCap?: number
   /** Probability that an order to take a VM down does not arrive, per thousand. */
   lostUpkeep?: number
   /** Probability that an order to take a VM down times out and is carried out seconds later, per thousand. */
--- a/packages/runtime/__tests__/support/simulated-cell.ts
+++ b/packages/runtime/__tests__/support/simulated-cell.ts
@@ -56,7 +56,11 @@
 /** Prefix of the ids of jobs whose first task crashes each worker that starts it. */
 export const DEADLY_JOB = 'deadly'
 
-export function createConfiguration (hasAdmission: boolean, version = 1): CellConfiguration {
+/** The only client account of a cell that has one, and the digest of its only key. */
+const ACCOUNT = 'account'
+
+export function createConfiguration (hasAdmission: boolean, version = 1, accountCap?: number): CellConfiguration {
+  const cap = { millicores: accountCap ?? 0, memoryMib: 0, accelerators: 0 }
   const admission = hasAdmission ? { decideMs: SERVICE_DELAY_MS, perWorkerMs: 0, validMs: TICKET_VALIDITY_MS } : undefined
   const queue = { host: 'jobs.example', service: 'work', attemptLimit: ATTEMPT_LIMIT, stretch: 2, targetMs: 500, timeoutMs: 3_000, admission }
   return {
@@ -67,6 +71,7 @@
     ],
     retired: [],
     services: [{ name: 'work', standby: false }],
+    ...(accountCap === undefined ? {} : { accounts: [{ name: ACCOUNT, keyDigests: [ACCOUNT], weight: 1, cap, priority: 0 }] }),
     document: '{}'
   }
 }
@@ -108,7 +113,7 @@
   static create (plan: FaultPlan): SimulatedCell {
     const cell = new SimulatedCell(plan)
     cell.replaceLeader()
-    cell.feed({ kind: 'configureCell', call: 0, cell: createConfiguration(plan.hasAdmission === true) })
+    cell.feed({ kind: 'configureCell', call: 0, cell: createConfiguration(plan.hasAdmission === true, 1, plan.accountCap) })
     cell.feed({ kind: 'advisorsChanged', entries: ['entry-1', 'entry-2'] })
     for (let index = 0; index < plan.workers; index++) cell.startWorker(`worker-${index}`)
     cell.tick()
@@ -164,7 +169,7 @@
   submit (id: string, queue: 'urgent' | 'bulk', stages: StageSpec[]): void {
     const spec = { payload: 'payload', stages }
     this.specs.set(id, spec)
-    this.feed({ kind: 'acceptJob', call: ++this.lastCall, host: 'jobs.example', path: `/${queue}/${id}`, spec })
+    this.feed({ kind: 'acceptJob', call: ++this.lastCall, host: 'jobs.example', path: `/${queue}/${id}`, spec, ...(this.plan.accountCap === undefined ? {} : { keyDigest: ACCOUNT }) })
   }
 
   cancel (id: string, queue: 'urgent' | 'bulk'): void {
--- a/packages/scheduler/src/core/jobs/job-requests.ts
+++ b/packages/scheduler/src/core/jobs/job-requests.ts
@@ -10,6 +10,7 @@
 import { ErrorKind } from '../../utils/errors.js'
 import type { Step } from '../step.js'
 import { findAccountFault, listRetiredAccounts } from './accounts/account-changes.js'
+import { findCapFault } from './accounts/account-usage.js'
 import { identifyCaller } from './accounts/caller-identity.js'
 import { findRoute, type Route } from './order/queues.js'
 
@@ -25,14 +26,19 @@
 /** A job id is part of the names of tasks, whose parts are separated by slashes or, on some platforms, by dots. */
 const JOB_ID_PATTERN = /^[A-Za-z0-9_-]{1,128}$/
 
-/** Accepts a job. A submission under the id of a known job gets the same reply and changes nothing; its content is not compared. */
-export function acceptJob (event: EventOf<'acceptJob'>, step: Step): void {
+/**
+ * Accepts a job. A submission under the id of a known job gets the same reply and changes nothing; its content is not compared.
+ * `accountOverage` is the share of its cap by which an account may exceed it.
+ */
+export function acceptJob (event: EventOf<'acceptJob'>, step: Step, accountOverage: number): void {
   const route = findRouteOrRefuse(event, step)
   if (route === undefined) return
   const { jobId: id, account } = route
   if (step.state.jobs.has(id)) return step.reply(event.call, { kind: 'jobAccepted' })
   const fault = findIdFault(id) || findSpecFault(event.spec)
   if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
+  const capFault = findCapFault(event.spec.stages, step.state.cell, account, accountOverage)
+  if (capFault !== '') return refuseConfirmed(event.call, step, ErrorKind.infeasible, capFault)
   step.decide({ kind: 'jobAccepted', id, queue: route.queue.name, ...(account === undefined ? {} : { account }), spec: event.spec, at: step.now })
   step.reply(event.call, { kind: 'jobAccepted' })
 }
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -16,6 +16,7 @@
  * tells whether it was the cause.
  */
 
+import { limitToCap, type AccountUsage } from '../accounts/account-usage.js'
 import { isPreemptionDue } from '../order/unit-order.js'
 import { isTicketValid, QUERY_WORKER_LIMIT, type AdmissionTickets, type Ticket } from './admission-tickets.js'
 import type { SchedulingUnit } from '../order/scheduling-units.js'
@@ -105,7 +106,8 @@
     views: Iterable<WorkerView>,
     private readonly tickets: AdmissionTickets,
     private readonly now: number,
-    previouslyReserved: ReadonlySet<string>
+    previouslyReserved: ReadonlySet<string>,
+    private readonly usage: AccountUsage | undefined
   ) {
     let probedCount = 0
     for (const view of views) {
@@ -120,15 +122,25 @@
     this.suspectWorkersLeft = Math.max(1, Math.floor(SUSPECT_WORKER_SHARE * (this.candidates.length + probedCount))) - probedCount
   }
 
-  /** `previouslyReserved` contains the ids of workers on which units reserved capacity in the previous pass. */
+  /**
+   * `previouslyReserved` contains the ids of workers on which units reserved capacity in the previous pass; `usage` is what
+   * the accounts have before the pass, if any account has a cap.
+   */
   static create (
-    views: Iterable<WorkerView>, tickets: AdmissionTickets, now: number, previouslyReserved: ReadonlySet<string> = new Set()
+    views: Iterable<WorkerView>, tickets: AdmissionTickets, now: number, previouslyReserved: ReadonlySet<string> = new Set(), usage?: AccountUsage
   ): PlacementPass {
-    return new PlacementPass(views, tickets, now, previouslyReserved)
+    return new PlacementPass(views, tickets, now, previouslyReserved, usage)
+  }
+
+  /** Places a unit as far as the cap of its account allows; false if the cap allows nothing, and then the pass ignores the unit. */
+  place (unit: SchedulingUnit): boolean {
+    const startable = this.usage === undefined ? unit : limitToCap(unit, this.usage)
+    if (startable !== undefined) this.placeUnit(startable)
+    return startable !== undefined
   }
 
   /** Places the tasks of a unit as far as possible; for the rest, reserves capacity and queries the admission service. */
-  place (unit: SchedulingUnit): void {
+  private placeUnit (unit: SchedulingUnit): void {
     const candidates = this.listEligible(unit)
     const usable = this.filterUsable(unit, candidates)
     const mayChoose = !unit.spec.gang || unit.suspects.size === 0 || this.isWholeFitting(unit, usable)
@@ -139,6 +151,7 @@
         candidate.isChosen = true
         this.placements.push({ unit, index, view: candidate.view, ticket: this.findTicket(unit, candidate) ?? '' })
       }
+      this.usage?.charge(unit.account, unit.spec.resources, chosen.length)
     } else {
       for (const { candidate } of chosen) applyDemand(candidate.free, unit, 1)
     }
@@ -252,6 +265,8 @@
         open -= 1
       }
     }
+    // Later units of its account must not use the room under the cap that this capacity is being released for.
+    this.usage?.charge(unit.account, unit.spec.resources, missing - open)
     if (open > 0 && (unit.spec.gang || isLarge(unit))) this.reserveFreest(unit, allowed, open, reservedIds)
     return reservedIds
   }
--- a/packages/scheduler/src/core/jobs/runs/former-workers.ts
+++ b/packages/scheduler/src/core/jobs/runs/former-workers.ts
@@ -13,7 +13,8 @@
 export function passOnRuns (former: WorkerView, successor: WorkerView): void {
   for (const run of [...former.runs.values()]) {
     former.remove(run.task)
-    if (run.isOrphan) continue
+    // An orphan that counts against the cap of an account counts until the successor has listed its runs.
+    if (run.isOrphan && run.charge === undefined) continue
     successor.add({ ...run, status: RunStatus.inherited, confirmedAt: 0, resendWaitStartsAt: 0, progress: undefined, startedClockMs: undefined, isCrashCounted: true })
   }
 }
--- a/packages/scheduler/src/core/jobs/runs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/runs/run-manager.ts
@@ -13,6 +13,7 @@
 import { NO_RESOURCES } from '../../../types/resources.js'
 import type { ClusterState } from '../../../types/state.js'
 import type { Step } from '../../step.js'
+import { createCharge } from '../accounts/account-usage.js'
 import { findStageTask } from '../apply-job-decision.js'
 import { INITIAL_PACE_PERCENT, adjustPaces } from '../workers/pacing.js'
 import { isSameReport, mergeReport } from '../workers/worker-reports.js'
@@ -96,7 +97,7 @@
     const checkpoint = stageTask?.checkpoint ?? ''
     const isSuspect = stageTask !== undefined && isSuspected(stageTask)
     const { objectiveAt, worthlessAt, payload } = unit
-    view.add({ ...createRun(ref, task, run, stage, priority, step.now), checkpoint, objectiveAt, worthlessAt, isSuspect, isResumed: checkpoint !== '' })
+    view.add({ ...createRun(ref, task, run, stage, priority, step.now), checkpoint, objectiveAt, worthlessAt, isSuspect, isResumed: checkpoint !== '', charge: createCharge(job, stage) })
     step.effects.push({ kind: 'startRun', worker: view.worker, task, run, payload, checkpoint, ticket })
   }
 
@@ -187,8 +188,10 @@
   /** Tracks a run that the replicated state does not place on the worker; its capacity is used until it has ended. */
   private addOrphan (step: Step, view: WorkerView, task: string, run: number): Run {
     const ref = parseTaskRef(task)
-    const stage = ref === undefined ? undefined : step.state.jobs.get(ref.job)?.spec.stages[ref.stage]
+    const job = ref === undefined ? undefined : step.state.jobs.get(ref.job)
+    const stage = ref === undefined ? undefined : job?.spec.stages[ref.stage]
     const orphan = createOrphanRun(task, run, stage?.fills === true ? NO_RESOURCES : stage?.resources ?? NO_RESOURCES, step.now)
+    orphan.charge = createCharge(job, stage)
     view.add(orphan)
     return orphan
   }
@@ -284,6 +287,7 @@
     run.status = RunStatus.inherited
     run.isInherited = true
     run.resendWaitStartsAt = 0
+    run.charge = createCharge(job, stage)
     view.add(run)
   }
 
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -12,13 +12,14 @@
 import type { ClusterState } from '../../types/state.js'
 import { Component } from '../component.js'
 import type { Step } from '../step.js'
+import { AccountUsage } from './accounts/account-usage.js'
 import { acceptJob, cancelJob, configureCell, readCell, readJob } from './job-requests.js'
 import { sortUnits } from './order/unit-order.js'
 import { PlacementPass, type RunPlacement, type AdmissionQuery } from './placement/placement-pass.js'
 import { findQueue } from './order/queues.js'
 import { RunManager } from './runs/run-manager.js'
 import { AdmissionTickets } from './placement/admission-tickets.js'
-import { excludeOrphans, occurrenceDueAt, SchedulingUnitIndex, splitSuspects } from './order/scheduling-units.js'
+import { excludeOrphans, occurrenceDueAt, SchedulingUnitIndex, splitSuspects, type SchedulingUnit } from './order/scheduling-units.js'
 import { Upkeep } from './upkeep/upkeep.js'
 import { isDeadly } from './runs/worker-crashes.js'
 
@@ -103,7 +104,7 @@
 
   handle (event: Event, step: Step): void {
     switch (event.kind) {
-      case 'acceptJob': return acceptJob(event, step)
+      case 'acceptJob': return acceptJob(event, step, this.limits.accountOverage)
       case 'readJob': return readJob(event, step, job => this.runManager.hasConfirmedRun(job))
       case 'cancelJob': return cancelJob(event, step)
       case 'configureCell': return configureCell(event, step)
@@ -233,21 +234,35 @@
   private runPass (step: Step): void {
     this.isPassDue = false
     this.lastPassAt = step.now
-    const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers)
-    const units = sortUnits(this.units.list(), step.now)
-    const considered = units.slice(0, PASS_UNIT_LIMIT)
-    const orphans = this.runManager.listOrphans()
-    const startable = considered.map(unit => excludeOrphans(unit, orphans)).filter(({ waiting }) => waiting.length > 0)
-    const { suspected, others } = splitSuspects(startable)
-    // A suspected task needs a worker on which nothing else starts in this pass.
-    for (const unit of [...suspected, ...others]) pass.place(unit)
-    this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, considered.length * this.runManager.views.size / PAIRS_PER_PAUSE_MS)
+    const usage = AccountUsage.create(step.state.cell, this.runManager.views.values(), this.limits.accountOverage)
+    const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, usage)
+    const considered = this.placeUnits(pass, sortUnits(this.units.list(), step.now))
+    this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, considered * this.runManager.views.size / PAIRS_PER_PAUSE_MS)
     this.reservedWorkers = pass.reservedWorkers
     for (const query of pass.queries) this.queryAdmission(step, query)
     for (const { view, run, unit } of pass.preemptions) this.runManager.orders.stopRun(step, view, run, `preempted to free capacity for ${unit.key}`)
     this.startRuns(step, pass.placements)
   }
 
+  /** Places units in their order; returns how many were considered, without those that wait for the cap of their account alone. */
+  private placeUnits (pass: PlacementPass, units: readonly SchedulingUnit[]): number {
+    const orphans = this.runManager.listOrphans()
+    let considered = 0
+    for (let next = 0; next < units.length && considered < PASS_UNIT_LIMIT;) {
+      const group = units.slice(next, next + PASS_UNIT_LIMIT - considered)
+      next += group.length
+      const startable = group.map(unit => excludeOrphans(unit, orphans)).filter(({ waiting }) => waiting.length > 0)
+      const { suspected, others } = splitSuspects(startable)
+      const held = new Set<string>()
+      // A suspected task needs a worker on which nothing else starts in this pass.
+      for (const unit of [...suspected, ...others]) {
+        if (!pass.place(unit)) held.add(unit.key)
+      }
+      considered += group.length - held.size
+    }
+    return considered
+  }
+
   private queryAdmission (step: Step, { unit, entry, workers }: AdmissionQuery): void {
     const admission = unit.queue.admission
     const expectedMs = admission === undefined ? 0 : admission.decideMs + workers.length * admission.perWorkerMs
@@ -289,11 +304,17 @@
     for (const id of this.closedJobs) {
       const job = step.state.jobs.get(id)
       if (job !== undefined && step.now - job.closedAt < CLOSED_JOB_RETENTION_MS) return
+      // Its placed tasks count against the cap of its account, also at the next leader.
+      if (job?.account !== undefined && hasPlacedTask(job)) continue
       step.decide({ kind: 'jobForgotten', id })
     }
   }
 }
 
+function hasPlacedTask (job: StagedJob): boolean {
+  return [...job.occurrences.values()].some(stages => stages.some(tasks => tasks.some(({ phase }) => phase === StageTaskPhase.placed)))
+}
+
 /**
  * How a job closes; undefined while it continues. Failed runs are counted for each task, in a gang for all of its tasks
  * together; long-running tasks have no limit. A task that crashes its workers fails its job, whatever its kind.
--- a/packages/scheduler/src/core/jobs/workers/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -6,6 +6,7 @@
 
 import { parseTaskRef, type CalledWorker, type StageSpec, type TaskRef } from '../../../types/jobs.js'
 import type { Resources } from '../../../types/resources.js'
+import type { AccountCharge } from '../accounts/account-usage.js'
 import { FULL_PACE_PERCENT } from './pacing.js'
 import type { RunProgress } from '../runs/run-progress.js'
 
@@ -74,6 +75,8 @@
   hasStarted: boolean
   /** The replicated state does not contain this placement; the run is tracked only until it has ended. */
   isOrphan: boolean
+  /** What it counts against the cap of the account of its job; undefined if the job has none. */
+  charge?: AccountCharge
 }
 
 /** Time without a list or a report after which the capacity of a worker counts as stale, in milliseconds. */
