--- a/packages/scheduler/__tests__/account-caps.test.ts
+++ b/packages/scheduler/__tests__/account-caps.test.ts
@@ -226,14 +226,14 @@
 
     it('blocks no other unit, even if more units wait than one pass considers', () => {
       const cell = CapLeader.create(['w1', 'w2'], createAccount('one', TASK_CORES), createAccount('two', 0))
-      for (let index = 0; index < 300; index++) cell.submit(`burst-${index}`, 'one', {}, 'urgent')
+      for (let index = 0; index < 300; index++) cell.submit(`burst-${index}`, 'one', { estimateMs: 60_000 }, 'urgent')
       cell.leader.advance(300)
       assert.deepEqual(cell.startsOf('a', 'two').length, 1)
     })
 
     it('blocks none in the pass in which the cap is reached', () => {
       const cell = CapLeader.create([], createAccount('one', TASK_CORES), createAccount('two', 0))
-      for (let index = 0; index < 300; index++) cell.submit(`burst-${index}`, 'one', {}, 'urgent')
+      for (let index = 0; index < 300; index++) cell.submit(`burst-${index}`, 'one', { estimateMs: 60_000 }, 'urgent')
       cell.submit('a', 'two')
       const starts = listStarts(cell.leader.addWorker('w1'))
       assert.equal(starts.length, 2)
@@ -241,6 +241,22 @@
     })
   })
 
+  describe('while capacity is released for a unit', () => {
+    it('is kept for that unit, so that what is stopped for it is not stopped in vain', () => {
+      const cell = CapLeader.create([], createAccount('one', TASK_CORES), createAccount('two', 0))
+      cell.leader.report('w1', 1, { labels: ['x'] })
+      cell.leader.list('w1')
+      cell.startsOf('a', 'two', { taskCount: 4 })
+      cell.confirm('w1', 'a/0/0/0', 'a/0/0/1', 'a/0/0/2', 'a/0/0/3')
+      cell.leader.handle({ kind: 'cancelJob', call: 4, host: 'jobs.example', path: '/q/a', keyDigest: 'two' })
+      cell.startsOf('b', 'one', { requiredLabel: 'x' }, 'urgent')
+      cell.leader.addWorker('w2')
+      assert.equal(cell.startsOf('c', 'one').length, 0)
+      for (let index = 0; index < 4; index++) cell.leader.answer('w1', 'stop', `a/0/0/${index}`, 1, 'done')
+      assert.deepEqual(listStarts([...cell.leader.list('w1'), ...cell.leader.advance(300)]), ['start b/0/0/0 run 1 on w1'])
+    })
+  })
+
   describe('that is lowered', () => {
     it('stops no run, and nothing more starts until there is room', () => {
       const cell = CapLeader.create(['w1', 'w2'], createAccount('one', 4 * TASK_CORES))
