--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -338,7 +338,7 @@
     metrics?.recordDecisions(result.decisions, scheduler.state, now)
     metrics?.recordEffects(result.effects)
     logDecisions(this.options.log, result.decisions, scheduler.state, now)
-    logTransientEvents(this.options.log, event, result.effects)
+    logTransientEvents(this.options.log, event, result.effects, scheduler.state)
     const deferred: Effect[] = []
     for (const effect of result.effects) {
       if (IMMEDIATE_EFFECTS.has(effect.kind)) this.release(effect)
--- a/packages/runtime/src/core/decision-log.ts
+++ b/packages/runtime/src/core/decision-log.ts
@@ -4,8 +4,8 @@
  * that a failure can be explained afterwards. Other decisions are not logged.
  */
 
-import { formatTaskRef, isClosedInTime, type ClusterState, type Decision, type Effect, type Event } from '@flamingorouter/scheduler'
-import type { RuntimeLog } from './runtime-log.js'
+import { formatTaskRef, isClosedInTime, SHORT_DIGEST_LENGTH, type ClusterState, type Decision, type Effect, type Event } from '@flamingorouter/scheduler'
+import type { LogFields, RuntimeLog } from './runtime-log.js'
 
 /** Logs decisions of the leader that were just applied; the field `change` is the version of the resulting state. */
 export function logDecisions (log: RuntimeLog, decisions: readonly Decision[], state: ClusterState, now: number): void {
@@ -18,7 +18,7 @@
  * contradict the state, the runs lost with a worker, answers of the external
  * admission service, orders to stop runs, and refused calls on jobs.
  */
-export function logTransientEvents (log: RuntimeLog, event: Event, effects: readonly Effect[]): void {
+export function logTransientEvents (log: RuntimeLog, event: Event, effects: readonly Effect[], state: ClusterState): void {
   switch (event.kind) {
     case 'workerSilent': log.warn('worker_silent', { worker: event.id, incarnation: event.incarnation, isClosed: event.isClosed }); break
     case 'workerRestarted': log.warn('worker_restarted', { worker: event.id, incarnation: event.incarnation }); break
@@ -35,10 +35,19 @@
       if (!isAnswered) log.warn('order_not_done', { job: task.slice(0, task.indexOf('/')), worker: id, incarnation, order, task, run, outcome, unanswered, sentAt })
     }
   }
-  for (const effect of effects) logEffect(log, event, effect)
+  for (const effect of effects) logEffect(log, event, effect, state)
 }
 
-function logEffect (log: RuntimeLog, event: Event, effect: Effect): void {
+/** Identifies a key by the first digits of its digest; the key and the whole digest are never logged. */
+function describeKey (keyDigest: string | undefined): { key?: string } {
+  return keyDigest === undefined ? {} : { key: keyDigest.slice(0, SHORT_DIGEST_LENGTH) }
+}
+
+function describeAccount (account: string | undefined): { account?: string } {
+  return account === undefined ? {} : { account }
+}
+
+function logEffect (log: RuntimeLog, event: Event, effect: Effect, state: ClusterState): void {
   if (effect.kind === 'stopRun') {
     const { worker, task, run, reason } = effect
     log.info('run_stopping', { job: task.slice(0, task.indexOf('/')), worker: worker.id, task, run, reason })
@@ -49,7 +58,8 @@
     const { worker: { id, incarnation, address, isDraining }, loss, runCount, runs } = effect
     log.warn('worker_lost', { worker: id, incarnation, address, isDraining, loss, runCount, runs })
   } else if (effect.kind === 'refuse' && 'path' in event) {
-    log.info('call_refused', { call: event.kind, path: event.path, error: effect.error, message: effect.message, retryAfterMs: effect.retryAfterMs })
+    const configuration = state.cell?.version ?? 0
+    log.info('call_refused', { call: event.kind, path: event.path, ...describeKey(event.keyDigest), configuration, error: effect.error, message: effect.message, retryAfterMs: effect.retryAfterMs })
   }
 }
 
@@ -57,14 +67,14 @@
   const { change } = state
   switch (decision.kind) {
     case 'jobAccepted': {
-      const { id, queue, spec } = decision
+      const { id, queue, account, spec } = decision
       const tasks = spec.stages.reduce((sum, stage) => sum + stage.taskCount, 0)
-      return log.info('job_accepted', { job: id, queue, stages: spec.stages.length, tasks, configuration: state.cell?.version ?? 0, change })
+      return log.info('job_accepted', { job: id, queue, ...describeAccount(account), stages: spec.stages.length, tasks, configuration: state.cell?.version ?? 0, change })
     }
     case 'jobClosed': {
       const { id, phase, at, reason = '' } = decision
       const job = state.jobs.get(id)
-      return log.info('job_closed', { job: id, queue: job?.queue ?? '', phase, ageMs: at - (job?.acceptedAt ?? at), inTime: job !== undefined && isClosedInTime(job, state.cell), reason, change })
+      return log.info('job_closed', { job: id, queue: job?.queue ?? '', ...describeAccount(job?.account), phase, ageMs: at - (job?.acceptedAt ?? at), inTime: job !== undefined && isClosedInTime(job, state.cell), reason, change })
     }
     case 'runPlaced': {
       const { ref, run, worker, incarnation } = decision
@@ -88,7 +98,11 @@
       return log.info('worker_known', { worker: id, incarnation, address, service, isDraining, hasLeft, ...capacity, change })
     }
     case 'calledWorkerForgotten': return log.info('worker_forgotten', { worker: decision.id, incarnation: decision.incarnation, change })
-    case 'cellConfigured': return log.info('cell_configured', { version: decision.cell.version, queues: decision.cell.queues.length, change })
+    case 'cellConfigured': {
+      const { version, queues, accounts, retiredAccounts = [] } = decision.cell
+      const accountCounts: LogFields = accounts === undefined ? {} : { accounts: accounts.length, retiredAccounts: retiredAccounts.length }
+      return log.info('cell_configured', { version, queues: queues.length, ...accountCounts, change })
+    }
     case 'upkeepWaveAccepted': {
       const { id, vms, cap, durationMs } = decision.wave
       return log.info('upkeep_wave_accepted', { wave: id, vms: vms.size, cap, durationMs, change })
--- a/packages/runtime/src/core/metrics-registry.ts
+++ b/packages/runtime/src/core/metrics-registry.ts
@@ -17,6 +17,7 @@
   private readonly counters = new Map<string, number>()
   private readonly histograms = new Map<string, Histogram>()
   private readonly gauges = new Map<string, () => number>()
+  private readonly gaugeGroups: Array<{ name: string, label: string, read: () => ReadonlyMap<string, number> }> = []
 
   static create (): MetricsRegistry {
     return new MetricsRegistry()
@@ -47,6 +48,11 @@
     this.gauges.set(name, read)
   }
 
+  /** Registers a gauge with one series for each value of a label, which are read at each scrape. */
+  registerGauges (name: string, label: string, read: () => ReadonlyMap<string, number>): void {
+    this.gaugeGroups.push({ name, label, read })
+  }
+
   override recordStep (event: string, durationMs: number): void {
     this.recordDuration('step_ms', `event="${event}"`, durationMs)
   }
@@ -94,6 +100,9 @@
     const lines: string[] = []
     for (const [key, value] of this.counters) lines.push(`flamingorouter_${key} ${value}`)
     for (const [name, read] of this.gauges) lines.push(`flamingorouter_${name} ${read()}`)
+    for (const { name, label, read } of this.gaugeGroups) {
+      for (const [labelValue, value] of read()) lines.push(`flamingorouter_${name}{${label}="${escapeLabelValue(labelValue)}"} ${value}`)
+    }
     for (const [key, histogram] of this.histograms) lines.push(...renderHistogram(key, histogram))
     return `${lines.join('\n')}\n`
   }
@@ -104,6 +113,11 @@
   return run === 1 && ref.occurrence === 0 && ref.stage === 0 && ref.index === 0
 }
 
+/** Escapes a label value as the exposition format requires. */
+function escapeLabelValue (value: string): string {
+  return value.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n')
+}
+
 function renderHistogram (key: string, { counts, sum, count }: Histogram): string[] {
   const separator = key.indexOf('|')
   const name = `flamingorouter_${key.slice(0, separator)}`
--- a/packages/scheduler/src/core/jobs/accounts/account-usage.ts
+++ b/packages/scheduler/src/core/jobs/accounts/account-usage.ts
@@ -33,7 +33,7 @@
   static create (directory: AccountDirectory | undefined, views: Iterable<WorkerView>, overage: number): AccountUsage {
     const usage = new AccountUsage(overage)
     for (const { name, cap } of [...directory?.accounts ?? [], ...directory?.retiredAccounts ?? []]) {
-      if (!isLimited(cap)) continue
+      if (!hasCap(cap)) continue
       usage.caps.set(name, cap)
       usage.used.set(name, createZeroResources())
     }
@@ -116,6 +116,7 @@
   return needed > cap ? cap + cap * overage : cap
 }
 
-function isLimited (cap: Resources): boolean {
+/** True when a cap limits at least one resource. */
+export function hasCap (cap: Resources): boolean {
   return RESOURCE_DIMENSIONS.some(dimension => cap[dimension] > 0)
 }
