--- a/packages/scheduler/src/core/jobs/accounts/account-usage.ts
+++ b/packages/scheduler/src/core/jobs/accounts/account-usage.ts
@@ -9,10 +9,12 @@
 
 import { findAccount, type AccountDirectory } from '../../../types/accounts.js'
 import type { StagedJob, StageSpec } from '../../../types/jobs.js'
-import type { Resources } from '../../../types/resources.js'
-import { addResources, countFitting, createZeroResources, RESOURCE_DIMENSIONS } from '../../placement/resource-arithmetic.js'
+import { NO_RESOURCES, type Resources } from '../../../types/resources.js'
+import { addResources, copyResources, countFitting, createZeroResources, RESOURCE_DIMENSIONS } from '../../placement/resource-arithmetic.js'
 import type { SchedulingUnit } from '../order/scheduling-units.js'
-import type { WorkerView } from '../workers/worker-view.js'
+
+/** Sums of fractions are inexact; amounts that differ by less than this, in millicores, MiB or accelerators, count as equal. */
+const TOLERANCE = 1e-6
 
 /** What a run counts against the cap of its account. */
 export interface AccountCharge { account: string, resources: Resources }
@@ -29,19 +31,16 @@
 
   private constructor (private readonly overage: number) {}
 
-  /** `overage` is the share of its cap by which one gang that is wider than the cap may exceed it. */
-  static create (directory: AccountDirectory | undefined, views: Iterable<WorkerView>, overage: number): AccountUsage {
+  /**
+   * `totals` is what each account has on all workers, by name; `overage` the share of its cap by which one start that is wider
+   * than the cap may exceed it.
+   */
+  static create (directory: AccountDirectory | undefined, totals: ReadonlyMap<string, Resources>, overage: number): AccountUsage {
     const usage = new AccountUsage(overage)
     for (const { name, cap } of [...directory?.accounts ?? [], ...directory?.retiredAccounts ?? []]) {
       if (!hasCap(cap)) continue
       usage.caps.set(name, cap)
-      usage.used.set(name, createZeroResources())
-    }
-    if (usage.caps.size === 0) return usage
-    for (const view of views) {
-      for (const { charge } of view.runs.values()) {
-        if (charge !== undefined) usage.charge(charge.account, charge.resources, 1)
-      }
+      usage.used.set(name, copyResources(totals.get(name) ?? NO_RESOURCES))
     }
     return usage
   }
@@ -53,7 +52,7 @@
     const { cap, used } = limited
     return RESOURCE_DIMENSIONS.every(dimension => {
       const needed = resources[dimension] * count
-      return cap[dimension] === 0 || used[dimension] + needed <= computeLimit(cap[dimension], needed, this.overage)
+      return cap[dimension] === 0 || used[dimension] + needed <= computeLimit(cap[dimension], needed, this.overage) + TOLERANCE
     })
   }
 
@@ -63,7 +62,7 @@
     if (limited === undefined) return count
     const { cap, used } = limited
     const room = createZeroResources()
-    for (const dimension of RESOURCE_DIMENSIONS) room[dimension] = cap[dimension] === 0 ? Infinity : cap[dimension] - used[dimension]
+    for (const dimension of RESOURCE_DIMENSIONS) room[dimension] = cap[dimension] === 0 ? Infinity : cap[dimension] - used[dimension] + TOLERANCE
     const underCap = Math.min(count, countFitting(resources, room))
     return underCap === 0 && count > 0 && this.canStart(account, resources, 1) ? 1 : underCap
   }
@@ -101,7 +100,7 @@
     for (const dimension of RESOURCE_DIMENSIONS) {
       const needed = resources[dimension] * (gang ? taskCount : 1)
       const limit = computeLimit(cap[dimension], needed, overage)
-      if (cap[dimension] > 0 && needed > limit) {
+      if (cap[dimension] > 0 && needed > limit + TOLERANCE) {
         return `stage ${index} needs ${needed} ${DIMENSION_NAMES[dimension]} at once, more than account ${name} may use (${Math.floor(limit)}, of which ${cap[dimension]} are its cap)`
       }
     }
@@ -113,7 +112,7 @@
 
 /** What the account may use with a start of `needed`: its cap, or a little more for a single start that is wider than the cap. */
 function computeLimit (cap: number, needed: number, overage: number): number {
-  return needed > cap ? cap + cap * overage : cap
+  return needed > cap + TOLERANCE ? cap + cap * overage : cap
 }
 
 /** True when a cap limits at least one resource. */
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -3,6 +3,7 @@
  * each job once all of its tasks have succeeded or one has failed too often.
  */
 
+import { hasAccounts } from '../../types/accounts.js'
 import type { Decision } from '../../types/decisions.js'
 import type { Event, EventOf } from '../../types/events.js'
 import {
@@ -12,6 +13,7 @@
 import type { ClusterState } from '../../types/state.js'
 import { Component } from '../component.js'
 import type { Step } from '../step.js'
+import { AccountTotals } from './accounts/account-totals.js'
 import { AccountUsage } from './accounts/account-usage.js'
 import { acceptJob, cancelJob, configureCell, readCell, readJob } from './job-requests.js'
 import { sortUnits } from './order/unit-order.js'
@@ -54,6 +56,7 @@
   private readonly upkeep: Upkeep
   private readonly units = SchedulingUnitIndex.create()
   private readonly tickets = AdmissionTickets.create()
+  private readonly accountTotals = AccountTotals.create()
   /** Ids of the recurring jobs in the replicated state. */
   private readonly recurringJobs = new Set<string>()
   /** Ids of the closed jobs in the replicated state, in the order in which they closed. */
@@ -87,6 +90,7 @@
     this.upkeep.reset(now)
     this.units.clear()
     this.tickets.clear()
+    this.accountTotals.clear()
     this.changedJobs.clear()
     this.recurringJobs.clear()
     this.closedJobs.clear()
@@ -234,8 +238,7 @@
   private runPass (step: Step): void {
     this.isPassDue = false
     this.lastPassAt = step.now
-    const usage = AccountUsage.create(step.state.cell, this.runManager.views.values(), this.limits.accountOverage)
-    const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, usage)
+    const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, this.computeAccountUsage(step.state))
     const considered = this.placeUnits(pass, sortUnits(this.units.list(), step.now))
     this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, considered * this.runManager.views.size / PAIRS_PER_PAUSE_MS)
     this.reservedWorkers = pass.reservedWorkers
@@ -244,6 +247,12 @@
     this.startRuns(step, pass.placements)
   }
 
+  /** What the accounts have before a pass; undefined where the cell has no accounts. */
+  private computeAccountUsage ({ cell }: ClusterState): AccountUsage | undefined {
+    if (!hasAccounts(cell) && cell?.retiredAccounts === undefined) return undefined
+    return AccountUsage.create(cell, this.accountTotals.update(this.runManager.views), this.limits.accountOverage)
+  }
+
   /** Places units in their order; returns how many were considered, without those that wait for the cap of their account alone. */
   private placeUnits (pass: PlacementPass, units: readonly SchedulingUnit[]): number {
     const orphans = this.runManager.listOrphans()
--- a/packages/scheduler/src/core/jobs/workers/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -120,6 +120,8 @@
   private usedAccelerators = 0
   /** Number of runs of suspected tasks. */
   private suspectCount = 0
+  /** Increases when a run that counts against the cap of an account is added or removed. */
+  chargeVersion = 0
 
   private constructor (
     public worker: CalledWorker,
@@ -205,6 +207,7 @@
     this.usedMemoryMib += sign * run.resources.memoryMib
     this.usedAccelerators += sign * run.resources.accelerators
     if (run.isSuspect) this.suspectCount += sign
+    if (run.charge !== undefined) this.chargeVersion += 1
   }
 }
 
