--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -7,16 +7,17 @@
 import { createHash } from 'node:crypto'
 import {
   decodeValue, encodeValue, InternalMethod, Topic,
-  type AdmissionAnswer, type AdmissionBody, type CallFrame, type ConfigurationAnswer, type ControllerAddress, type ExecuteAnswer, type ExecuteBody, type ForwardedCall,
+  type CallFrame, type ConfigurationAnswer, type ControllerAddress, type ForwardedCall,
   type HeartbeatAnswer, type HeartbeatBody, type JobEvent, type Link, type MemberCandidate, type MembersAnswer, type Replica, type ReplicaOwner, type RequestEvent
 } from '@flamingorouter/controllers'
 import type { Binding, CallContext } from '@flamingorouter/rpc'
 import {
-  createClusterState, ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type ListedVm, type Scheduler, type StepResult
+  createClusterState, ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type Scheduler, type StepResult
 } from '@flamingorouter/scheduler'
 import { PendingCalls } from './pending-calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
 import { logTransientEvents, logDecisions } from './decision-log.js'
+import { EffectCalls } from './effect-calls.js'
 import { EntryTable } from './entry-table.js'
 import { describeError } from './error-handlers.js'
 import type { MetricsRecorder } from './metrics-recorder.js'
@@ -29,9 +30,6 @@
 import type { VmService } from './vm-service.js'
 import { StateWatches } from './state-watches.js'
 
-/** How long an entry may take to deliver commands to a worker and return the results, in milliseconds; longer than the entry waits for the worker. */
-const EXECUTE_TIMEOUT_MS = 2_000
-
 /** Services and callbacks that a controller of staged jobs needs in addition; absent in other controllers. */
 export interface ControllerHooks {
   /** Sends orders to called workers. */
@@ -57,9 +55,6 @@
   handleFault: (reason: string) => void
 }
 
-type ExecuteEffect = Extract<Effect, { kind: 'command' }>
-type AdmissionEffect = Extract<Effect, { kind: 'askAdmission' }>
-
 /** Effects that depend on no decision and are therefore released without waiting for a commit. */
 const IMMEDIATE_EFFECTS: ReadonlySet<Effect['kind']> = new Set(['askAdmission', 'listVms', 'watchWorker', 'unwatchWorker'])
 
@@ -72,12 +67,20 @@
   private readonly bindings = new Map<string, Binding>()
   /** Open links to entries, by the name of the process. */
   private readonly entryLinks = new Map<string, Link>()
+  private readonly effectCalls: EffectCalls
   /** Names of the entries last reported to the scheduler as able to forward admission queries, joined by commas. */
   private reportedAdvisors = ''
   private isLeading = false
 
   private constructor (private readonly options: ControllerOptions) {
     this.loadReporter = LoadReporter.create(options.log, options.loopMonitor)
+    this.effectCalls = EffectCalls.create({
+      feed: event => { this.feed(event) },
+      isLeading: () => this.isLeading,
+      isAuthoritative: () => this.isAuthoritative,
+      term: () => this.replica.status().term,
+      entryLinks: this.entryLinks
+    }, options.log, options.vmService)
     for (const binding of options.bindings) {
       this.bindings.set(`${binding.method.parent.typeName}/${binding.method.name}`, binding)
     }
@@ -370,78 +373,16 @@
     switch (effect.kind) {
       case 'reply': return this.pendingCalls.reply(effect.call, effect.answer)
       case 'refuse': return this.pendingCalls.refuse(effect.call, effect.error, effect.message, effect.retryAfterMs)
-      case 'askAdmission': this.askAdmission(effect).catch((thrown: unknown) => {
-        this.options.log.error('admission_failed', { stage: effect.stage, error: toFailure(thrown).message })
-      }); return
+      case 'askAdmission':
+      case 'listVms':
+      case 'orderUpkeep':
+      case 'command': return this.effectCalls.carryOut(effect)
       case 'startRun':
       case 'stopRun':
       case 'paceRun':
       case 'watchWorker':
       case 'unwatchWorker':
-      case 'ackEnds': this.options.orderDispatcher?.dispatch(effect); return
-      case 'listVms': this.listVms().catch((thrown: unknown) => {
-        this.options.log.error('list_vms_failed', { error: toFailure(thrown).message })
-      }); return
-      case 'orderUpkeep': this.orderUpkeep(effect.wave, effect.vm).catch((thrown: unknown) => {
-        this.options.log.error('order_upkeep_failed', { wave: effect.wave, vm: effect.vm, error: toFailure(thrown).message })
-      }); return
-      case 'command': this.execute(effect).catch((thrown: unknown) => {
-        this.options.log.error('execute_failed', { target: effect.target, error: toFailure(thrown).message })
-      })
-    }
-  }
-
-  private async askAdmission (effect: AdmissionEffect): Promise<void> {
-    const { entry, stage, workers, timeoutMs } = effect
-    const askedAt = clusterNow()
-    const body: AdmissionBody = { stage, workers, timeoutMs }
-    let answer: AdmissionAnswer | undefined
-    try {
-      const link = this.entryLinks.get(entry) ?? fail(ErrorKind.unavailable, `entry ${entry} is not connected`)
-      answer = await link.call(InternalMethod.admission, body, timeoutMs) as AdmissionAnswer
-    } catch (thrown) {
-      this.options.log.warn('admission_unanswered', { stage, entry, asked: workers.length, error: toFailure(thrown).message })
-    }
-    if (!this.isLeading) return
-    const tickets = answer?.tickets ?? []
-    this.feed({ kind: 'admissionAnswered', entry, stage, workers, tickets, askedAt, isAnswered: answer !== undefined })
-  }
-
-  private async listVms (): Promise<void> {
-    const sentAt = clusterNow()
-    let vms: ListedVm[] | undefined
-    try {
-      vms = await this.vmService().list()
-    } catch (thrown) {
-      this.options.log.warn('vms_not_listed', { error: toFailure(thrown).message })
-    }
-    if (this.isLeading) this.feed({ kind: 'vmsListed', vms, sentAt })
-  }
-
-  private async orderUpkeep (wave: number, vm: string): Promise<void> {
-    const { term } = this.replica.status()
-    if (!this.isAuthoritative) return
-    const outcome = await this.vmService().orderUpkeep(wave, vm, term)
-    if (this.isLeading && this.replica.status().term === term) this.feed({ kind: 'upkeepOrdered', wave, vm, outcome })
-  }
-
-  private vmService (): VmService {
-    return this.options.vmService ?? fail(ErrorKind.failedPrecondition, 'no VM service is configured')
-  }
-
-  private async execute (effect: ExecuteEffect): Promise<void> {
-    const { target, address, session, fence, commands } = effect
-    // Every entry can reach the worker at its address, so another one takes the place of an entry that is not connected.
-    const body: ExecuteBody = { target, address, session, fence, commands }
-    const link = this.entryLinks.get(effect.entry) ?? this.entryLinks.values().next().value
-    try {
-      if (!this.isAuthoritative) fail(ErrorKind.notLeader, 'this controller does not hold the leader lease; commands were not sent')
-      if (link === undefined) fail(ErrorKind.unavailable, 'no entry is connected; commands were not sent')
-      const answer = await link.call(InternalMethod.execute, body, EXECUTE_TIMEOUT_MS) as ExecuteAnswer
-      if (this.isLeading) this.feed({ kind: 'commandResults', target, session, results: answer.results })
-    } catch (thrown) {
-      const reason = toFailure(thrown).message
-      if (this.isLeading) this.feed({ kind: 'commandsLost', target, session, commands, reason })
+      case 'ackEnds': this.options.orderDispatcher?.dispatch(effect)
     }
   }
 }
