--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -14,6 +14,7 @@
 import {
   createClusterState, ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type Scheduler, type StepResult
 } from '@flamingorouter/scheduler'
+import { AdmissionEntries } from './admission-entries.js'
 import { PendingCalls } from './pending-calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
 import { logTransientEvents, logDecisions } from './decision-log.js'
@@ -68,8 +69,7 @@
   /** Open links to entries, by the name of the process. */
   private readonly entryLinks = new Map<string, Link>()
   private readonly effectCalls: EffectCalls
-  /** Names of the entries last reported to the scheduler as able to forward admission queries, joined by commas. */
-  private reportedAdvisors = ''
+  private readonly admissionEntries: AdmissionEntries
   private isLeading = false
 
   private constructor (private readonly options: ControllerOptions) {
@@ -81,6 +81,11 @@
       term: () => this.replica.status().term,
       entryLinks: this.entryLinks
     }, options.log, options.vmService)
+    this.admissionEntries = AdmissionEntries.create(this.entries, this.entryLinks, {
+      report: entries => { if (this.isLeading) this.feed({ kind: 'advisorsChanged', entries }) },
+      now: monotonicNow,
+      defer: run => { setImmediate(run) }
+    })
     for (const binding of options.bindings) {
       this.bindings.set(`${binding.method.parent.typeName}/${binding.method.name}`, binding)
     }
@@ -150,9 +155,9 @@
    */
   tick (): void {
     if (!this.isAuthoritative) return
+    this.admissionEntries.refresh()
     this.feed({ kind: 'tick' })
     this.entries.removeExpired(monotonicNow())
-    this.reportAdvisors()
     this.watches.completeChanged(this.state)
     this.loadReporter.report(this.state, monotonicNow())
   }
@@ -185,10 +190,13 @@
     this.options.scheduler.startLeading(clusterNow())
     this.entries.reset(monotonicNow())
     this.isLeading = true
-    this.reportedAdvisors = ''
+    this.admissionEntries.reset()
     this.options.orderDispatcher?.startLeading(term, event => { if (this.isLeading) this.feed(event) })
     for (const link of this.entryLinks.values()) link.send({ kind: 'notice', topic: Topic.leading, body: { term } })
     this.options.log.info('leading', { term, change: this.state.change })
+    // The first event makes the scheduler watch the workers. It does not wait for the next tick of the timer, and follows
+    // the notices to the entries, so that their heartbeats arrive while the sessions with the workers begin.
+    setImmediate(() => { this.tick() })
   }
 
   stopLeading (leader: string): void {
@@ -237,6 +245,7 @@
 
   private answerHeartbeat (body: HeartbeatBody): HeartbeatAnswer {
     this.entries.recordHeartbeat(body, monotonicNow())
+    this.admissionEntries.handleHeartbeat(body)
     if (body.candidate !== undefined) this.options.handleCandidate?.(body.candidate)
     const { term, members } = this.replica.status()
     return {
@@ -252,16 +261,6 @@
     return { controllers: controllers.length > 0 ? controllers : this.options.knownControllers?.() ?? [] }
   }
 
-  /** Reports to the scheduler which live entries can forward admission queries, when that set has changed. */
-  private reportAdvisors (): void {
-    const now = monotonicNow()
-    const live = this.entries.list().filter(entry => entry.isAdvisor === true && this.entries.isLive(entry, now) && this.entryLinks.has(entry.process))
-    const entries = live.map(entry => entry.process).sort()
-    if (entries.join() === this.reportedAdvisors) return
-    this.reportedAdvisors = entries.join()
-    this.feed({ kind: 'advisorsChanged', entries })
-  }
-
   private async answerConfiguration (): Promise<ConfigurationAnswer> {
     const answer = { version: this.state.configurationVersion, documents: [...this.state.documents.values()] }
     await this.barrier()
