--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -130,6 +130,8 @@
         this.isPassDue = true
         return
       case 'advisorsChanged':
+        // A pass without entries could ask for no ticket; the pause after it must not delay the first one that can.
+        if (this.tickets.entryCount === 0) this.passPauseMs = 0
         this.tickets.setEntries(event.entries)
         this.isPassDue = true
     }
