--- a/packages/runtime/__tests__/links.test.ts
+++ b/packages/runtime/__tests__/links.test.ts
@@ -6,10 +6,17 @@
 import assert from 'node:assert/strict'
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
+import { mkdtemp, rm } from 'node:fs/promises'
 import { connect, createServer, type Server, type Socket } from 'node:net'
-import { describe, it } from 'node:test'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterEach, beforeEach, describe, it } from 'node:test'
 import { LinkDialler, LinkServer, type HelloFrame } from '@flamingorouter/controllers'
-import { ControllerLinks, RuntimeLog } from '../src/index.js'
+import { DEFAULT_LIMITS } from '@flamingorouter/scheduler'
+import { ControllerLinks, ControllerNode, NoopLog, RuntimeLog } from '../src/index.js'
+
+/** Longest wait of a test for a condition, in milliseconds; an election and a change of the membership take about one second. */
+const WAIT_LIMIT_MS = 5_000
 
 function createHello (process: string): HelloFrame {
   return { kind: 'hello', group: 'group', process, role: 'controller', availabilityZone: 'zone' }
@@ -19,6 +26,18 @@
   return new Promise(resolve => { setTimeout(resolve, ms) })
 }
 
+async function waitUntil (isDone: () => boolean): Promise<void> {
+  for (let waitedMs = 0; waitedMs < WAIT_LIMIT_MS && !isDone(); waitedMs += 10) await pause(10)
+}
+
+async function findFreePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as { port: number }
+  await new Promise(resolve => { server.close(resolve) })
+  return port
+}
+
 /** Tells when another controller is reached. */
 class ReachedLog extends RuntimeLog {
   readonly reached: Promise<void>
@@ -91,6 +110,52 @@
     })
   })
 
+  describe('a member that joins while the controllers run', () => {
+    const nodes: ControllerNode[] = []
+    let folder: string
+    let server: LinkServer
+
+    beforeEach(async () => { folder = await mkdtemp(join(tmpdir(), 'links-')) })
+
+    afterEach(async () => {
+      for (const node of nodes.splice(0)) await node.kill()
+      server.close()
+      await rm(folder, { recursive: true })
+    })
+
+    it('is dialled by the followers as well, so that they reach it with the first message of an election', async () => {
+      const openedBy = new Set<string>()
+      server = LinkServer.create(createHello('joining'), {
+        opened: link => { openedBy.add(link.peer?.process ?? '') },
+        called: async () => undefined,
+        replication: () => {},
+        notice: () => {},
+        closed: () => {}
+      })
+      const joiningPort = await server.listen({ host: '127.0.0.1', port: 0 })
+      const bootstrap = await Promise.all(['one', 'two'].map(async id => ({ id, address: `127.0.0.1:${await findFreePort()}`, availabilityZone: 'zone', role: 'voter' as const })))
+      for (const { id, address } of bootstrap) {
+        nodes.push(await ControllerNode.start({
+          id,
+          group: 'group',
+          availabilityZone: 'zone',
+          dataFolder: join(folder, id),
+          listen: address,
+          bootstrap,
+          timing: { heartbeatMs: 60, electionMs: 300, driftMs: 30 },
+          snapshotEvery: 1_000,
+          limits: DEFAULT_LIMITS,
+          seed: id.length + id.charCodeAt(0)
+        }, { bindings: [], log: NoopLog.create(), handleFault: reason => { assert.fail(reason) } }))
+      }
+      const findLeader = (): ControllerNode | undefined => nodes.find(({ controller }) => controller.isAuthoritative)
+      await waitUntil(() => findLeader() !== undefined)
+      await findLeader()?.replica.addMember({ id: 'joining', address: `127.0.0.1:${joiningPort}`, availabilityZone: 'zone', role: 'learner' })
+      await waitUntil(() => openedBy.size === 2)
+      assert.deepEqual([...openedBy].sort(), ['one', 'two'])
+    })
+  })
+
   describe('a peer that does not answer an attempt to connect', () => {
     it('is dialled again long before TCP repeats the attempt', async () => {
       // A process that listens and never accepts: once its queue is full, the kernel drops attempts to connect.
--- a/packages/runtime/src/core/controller-links.ts
+++ b/packages/runtime/src/core/controller-links.ts
@@ -46,7 +46,7 @@
     return new ControllerLinks(hello, members, keys, traffic, log)
   }
 
-  /** Dials the other members, so that the first messages of an election find open links. */
+  /** Dials the other members that are not dialled yet, so that the first messages of an election find open links. */
   dialMembers (): void {
     for (const { id } of this.members()) {
       if (id !== this.hello.process) this.dial(id)
--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -147,7 +147,11 @@
     this.controller.flush()
     this.replica.tick()
     this.tickCount += 1
-    if (this.tickCount % REPLICA_TICKS_PER_SCHEDULER_TICK === 0) this.controller.tick()
+    if (this.tickCount % REPLICA_TICKS_PER_SCHEDULER_TICK !== 0) return
+    // Members join while the process runs. A link that is opened only by the first message of an election drops that
+    // message, and the candidate waits for another election timeout.
+    this.links.dialMembers()
+    this.controller.tick()
   }
 
   /** Transfers leadership to another voter, if this controller leads and there is one; gives up after a timeout. */
