Count the objective of a job from its submission when it waited for a leader

After a take-over, units that are late already no longer rank before units of the same queue that can still be in time.

--- a/bench/support/staged-job-simulation.ts
+++ b/bench/support/staged-job-simulation.ts
@@ -56,6 +56,8 @@
   callLatencyMs?: number
   /** A time without a leader, in milliseconds. Calls made meanwhile reach the next leader; orders made before are carried out. */
   withoutLeader?: { fromMs: number, toMs: number }
+  /** False if entries do not report for how long they held a call for want of a leader, so that objectives count from the acceptance. */
+  reportsHeldTime?: boolean
 }
 
 /**
@@ -182,7 +184,9 @@
   private handleEvent (event: Event): void {
     const { withoutLeader } = this.options
     if (withoutLeader !== undefined && this.clock.now >= withoutLeader.fromMs && this.clock.now < withoutLeader.toMs) {
-      if (event.kind === 'acceptJob') this.clock.schedule(withoutLeader.toMs - this.clock.now + 1, () => { this.handleEvent(event) })
+      const heldMs = withoutLeader.toMs - this.clock.now + 1
+      const reported = this.options.reportsHeldTime === false ? {} : { heldMs }
+      if (event.kind === 'acceptJob') this.clock.schedule(heldMs, () => { this.handleEvent({ ...event, ...reported }) })
       return
     }
     const startedAt = performance.now()
--- a/packages/runtime/__tests__/leader-client.test.ts
+++ b/packages/runtime/__tests__/leader-client.test.ts
@@ -20,11 +20,13 @@
   let gateway: JobGateway
   let submissionCount: number
   let answerRepeat: () => Answer
+  let heldTimes: Array<number | undefined>
 
   /** Answers as a leader, but closes the link after the first submission arrived. */
   async function answerCall (link: Link, frame: CallFrame): Promise<unknown> {
     if (frame.method === InternalMethod.heartbeat) return { term: 1, configurationVersion: 0, controllers: [] }
     submissionCount += 1
+    heldTimes.push((frame.body as { heldMs?: number }).heldMs)
     if (submissionCount > 1) return answerRepeat()
     link.close('closed by the test')
     return undefined
@@ -32,6 +34,7 @@
 
   beforeEach(async () => {
     submissionCount = 0
+    heldTimes = []
     const handlers = { opened: () => {}, called: answerCall, replication: () => {}, notice: () => {}, closed: () => {} }
     server = LinkServer.create(createHello('controller'), handlers)
     const port = await server.listen({ host: '127.0.0.1', port: 0 })
@@ -53,6 +56,19 @@
     assert.equal(submissionCount, 2)
   })
 
+  it('states with the repeat for how long it has waited, and nothing while there is a leader', async () => {
+    answerRepeat = () => ({ kind: 'jobAccepted' })
+    await gateway.ask({ kind: 'readJob', host: 'host', path: '/queue/' }, CALL_TIMEOUT_MS)
+    heldTimes = []
+    submissionCount = 0
+    await submit()
+    await submit()
+    const [first, repeat, next] = heldTimes
+    assert.equal(first, undefined)
+    assert.ok(repeat !== undefined && repeat > 0, `the repeat states ${repeat}`)
+    assert.equal(next, undefined)
+  })
+
   for (const kind of [ErrorKind.unavailable, ErrorKind.resourceExhausted, ErrorKind.notFound]) {
     it(`is not reported as refused when the repeat is: ${kind}`, async () => {
       answerRepeat = () => { throw Failure.create(kind, 'retry later', { retryAfterMs: 1_000 }) }
--- a/packages/runtime/src/core/job-gateway.ts
+++ b/packages/runtime/src/core/job-gateway.ts
@@ -62,10 +62,12 @@
    * Sends an event to the leader and resolves with its answer. Events on staged
    * jobs may be repeated after a lost answer, since each identifies a job, a version
    * or an incarnation. Rejects with unavailable when the event was certainly not
-   * acted on, and with deadlineExceeded when that is unknown.
+   * acted on, and with deadlineExceeded when that is unknown. A submission that had to
+   * wait for a leader states for how long, since its objective counts from its arrival.
    */
   async ask (event: JobEvent, timeoutMs: number): Promise<Answer> {
-    return await this.leader.call(InternalMethod.job, event, timeoutMs, LostAnswerPolicy.repeat, LEADER_SEARCH_TIMEOUT_MS) as Answer
+    const describe = (heldMs: number): JobEvent => event.kind === 'acceptJob' && heldMs > 0 ? { ...event, heldMs } : event
+    return await this.leader.call(InternalMethod.job, describe, timeoutMs, LostAnswerPolicy.repeat, LEADER_SEARCH_TIMEOUT_MS) as Answer
   }
 
   close (): void {
--- a/packages/runtime/src/core/leader-client.ts
+++ b/packages/runtime/src/core/leader-client.ts
@@ -118,25 +118,31 @@
    * sets a retry delay; one whose answer was lost is sent again only if
    * `lostAnswerPolicy` allows it. Rejects with the failure that the leader answered,
    * with unavailable when no attempt was acted on, and with deadlineExceeded when
-   * an answer was lost and the repeats do not show what became of the call.
+   * an answer was lost and the repeats do not show what became of the call. A body that is
+   * a function is called for each attempt with the time in milliseconds for which the call
+   * has waited for a leader, which is 0 for a first attempt that finds one at once.
    */
   async call (
     method: string, body: unknown, timeoutMs: number, lostAnswerPolicy: LostAnswerPolicy, searchTimeoutMs = SEARCH_TIMEOUT_MS
   ): Promise<unknown> {
-    const deadline = monotonicNow() + timeoutMs
+    const startedAt = monotonicNow()
+    const deadline = startedAt + timeoutMs
     let lostAnswer: Failure | undefined
+    let hasWaited = this.leader === undefined
     for (;;) {
       // After a lost answer the search may use all remaining time, since only a repeat of the call shows its outcome.
       const link = await this.findLeader(deadline, lostAnswer === undefined ? searchTimeoutMs : timeoutMs)
       if (link === undefined) throw lostAnswer ?? this.createNoLeaderFailure()
       try {
-        return await link.call(method, body, Math.max(1, deadline - monotonicNow()))
+        const attempt = typeof body === 'function' ? body(hasWaited ? Math.round(monotonicNow() - startedAt) : 0) as unknown : body
+        return await link.call(method, attempt, Math.max(1, deadline - monotonicNow()))
       } catch (thrown) {
         const failure = toFailure(thrown)
         if (failure.kind === ErrorKind.deadlineExceeded) lostAnswer = failure
         if (!isRetryable(failure, lostAnswerPolicy) || monotonicNow() >= deadline) {
           throw lostAnswer !== undefined && NOT_DONE_KINDS.has(failure.kind) ? lostAnswer : failure
         }
+        hasWaited = true
         if (this.leader === link) this.clearLeader(link)
         this.sendHeartbeats()
       }
--- a/packages/scheduler/__tests__/take-over.test.ts
+++ b/packages/scheduler/__tests__/take-over.test.ts
@@ -4,6 +4,8 @@
 
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { LARGE_FLEET, LARGE_FLEET_SHAPE, scaleLoad } from '../../../bench/support/load-patterns.js'
+import { StagedJobSimulation } from '../../../bench/support/staged-job-simulation.js'
 import { Scheduler, StagedJobs, type CalledWorker, type Effect, type JobQueue } from '../src/index.js'
 import { createStage } from './support/stages.js'
 
@@ -75,6 +77,34 @@
     })
   })
 
+  describe('of calls that waited at entries', () => {
+    it('starts first what can still be in time, not what waited longest', () => {
+      const scheduler = Scheduler.create([StagedJobs.create()])
+      const open = { ...QUEUE, admission: undefined }
+      scheduler.startLeading(0)
+      scheduler.handle({ kind: 'configureCell', call: 1, cell: { version: 1, queues: [open], retired: [], services: [], document: '' } }, 0)
+      scheduler.handle({ kind: 'workerReported', call: 2, worker: createWorker(0) }, 0)
+      // The objective is 1,270 ms after the submission, of which the run takes 680 ms.
+      for (const heldMs of [1_000, 300]) {
+        const stage = createStage({ taskCount: 1, estimateMs: 680, resources: { millicores: 20_000, memoryMib: 1_024, accelerators: 0 } })
+        scheduler.handle({ kind: 'acceptJob', call: 3, host: open.host, path: `/urgent/held-${heldMs}`, spec: { payload: '', stages: [stage] }, heldMs }, 1_000)
+      }
+      const { effects } = scheduler.handle({ kind: 'workerListed', id: 'worker-0', incarnation: 1, sentAt: 1_000, running: [], ended: [] }, 1_100)
+      assert.deepEqual(effects.flatMap(effect => effect.kind === 'startRun' ? [effect.task] : []), ['held-300/0/0/0'])
+    })
+
+    it('has more urgent jobs in time in a full cell than by the time of acceptance', () => {
+      const countInTime = (reportsHeldTime: boolean): number => {
+        const simulation = StagedJobSimulation.run(scaleLoad(LARGE_FLEET, 1.3), {
+          ...LARGE_FLEET_SHAPE, seed: 2, durationMs: 10_000, burst: () => 1, withoutLeader: { fromMs: 2_500, toMs: 5_000 }, reportsHeldTime
+        })
+        return simulation.reports.get('lookup')?.inTime ?? 0
+      }
+      const [held, accepted] = [countInTime(true), countInTime(false)]
+      assert.ok(held > accepted, `${held} by the time of submission, ${accepted} by that of acceptance`)
+    })
+  })
+
   describe('before a worker has answered under the new fence', () => {
     it('starts nothing there, although tickets for it are valid', () => {
       const scheduler = Scheduler.create([StagedJobs.create()], createFormerLeader().state)
--- a/packages/scheduler/src/core/jobs/apply-job-decision.ts
+++ b/packages/scheduler/src/core/jobs/apply-job-decision.ts
@@ -36,10 +36,10 @@
 }
 
 function acceptJob (state: ClusterState, decision: DecisionOf<'jobAccepted'>): void {
-  const { id, queue, account, isBeyondWeight, spec, at } = decision
+  const { id, queue, account, isBeyondWeight, spec, at, heldMs } = decision
   const occurrences = new Map()
   if (spec.recurrence === undefined) occurrences.set(0, createOccurrence(spec))
-  state.jobs.set(id, { id, queue, ...(account === undefined ? {} : { account }), ...(isBeyondWeight === true ? { isBeyondWeight } : {}), spec, phase: JobPhase.live, acceptedAt: at, closedAt: 0, started: false, occurrences })
+  state.jobs.set(id, { id, queue, ...(account === undefined ? {} : { account }), ...(isBeyondWeight === true ? { isBeyondWeight } : {}), spec, phase: JobPhase.live, acceptedAt: at, ...(heldMs === undefined ? {} : { heldMs }), closedAt: 0, started: false, occurrences })
 }
 
 function closeJob (state: ClusterState, decision: DecisionOf<'jobClosed'>): void {
--- a/packages/scheduler/src/core/jobs/job-requests.ts
+++ b/packages/scheduler/src/core/jobs/job-requests.ts
@@ -14,6 +14,9 @@
 /** Time after which a caller may retry a request that was refused because the cell has no configuration. */
 const UNCONFIGURED_RETRY_MS = 1_000
 
+/** Longest time at an entry that counts for the objective of a job, in milliseconds; callers wait for their answer for a few seconds. */
+const HELD_LIMIT_MS = 10_000
+
 /** Tasks of all stages of one occurrence of a job, at most. Each task is a record in the state of every replica. */
 const JOB_TASK_LIMIT = 10_000
 
@@ -31,7 +34,8 @@
   if (step.state.jobs.has(id)) return step.reply(event.call, { kind: 'jobAccepted' })
   const fault = findIdFault(id) || findSpecFault(event.spec)
   if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
-  step.decide({ kind: 'jobAccepted', id, queue: route.queue.name, spec: event.spec, at: step.now })
+  const heldMs = Math.min(HELD_LIMIT_MS, Math.max(0, event.heldMs ?? 0))
+  step.decide({ kind: 'jobAccepted', id, queue: route.queue.name, spec: event.spec, at: step.now, ...(heldMs > 0 ? { heldMs } : {}) })
   step.reply(event.call, { kind: 'jobAccepted' })
 }
 
--- a/packages/scheduler/src/core/jobs/order/queues.ts
+++ b/packages/scheduler/src/core/jobs/order/queues.ts
@@ -43,10 +43,15 @@
   return queue.stretch * criticalPathMs(spec, queue, meanRunMs) + queue.targetMs
 }
 
+/** Cluster time in milliseconds at which the submission of a job reached the system, from which its objective counts. */
+export function submittedAt ({ acceptedAt, heldMs = 0 }: StagedJob): number {
+  return acceptedAt - heldMs
+}
+
 /** True when a closed job was completed within its objective, by the run times that its caller declared. */
 export function isClosedInTime (job: StagedJob, cell: CellConfiguration | undefined): boolean {
   const queue = findQueue(cell, job.queue)
-  return job.phase === JobPhase.completed && queue !== undefined && job.closedAt - job.acceptedAt <= objectiveMs(job.spec, queue, undefined)
+  return job.phase === JobPhase.completed && queue !== undefined && job.closedAt - submittedAt(job) <= objectiveMs(job.spec, queue, undefined)
 }
 
 /** Length of the critical path that begins with stage `first`, in milliseconds. */
--- a/packages/scheduler/src/core/jobs/order/scheduling-units.ts
+++ b/packages/scheduler/src/core/jobs/order/scheduling-units.ts
@@ -7,7 +7,7 @@
 import {
   isLiveJob, StageTaskPhase, stageKey, type CellConfiguration, type Occurrence, type JobQueue, type StagedJob, type StageSpec
 } from '../../../types/jobs.js'
-import { findQueue, objectiveMs, remainingPathMs } from './queues.js'
+import { findQueue, objectiveMs, remainingPathMs, submittedAt } from './queues.js'
 import { isSuspected } from '../runs/worker-crashes.js'
 
 /** Multiple of the objective after which the result of a job has no value to its caller. */
@@ -97,10 +97,10 @@
   return dependsOn.every(index => occurrence[index].every(task => task.phase === StageTaskPhase.done))
 }
 
-/** Cluster time in milliseconds at which an occurrence is due; for a job without recurrence, the time of its acceptance. */
+/** Cluster time in milliseconds at which an occurrence is due; for a job without recurrence, the time of its submission. */
 export function occurrenceDueAt (job: StagedJob, occurrence: number): number {
   const { recurrence } = job.spec
-  return recurrence === undefined ? job.acceptedAt : recurrence.firstMs + occurrence * recurrence.intervalMs
+  return recurrence === undefined ? submittedAt(job) : recurrence.firstMs + occurrence * recurrence.intervalMs
 }
 
 /** A run that is in progress although the replicated state does not place it. */
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -62,7 +62,7 @@
   | { kind: 'upkeepWaveAccepted', wave: UpkeepWave, limit: number }
   | { kind: 'upkeepPhaseSet', wave: number, vm: string, phase: UpkeepPhase }
   /** `account` and `isBeyondWeight` are as in `StagedJob`; decisions of earlier versions lack them. */
-  | { kind: 'jobAccepted', id: string, queue: string, account?: string, isBeyondWeight?: boolean, spec: JobSpec, at: number }
+  | { kind: 'jobAccepted', id: string, queue: string, account?: string, isBeyondWeight?: boolean, spec: JobSpec, at: number, heldMs?: number }
   /** `reason` says why a job failed; decisions of earlier versions lack it. */
   | { kind: 'jobClosed', id: string, phase: JobPhase, at: number, reason?: string }
   | { kind: 'jobForgotten', id: string }
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -100,7 +100,8 @@
   /** The grants that an entry has in use, reported to a new leader and after each reconnection. */
   | { kind: 'grantsHeld', report: EntryReport }
   /** `keyDigest` of this and the next two is the SHA-256 of the caller's key in hexadecimal; undefined without a key. */
-  | { kind: 'acceptJob', call: number, host: string, path: string, keyDigest?: string, spec: JobSpec }
+  /** `heldMs` is the time for which the call waited at an entry for a leader, in milliseconds; absent when it did not wait. */
+  | { kind: 'acceptJob', call: number, host: string, path: string, keyDigest?: string, spec: JobSpec, heldMs?: number }
   | { kind: 'readJob', call: number, host: string, path: string, keyDigest?: string }
   | { kind: 'cancelJob', call: number, host: string, path: string, keyDigest?: string }
   | { kind: 'configureCell', call: number, cell: CellConfiguration }
--- a/packages/scheduler/src/types/jobs.ts
+++ b/packages/scheduler/src/types/jobs.ts
@@ -114,6 +114,8 @@
   phase: JobPhase
   /** Cluster time in milliseconds. */
   acceptedAt: number
+  /** Time for which its submission waited at an entry for a leader, in milliseconds; the objective counts from its start. Absent when it did not wait. */
+  heldMs?: number
   /** Cluster time in milliseconds at which the job ended; 0 until then. */
   closedAt: number
   /** True once any task has been placed. */
