--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -196,7 +196,16 @@
     this.options.log.info('leading', { term, change: this.state.change })
     // The first event makes the scheduler watch the workers. It does not wait for the next tick of the timer, and follows
     // the notices to the entries, so that their heartbeats arrive while the sessions with the workers begin.
-    setImmediate(() => { this.tick() })
+    setImmediate(() => { this.runFirstTick() })
+  }
+
+  /** An error of the scheduler is logged and reported as a fault where it is raised, and nobody waits for this tick. */
+  private runFirstTick (): void {
+    try {
+      this.tick()
+    } catch (thrown) {
+      this.options.log.error('first_tick_failed', { error: toFailure(thrown).message })
+    }
   }
 
   stopLeading (leader: string): void {
