--- a/bench/support/staged-job-simulation.ts
+++ b/bench/support/staged-job-simulation.ts
@@ -6,10 +6,12 @@
 
 import {
   isLiveJob, OrderOutcome, parseTaskRef, RunEndCause, Scheduler, StagedJobs, stageKey,
-  type CalledWorker, type Effect, type EndedRun, type Event, type JobPhase, type JobQueue, type JobSpec, type ReportedRun, type StageSpec
+  type Effect, type Event, type JobPhase, type JobQueue, type JobSpec, type ReportedRun, type StageSpec
 } from '../../packages/scheduler/src/index.js'
 import { SimulatedClock } from './simulated-clock.js'
 import { Random } from './random.js'
+import { SimulatedCallers, type LeaderlessTime } from './simulated-callers.js'
+import { WorkerModel, type ActiveRun } from './simulated-worker.js'
 
 /** A queue and the jobs that callers submit to it. */
 export interface JobClass {
@@ -54,8 +56,8 @@
   commitLatencyMs?: number
   /** Latency of a call, in milliseconds; CALL_LATENCY_MS when absent. */
   callLatencyMs?: number
-  /** A time without a leader, in milliseconds. Calls made meanwhile reach the next leader; orders made before are carried out. */
-  withoutLeader?: { fromMs: number, toMs: number }
+  /** A time without a leader. Orders made before are carried out. */
+  withoutLeader?: LeaderlessTime
   /** False if entries do not report for how long they held a call for want of a leader, so that objectives count from the acceptance. */
   reportsHeldTime?: boolean
 }
@@ -92,27 +94,9 @@
 /** Upper limit of the credit of a job, as a multiple of the credit of a mean job. */
 const MAX_CREDIT_FACTOR = 4
 
-/**
- * A run on a worker. `workMs` is the whole run time of its task, including the restore of a
- * checkpoint, of which `doneMs` were done by the checkpoint from which the run resumed; `gang` is the key of its stage, empty unless the
- * stage is a gang.
- */
-interface ActiveRun { progress: ReportedRun, workMs: number, doneMs: number, workingSince: number, fails: boolean, gang: string, isStopping: boolean }
 /** A job that was submitted, with the run time of each task by stage and index. */
 interface SubmittedJob { jobClass: JobClass, objectiveMs: number, submittedAt: number, credit: number, spec: JobSpec, savesCheckpoints: boolean, taskWorkMs: number[][] }
 
-/** A simulated worker: its active runs, and the ended runs that the leader has not acknowledged. */
-class WorkerModel {
-  readonly active = new Map<string, ActiveRun>()
-  ended: EndedRun[] = []
-  lastEndNumber = 0
-  private constructor (readonly facts: CalledWorker) {}
-
-  static create (facts: CalledWorker): WorkerModel {
-    return new WorkerModel(facts)
-  }
-}
-
 export class StagedJobSimulation {
   readonly reports = new Map<string, QueueReport>()
   /** Time spent in the scheduler, in milliseconds. */
@@ -131,10 +115,14 @@
   private readonly jobs = new Map<string, SubmittedJob>()
   private readonly busyUntilByEntry = new Map<string, number>()
   private lastJob = 0
+  readonly callers: SimulatedCallers
 
   private constructor (private readonly classes: readonly JobClass[], private readonly options: StagedJobSimulationOptions) {
     this.random = Random.create(options.seed)
     this.runRandom = Random.create(options.seed + 1)
+    this.callers = SimulatedCallers.create(this.clock, Random.create(options.seed + 2), options.withoutLeader ?? { fromMs: Infinity, toMs: Infinity }, ({ heldMs, ...submission }) => {
+      this.handleEvent(options.reportsHeldTime === false ? submission : { ...submission, heldMs })
+    })
   }
 
   static run (classes: readonly JobClass[], options: StagedJobSimulationOptions): StagedJobSimulation {
@@ -183,12 +171,7 @@
 
   private handleEvent (event: Event): void {
     const { withoutLeader } = this.options
-    if (withoutLeader !== undefined && this.clock.now >= withoutLeader.fromMs && this.clock.now < withoutLeader.toMs) {
-      const heldMs = withoutLeader.toMs - this.clock.now + 1
-      const reported = this.options.reportsHeldTime === false ? {} : { heldMs }
-      if (event.kind === 'acceptJob') this.clock.schedule(heldMs, () => { this.handleEvent({ ...event, ...reported }) })
-      return
-    }
+    if (withoutLeader !== undefined && this.clock.now >= withoutLeader.fromMs && this.clock.now < withoutLeader.toMs) return
     const startedAt = performance.now()
     const { effects } = this.scheduler.handle(event, this.clock.now)
     this.decisionMs += performance.now() - startedAt
@@ -254,7 +237,7 @@
     const credit = jobClass.credit * Math.min(MAX_CREDIT_FACTOR, FIXED_CREDIT_SHARE + (1 - FIXED_CREDIT_SHARE) * work / meanWork)
     const spec: JobSpec = { payload: '', stages }
     this.jobs.set(id, { jobClass, objectiveMs: stretch * (criticalPathMs + admissionMs) + targetMs, submittedAt: this.clock.now, credit, spec, savesCheckpoints, taskWorkMs })
-    this.handleEvent({ kind: 'acceptJob', call: 0, host: 'jobs.example', path: `/${jobClass.queue.name}/${id}`, spec })
+    this.callers.submit({ kind: 'acceptJob', call: 0, host: 'jobs.example', path: `/${jobClass.queue.name}/${id}`, spec })
   }
 
   /** The factors 0.92 and 0.87 convert the mean resources of the class to the medians of the samples. */
--- a/packages/runtime/__tests__/leader-client.test.ts
+++ b/packages/runtime/__tests__/leader-client.test.ts
@@ -1,16 +1,24 @@
 /**
  * Calls to the leader that are repeated after a lost answer: the answer to the repeat does
- * not tell what became of the attempt before it.
+ * not tell what became of the attempt before it. Calls while there is no leader: an entry
+ * says that a call did not run only if it is certain.
  */
 
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { InternalMethod, LinkServer, type CallFrame, type HelloFrame, type Link } from '@flamingorouter/controllers'
+import { InternalMethod, LinkServer, Topic, type CallFrame, type HelloFrame, type Link } from '@flamingorouter/controllers'
 import { ErrorKind, Failure, type Answer } from '@flamingorouter/scheduler'
 import { JobGateway } from '../src/index.js'
 
 const CALL_TIMEOUT_MS = 5_000
 
+/** Time within which a call reaches the next leader after that has announced itself, in milliseconds; a heartbeat takes 1,000 ms to time out. */
+const REPEAT_LIMIT_MS = 500
+
+function pause (ms: number): Promise<void> {
+  return new Promise(resolve => { setTimeout(resolve, ms) })
+}
+
 function createHello (process: string): HelloFrame {
   return { kind: 'hello', group: 'group', process, role: 'entry', availabilityZone: 'zone' }
 }
@@ -82,3 +90,97 @@
     await assert.rejects(submit(), { kind: ErrorKind.invalidArgument })
   })
 })
+
+/** A controller of the cell on a port of its own; it leads, or answers nothing, as the test says. */
+class ScriptedController {
+  readonly submissions: string[] = []
+  /** Term in which it leads; 0 while it follows. */
+  term = 0
+  isFrozen = false
+  address = ''
+  private readonly links: Link[] = []
+  private readonly server: LinkServer
+
+  private constructor (readonly name: string) {
+    const opened = (link: Link): void => { this.links.push(link) }
+    this.server = LinkServer.create(createHello(name), { opened, called: (_link, frame) => this.answer(frame), replication: () => {}, notice: () => {}, closed: () => {} })
+  }
+
+  static async start (name: string): Promise<ScriptedController> {
+    const controller = new ScriptedController(name)
+    controller.address = `127.0.0.1:${await controller.server.listen({ host: '127.0.0.1', port: 0 })}`
+    return controller
+  }
+
+  /** Begins to lead and announces it, as a controller that was elected. */
+  lead (term: number): void {
+    this.term = term
+    for (const link of this.links) link.send({ kind: 'notice', topic: Topic.leading, body: { term } })
+  }
+
+  close (): void {
+    this.server.close()
+  }
+
+  private async answer (frame: CallFrame): Promise<unknown> {
+    const event = frame.body as { path?: string }
+    if (frame.method === InternalMethod.job) this.submissions.push(event.path ?? '')
+    if (this.isFrozen) return await new Promise(() => {})
+    if (frame.method === InternalMethod.members) return { controllers: [] }
+    if (this.term === 0) throw Failure.create(ErrorKind.notLeader, 'another controller leads')
+    if (frame.method === InternalMethod.heartbeat) return { term: this.term, configurationVersion: 0, controllers: [] }
+    return { kind: 'jobAccepted' }
+  }
+}
+
+describe('an entry whose leader freezes', () => {
+  let former: ScriptedController
+  let next: ScriptedController
+  let gateway: JobGateway
+
+  beforeEach(async () => {
+    former = await ScriptedController.start('former')
+    next = await ScriptedController.start('next')
+    former.term = 1
+    gateway = JobGateway.create({ hello: createHello('entry'), controllers: [former, next].map(({ name, address }) => ({ id: name, address })) })
+    while (!gateway.leader.hasLeader) await pause(5)
+  })
+
+  afterEach(() => {
+    gateway.close()
+    former.close()
+    next.close()
+  })
+
+  function submit (timeoutMs: number): Promise<Answer> {
+    return gateway.ask({ kind: 'acceptJob', host: 'host', path: '/queue/id', spec: { payload: '', stages: [] } }, timeoutMs)
+  }
+
+  it('asks the next leader under the same id for a call that the former one may have accepted, within the time of the caller', async () => {
+    former.isFrozen = true
+    const answer = submit(CALL_TIMEOUT_MS)
+    while (former.submissions.length === 0) await pause(5)
+    next.lead(2)
+    const startedAt = performance.now()
+    assert.equal((await answer).kind, 'jobAccepted')
+    assert.deepEqual(next.submissions, former.submissions)
+    assert.ok(performance.now() - startedAt < REPEAT_LIMIT_MS, 'the call waited for the former leader')
+  })
+
+  it('does not report such a call as not run when there is no next leader in time', async () => {
+    former.isFrozen = true
+    await assert.rejects(submit(400), { kind: ErrorKind.deadlineExceeded })
+    assert.equal(former.submissions.length, 1)
+  })
+
+  it('refuses a call that never left it as not run, with a delay within the spread', async () => {
+    former.term = 0
+    gateway.leader.sendHeartbeats()
+    while (gateway.leader.hasLeader) await pause(5)
+    const refusals = await Promise.all(Array.from({ length: 40 }, async () => await submit(CALL_TIMEOUT_MS).catch((thrown: unknown) => thrown as Failure)))
+    const delays = refusals.map(refusal => refusal instanceof Failure && refusal.kind === ErrorKind.unavailable ? refusal.retryAfterMs : NaN)
+    assert.deepEqual(former.submissions, [])
+    assert.ok(delays.every(delay => delay >= 500 && delay <= 2_000), delays.join())
+    assert.ok(Math.max(...delays) - Math.min(...delays) > 500, `the delays are not spread: ${delays.join()}`)
+  })
+})
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -98,11 +98,9 @@
   /** Attaches the replica. Separate from `create`, since the replica is created with this controller as its owner. */
   attach (replica: Replica): void {
     const release = (effect: Effect): void => { this.release(effect) }
-    const logFailure = (thrown: unknown): void => {
-      this.options.log.warn('propose_failed', { error: toFailure(thrown).message })
-    }
-    const recordCommit = (durationMs: number): void => { this.options.metrics?.recordCommit(durationMs) }
-    this.attached = { replica, proposals: ProposalQueue.create(replica, { release, handleFailure: logFailure, handleCommit: recordCommit }) }
+    const handleFailure = (thrown: unknown): void => { this.options.log.warn('propose_failed', { error: toFailure(thrown).message }) }
+    const handleCommit = (durationMs: number): void => { this.options.metrics?.recordCommit(durationMs) }
+    this.attached = { replica, proposals: ProposalQueue.create(replica, { release, handleFailure, handleCommit }) }
   }
 
   get isAttached (): boolean {
@@ -194,8 +192,7 @@
     this.options.orderDispatcher?.startLeading(term, event => { if (this.isLeading) this.feed(event) })
     for (const link of this.entryLinks.values()) link.send({ kind: 'notice', topic: Topic.leading, body: { term } })
     this.options.log.info('leading', { term, change: this.state.change })
-    // The first event makes the scheduler watch the workers. It does not wait for the next tick of the timer, and follows
-    // the notices to the entries, so that their heartbeats arrive while the sessions with the workers begin.
+    // The first event makes the scheduler watch the workers; it follows the notices, so that heartbeats arrive meanwhile.
     setImmediate(() => { this.runFirstTick() })
   }
 
--- a/packages/runtime/src/core/leader-client.ts
+++ b/packages/runtime/src/core/leader-client.ts
@@ -7,7 +7,7 @@
   InternalMethod, LinkDialler, Topic,
   type MembersAnswer, type ControllerAddress, type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type LeadingBody, type Link, type LinkHandlers, type PeerKeys
 } from '@flamingorouter/controllers'
-import { ErrorKind, Failure, toFailure } from '@flamingorouter/scheduler'
+import { computeRetryAfterMs, ErrorKind, Failure, toFailure } from '@flamingorouter/scheduler'
 import { monotonicNow } from './clock.js'
 
 /** Time between two heartbeats, in milliseconds. */
@@ -177,7 +177,8 @@
   }
 
   private createNoLeaderFailure (): Failure {
-    return Failure.create(ErrorKind.unavailable, 'no leader could be reached', { retryAfterMs: HEARTBEAT_INTERVAL_MS * 2 })
+    const retryAfterMs = computeRetryAfterMs(monotonicNow() - this.leaderlessSince, Math.random())
+    return Failure.create(ErrorKind.unavailable, 'no leader could be reached', { retryAfterMs })
   }
 
   private sendHeartbeat (link: Link): void {
