--- a/packages/controllers/src/types/methods.ts
+++ b/packages/controllers/src/types/methods.ts
@@ -46,6 +46,8 @@
   isAdmitting: boolean
   /** True when the process can query the external admission service. */
   isAdvisor?: boolean
+  /** True while the entry is short of headroom and asks to report itself not ready. */
+  isShort?: boolean
   /** Set while the sender is a controller that asks to become a member. */
   candidate?: MemberCandidate
 }
@@ -59,6 +61,8 @@
   configurationVersion: number
   /** Addresses of all members, so that the receiver follows membership changes. */
   controllers: ControllerAddress[]
+  /** True when the entry may report itself not ready for want of headroom, until the permission lapses. */
+  isRelieved?: boolean
 }
 
 export interface ControllerAddress {
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -257,7 +257,8 @@
     return {
       term,
       configurationVersion: this.state.configurationVersion,
-      controllers: members.map(({ id, address }) => ({ id, address }))
+      controllers: members.map(({ id, address }) => ({ id, address })),
+      ...(this.entries.grantRelief(body, monotonicNow()) ? { isRelieved: true } : {})
     }
   }
 
--- a/packages/runtime/src/core/entry-table.ts
+++ b/packages/runtime/src/core/entry-table.ts
@@ -6,6 +6,7 @@
  */
 
 import type { HeartbeatBody } from '@flamingorouter/controllers'
+import { mayBeUnready } from '@flamingorouter/scheduler'
 
 /** The contents of an entry's last heartbeat, and the time at which it arrived. */
 export interface TrackedEntry {
@@ -16,6 +17,8 @@
   isAdmitting: boolean
   /** True if the entry can forward admission queries. */
   isAdvisor?: boolean
+  /** Monotonic time in milliseconds until which the entry may report itself not ready for want of headroom; absent if it never could. */
+  relievedUntil?: number
   /** Monotonic time of the last heartbeat in milliseconds. */
   lastHeartbeatAt: number
 }
@@ -26,6 +29,9 @@
 /** Added to the freshness limit on the leader's side to allow for the drift between two clocks, in milliseconds. */
 export const CLOCK_DRIFT_ALLOWANCE_MS = 200
 
+/** Time after the heartbeat that asked for it for which an entry may report itself not ready, in milliseconds; four heartbeats. */
+export const RELIEF_VALIDITY_MS = 2_000
+
 /** Time without a heartbeat after which an entry is removed from the table, in milliseconds. */
 const ENTRY_RETENTION_MS = 600_000
 
@@ -46,7 +52,8 @@
 
   /** Records a heartbeat that arrived at `now`, in monotonic milliseconds. */
   recordHeartbeat (body: HeartbeatBody, now: number): void {
-    this.entries.set(body.process, { ...body, lastHeartbeatAt: now })
+    const relievedUntil = this.entries.get(body.process)?.relievedUntil
+    this.entries.set(body.process, { ...body, lastHeartbeatAt: now, ...(relievedUntil === undefined ? {} : { relievedUntil }) })
   }
 
   list (): TrackedEntry[] {
@@ -68,6 +75,20 @@
     return this.list().every(entry => entry.configurationVersion >= version || !this.isLive(entry, now))
   }
 
+  /**
+   * Decides whether the sender of a heartbeat, which is recorded already, may report itself not ready for want of headroom.
+   * A new leader permits it only once the permissions of the former one have lapsed.
+   */
+  grantRelief ({ process, isShort = false }: HeartbeatBody, now: number): boolean {
+    const tracked = this.entries.get(process)
+    if (tracked === undefined || !isShort || now - this.leadingSince <= RELIEF_VALIDITY_MS + CLOCK_DRIFT_ALLOWANCE_MS) return false
+    const entries = this.list().map(entry => ({ ...entry, isReady: entry.isAdmitting && now >= (entry.relievedUntil ?? 0) && this.isLive(entry, now) }))
+    const isGranted = mayBeUnready(process, entries)
+    // The answer may be lost, so the permission counts until it has lapsed at the entry, even if the next one is refused.
+    if (isGranted) tracked.relievedUntil = now + RELIEF_VALIDITY_MS + CLOCK_DRIFT_ALLOWANCE_MS
+    return isGranted
+  }
+
   /** Removes the entries whose last heartbeat is older than the retention time. */
   removeExpired (now: number): void {
     for (const entry of this.entries.values()) {
--- a/packages/runtime/src/core/job-gateway.ts
+++ b/packages/runtime/src/core/job-gateway.ts
@@ -10,6 +10,7 @@
 } from '@flamingorouter/controllers'
 import { ErrorKind, fail, type Answer } from '@flamingorouter/scheduler'
 import { monotonicNow } from './clock.js'
+import { RELIEF_VALIDITY_MS } from './entry-table.js'
 import { LostAnswerPolicy, LeaderClient, type HeartbeatOwner } from './leader-client.js'
 
 /** Time without a confirmed leader after which a process is no longer ready, in milliseconds. */
@@ -31,12 +32,16 @@
   admission?: AdmissionService
   /** Set in a controller: returns its id and address to offer itself as a member, or undefined for no offer. */
   candidate?: () => MemberCandidate | undefined
+  /** Set where readiness follows headroom: returns true while this process is short of it. */
+  isShort?: () => boolean
 }
 
 export class JobGateway implements HeartbeatOwner {
   readonly leader: LeaderClient
   /** Monotonic time in milliseconds at which the last heartbeat that the leader answered was sent. */
   private confirmedAt = -Infinity
+  /** Monotonic time in milliseconds until which the leader permits this process not to be ready for want of headroom. */
+  private relievedUntil = -Infinity
   private isDraining = false
 
   private constructor (private readonly options: JobGatewayOptions) {
@@ -50,7 +55,12 @@
 
   /** True while the load balancer should send calls here. */
   get isReady (): boolean {
-    return !this.isDraining && monotonicNow() - this.confirmedAt < READINESS_TIMEOUT_MS
+    return !this.isDraining && !this.isRelieved && monotonicNow() - this.confirmedAt < READINESS_TIMEOUT_MS
+  }
+
+  /** True while this process is short of headroom and the leader permits it not to be ready; calls that still arrive are served. */
+  private get isRelieved (): boolean {
+    return monotonicNow() < this.relievedUntil && this.options.isShort?.() === true
   }
 
   /** Ends readiness and announces that to the leader with the next heartbeat; calls that still arrive are served. */
@@ -75,7 +85,7 @@
   }
 
   createHeartbeat (): HeartbeatBody {
-    const { hello, admission, candidate } = this.options
+    const { hello, admission, candidate, isShort } = this.options
     return {
       process: hello.process,
       availabilityZone: hello.availabilityZone,
@@ -83,12 +93,14 @@
       configurationVersion: 0,
       isAdmitting: !this.isDraining,
       isAdvisor: admission !== undefined && !this.isDraining,
-      candidate: candidate?.()
+      candidate: candidate?.(),
+      ...(isShort === undefined ? {} : { isShort: isShort() })
     }
   }
 
-  handleConfirmation (_answer: HeartbeatAnswer, sentAt: number): void {
+  handleConfirmation (answer: HeartbeatAnswer, sentAt: number): void {
     this.confirmedAt = sentAt
+    this.relievedUntil = answer.isRelieved === true ? sentAt + RELIEF_VALIDITY_MS : -Infinity
   }
 
   handleLeaderFound (): void {}
