--- a/packages/runtime/__tests__/leader-client.test.ts
+++ b/packages/runtime/__tests__/leader-client.test.ts
@@ -53,7 +53,7 @@
     assert.equal(submissionCount, 2)
   })
 
-  for (const kind of [ErrorKind.unavailable, ErrorKind.resourceExhausted, ErrorKind.notFound]) {
+  for (const kind of [ErrorKind.unavailable, ErrorKind.resourceExhausted, ErrorKind.notFound, ErrorKind.unauthenticated]) {
     it(`is not reported as refused when the repeat is: ${kind}`, async () => {
       answerRepeat = () => { throw Failure.create(kind, 'retry later', { retryAfterMs: 1_000 }) }
       await assert.rejects(submit(), { kind: ErrorKind.deadlineExceeded })
--- a/packages/runtime/src/core/leader-client.ts
+++ b/packages/runtime/src/core/leader-client.ts
@@ -27,7 +27,7 @@
  * before may have been carried out, by the same leader or by an earlier one, or may still arrive there.
  */
 const NOT_DONE_KINDS: ReadonlySet<ErrorKind> = new Set([
-  ErrorKind.unavailable, ErrorKind.notLeader, ErrorKind.resourceExhausted, ErrorKind.notFound
+  ErrorKind.unavailable, ErrorKind.notLeader, ErrorKind.resourceExhausted, ErrorKind.notFound, ErrorKind.unauthenticated
 ])
 
 /** The process on whose behalf heartbeats are sent: supplies their contents and handles their answers. */
--- a/packages/scheduler/__tests__/account-caps.test.ts
+++ b/packages/scheduler/__tests__/account-caps.test.ts
@@ -280,6 +280,15 @@
     })
   })
 
+  describe('that is lowered below a gang that was accepted', () => {
+    it('does not refuse a repeat of its submission, whose first answer may have been lost', () => {
+      const cell = CapLeader.create([], createAccount('one', 3 * TASK_CORES))
+      cell.submit('a', 'one', { taskCount: 3, gang: true })
+      cell.configure(createAccount('one', TASK_CORES))
+      assert.equal(findRefusal(cell.submit('a', 'one', { taskCount: 3, gang: true })), undefined)
+    })
+  })
+
   describe('that is raised', () => {
     it('lets waiting units start at once', () => {
       const cell = CapLeader.create(['w1'], createAccount('one', TASK_CORES))
--- a/packages/scheduler/__tests__/accounts.test.ts
+++ b/packages/scheduler/__tests__/accounts.test.ts
@@ -198,6 +198,15 @@
       assert.deepEqual(leader.scheduler.state.cell?.retiredAccounts ?? [], [])
     })
 
+    it('with accounts limits no job that an earlier version accepted, which has none', () => {
+      const leader = AccountLeader.create()
+      leader.submit('a')
+      leader.replaceLeader()
+      leader.configure(2, [createAccount('one', 'd1')])
+      assert.ok(!('account' in (leader.findJob('a') ?? { account: '' })))
+      assert.deepEqual(leader.ask({ kind: 'cancelJob', call: 2, host: 'jobs.example', path: '/q/a', keyDigest: 'd1' }), { kind: 'job', phase: 'cancelled', isStarted: false })
+    })
+
     it('without accounts, and a state of an earlier version, load as before', () => {
       const leader = AccountLeader.create()
       assert.ok(!('retiredAccounts' in (leader.scheduler.state.cell ?? { retiredAccounts: [] })))
