--- a/bench/support/staged-job-simulation.ts
+++ b/bench/support/staged-job-simulation.ts
@@ -6,7 +6,7 @@
 
 import {
   isLiveJob, OrderOutcome, parseTaskRef, RunEndCause, Scheduler, StagedJobs, stageKey,
-  type CalledWorker, type Effect, type EndedRun, type Event, type JobPhase, type JobQueue, type JobSpec, type ReportedRun, type StageSpec
+  type CalledWorker, type ClientAccount, type Effect, type EndedRun, type Event, type JobPhase, type JobQueue, type JobSpec, type ReportedRun, type StageSpec
 } from '../../packages/scheduler/src/index.js'
 import { SimulatedClock } from './simulated-clock.js'
 import { Random } from './random.js'
@@ -14,6 +14,8 @@
 /** A queue and the jobs that callers submit to it. */
 export interface JobClass {
   queue: JobQueue
+  /** Name of the client account that submits the jobs, and digest of its key; absent for callers without a key. */
+  account?: string
   jobsPerSecond: number
   /** Credit for a job with the mean amount of work. */
   credit: number
@@ -50,6 +52,8 @@
   durationMs: number
   /** Returns the factor by which the arrival rate of a queue is multiplied at a time. */
   burst: (queue: string, now: number) => number
+  /** Client accounts of the cell, each with its name as the digest of its key; absent for a cell without accounts. */
+  accounts?: ClientAccount[]
   /** Latency of an effect that has to be committed first, in milliseconds; COMMIT_LATENCY_MS when absent. */
   commitLatencyMs?: number
   /** Latency of a call, in milliseconds; CALL_LATENCY_MS when absent. */
@@ -150,7 +154,7 @@
     this.handleEvent({
       kind: 'configureCell',
       call: 0,
-      cell: { version: 1, queues: this.classes.map(({ queue }) => queue), retired: [], services: [{ name: 'service', standby: false }], document: '' }
+      cell: { version: 1, queues: this.classes.map(({ queue }) => queue), retired: [], services: [{ name: 'service', standby: false }], accounts: this.options.accounts, document: '' }
     })
     this.handleEvent({ kind: 'advisorsChanged', entries: this.listEntries() })
     for (let index = 0; index < workers; index++) {
@@ -250,7 +254,7 @@
     const credit = jobClass.credit * Math.min(MAX_CREDIT_FACTOR, FIXED_CREDIT_SHARE + (1 - FIXED_CREDIT_SHARE) * work / meanWork)
     const spec: JobSpec = { payload: '', stages }
     this.jobs.set(id, { jobClass, objectiveMs: stretch * (criticalPathMs + admissionMs) + targetMs, submittedAt: this.clock.now, credit, spec, savesCheckpoints, taskWorkMs })
-    this.handleEvent({ kind: 'acceptJob', call: 0, host: 'jobs.example', path: `/${jobClass.queue.name}/${id}`, spec })
+    this.handleEvent({ kind: 'acceptJob', call: 0, host: 'jobs.example', path: `/${jobClass.queue.name}/${id}`, keyDigest: jobClass.account, spec })
   }
 
   /** The factors 0.92 and 0.87 convert the mean resources of the class to the medians of the samples. */
