--- a/packages/scheduler/__tests__/account-caps.test.ts
+++ b/packages/scheduler/__tests__/account-caps.test.ts
@@ -118,6 +118,21 @@
       assert.deepEqual(listStarts([...cell.leader.addWorker('w3'), ...cell.leader.advance(300)]), [])
     })
 
+    it('runs of a job that closed long ago, also at the next leader', () => {
+      const cell = CapLeader.create(['w1'], createAccount('one', TASK_CORES))
+      cell.startsOf('a', 'one')
+      cell.confirm('w1', 'a/0/0/0')
+      cell.leader.handle({ kind: 'workerSilent', id: 'w1', incarnation: 1, isClosed: false })
+      cell.leader.handle({ kind: 'cancelJob', call: 4, host: 'jobs.example', path: '/q/a', keyDigest: 'one' })
+      cell.leader.advance(301_000)
+      cell.leader.replaceLeader()
+      cell.leader.addWorker('w2')
+      assert.equal(cell.startsOf('b', 'one').length, 0)
+      cell.leader.handle({ kind: 'workerLapsed', id: 'w1', incarnation: 1, loss: 'leaseExpired', reason: '' })
+      cell.leader.advance(100)
+      assert.equal(cell.leader.state.jobs.has('a'), false)
+    })
+
     it('runs of a former incarnation that its successor may still have', () => {
       const cell = CapLeader.create(['w1', 'w2'], createAccount('one', TASK_CORES))
       cell.submit('a', 'one')
