--- a/packages/runtime/__tests__/take-over.test.ts
+++ b/packages/runtime/__tests__/take-over.test.ts
@@ -134,6 +134,22 @@
     assert.deepEqual(entries.map(({ stages }) => stages.length), [1, 1, 1])
   })
 
+  it('starts from the beginning when it leads again after a leadership that was lost during the take-over', async () => {
+    const entry = RecordingEntry.create('one')
+    const { link } = entry
+    controller.handleLinkOpened(link)
+    for (const term of [2, 4]) {
+      controller.startLeading(term)
+      await nextTurn()
+      await controller.handleCall(link, entry.heartbeat)
+      await nextTurn()
+      controller.stopLeading('other')
+    }
+    assert.deepEqual(dispatcher.effects.map(({ kind }) => kind), ['watchWorker', 'watchWorker'])
+    assert.equal(entry.stages.length, 2)
+    assert.equal(entry.notices.length, 2)
+  })
+
   it('reports no entry after it has lost the leadership', async () => {
     const entry = RecordingEntry.create('one')
     controller.handleLinkOpened(entry.link)
