Rank work beyond the weight of a client account behind owed work

The leader counts the owed jobs of each account over a sliding window and stores with each job whether it is beyond the weight. Such work neither reserves nor preempts, starts only on capacity beside a headroom, leaves half of the entries to queries for owed work, and has ten units in a pass at most. Accounts are part of the replay of staged jobs.

--- a/bench/support/load-patterns.ts
+++ b/bench/support/load-patterns.ts
@@ -5,6 +5,7 @@
  */
 
 import type { JobQueue } from '../../packages/scheduler/src/index.js'
+import type { SimulatedAccount } from './account-load.js'
 import type { JobClass, StagedJobSimulationOptions } from './staged-job-simulation.js'
 
 const SECOND_MS = 1_000
@@ -92,3 +93,76 @@
 export function scaleLoad (classes: readonly JobClass[], factor: number): JobClass[] {
   return classes.map(jobClass => ({ ...jobClass, jobsPerSecond: jobClass.jobsPerSecond * factor }))
 }
+
+/**
+ * A cell whose callers compete: 20 accounts, a few of them large, on 245 workers. The
+ * queues ask for somewhat more than the workers have at the usual rate.
+ */
+export const FULL_CELL: readonly JobClass[] = [
+  {
+    queue: createQueue('urgent', 0, 2, 1.5, 250, 11, 0.3),
+    jobsPerSecond: 46,
+    credit: 0.413,
+    stages: 1,
+    tasksPerStage: 3,
+    taskMs: 1_000,
+    maxTaskMs: 2_500,
+    millicores: 9_900,
+    memoryMib: 16_000,
+    gangShare: 0.3,
+    checkpointShare: 0,
+    failureShare: 0.02,
+    allowedShare: 0.7,
+    estimateDeviation: 0.7
+  },
+  {
+    queue: createQueue('gang', 1, 2, 2.2, 1_000, 590, 7),
+    jobsPerSecond: 2.5,
+    credit: 5.46,
+    stages: 1.2,
+    tasksPerStage: 16,
+    taskMs: 6_200,
+    maxTaskMs: 16_000,
+    millicores: 18_000,
+    memoryMib: 18_000,
+    gangShare: 1,
+    checkpointShare: 0.5,
+    failureShare: 0.002,
+    allowedShare: 0.35,
+    estimateDeviation: 0.7
+  },
+  {
+    queue: createQueue('bulk', 2, 4, 4, 3_000, 72, 2.6),
+    jobsPerSecond: 11,
+    credit: 2.62,
+    stages: 1.5,
+    tasksPerStage: 25,
+    taskMs: 2_200,
+    maxTaskMs: 5_400,
+    millicores: 6_900,
+    memoryMib: 12_000,
+    gangShare: 0,
+    checkpointShare: 0.8,
+    failureShare: 0.02,
+    allowedShare: 0.45,
+    estimateDeviation: 0.7
+  }
+]
+
+export const FULL_CELL_SHAPE: Omit<StagedJobSimulationOptions, 'seed' | 'durationMs' | 'burst'> = {
+  workers: 245, workerMillicores: 64_000, workerMemoryMib: 262_144, entries: 31, stopMs: 200, commitLatencyMs: 20, callLatencyMs: 5
+}
+
+/** Shares of the arrivals of 20 accounts: three large ones, seven of a middle size and ten small ones. */
+const ACCOUNT_SHARES = Object.freeze([0.2, 0.14, 0.1, ...Array<number>(7).fill(0.05), ...Array<number>(10).fill(0.021)])
+
+/** Accounts whose weights are their usual numbers of jobs per second, times `headroom`. */
+export function createAccounts (classes: readonly JobClass[], headroom = 1.2): SimulatedAccount[] {
+  const jobsPerSecond = classes.reduce((sum, jobClass) => sum + jobClass.jobsPerSecond, 0)
+  return ACCOUNT_SHARES.map((share, index) => ({ name: `account-${index}`, weight: headroom * share * jobsPerSecond, share }))
+}
+
+/** The accounts with one of them sending several times its usual rate from 6 s to 10 s. */
+export function heatAccount (accounts: readonly SimulatedAccount[], name: string, factor: number): SimulatedAccount[] {
+  return accounts.map(account => account.name !== name ? account : { ...account, burst: now => now > 6 * SECOND_MS && now < 10 * SECOND_MS ? factor : 1 })
+}
--- a/bench/support/staged-job-simulation.ts
+++ b/bench/support/staged-job-simulation.ts
@@ -6,38 +6,14 @@
 
 import {
   isLiveJob, OrderOutcome, parseTaskRef, RunEndCause, Scheduler, StagedJobs, stageKey,
-  type CalledWorker, type Effect, type EndedRun, type Event, type JobPhase, type JobQueue, type JobSpec, type ReportedRun, type StageSpec
+  type CalledWorker, type Effect, type EndedRun, type Event, type JobPhase, type JobSpec, type ReportedRun
 } from '../../packages/scheduler/src/index.js'
+import { createClientAccount, createStreams, type AccountReport, type JobStream, type SimulatedAccount } from './account-load.js'
+import { drawJob, type DrawnJob, type JobClass } from './drawn-jobs.js'
 import { SimulatedClock } from './simulated-clock.js'
 import { Random } from './random.js'
 
-/** A queue and the jobs that callers submit to it. */
-export interface JobClass {
-  queue: JobQueue
-  jobsPerSecond: number
-  /** Credit for a job with the mean amount of work. */
-  credit: number
-  /** Mean number of stages, from 1 to 2. */
-  stages: number
-  /** Approximate mean number of tasks of a stage. */
-  tasksPerStage: number
-  /** Approximate mean run time of a task, in milliseconds. */
-  taskMs: number
-  /** Upper limit of the run time of a task, in milliseconds. */
-  maxTaskMs: number
-  millicores: number
-  memoryMib: number
-  /** Share of jobs whose stages are gangs. */
-  gangShare: number
-  /** Share of jobs whose tasks save checkpoints. */
-  checkpointShare: number
-  /** Share of tasks whose first run fails. */
-  failureShare: number
-  /** Share of workers that the admission service allows for a stage. */
-  allowedShare: number
-  /** Standard deviation of the logarithm of the declared run time over the real one; absent for a declared time that is off by 0.3 at most. */
-  estimateDeviation?: number
-}
+export type { JobClass } from './drawn-jobs.js'
 
 export interface StagedJobSimulationOptions {
   seed: number
@@ -56,6 +32,8 @@
   callLatencyMs?: number
   /** A time without a leader, in milliseconds. Calls made meanwhile reach the next leader; orders made before are carried out. */
   withoutLeader?: { fromMs: number, toMs: number }
+  /** Client accounts that share the arrivals of each queue; without them the jobs have none. */
+  accounts?: readonly SimulatedAccount[]
 }
 
 /**
@@ -77,18 +55,10 @@
 const CHECKPOINT_RESTORE_MS = 250
 /** Interval at which a task saves a checkpoint. */
 const CHECKPOINT_INTERVAL_MS = 500
-/** Standard deviation of the logarithm of the run time of a task. */
-const WORK_DEVIATION = 0.45
-/** Standard deviation of the logarithm of the number of tasks of a stage. */
-const SIZE_DEVIATION = 0.6
 /** Share of its credit that a job earns when it misses its objective. */
 const LATE_CREDIT_SHARE = 0.2
 /** Multiple of the objective after which a job earns nothing. */
 const LATE_LIMIT_FACTOR = 3
-/** Share of the credit of a mean job that each job has regardless of its work; the rest is proportional to its work. */
-const FIXED_CREDIT_SHARE = 0.3
-/** Upper limit of the credit of a job, as a multiple of the credit of a mean job. */
-const MAX_CREDIT_FACTOR = 4
 
 /**
  * A run on a worker. `workMs` is the whole run time of its task, including the restore of a
@@ -96,8 +66,8 @@
  * stage is a gang.
  */
 interface ActiveRun { progress: ReportedRun, workMs: number, doneMs: number, workingSince: number, fails: boolean, gang: string, isStopping: boolean }
-/** A job that was submitted, with the run time of each task by stage and index. */
-interface SubmittedJob { jobClass: JobClass, objectiveMs: number, submittedAt: number, credit: number, spec: JobSpec, savesCheckpoints: boolean, taskWorkMs: number[][] }
+/** A job that was submitted; `startedAt` is the time of its first start. */
+interface SubmittedJob extends DrawnJob { account: SimulatedAccount | undefined, submittedAt: number, startedAt: number | undefined }
 
 /** A simulated worker: its active runs, and the ended runs that the leader has not acknowledged. */
 class WorkerModel {
@@ -113,6 +83,8 @@
 
 export class StagedJobSimulation {
   readonly reports = new Map<string, QueueReport>()
+  /** Reports by account name; empty without accounts. */
+  readonly accountReports = new Map<string, AccountReport>()
   /** Time spent in the scheduler, in milliseconds. */
   decisionMs = 0
   stops = 0
@@ -145,12 +117,12 @@
   }
 
   private setUp (): void {
-    const { workers, workerMillicores, workerMemoryMib } = this.options
+    const { workers, workerMillicores, workerMemoryMib, accounts } = this.options
     this.scheduler.startLeading(0)
     this.handleEvent({
       kind: 'configureCell',
       call: 0,
-      cell: { version: 1, queues: this.classes.map(({ queue }) => queue), retired: [], services: [{ name: 'service', standby: false }], document: '' }
+      cell: { version: 1, queues: this.classes.map(({ queue }) => queue), retired: [], services: [{ name: 'service', standby: false }], ...(accounts === undefined ? {} : { accounts: accounts.map(createClientAccount) }), document: '' }
     })
     this.handleEvent({ kind: 'advisorsChanged', entries: this.listEntries() })
     for (let index = 0; index < workers; index++) {
@@ -172,7 +144,7 @@
     }
     this.scheduleTick()
     this.scheduleTakeover()
-    for (const jobClass of this.classes) this.scheduleArrival(jobClass)
+    for (const stream of createStreams(this.classes, accounts, this.random, this.options.seed)) this.scheduleArrival(stream)
   }
 
   private get callLatencyMs (): number {
@@ -217,71 +189,27 @@
     return Array.from({ length: this.options.entries }, (_, index) => `entry-${index}`)
   }
 
-  private scheduleArrival (jobClass: JobClass): void {
-    this.clock.schedule(this.random.sampleExponential(1_000 / (jobClass.jobsPerSecond * this.options.burst(jobClass.queue.name, this.clock.now))), () => {
+  private scheduleArrival (stream: JobStream): void {
+    const { jobClass, account, random } = stream
+    const factor = this.options.burst(jobClass.queue.name, this.clock.now) * (account?.share ?? 1) * (account?.burst?.(this.clock.now) ?? 1)
+    this.clock.schedule(random.sampleExponential(1_000 / (jobClass.jobsPerSecond * factor)), () => {
       if (this.clock.now > this.options.durationMs) return
-      this.submitJob(jobClass)
-      this.scheduleArrival(jobClass)
+      this.submitJob(stream)
+      this.scheduleArrival(stream)
     })
   }
 
-  private submitJob (jobClass: JobClass): void {
-    const { random } = this
+  private submitJob ({ jobClass, account, random }: JobStream): void {
     this.lastJob += 1
-    const id = `${jobClass.queue.name}-${this.lastJob}`
-    const savesCheckpoints = random.sampleFraction() < jobClass.checkpointShare
-    const gang = random.sampleFraction() < jobClass.gangShare
-    const stages: StageSpec[] = []
-    const taskWorkMs: number[][] = []
-    const stageCount = 1 + (random.sampleFraction() < jobClass.stages - 1 ? 1 : 0)
-    for (let stage = 0; stage < stageCount; stage++) {
-      // A log-normal sample is drawn by its median, which is below the mean; hence the factors below 1.
-      const taskCount = Math.max(1, Math.round(random.sampleLogNormal(jobClass.tasksPerStage * 0.8, SIZE_DEVIATION)))
-      const taskMs = Math.min(jobClass.maxTaskMs, random.sampleLogNormal(jobClass.taskMs * 0.9, WORK_DEVIATION))
-      taskWorkMs.push(Array.from({ length: taskCount }, () => taskMs * (gang ? 1 : 0.85 + 0.3 * random.sampleFraction())))
-      stages.push(this.createStage(jobClass, stage, taskCount, taskMs, gang, savesCheckpoints))
-    }
-    const criticalPathMs = taskWorkMs.reduce((sum, tasks) => sum + Math.max(...tasks), 0)
-    const { admission, stretch, targetMs } = jobClass.queue
-    // The objective of a job allows for one admission query about 30 workers per stage.
-    const admissionMs = admission === undefined ? 0 : stageCount * (admission.decideMs + 30 * admission.perWorkerMs)
-    const work = stages.reduce((sum, stage, index) => sum + stage.resources.millicores * taskWorkMs[index].reduce((total, ms) => total + ms, 0), 0)
-    const meanWork = jobClass.stages * jobClass.tasksPerStage * jobClass.taskMs * jobClass.millicores
-    const credit = jobClass.credit * Math.min(MAX_CREDIT_FACTOR, FIXED_CREDIT_SHARE + (1 - FIXED_CREDIT_SHARE) * work / meanWork)
-    const spec: JobSpec = { payload: '', stages }
-    this.jobs.set(id, { jobClass, objectiveMs: stretch * (criticalPathMs + admissionMs) + targetMs, submittedAt: this.clock.now, credit, spec, savesCheckpoints, taskWorkMs })
-    this.handleEvent({ kind: 'acceptJob', call: 0, host: 'jobs.example', path: `/${jobClass.queue.name}/${id}`, spec })
+    const job = drawJob(jobClass, random, this.options)
+    const { queue: { name } } = jobClass
+    const id = account === undefined ? `${name}-${this.lastJob}` : `${name}-${account.name}-${this.lastJob}`
+    this.jobs.set(id, { ...job, account, submittedAt: this.clock.now, startedAt: undefined })
+    this.sendJob(name, id, job.spec, account)
   }
 
-  /** The factors 0.92 and 0.87 convert the mean resources of the class to the medians of the samples. */
-  private createStage (jobClass: JobClass, stage: number, taskCount: number, taskMs: number, gang: boolean, checkpoints: boolean): StageSpec {
-    const { random } = this
-    return {
-      taskCount,
-      resources: {
-        millicores: Math.min(this.options.workerMillicores / 2, Math.round(random.sampleLogNormal(jobClass.millicores * 0.92, 0.4))),
-        memoryMib: Math.min(this.options.workerMemoryMib / 2.5, Math.round(random.sampleLogNormal(jobClass.memoryMib * 0.87, 0.5))),
-        accelerators: 0
-      },
-      estimateMs: Math.round(this.sampleEstimate(taskMs, jobClass.estimateDeviation)),
-      dependsOn: stage === 0 ? [] : [stage - 1],
-      checkpoints,
-      gang,
-      rackLocal: false,
-      requiredLabel: '',
-      dataRack: '',
-      perWorkerLimit: 0,
-      speculative: false,
-      longRunning: false,
-      image: '',
-      targetMs: 0,
-      fills: false,
-      disruptionBudget: 0
-    }
-  }
-
-  private sampleEstimate (taskMs: number, deviation: number | undefined): number {
-    return deviation === undefined ? taskMs * (0.7 + 0.6 * this.random.sampleFraction()) : this.random.sampleLogNormal(taskMs, deviation)
+  private sendJob (queue: string, id: string, spec: JobSpec, account: SimulatedAccount | undefined): void {
+    this.handleEvent({ kind: 'acceptJob', call: 0, host: 'jobs.example', path: `/${queue}/${id}`, ...(account === undefined ? {} : { keyDigest: account.name }), spec })
   }
 
   private handleEffect (effect: Effect): void {
@@ -315,6 +243,7 @@
     const job = this.jobs.get(ref?.job ?? '')
     if (model === undefined || ref === undefined || job === undefined) return
     this.starts += 1
+    job.startedAt ??= this.clock.now
     const stage = job.spec.stages[ref.stage]
     const doneMs = Number(checkpoint === '' ? 0 : checkpoint)
     const workMs = job.taskWorkMs[ref.stage][ref.index] + (doneMs > 0 ? CHECKPOINT_RESTORE_MS : 0)
@@ -382,24 +311,42 @@
   }
 
   private recordReports (): void {
-    for (const [id, { jobClass, objectiveMs, submittedAt, credit }] of this.jobs) {
-      const report = this.reports.get(jobClass.queue.name) ?? { jobs: 0, inTime: 0, late: 0, possibleCredit: 0, earnedCredit: 0 }
-      this.reports.set(jobClass.queue.name, report)
+    for (const [id, job] of this.jobs) {
+      const { jobClass, account, submittedAt, objectiveMs } = job
       const state = this.scheduler.state.jobs.get(id)
       const tookMs = state === undefined || isLiveJob(state) || state.phase !== COMPLETED_PHASE ? Infinity : state.closedAt - submittedAt
-      report.jobs += 1
-      report.possibleCredit += credit
-      if (tookMs <= objectiveMs) {
-        report.inTime += 1
-        report.earnedCredit += credit
-      } else if (tookMs <= LATE_LIMIT_FACTOR * objectiveMs) {
-        report.late += 1
-        report.earnedCredit += LATE_CREDIT_SHARE * credit
-      }
+      const report = getOrCreate(this.reports, jobClass.queue.name, createQueueReport)
+      countJob(report, job, tookMs)
+      if (account === undefined) continue
+      const accountReport = getOrCreate(this.accountReports, account.name, () => ({ ...createQueueReport(), waits: [] }))
+      countJob(accountReport, job, tookMs)
+      accountReport.waits.push({ queue: jobClass.queue.name, isBeyondWeight: state?.isBeyondWeight === true, submittedAt, objectiveMs, tookMs, waitMs: (job.startedAt ?? this.clock.now) - submittedAt })
     }
   }
 }
 
+function createQueueReport (): QueueReport {
+  return { jobs: 0, inTime: 0, late: 0, possibleCredit: 0, earnedCredit: 0 }
+}
+
+function getOrCreate<Value> (map: Map<string, Value>, key: string, create: () => Value): Value {
+  const value = map.get(key) ?? create()
+  map.set(key, value)
+  return value
+}
+
+function countJob (report: QueueReport, { objectiveMs, credit }: DrawnJob, tookMs: number): void {
+  report.jobs += 1
+  report.possibleCredit += credit
+  if (tookMs <= objectiveMs) {
+    report.inTime += 1
+    report.earnedCredit += credit
+  } else if (tookMs <= LATE_LIMIT_FACTOR * objectiveMs) {
+    report.late += 1
+    report.earnedCredit += LATE_CREDIT_SHARE * credit
+  }
+}
+
 const COMPLETED_PHASE: JobPhase = 'completed'
 
 /** Decides whether the admission service allows a worker for a stage; the result is the same for each query. */
--- a/packages/scheduler/src/core/jobs/job-requests.ts
+++ b/packages/scheduler/src/core/jobs/job-requests.ts
@@ -4,13 +4,14 @@
  * cell.
  */
 
-import { findAccountByKey, hasAccounts } from '../../types/accounts.js'
+import { findAccount, findAccountByKey, hasAccounts } from '../../types/accounts.js'
 import type { EventOf } from '../../types/events.js'
 import { isLiveJob, JobPhase, type CellConfiguration, type JobSpec, type StagedJob, type StageSpec } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
 import { ErrorKind } from '../../utils/errors.js'
 import type { Step } from '../step.js'
 import { findRoute, type Route } from './order/queues.js'
+import type { OwedJobs } from './shares/owed-jobs.js'
 
 /** Time after which a caller may retry a request that was refused because the cell has no configuration. */
 const UNCONFIGURED_RETRY_MS = 1_000
@@ -25,7 +26,7 @@
 const JOB_ID_PATTERN = /^[A-Za-z0-9_-]{1,128}$/
 
 /** Accepts a job. A submission under the id of a known job gets the same reply and changes nothing; its content is not compared. */
-export function acceptJob (event: EventOf<'acceptJob'>, step: Step): void {
+export function acceptJob (event: EventOf<'acceptJob'>, step: Step, owedJobs: OwedJobs): void {
   const route = findRouteOrRefuse(event, step)
   if (route === undefined) return
   const id = route.jobId
@@ -33,7 +34,8 @@
   const fault = findIdFault(id) || findSpecFault(event.spec)
   if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
   const account = findCallerAccount(step.state.cell, event.keyDigest)
-  step.decide({ kind: 'jobAccepted', id, queue: route.queue.name, ...(account === undefined ? {} : { account }), spec: event.spec, at: step.now })
+  const isBeyondWeight = owedJobs.isBeyondWeight(findAccount(step.state.cell, account ?? ''), step.now)
+  step.decide({ kind: 'jobAccepted', id, queue: route.queue.name, ...(account === undefined ? {} : { account }), ...(isBeyondWeight ? { isBeyondWeight } : {}), spec: event.spec, at: step.now })
   step.reply(event.call, { kind: 'jobAccepted' })
 }
 
--- a/packages/scheduler/src/core/jobs/order/unit-order.ts
+++ b/packages/scheduler/src/core/jobs/order/unit-order.ts
@@ -9,6 +9,9 @@
  * returns to its rank, since work of other ranks would keep it waiting for as long
  * as the backlog lasts. Units whose result has no value any more come last. Units
  * of long-running stages are never moved back.
+ *
+ * What an account sends beyond its weight comes after all work that is owed, except
+ * work without value. This bounds what a burst of one account takes from others.
  */
 
 import type { SchedulingUnit } from './scheduling-units.js'
@@ -19,7 +22,10 @@
 /** Time left until the latest start of a unit from which it may preempt, in milliseconds; covers several stops and commits. */
 const PREEMPTION_SLACK_MS = 2_000
 
-/** Rank of units whose result has no value any more; greater than the priority of any queue. */
+/** Added to the rank of a unit beyond the weight of its account; greater than the priority of any queue. */
+const BEYOND_WEIGHT_RANK = Number.MAX_SAFE_INTEGER / 2
+
+/** Rank of units whose result has no value any more; greater than any other. */
 const WORTHLESS_RANK = Number.MAX_SAFE_INTEGER
 
 interface Ranked {
@@ -40,11 +46,12 @@
 }
 
 function rankUnit (unit: SchedulingUnit, now: number): Ranked {
-  const { spec, queue, objectiveAt, worthlessAt, remainingMs } = unit
-  if (spec.longRunning || isInTime(unit, now)) return { unit, rank: queue.priority, latestStartAt: objectiveAt - remainingMs }
-  if (isLastChance(unit, now)) return { unit, rank: queue.priority, latestStartAt: worthlessAt - remainingMs }
+  const { spec, objectiveAt, worthlessAt, remainingMs } = unit
+  const rank = unit.queue.priority + (unit.isBeyondWeight === true ? BEYOND_WEIGHT_RANK : 0)
+  if (spec.longRunning || isInTime(unit, now)) return { unit, rank, latestStartAt: objectiveAt - remainingMs }
+  if (isLastChance(unit, now)) return { unit, rank, latestStartAt: worthlessAt - remainingMs }
   const hasValue = now + remainingMs <= worthlessAt
-  return { unit, rank: hasValue ? queue.priority + LATE_RANK_PENALTY : WORTHLESS_RANK, latestStartAt: worthlessAt - remainingMs }
+  return { unit, rank: hasValue ? rank + LATE_RANK_PENALTY : WORTHLESS_RANK, latestStartAt: worthlessAt - remainingMs }
 }
 
 /** True when the job of a unit meets its objective if the unit starts now. */
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -22,7 +22,9 @@
 import type { Run, WorkerView } from '../workers/worker-view.js'
 import { add, applyDemand, fits, getReleasing, isBelowLimit, isEligible, reserveTask, sumAvailable, type Amounts, type Candidate } from './candidate.js'
 import { pickCandidate } from './candidate-score.js'
+import { countReservedEntries } from './entry-reserve.js'
 import { listPreemptible } from './preemptible-runs.js'
+import { SpareCapacity } from '../shares/spare-capacity.js'
 
 /** Least number of units for which one pass may reserve capacity because not all of their tasks could be placed. */
 const RESERVATION_MINIMUM = 12
@@ -39,15 +41,6 @@
  */
 const LARGE_SHARE = 0.2
 
-/** Least number of idle entries that queries for queues below the highest priority leave for queues of the highest priority. */
-const URGENT_ENTRY_RESERVE = 3
-
-/**
- * Share of all entries that they leave idle, if that is more. Under a backlog, units that wait renew their tickets as often
- * as there are entries for it.
- */
-const URGENT_ENTRY_SHARE = 0.2
-
 /**
  * Share of the workers on which a suspected task may be in its startup, or that wait for such a task, at the same time; each
  * of them gets no other work meanwhile, and may crash.
@@ -97,6 +90,8 @@
   private readonly eligible = new Map<string, Candidate[]>()
   /** The runs in `preemptions`. */
   private readonly preemptedRuns = new Set<Run>()
+  /** Capacity for work beyond the weight of its account, by service; computed once all owed units are placed. */
+  private readonly spareCapacities = new Map<string, SpareCapacity>()
   private reservationCount = 0
   /** Number of workers that a suspected task may still get for itself. */
   private suspectWorkersLeft: number
@@ -127,8 +122,21 @@
     return new PlacementPass(views, tickets, now, previouslyReserved)
   }
 
-  /** Places the tasks of a unit as far as possible; for the rest, reserves capacity and queries the admission service. */
+  /** Places the tasks of a unit as far as possible; work beyond the weight of its account uses only capacity that is spare. */
   place (unit: SchedulingUnit): void {
+    if (unit.isBeyondWeight !== true) return this.placeWithin(unit)
+    const { service } = unit.queue
+    const spare = this.spareCapacities.get(service) ?? SpareCapacity.create(this.candidates.filter(({ view }) => view.worker.service === service))
+    this.spareCapacities.set(service, spare)
+    const count = spare.countTasks(unit)
+    if (count === 0) return
+    const placedBefore = this.placements.length
+    this.placeWithin({ ...unit, waiting: unit.waiting.slice(0, count) })
+    spare.take(unit, this.placements.length - placedBefore)
+  }
+
+  /** Places the tasks of a unit as far as possible; for the rest, reserves capacity and queries the admission service. */
+  private placeWithin (unit: SchedulingUnit): void {
     const candidates = this.listEligible(unit)
     const usable = this.filterUsable(unit, candidates)
     const mayChoose = !unit.spec.gang || unit.suspects.size === 0 || this.isWholeFitting(unit, usable)
@@ -144,7 +152,8 @@
     }
     if (isWhole) return
     const missing = unit.spec.gang ? unit.waiting.length : unit.waiting.length - chosen.length
-    const reservedIds = this.reserve(unit, candidates, missing)
+    // Work beyond the weight of its account takes what is free and holds nothing back from work that is owed.
+    const reservedIds = unit.isBeyondWeight === true ? new Set<string>() : this.reserve(unit, candidates, missing)
     if (unit.queue.admission !== undefined) this.queryAdmission(unit, candidates, reservedIds)
   }
 
@@ -349,7 +358,7 @@
    */
   private queryAdmission (unit: SchedulingUnit, candidates: Candidate[], reservedIds: ReadonlySet<string>): void {
     const { tickets } = this
-    const reservedEntries = unit.queue.priority === 0 ? 0 : Math.max(URGENT_ENTRY_RESERVE, Math.ceil(URGENT_ENTRY_SHARE * tickets.entryCount))
+    const reservedEntries = countReservedEntries(unit, tickets.entryCount)
     if (!tickets.isQueryAllowed(unit.key, this.now) || tickets.findIdleEntry(reservedEntries) === undefined) return
     const { granted, refused } = tickets.getStageTickets(unit.key)
     const wanted = candidates.filter(candidate => {
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -18,9 +18,10 @@
 import { findQueue } from './order/queues.js'
 import { RunManager } from './runs/run-manager.js'
 import { AdmissionTickets } from './placement/admission-tickets.js'
-import { excludeOrphans, occurrenceDueAt, SchedulingUnitIndex, splitSuspects } from './order/scheduling-units.js'
+import { excludeOrphans, occurrenceDueAt, SchedulingUnitIndex, splitSuspects, type SchedulingUnit } from './order/scheduling-units.js'
 import { Upkeep } from './upkeep/upkeep.js'
 import { isDeadly } from './runs/worker-crashes.js'
+import { OwedJobs } from './shares/owed-jobs.js'
 
 /** Cluster time for which a closed job can still be read. */
 const CLOSED_JOB_RETENTION_MS = 300_000
@@ -28,6 +29,12 @@
 /** Maximum number of units that one placement pass considers. */
 const PASS_UNIT_LIMIT = 200
 
+/**
+ * Maximum number of those that are beyond the weight of their account. The pause between passes grows with the units, so that
+ * a burst that waits would make owed work wait as well: with 200 of them urgent jobs waited 16 ms longer.
+ */
+const BEYOND_WEIGHT_UNIT_LIMIT = 10
+
 /**
  * The pause after a pass is one millisecond for this many pairs of a unit and a worker that the pass considered. A pass
  * takes less than half of its pause, which bounds the share of time spent on placement.
@@ -52,6 +59,7 @@
 
   private readonly upkeep: Upkeep
   private readonly units = SchedulingUnitIndex.create()
+  private readonly owedJobs: OwedJobs
   private readonly tickets = AdmissionTickets.create()
   /** Ids of the recurring jobs in the replicated state. */
   private readonly recurringJobs = new Set<string>()
@@ -74,6 +82,7 @@
   private constructor (private readonly runManager: RunManager, private readonly limits: Readonly<Limits>) {
     super()
     this.upkeep = Upkeep.create(runManager)
+    this.owedJobs = OwedJobs.create(limits.accountWindowMs)
   }
 
   static create (limits: Partial<Limits> = {}): StagedJobs {
@@ -85,6 +94,7 @@
     this.runManager.reset(state, now)
     this.upkeep.reset(now)
     this.units.clear()
+    this.owedJobs.reset(state.jobs.values())
     this.tickets.clear()
     this.changedJobs.clear()
     this.recurringJobs.clear()
@@ -103,7 +113,7 @@
 
   handle (event: Event, step: Step): void {
     switch (event.kind) {
-      case 'acceptJob': return acceptJob(event, step)
+      case 'acceptJob': return acceptJob(event, step, this.owedJobs)
       case 'readJob': return readJob(event, step, job => this.runManager.hasConfirmedRun(job))
       case 'cancelJob': return cancelJob(event, step)
       case 'configureCell': return configureCell(event, step)
@@ -139,6 +149,7 @@
     switch (decision.kind) {
       case 'jobAccepted':
         if (decision.spec.recurrence !== undefined) this.recurringJobs.add(decision.id)
+        this.owedJobs.record(decision.account, decision.isBeyondWeight, decision.at)
         this.changedJobs.add(decision.id)
         return
       case 'jobClosed':
@@ -235,12 +246,14 @@
     this.lastPassAt = step.now
     const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers)
     const units = sortUnits(this.units.list(), step.now)
-    const considered = units.slice(0, PASS_UNIT_LIMIT)
+    const considered = limitUnits(units)
     const orphans = this.runManager.listOrphans()
     const startable = considered.map(unit => excludeOrphans(unit, orphans)).filter(({ waiting }) => waiting.length > 0)
     const { suspected, others } = splitSuspects(startable)
-    // A suspected task needs a worker on which nothing else starts in this pass.
-    for (const unit of [...suspected, ...others]) pass.place(unit)
+    // A suspected task needs a worker on which nothing else starts in this pass; one beyond a weight must not hold it back.
+    const isBeyondWeight = (unit: SchedulingUnit): boolean => unit.isBeyondWeight === true
+    const owed = suspected.filter(unit => !isBeyondWeight(unit))
+    for (const unit of [...owed, ...others, ...suspected.filter(isBeyondWeight)]) pass.place(unit)
     this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, considered.length * this.runManager.views.size / PAIRS_PER_PAUSE_MS)
     this.reservedWorkers = pass.reservedWorkers
     for (const query of pass.queries) this.queryAdmission(step, query)
@@ -294,6 +307,15 @@
   }
 }
 
+/** The first units of a sorted list, as many as one pass considers. Units beyond the weight of their account are the last with value. */
+function limitUnits (units: readonly SchedulingUnit[]): SchedulingUnit[] {
+  let beyondCount = 0
+  return units.slice(0, PASS_UNIT_LIMIT).filter(unit => {
+    if (unit.isBeyondWeight === true) beyondCount += 1
+    return unit.isBeyondWeight !== true || beyondCount <= BEYOND_WEIGHT_UNIT_LIMIT
+  })
+}
+
 /**
  * How a job closes; undefined while it continues. Failed runs are counted for each task, in a gang for all of its tasks
  * together; long-running tasks have no limit. A task that crashes its workers fails its job, whatever its kind.
--- a/packages/scheduler/src/core/jobs/workers/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -34,6 +34,8 @@
   image: string
   /** It keeps its progress in checkpoints, is not in a gang and not long-running, so it can be stopped without loss. */
   isPreemptible: boolean
+  /** It runs until its job is cancelled. */
+  isLongRunning: boolean
   /** Cluster time at which its job misses its objective; Infinity when not known. */
   objectiveAt: number
   /** Cluster time after which the result of its job has no value; Infinity when not known. */
@@ -219,6 +221,7 @@
     priority,
     image,
     isPreemptible,
+    isLongRunning: stage.longRunning,
     objectiveAt: Infinity,
     worthlessAt: Infinity,
     estimateMs: stage.estimateMs,
@@ -255,6 +258,7 @@
     priority: 0,
     image: '',
     isPreemptible: false,
+    isLongRunning: false,
     objectiveAt: Infinity,
     worthlessAt: Infinity,
     estimateMs: 0,
