--- a/packages/scheduler/src/core/jobs/job-requests.ts
+++ b/packages/scheduler/src/core/jobs/job-requests.ts
@@ -4,12 +4,15 @@
  * cell.
  */
 
-import { findAccount, findAccountByKey, hasAccounts } from '../../types/accounts.js'
+import { findAccount } from '../../types/accounts.js'
 import type { EventOf } from '../../types/events.js'
 import { isLiveJob, JobPhase, type CellConfiguration, type JobSpec, type StagedJob, type StageSpec } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
 import { ErrorKind } from '../../utils/errors.js'
 import type { Step } from '../step.js'
+import { findAccountFault, listRetiredAccounts } from './accounts/account-changes.js'
+import { findCapFault } from './accounts/account-usage.js'
+import { identifyCaller } from './accounts/caller-identity.js'
 import { findRoute, type Route } from './order/queues.js'
 import type { OwedJobs } from './shares/owed-jobs.js'
 
@@ -25,15 +28,19 @@
 /** A job id is part of the names of tasks, whose parts are separated by slashes or, on some platforms, by dots. */
 const JOB_ID_PATTERN = /^[A-Za-z0-9_-]{1,128}$/
 
-/** Accepts a job. A submission under the id of a known job gets the same reply and changes nothing; its content is not compared. */
-export function acceptJob (event: EventOf<'acceptJob'>, step: Step, owedJobs: OwedJobs): void {
+/**
+ * Accepts a job. A submission under the id of a known job gets the same reply and changes nothing; its content is not compared.
+ * `accountOverage` is the share of its cap by which an account may exceed it.
+ */
+export function acceptJob (event: EventOf<'acceptJob'>, step: Step, accountOverage: number, owedJobs: OwedJobs): void {
   const route = findRouteOrRefuse(event, step)
   if (route === undefined) return
-  const id = route.jobId
+  const { jobId: id, account } = route
   if (step.state.jobs.has(id)) return step.reply(event.call, { kind: 'jobAccepted' })
   const fault = findIdFault(id) || findSpecFault(event.spec)
   if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
-  const account = findCallerAccount(step.state.cell, event.keyDigest)
+  const capFault = findCapFault(event.spec.stages, step.state.cell, account, accountOverage)
+  if (capFault !== '') return refuseConfirmed(event.call, step, ErrorKind.infeasible, capFault)
   const isBeyondWeight = owedJobs.isBeyondWeight(findAccount(step.state.cell, account ?? ''), step.now)
   step.decide({ kind: 'jobAccepted', id, queue: route.queue.name, ...(account === undefined ? {} : { account }), ...(isBeyondWeight ? { isBeyondWeight } : {}), spec: event.spec, at: step.now })
   step.reply(event.call, { kind: 'jobAccepted' })
@@ -61,11 +68,18 @@
   step.reply(event.call, { kind: 'job', phase: job?.phase, isStarted: job?.started ?? false })
 }
 
-/** Puts a configuration in force if its version is higher than the current one; others are acknowledged without effect. */
+/**
+ * Puts a configuration in force if its version is higher than the current one; others are acknowledged without effect. One
+ * whose accounts contradict each other is refused.
+ */
 export function configureCell (event: EventOf<'configureCell'>, step: Step): void {
   const current = step.state.cell
+  const fault = findAccountFault(event.cell.accounts ?? [])
+  if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
   if (current === undefined || event.cell.version > current.version) {
-    step.decide({ kind: 'cellConfigured', cell: { ...event.cell, retired: listRetired(current, event.cell, step.state) } })
+    const retiredAccounts = listRetiredAccounts(current, event.cell, step.state)
+    const kept = retiredAccounts.length === 0 ? {} : { retiredAccounts }
+    step.decide({ kind: 'cellConfigured', cell: { ...event.cell, retired: listRetired(current, event.cell, step.state), ...kept } })
   } else {
     step.decide({ kind: 'leadershipProbed' })
   }
@@ -84,23 +98,27 @@
   step.reply(call, { kind: 'cell', version, document })
 }
 
-/** The route of a call; without one, the call is refused and undefined is returned. */
-function findRouteOrRefuse (event: { call: number, host: string, path: string }, step: Step): Route | undefined {
+/** The route of a call and the account of its caller; without a route or a valid key, the call is refused and undefined is returned. */
+function findRouteOrRefuse (event: EventOf<'acceptJob' | 'readJob' | 'cancelJob'>, step: Step): Route & { account?: string } | undefined {
   const { cell } = step.state
   if (cell === undefined) {
     refuseUnconfigured(event.call, step)
     return undefined
   }
   const route = findRoute(cell, event.host, event.path)
-  if (route !== undefined) return route
-  step.decide({ kind: 'leadershipProbed' })
-  step.refuse(event.call, ErrorKind.notFound, `no queue at ${event.host}${event.path}`)
+  if (route === undefined) {
+    refuseConfirmed(event.call, step, ErrorKind.notFound, `no queue at ${event.host}${event.path}`)
+    return undefined
+  }
+  const { fault, account } = identifyCaller(cell, route.queue, event.keyDigest)
+  if (fault === '') return { ...route, account }
+  refuseConfirmed(event.call, step, ErrorKind.unauthenticated, fault)
 }
 
-/** Name of the account whose key a caller presents; undefined without a key, and where the cell has no accounts. */
-function findCallerAccount (cell: CellConfiguration | undefined, keyDigest: string | undefined): string | undefined {
-  if (cell === undefined || !hasAccounts(cell) || keyDigest === undefined) return undefined
-  return findAccountByKey(cell, keyDigest)?.name
+/** Refuses a call by the configuration. Only a confirmed leader has the newest one; the probe makes the refusal wait for a quorum round. */
+function refuseConfirmed (call: number, step: Step, error: ErrorKind, message: string): void {
+  step.decide({ kind: 'leadershipProbed' })
+  step.refuse(call, error, message)
 }
 
 function refuseUnconfigured (call: number, step: Step): void {
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -16,6 +16,7 @@
  * tells whether it was the cause.
  */
 
+import { limitToCap, type AccountUsage } from '../accounts/account-usage.js'
 import { isPreemptionDue } from '../order/unit-order.js'
 import { isTicketValid, QUERY_WORKER_LIMIT, type AdmissionTickets, type Ticket } from './admission-tickets.js'
 import type { SchedulingUnit } from '../order/scheduling-units.js'
@@ -90,8 +91,8 @@
   private readonly eligible = new Map<string, Candidate[]>()
   /** The runs in `preemptions`. */
   private readonly preemptedRuns = new Set<Run>()
-  /** Capacity for work beyond the weight of its account, by service; computed once all owed units are placed. */
-  private readonly spareCapacities = new Map<string, SpareCapacity>()
+  /** What work beyond the weight of its account may use. */
+  private readonly spare = SpareCapacity.create(this.candidates)
   private reservationCount = 0
   /** Number of workers that a suspected task may still get for itself. */
   private suspectWorkersLeft: number
@@ -100,7 +101,8 @@
     views: Iterable<WorkerView>,
     private readonly tickets: AdmissionTickets,
     private readonly now: number,
-    previouslyReserved: ReadonlySet<string>
+    previouslyReserved: ReadonlySet<string>,
+    private readonly usage: AccountUsage | undefined
   ) {
     let probedCount = 0
     for (const view of views) {
@@ -115,28 +117,29 @@
     this.suspectWorkersLeft = Math.max(1, Math.floor(SUSPECT_WORKER_SHARE * (this.candidates.length + probedCount))) - probedCount
   }
 
-  /** `previouslyReserved` contains the ids of workers on which units reserved capacity in the previous pass. */
+  /**
+   * `previouslyReserved` contains the ids of workers on which units reserved capacity in the previous pass; `usage` is what
+   * the accounts have before the pass, if any account has a cap.
+   */
   static create (
-    views: Iterable<WorkerView>, tickets: AdmissionTickets, now: number, previouslyReserved: ReadonlySet<string> = new Set()
+    views: Iterable<WorkerView>, tickets: AdmissionTickets, now: number, previouslyReserved: ReadonlySet<string> = new Set(), usage?: AccountUsage
   ): PlacementPass {
-    return new PlacementPass(views, tickets, now, previouslyReserved)
+    return new PlacementPass(views, tickets, now, previouslyReserved, usage)
   }
 
-  /** Places the tasks of a unit as far as possible; work beyond the weight of its account uses only capacity that is spare. */
-  place (unit: SchedulingUnit): void {
-    if (unit.isBeyondWeight !== true) return this.placeWithin(unit)
-    const { service } = unit.queue
-    const spare = this.spareCapacities.get(service) ?? SpareCapacity.create(this.candidates.filter(({ view }) => view.worker.service === service))
-    this.spareCapacities.set(service, spare)
-    const count = spare.countTasks(unit)
-    if (count === 0) return
-    const placedBefore = this.placements.length
-    this.placeWithin({ ...unit, waiting: unit.waiting.slice(0, count) })
-    spare.take(unit, this.placements.length - placedBefore)
+  /**
+   * Places a unit as far as the cap of its account allows and, if it is beyond the weight of its account, the spare capacity;
+   * false if they allow nothing, and then the pass ignores the unit.
+   */
+  place (unit: SchedulingUnit): boolean {
+    const capped = this.usage === undefined ? unit : limitToCap(unit, this.usage)
+    const startable = capped === undefined ? undefined : this.spare.limit(capped)
+    if (startable !== undefined) this.placeUnit(startable)
+    return startable !== undefined
   }
 
   /** Places the tasks of a unit as far as possible; for the rest, reserves capacity and queries the admission service. */
-  private placeWithin (unit: SchedulingUnit): void {
+  private placeUnit (unit: SchedulingUnit): void {
     const candidates = this.listEligible(unit)
     const usable = this.filterUsable(unit, candidates)
     const mayChoose = !unit.spec.gang || unit.suspects.size === 0 || this.isWholeFitting(unit, usable)
@@ -147,6 +150,8 @@
         candidate.isChosen = true
         this.placements.push({ unit, index, view: candidate.view, ticket: this.findTicket(unit, candidate) ?? '' })
       }
+      this.usage?.charge(unit.account, unit.spec.resources, chosen.length)
+      this.spare.take(unit, chosen.length)
     } else {
       for (const { candidate } of chosen) applyDemand(candidate.free, unit, 1)
     }
@@ -261,6 +266,8 @@
         open -= 1
       }
     }
+    // Later units of its account must not use the room under the cap that this capacity is being released for.
+    this.usage?.charge(unit.account, unit.spec.resources, missing - open)
     if (open > 0 && (unit.spec.gang || isLarge(unit))) this.reserveFreest(unit, allowed, open, reservedIds)
     return reservedIds
   }
--- a/packages/scheduler/src/core/jobs/shares/spare-capacity.ts
+++ b/packages/scheduler/src/core/jobs/shares/spare-capacity.ts
@@ -16,13 +16,44 @@
 const HEADROOM_SHARE = 0.1
 
 export class SpareCapacity {
-  private constructor (private readonly spare: Resources) {}
+  /** What is spare by service; computed with the first unit beyond a weight, when all owed units are placed. */
+  private readonly spares = new Map<string, Resources>()
 
-  /** Capacity that is spare on some workers, after all owed units were placed and have reserved what they wait for. */
-  static create (candidates: Iterable<Candidate>): SpareCapacity {
+  private constructor (private readonly candidates: readonly Candidate[]) {}
+
+  static create (candidates: readonly Candidate[]): SpareCapacity {
+    return new SpareCapacity(candidates)
+  }
+
+  /**
+   * The part of a unit that may start; undefined if that is nothing. Owed units are not limited. A gang starts as a whole, and
+   * one task always may start while anything is spare.
+   */
+  limit (unit: SchedulingUnit): SchedulingUnit | undefined {
+    if (unit.isBeyondWeight !== true) return unit
+    const { spec, waiting } = unit
+    const demand = getDemand(spec)
+    const spare = this.getSpare(unit.queue.service)
+    if (RESOURCE_DIMENSIONS.some(dimension => demand[dimension] > 0 && spare[dimension] <= 0)) return undefined
+    return spec.gang ? unit : { ...unit, waiting: waiting.slice(0, Math.max(1, countFitting(demand, spare))) }
+  }
+
+  /** Deducts tasks that are placed; those of owed units are deducted from the free capacity of their workers alone. */
+  take ({ isBeyondWeight, spec, queue }: SchedulingUnit, count: number): void {
+    if (isBeyondWeight === true) addResources(this.getSpare(queue.service), getDemand(spec), -count)
+  }
+
+  private getSpare (service: string): Resources {
+    const spare = this.spares.get(service) ?? this.computeSpare(service)
+    this.spares.set(service, spare)
+    return spare
+  }
+
+  private computeSpare (service: string): Resources {
     const spare = createZeroResources()
     const changing = createZeroResources()
-    for (const { view, free } of candidates) {
+    for (const { view, free } of this.candidates) {
+      if (view.worker.service !== service) continue
       for (const dimension of RESOURCE_DIMENSIONS) spare[dimension] += Math.max(0, free[dimension])
       addResources(changing, view.worker.capacity)
       for (const run of view.runs.values()) {
@@ -30,18 +61,7 @@
       }
     }
     addResources(spare, changing, -HEADROOM_SHARE)
-    return new SpareCapacity(spare)
-  }
-
-  /** Number of tasks of a unit that may start; a gang starts as a whole, and one task always may while anything is spare. */
-  countTasks ({ spec, waiting }: SchedulingUnit): number {
-    const demand = getDemand(spec)
-    if (RESOURCE_DIMENSIONS.some(dimension => demand[dimension] > 0 && this.spare[dimension] <= 0)) return 0
-    return spec.gang ? waiting.length : Math.min(waiting.length, Math.max(1, countFitting(demand, this.spare)))
-  }
-
-  take ({ spec }: SchedulingUnit, count: number): void {
-    addResources(this.spare, getDemand(spec), -count)
+    return spare
   }
 }
 
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -12,6 +12,7 @@
 import type { ClusterState } from '../../types/state.js'
 import { Component } from '../component.js'
 import type { Step } from '../step.js'
+import { AccountUsage } from './accounts/account-usage.js'
 import { acceptJob, cancelJob, configureCell, readCell, readJob } from './job-requests.js'
 import { sortUnits } from './order/unit-order.js'
 import { PlacementPass, type RunPlacement, type AdmissionQuery } from './placement/placement-pass.js'
@@ -113,7 +114,7 @@
 
   handle (event: Event, step: Step): void {
     switch (event.kind) {
-      case 'acceptJob': return acceptJob(event, step, this.owedJobs)
+      case 'acceptJob': return acceptJob(event, step, this.limits.accountOverage, this.owedJobs)
       case 'readJob': return readJob(event, step, job => this.runManager.hasConfirmedRun(job))
       case 'cancelJob': return cancelJob(event, step)
       case 'configureCell': return configureCell(event, step)
@@ -244,23 +245,40 @@
   private runPass (step: Step): void {
     this.isPassDue = false
     this.lastPassAt = step.now
-    const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers)
-    const units = sortUnits(this.units.list(), step.now)
-    const considered = limitUnits(units)
-    const orphans = this.runManager.listOrphans()
-    const startable = considered.map(unit => excludeOrphans(unit, orphans)).filter(({ waiting }) => waiting.length > 0)
-    const { suspected, others } = splitSuspects(startable)
-    // A suspected task needs a worker on which nothing else starts in this pass; one beyond a weight must not hold it back.
-    const isBeyondWeight = (unit: SchedulingUnit): boolean => unit.isBeyondWeight === true
-    const owed = suspected.filter(unit => !isBeyondWeight(unit))
-    for (const unit of [...owed, ...others, ...suspected.filter(isBeyondWeight)]) pass.place(unit)
-    this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, considered.length * this.runManager.views.size / PAIRS_PER_PAUSE_MS)
+    const usage = AccountUsage.create(step.state.cell, this.runManager.views.values(), this.limits.accountOverage)
+    const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, usage)
+    const considered = this.placeUnits(pass, sortUnits(this.units.list(), step.now))
+    this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, considered * this.runManager.views.size / PAIRS_PER_PAUSE_MS)
     this.reservedWorkers = pass.reservedWorkers
     for (const query of pass.queries) this.queryAdmission(step, query)
     for (const { view, run, unit } of pass.preemptions) this.runManager.orders.stopRun(step, view, run, `preempted to free capacity for ${unit.key}`)
     this.startRuns(step, pass.placements)
   }
 
+  /** Places units in their order; returns how many were considered, without those that wait for the cap of their account alone. */
+  private placeUnits (pass: PlacementPass, units: readonly SchedulingUnit[]): number {
+    const orphans = this.runManager.listOrphans()
+    let considered = 0
+    let beyondCount = 0
+    for (let next = 0; next < units.length && considered < PASS_UNIT_LIMIT;) {
+      const group = units.slice(next, next + PASS_UNIT_LIMIT - considered)
+      next += group.length
+      const startable = group.map(unit => excludeOrphans(unit, orphans)).filter(({ waiting }) => waiting.length > 0)
+      const { suspected, others } = splitSuspects(startable)
+      const held = new Set<string>()
+      // A suspected task needs a worker on which nothing else starts in this pass; one beyond a weight must not hold it back.
+      const isBeyondWeight = (unit: SchedulingUnit): boolean => unit.isBeyondWeight === true
+      const owed = suspected.filter(unit => !isBeyondWeight(unit))
+      for (const unit of [...owed, ...others, ...suspected.filter(isBeyondWeight)]) {
+        const isPlaced = (!isBeyondWeight(unit) || beyondCount < BEYOND_WEIGHT_UNIT_LIMIT) && pass.place(unit)
+        if (!isPlaced) held.add(unit.key)
+        else if (isBeyondWeight(unit)) beyondCount += 1
+      }
+      considered += group.length - held.size
+    }
+    return considered
+  }
+
   private queryAdmission (step: Step, { unit, entry, workers }: AdmissionQuery): void {
     const admission = unit.queue.admission
     const expectedMs = admission === undefined ? 0 : admission.decideMs + workers.length * admission.perWorkerMs
@@ -302,18 +320,15 @@
     for (const id of this.closedJobs) {
       const job = step.state.jobs.get(id)
       if (job !== undefined && step.now - job.closedAt < CLOSED_JOB_RETENTION_MS) return
+      // Its placed tasks count against the cap of its account, also at the next leader.
+      if (job?.account !== undefined && hasPlacedTask(job)) continue
       step.decide({ kind: 'jobForgotten', id })
     }
   }
 }
 
-/** The first units of a sorted list, as many as one pass considers. Units beyond the weight of their account are the last with value. */
-function limitUnits (units: readonly SchedulingUnit[]): SchedulingUnit[] {
-  let beyondCount = 0
-  return units.slice(0, PASS_UNIT_LIMIT).filter(unit => {
-    if (unit.isBeyondWeight === true) beyondCount += 1
-    return unit.isBeyondWeight !== true || beyondCount <= BEYOND_WEIGHT_UNIT_LIMIT
-  })
+function hasPlacedTask (job: StagedJob): boolean {
+  return [...job.occurrences.values()].some(stages => stages.some(tasks => tasks.some(({ phase }) => phase === StageTaskPhase.placed)))
 }
 
 /**
