--- a/bench/support/account-load.ts
+++ b/bench/support/account-load.ts
@@ -18,6 +18,8 @@
   share: number
   /** Returns the factor by which its usual rate is multiplied at a time; absent for an even rate. */
   burst?: (now: number) => number
+  /** Time after which its callers cancel their jobs, in milliseconds; absent for callers that wait. */
+  leavesAfterMs?: number
 }
 
 /** What became of one job: `waitMs` is the time to its first start, or to the end of the replay without one; `tookMs` is Infinity for a job that was not completed. */
--- a/bench/support/staged-job-simulation.ts
+++ b/bench/support/staged-job-simulation.ts
@@ -6,7 +6,7 @@
 
 import {
   isLiveJob, OrderOutcome, parseTaskRef, RunEndCause, Scheduler, StagedJobs, stageKey,
-  type CalledWorker, type Effect, type EndedRun, type Event, type JobPhase, type JobSpec, type ReportedRun
+  type CalledWorker, type Effect, type EndedRun, type Event, type JobPhase, type ReportedRun
 } from '../../packages/scheduler/src/index.js'
 import { createClientAccount, createStreams, type AccountReport, type JobStream, type SimulatedAccount } from './account-load.js'
 import { drawJob, type DrawnJob, type JobClass } from './drawn-jobs.js'
@@ -42,6 +42,8 @@
  */
 export interface QueueReport { jobs: number, inTime: number, late: number, possibleCredit: number, earnedCredit: number }
 
+/** Times that a caller whose job is refused sends it again. */
+const CALLER_RETRIES = 4
 /** Latency of an effect that has to be committed first. */
 const COMMIT_LATENCY_MS = 8
 /** Latency of a call to the admission service or from a worker. */
@@ -67,7 +69,7 @@
  */
 interface ActiveRun { progress: ReportedRun, workMs: number, doneMs: number, workingSince: number, fails: boolean, gang: string, isStopping: boolean }
 /** A job that was submitted; `startedAt` is the time of its first start. */
-interface SubmittedJob extends DrawnJob { account: SimulatedAccount | undefined, submittedAt: number, startedAt: number | undefined }
+interface SubmittedJob extends DrawnJob { sends: number, account: SimulatedAccount | undefined, submittedAt: number, startedAt: number | undefined }
 
 /** A simulated worker: its active runs, and the ended runs that the leader has not acknowledged. */
 class WorkerModel {
@@ -90,6 +92,8 @@
   stops = 0
   starts = 0
   admissionQueries = 0
+  /** Submissions that were refused. */
+  refusals = 0
   /** Work of the runs that succeeded, in millicores times milliseconds. */
   busyMillicoreMs = 0
   private readonly clock = SimulatedClock.create()
@@ -100,6 +104,8 @@
   private readonly models = new Map<string, WorkerModel>()
   private readonly jobs = new Map<string, SubmittedJob>()
   private readonly busyUntilByEntry = new Map<string, number>()
+  /** Job ids by the number of their call. */
+  private readonly callers = new Map<number, string>()
   private lastJob = 0
 
   private constructor (private readonly classes: readonly JobClass[], private readonly options: StagedJobSimulationOptions) {
@@ -204,17 +210,36 @@
     const job = drawJob(jobClass, random, this.options)
     const { queue: { name } } = jobClass
     const id = account === undefined ? `${name}-${this.lastJob}` : `${name}-${account.name}-${this.lastJob}`
-    this.jobs.set(id, { ...job, account, submittedAt: this.clock.now, startedAt: undefined })
-    this.sendJob(name, id, job.spec, account)
+    this.jobs.set(id, { ...job, sends: 0, account, submittedAt: this.clock.now, startedAt: undefined })
+    this.sendJob(id)
+    if (account?.leavesAfterMs === undefined) return
+    const call = { call: 0, host: 'jobs.example', path: `/${name}/${id}`, keyDigest: account.name }
+    this.clock.schedule(account.leavesAfterMs, () => { this.handleEvent({ kind: 'cancelJob', ...call }) })
   }
 
-  private sendJob (queue: string, id: string, spec: JobSpec, account: SimulatedAccount | undefined): void {
-    this.handleEvent({ kind: 'acceptJob', call: 0, host: 'jobs.example', path: `/${queue}/${id}`, ...(account === undefined ? {} : { keyDigest: account.name }), spec })
+  /** The call of a submission is the number at the end of the job id. */
+  private sendJob (id: string): void {
+    const job = this.jobs.get(id)
+    if (job === undefined) return
+    const { account, spec, jobClass: { queue } } = job
+    job.sends += 1
+    job.submittedAt = this.clock.now
+    this.callers.set(Number(id.slice(id.lastIndexOf('-') + 1)), id)
+    this.handleEvent({ kind: 'acceptJob', call: Number(id.slice(id.lastIndexOf('-') + 1)), host: 'jobs.example', path: `/${queue.name}/${id}`, ...(account === undefined ? {} : { keyDigest: account.name }), spec })
+  }
+
+  /** A caller that is told to come back does so at that time, up to CALLER_RETRIES times. */
+  private handleRefusal ({ call, retryAfterMs }: Extract<Effect, { kind: 'refuse' }>): void {
+    const id = this.callers.get(call) ?? ''
+    const sends = this.jobs.get(id)?.sends
+    this.refusals += 1
+    if (sends !== undefined && sends <= CALLER_RETRIES) this.clock.schedule(retryAfterMs, () => { this.sendJob(id) })
   }
 
   private handleEffect (effect: Effect): void {
     switch (effect.kind) {
       case 'askAdmission': return this.forwardQuery(effect)
+      case 'refuse': return this.handleRefusal(effect)
       case 'startRun': return this.startRun(effect)
       case 'stopRun': return this.stopRun(effect.worker.id, effect.task, effect.run)
       case 'ackEnds': {
--- a/packages/scheduler/__tests__/owed-jobs.test.ts
+++ b/packages/scheduler/__tests__/owed-jobs.test.ts
@@ -152,6 +152,19 @@
       assert.ok(owed.preemptions.length > 0, 'the same gang preempts when it is owed')
     })
 
+    it('reserves nothing for a gang without value in a cell with accounts', () => {
+      const view = createView('w')
+      fill(view, 3)
+      const gang = { spec: createStage({ taskCount: 4, gang: true }), waiting: [0, 1, 2, 3], objectiveAt: 500, worthlessAt: 1_200 }
+      const reserved = [{ account: 'a' }, { account: 'a', worthlessAt: 9_000 }, {}].map(facts => {
+        const pass = createPass([view])
+        pass.place(createUnit('worthless', { ...gang, ...facts }))
+        return pass.reservedWorkers.size
+      })
+      // With value, and without accounts, the gang reserves as before.
+      assert.deepEqual(reserved, [0, 1, 1])
+    })
+
     it('leaves a headroom free for owed work that arrives next', () => {
       const views = [createView('v'), createView('w')]
       fill(views[0], 4)
--- a/packages/scheduler/src/core/jobs/order/unit-order.ts
+++ b/packages/scheduler/src/core/jobs/order/unit-order.ts
@@ -50,12 +50,11 @@
 }
 
 function rankUnit (unit: SchedulingUnit, now: number): RankedUnit {
-  const { spec, objectiveAt, worthlessAt, remainingMs } = unit
+  const { objectiveAt, worthlessAt, remainingMs } = unit
   const rank = unit.queue.priority + (unit.isBeyondWeight === true ? BEYOND_WEIGHT_RANK : 0)
-  if (spec.longRunning || isInTime(unit, now)) return { unit, rank, latestStartAt: objectiveAt - remainingMs }
+  if (unit.spec.longRunning || isInTime(unit, now)) return { unit, rank, latestStartAt: objectiveAt - remainingMs }
   if (isLastChance(unit, now)) return { unit, rank, latestStartAt: worthlessAt - remainingMs }
-  const hasValue = now + remainingMs <= worthlessAt
-  return { unit, rank: hasValue ? rank + LATE_RANK_PENALTY : WORTHLESS_RANK, latestStartAt: worthlessAt - remainingMs }
+  return { unit, rank: hasValue(unit, now) ? rank + LATE_RANK_PENALTY : WORTHLESS_RANK, latestStartAt: worthlessAt - remainingMs }
 }
 
 /** True when the job of a unit meets its objective if the unit starts now. */
@@ -63,6 +62,11 @@
   return now + remainingMs <= objectiveAt
 }
 
+/** True while the result of the job still has a value if the unit starts now. Long-running stages always have one. */
+export function hasValue ({ spec, remainingMs, worthlessAt }: SchedulingUnit, now: number): boolean {
+  return spec.longRunning || now + remainingMs <= worthlessAt
+}
+
 /**
  * True for a late unit that must start soon, or its result will have no value. Declared run times are often too short, so
  * this begins one more run time before the last moment.
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -17,7 +17,7 @@
  */
 
 import { limitToCap, type AccountUsage } from '../accounts/account-usage.js'
-import { isPreemptionDue } from '../order/unit-order.js'
+import { hasValue, isPreemptionDue } from '../order/unit-order.js'
 import { isTicketValid, QUERY_WORKER_LIMIT, type AdmissionTickets, type Ticket } from './admission-tickets.js'
 import type { SchedulingUnit } from '../order/scheduling-units.js'
 import type { Run, WorkerView } from '../workers/worker-view.js'
@@ -157,8 +157,7 @@
     }
     if (isWhole) return
     const missing = unit.spec.gang ? unit.waiting.length : unit.waiting.length - chosen.length
-    // Work beyond the weight of its account takes what is free and holds nothing back from work that is owed.
-    const reservedIds = unit.isBeyondWeight === true ? new Set<string>() : this.reserve(unit, candidates, missing)
+    const reservedIds = mayReserve(unit, this.now) ? this.reserve(unit, candidates, missing) : new Set<string>()
     if (unit.queue.admission !== undefined) this.queryAdmission(unit, candidates, reservedIds)
   }
 
@@ -386,6 +385,11 @@
   }
 }
 
+/** False for work of an account that is beyond its weight or has no value any more; it takes what is free and holds nothing back from other work. */
+function mayReserve (unit: SchedulingUnit, now: number): boolean {
+  return unit.isBeyondWeight !== true && (unit.account === undefined || hasValue(unit, now))
+}
+
 function isLarge (unit: SchedulingUnit): boolean {
   const demand = unit.spec.resources.millicores
   return demand > LARGE_SHARE * LARGE_REFERENCE_MILLICORES
