--- a/bench/support/drawn-jobs.ts
+++ b/bench/support/drawn-jobs.ts
@@ -9,6 +9,8 @@
 /** A queue and the jobs that callers submit to it. */
 export interface JobClass {
   queue: JobQueue
+  /** Name of the client account that submits the jobs, and digest of its key; absent for callers without a key. */
+  account?: string
   jobsPerSecond: number
   /** Credit for a job with the mean amount of work. */
   credit: number
--- a/bench/support/staged-job-simulation.ts
+++ b/bench/support/staged-job-simulation.ts
@@ -6,7 +6,7 @@
 
 import {
   isLiveJob, OrderOutcome, parseTaskRef, RunEndCause, Scheduler, StagedJobs, stageKey,
-  type CalledWorker, type Effect, type EndedRun, type Event, type JobPhase, type ReportedRun
+  type CalledWorker, type ClientAccount, type Effect, type EndedRun, type Event, type JobPhase, type ReportedRun
 } from '../../packages/scheduler/src/index.js'
 import { createClientAccount, createStreams, type AccountReport, type JobStream, type SimulatedAccount } from './account-load.js'
 import { drawJob, type DrawnJob, type JobClass } from './drawn-jobs.js'
@@ -26,6 +26,8 @@
   durationMs: number
   /** Returns the factor by which the arrival rate of a queue is multiplied at a time. */
   burst: (queue: string, now: number) => number
+  /** Client accounts of the cell, each with its name as the digest of its key; absent for a cell without accounts. */
+  accounts?: ClientAccount[]
   /** Latency of an effect that has to be committed first, in milliseconds; COMMIT_LATENCY_MS when absent. */
   commitLatencyMs?: number
   /** Latency of a call, in milliseconds; CALL_LATENCY_MS when absent. */
@@ -33,7 +35,7 @@
   /** A time without a leader, in milliseconds. Calls made meanwhile reach the next leader; orders made before are carried out. */
   withoutLeader?: { fromMs: number, toMs: number }
   /** Client accounts that share the arrivals of each queue; without them the jobs have none. */
-  accounts?: readonly SimulatedAccount[]
+  sharedBy?: readonly SimulatedAccount[]
 }
 
 /**
@@ -123,12 +125,12 @@
   }
 
   private setUp (): void {
-    const { workers, workerMillicores, workerMemoryMib, accounts } = this.options
+    const { workers, workerMillicores, workerMemoryMib, accounts, sharedBy } = this.options
     this.scheduler.startLeading(0)
     this.handleEvent({
       kind: 'configureCell',
       call: 0,
-      cell: { version: 1, queues: this.classes.map(({ queue }) => queue), retired: [], services: [{ name: 'service', standby: false }], ...(accounts === undefined ? {} : { accounts: accounts.map(createClientAccount) }), document: '' }
+      cell: { version: 1, queues: this.classes.map(({ queue }) => queue), retired: [], services: [{ name: 'service', standby: false }], accounts: accounts ?? sharedBy?.map(createClientAccount), document: '' }
     })
     this.handleEvent({ kind: 'advisorsChanged', entries: this.listEntries() })
     for (let index = 0; index < workers; index++) {
@@ -150,7 +152,7 @@
     }
     this.scheduleTick()
     this.scheduleTakeover()
-    for (const stream of createStreams(this.classes, accounts, this.random, this.options.seed)) this.scheduleArrival(stream)
+    for (const stream of createStreams(this.classes, sharedBy, this.random, this.options.seed)) this.scheduleArrival(stream)
   }
 
   private get callLatencyMs (): number {
@@ -221,11 +223,11 @@
   private sendJob (id: string): void {
     const job = this.jobs.get(id)
     if (job === undefined) return
-    const { account, spec, jobClass: { queue } } = job
+    const { account, spec, jobClass: { queue, account: queueAccount } } = job
     job.sends += 1
     job.submittedAt = this.clock.now
     this.callers.set(Number(id.slice(id.lastIndexOf('-') + 1)), id)
-    this.handleEvent({ kind: 'acceptJob', call: Number(id.slice(id.lastIndexOf('-') + 1)), host: 'jobs.example', path: `/${queue.name}/${id}`, ...(account === undefined ? {} : { keyDigest: account.name }), spec })
+    this.handleEvent({ kind: 'acceptJob', call: Number(id.slice(id.lastIndexOf('-') + 1)), host: 'jobs.example', path: `/${queue.name}/${id}`, keyDigest: account?.name ?? queueAccount, spec })
   }
 
   /** A caller that is told to come back does so at that time, up to CALLER_RETRIES times. */
--- a/packages/scheduler/__tests__/account-caps.test.ts
+++ b/packages/scheduler/__tests__/account-caps.test.ts
@@ -7,7 +7,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { AccountUsage, createRun, WorkerView, type ClientAccount, type Effect, type JobQueue, type Resources, type StageSpec } from '../src/index.js'
+import { AccountTotals, AccountUsage, createRun, WorkerView, type ClientAccount, type Effect, type JobQueue, type Resources, type Run, type StageSpec } from '../src/index.js'
 import { createReportedRun, listOrders, ScriptedLeader } from './support/scripted-leader.js'
 import { createStage } from './support/stages.js'
 
@@ -118,6 +118,21 @@
       assert.deepEqual(listStarts([...cell.leader.addWorker('w3'), ...cell.leader.advance(300)]), [])
     })
 
+    it('runs of a job that closed long ago, also at the next leader', () => {
+      const cell = CapLeader.create(['w1'], createAccount('one', TASK_CORES))
+      cell.startsOf('a', 'one')
+      cell.confirm('w1', 'a/0/0/0')
+      cell.leader.handle({ kind: 'workerSilent', id: 'w1', incarnation: 1, isClosed: false })
+      cell.leader.handle({ kind: 'cancelJob', call: 4, host: 'jobs.example', path: '/q/a', keyDigest: 'one' })
+      cell.leader.advance(301_000)
+      cell.leader.replaceLeader()
+      cell.leader.addWorker('w2')
+      assert.equal(cell.startsOf('b', 'one').length, 0)
+      cell.leader.handle({ kind: 'workerLapsed', id: 'w1', incarnation: 1, loss: 'leaseExpired', reason: '' })
+      cell.leader.advance(100)
+      assert.equal(cell.leader.state.jobs.has('a'), false)
+    })
+
     it('runs of a former incarnation that its successor may still have', () => {
       const cell = CapLeader.create(['w1', 'w2'], createAccount('one', TASK_CORES))
       cell.submit('a', 'one')
@@ -226,14 +241,14 @@
 
     it('blocks no other unit, even if more units wait than one pass considers', () => {
       const cell = CapLeader.create(['w1', 'w2'], createAccount('one', TASK_CORES), createAccount('two', 0))
-      for (let index = 0; index < 300; index++) cell.submit(`burst-${index}`, 'one', {}, 'urgent')
+      for (let index = 0; index < 300; index++) cell.submit(`burst-${index}`, 'one', { estimateMs: 60_000 }, 'urgent')
       cell.leader.advance(300)
       assert.deepEqual(cell.startsOf('a', 'two').length, 1)
     })
 
     it('blocks none in the pass in which the cap is reached', () => {
       const cell = CapLeader.create([], createAccount('one', TASK_CORES), createAccount('two', 0))
-      for (let index = 0; index < 300; index++) cell.submit(`burst-${index}`, 'one', {}, 'urgent')
+      for (let index = 0; index < 300; index++) cell.submit(`burst-${index}`, 'one', { estimateMs: 60_000 }, 'urgent')
       cell.submit('a', 'two')
       const starts = listStarts(cell.leader.addWorker('w1'))
       assert.equal(starts.length, 2)
@@ -241,6 +256,22 @@
     })
   })
 
+  describe('while capacity is released for a unit', () => {
+    it('is kept for that unit, so that what is stopped for it is not stopped in vain', () => {
+      const cell = CapLeader.create([], createAccount('one', TASK_CORES), createAccount('two', 0))
+      cell.leader.report('w1', 1, { labels: ['x'] })
+      cell.leader.list('w1')
+      cell.startsOf('a', 'two', { taskCount: 4 })
+      cell.confirm('w1', 'a/0/0/0', 'a/0/0/1', 'a/0/0/2', 'a/0/0/3')
+      cell.leader.handle({ kind: 'cancelJob', call: 4, host: 'jobs.example', path: '/q/a', keyDigest: 'two' })
+      cell.startsOf('b', 'one', { requiredLabel: 'x' }, 'urgent')
+      cell.leader.addWorker('w2')
+      assert.equal(cell.startsOf('c', 'one').length, 0)
+      for (let index = 0; index < 4; index++) cell.leader.answer('w1', 'stop', `a/0/0/${index}`, 1, 'done')
+      assert.deepEqual(listStarts([...cell.leader.list('w1'), ...cell.leader.advance(300)]), ['start b/0/0/0 run 1 on w1'])
+    })
+  })
+
   describe('that is lowered', () => {
     it('stops no run, and nothing more starts until there is room', () => {
       const cell = CapLeader.create(['w1', 'w2'], createAccount('one', 4 * TASK_CORES))
@@ -264,6 +295,15 @@
     })
   })
 
+  describe('that is lowered below a gang that was accepted', () => {
+    it('does not refuse a repeat of its submission, whose first answer may have been lost', () => {
+      const cell = CapLeader.create([], createAccount('one', 3 * TASK_CORES))
+      cell.submit('a', 'one', { taskCount: 3, gang: true })
+      cell.configure(createAccount('one', TASK_CORES))
+      assert.equal(findRefusal(cell.submit('a', 'one', { taskCount: 3, gang: true })), undefined)
+    })
+  })
+
   describe('that is raised', () => {
     it('lets waiting units start at once', () => {
       const cell = CapLeader.create(['w1'], createAccount('one', TASK_CORES))
@@ -277,12 +317,9 @@
       const amounts = fc.record({ millicores: fc.integer({ min: 0, max: 8 }), memoryMib: fc.integer({ min: 0, max: 8 }), accelerators: fc.integer({ min: 0, max: 2 }) })
       const demands = fc.array(fc.record({ resources: amounts, count: fc.integer({ min: 1, max: 4 }), isGang: fc.boolean() }), { maxLength: 12 })
       fc.assert(fc.property(amounts, fc.array(amounts, { maxLength: 4 }), demands, (cap, running, requested) => {
-        const view = WorkerView.create({ id: 'w', incarnation: 1, address: 'w:1', service: '', availabilityZone: '', rack: '', labels: [], capacity: cap, isDraining: false, hasLeft: false }, 0)
-        for (const [index, resources] of running.entries()) {
-          const run = createRun({ job: 'j', occurrence: 0, stage: 0, index }, `j/0/0/${index}`, 1, createStage({ resources }), 0, 0)
-          view.add({ ...run, charge: { account: 'one', resources } })
-        }
-        const usage = AccountUsage.create({ accounts: [{ ...createAccount('one', 0), cap }] }, [view], 0)
+        const view = createView('w')
+        for (const [index, resources] of running.entries()) view.add(createChargedRun(`j/0/0/${index}`, 'one', resources))
+        const usage = AccountUsage.create({ accounts: [{ ...createAccount('one', 0), cap }] }, AccountTotals.create().update(new Map([['w', view]])), 0)
         const used = running.reduce((sum, amount) => addTo(sum, amount, 1), createCap(0))
         for (const { resources, count, isGang } of requested) {
           const isRoomFor = (times: number): boolean => isUnder(addTo(used, resources, times), cap)
@@ -294,9 +331,44 @@
         }
       }), { seed: 20261204, numRuns: 500 })
     })
+
+    it('knows the sum of all runs after any additions, removals and replaced views, although it reads only what changed', () => {
+      const resources = fc.record({ millicores: fc.double({ min: 0, max: 8, noNaN: true }), memoryMib: fc.constant(1), accelerators: fc.constant(0) })
+      const change = fc.record({ worker: fc.integer({ min: 0, max: 3 }), task: fc.integer({ min: 0, max: 5 }), account: fc.constantFrom('one', 'two', undefined), resources, kind: fc.constantFrom('add', 'remove', 'replace', 'forget', 'update') })
+      fc.assert(fc.property(fc.array(change, { maxLength: 40 }), changes => {
+        const views = new Map<string, WorkerView>()
+        const totals = AccountTotals.create()
+        for (const { worker, task, account, resources, kind } of changes) {
+          const id = `w${worker}`
+          const view = views.get(id) ?? createView(id)
+          views.set(id, kind === 'replace' ? createView(id) : view)
+          if (kind === 'forget') views.delete(id)
+          if (kind === 'add') view.add(createChargedRun(`j/0/0/${task}`, account, resources))
+          if (kind === 'remove') view.remove(`j/0/0/${task}`)
+          if (kind === 'update') totals.update(views)
+        }
+        const actual = totals.update(views)
+        for (const name of ['one', 'two']) {
+          const charges = [...views.values()].flatMap(view => [...view.runs.values()]).flatMap(({ charge }) => charge?.account === name ? [charge.resources] : [])
+          const expected = charges.reduce((sum, amount) => addTo(sum, amount, 1), createCap(0))
+          const { millicores, memoryMib } = actual.get(name) ?? createCap(0)
+          assert.equal(memoryMib, expected.memoryMib)
+          assert.ok(Math.abs(millicores - expected.millicores) < 1e-9)
+        }
+      }), { seed: 20261204, numRuns: 500 })
+    })
   })
 })
 
+function createView (id: string): WorkerView {
+  return WorkerView.create({ id, incarnation: 1, address: `${id}:1`, service: '', availabilityZone: '', rack: '', labels: [], capacity: createCap(0), isDraining: false, hasLeft: false }, 0)
+}
+
+function createChargedRun (task: string, account: string | undefined, resources: Resources): Run {
+  const run = createRun({ job: 'j', occurrence: 0, stage: 0, index: 0 }, task, 1, createStage({ resources }), 0, 0)
+  return account === undefined ? run : { ...run, charge: { account, resources } }
+}
+
 function addTo (sum: Resources, amount: Resources, times: number): Resources {
   return { millicores: sum.millicores + amount.millicores * times, memoryMib: sum.memoryMib + amount.memoryMib * times, accelerators: sum.accelerators + amount.accelerators * times }
 }
--- a/packages/scheduler/__tests__/competing-callers.test.ts
+++ b/packages/scheduler/__tests__/competing-callers.test.ts
@@ -19,7 +19,7 @@
   const usual = createAccounts(classes, WEIGHT_HEADROOM)
   const accounts = hot.reduce((accounts, name) => heatAccount(accounts, name, factor), usual)
     .map(account => hot.includes(account.name) && leavesAfterMs !== undefined ? { ...account, leavesAfterMs } : account)
-  return StagedJobSimulation.run(classes, { ...FULL_CELL_SHAPE, seed: 1, durationMs: 16_000, burst: () => 1, accounts, ...(withoutLeader === undefined ? {} : { withoutLeader }) })
+  return StagedJobSimulation.run(classes, { ...FULL_CELL_SHAPE, seed: 1, durationMs: 16_000, burst: () => 1, sharedBy: accounts, ...(withoutLeader === undefined ? {} : { withoutLeader }) })
 }
 
 /** Mean wait of the other accounts for what was submitted during the burst and shortly after it. */
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -3,6 +3,7 @@
  * each job once all of its tasks have succeeded or one has failed too often.
  */
 
+import { hasAccounts } from '../../types/accounts.js'
 import type { Decision } from '../../types/decisions.js'
 import type { Event, EventOf } from '../../types/events.js'
 import {
@@ -12,6 +13,7 @@
 import type { ClusterState } from '../../types/state.js'
 import { Component } from '../component.js'
 import type { Step } from '../step.js'
+import { AccountTotals } from './accounts/account-totals.js'
 import { AccountUsage } from './accounts/account-usage.js'
 import { acceptJob, cancelJob, configureCell, readCell, readJob } from './job-requests.js'
 import { PlacementPass, type RunPlacement, type AdmissionQuery } from './placement/placement-pass.js'
@@ -64,6 +66,7 @@
   private readonly owedJobs: OwedJobs
   private readonly cellUse = CellUse.create()
   private readonly tickets = AdmissionTickets.create()
+  private readonly accountTotals = AccountTotals.create()
   /** Ids of the recurring jobs in the replicated state. */
   private readonly recurringJobs = new Set<string>()
   /** Ids of the closed jobs in the replicated state, in the order in which they closed. */
@@ -100,6 +103,7 @@
     this.owedJobs.reset(state.jobs.values())
     this.cellUse.reset()
     this.tickets.clear()
+    this.accountTotals.clear()
     this.changedJobs.clear()
     this.recurringJobs.clear()
     this.closedJobs.clear()
@@ -248,8 +252,7 @@
   private runPass (step: Step): void {
     this.isPassDue = false
     this.lastPassAt = step.now
-    const usage = AccountUsage.create(step.state.cell, this.runManager.views.values(), this.limits.accountOverage)
-    const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, usage)
+    const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, this.computeAccountUsage(step.state))
     const order = createUnitOrder(step.state.cell, this.runManager.views.values(), this.cellUse, step.now)
     const considered = this.placeUnits(pass, order.sort(this.units.list(), step.now))
     this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, considered * this.runManager.views.size / PAIRS_PER_PAUSE_MS)
@@ -259,6 +262,12 @@
     this.startRuns(step, pass.placements)
   }
 
+  /** What the accounts have before a pass; undefined where the cell has no accounts. */
+  private computeAccountUsage ({ cell }: ClusterState): AccountUsage | undefined {
+    if (!hasAccounts(cell) && cell?.retiredAccounts === undefined) return undefined
+    return AccountUsage.create(cell, this.accountTotals.update(this.runManager.views), this.limits.accountOverage)
+  }
+
   /** Places units in their order; returns how many were considered, without those that wait for the cap of their account alone. */
   private placeUnits (pass: PlacementPass, units: readonly SchedulingUnit[]): number {
     const orphans = this.runManager.listOrphans()
--- a/packages/scheduler/src/core/jobs/workers/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -124,6 +124,8 @@
   readonly longRunning: Resources = { millicores: 0, memoryMib: 0, accelerators: 0 }
   /** Number of runs of suspected tasks. */
   private suspectCount = 0
+  /** Increases when a run that counts against the cap of an account is added or removed. */
+  chargeVersion = 0
 
   private constructor (
     public worker: CalledWorker,
@@ -214,6 +216,7 @@
       this.longRunning.accelerators += sign * run.resources.accelerators
     }
     if (run.isSuspect) this.suspectCount += sign
+    if (run.charge !== undefined) this.chargeVersion += 1
   }
 }
 
