Let only the cap limit the account in the replay of caps

With a weight of 1 its burst is beyond its weight, so that the other account is served without a cap as well and the contrast of the test no longer shows what the cap does. Its weight and share no longer bind; both bounds are unchanged, and the first test now depends on the cap alone.

--- a/packages/scheduler/__tests__/account-burst.test.ts
+++ b/packages/scheduler/__tests__/account-burst.test.ts
@@ -22,8 +22,11 @@
   return { queue, account: name, jobsPerSecond, credit: 1, stages: 1, tasksPerStage: 3, taskMs: 640, maxTaskMs: 3_000, millicores: 2_500, memoryMib: 1_024, gangShare: 0.3, checkpointShare: 0, failureShare: 0, allowedShare: 1 }
 }
 
+/** The weights exceed all that is sent, and nearly all of the shares are those of the account that bursts, so that nothing but its cap limits it. */
+const WEIGHTS: Readonly<Record<string, number>> = Object.freeze({ steady: 1_000, bursting: 100_000 })
+
 function createAccount (name: string, millicores: number): ClientAccount {
-  return { name, keyDigests: [name], weight: 1, cap: { millicores, memoryMib: 0, accelerators: 0 }, priority: 0 }
+  return { name, keyDigests: [name], weight: WEIGHTS[name], cap: { millicores, memoryMib: 0, accelerators: 0 }, priority: 0 }
 }
 
 /** Replays the load with a cap of the account that bursts, and returns the share of the jobs of the other that end in time. */
