--- a/packages/scheduler/src/core/jobs/job-requests.ts
+++ b/packages/scheduler/src/core/jobs/job-requests.ts
@@ -4,6 +4,7 @@
  * cell.
  */
 
+import { findAccount } from '../../types/accounts.js'
 import type { EventOf } from '../../types/events.js'
 import { isLiveJob, JobPhase, type CellConfiguration, type JobSpec, type StagedJob, type StageSpec } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
@@ -13,6 +14,7 @@
 import { findCapFault } from './accounts/account-usage.js'
 import { identifyCaller } from './accounts/caller-identity.js'
 import { findRoute, type Route } from './order/queues.js'
+import type { OwedJobs } from './shares/owed-jobs.js'
 
 /** Time after which a caller may retry a request that was refused because the cell has no configuration. */
 const UNCONFIGURED_RETRY_MS = 1_000
@@ -33,7 +35,7 @@
  * Accepts a job. A submission under the id of a known job gets the same reply and changes nothing; its content is not compared.
  * `accountOverage` is the share of its cap by which an account may exceed it.
  */
-export function acceptJob (event: EventOf<'acceptJob'>, step: Step, accountOverage: number): void {
+export function acceptJob (event: EventOf<'acceptJob'>, step: Step, accountOverage: number, owedJobs: OwedJobs): void {
   const route = findRouteOrRefuse(event, step)
   if (route === undefined) return
   const { jobId: id, account } = route
@@ -42,12 +44,14 @@
   if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
   const capFault = findCapFault(event.spec.stages, step.state.cell, account, accountOverage)
   if (capFault !== '') return refuseConfirmed(event.call, step, ErrorKind.infeasible, capFault)
+  const isBeyondWeight = owedJobs.isBeyondWeight(findAccount(step.state.cell, account ?? ''), step.now)
   const heldMs = Math.min(HELD_LIMIT_MS, Math.max(0, event.heldMs ?? 0))
   step.decide({
     kind: 'jobAccepted',
     id,
     queue: route.queue.name,
     ...(account === undefined ? {} : { account }),
+    ...(isBeyondWeight ? { isBeyondWeight } : {}),
     spec: event.spec,
     at: step.now,
     ...(heldMs > 0 ? { heldMs } : {})
--- a/packages/scheduler/src/core/jobs/order/unit-order.ts
+++ b/packages/scheduler/src/core/jobs/order/unit-order.ts
@@ -9,6 +9,9 @@
  * returns to its rank, since work of other ranks would keep it waiting for as long
  * as the backlog lasts. Units whose result has no value any more come last. Units
  * of long-running stages are never moved back.
+ *
+ * What an account sends beyond its weight comes after all work that is owed, except
+ * work without value. This bounds what a burst of one account takes from others.
  */
 
 import type { SchedulingUnit } from './scheduling-units.js'
@@ -19,10 +22,13 @@
 /** Time left until the latest start of a unit from which it may preempt, in milliseconds; covers several stops and commits. */
 const PREEMPTION_SLACK_MS = 2_000
 
-/** Rank of units whose result has no value any more; greater than the priority of any queue. */
+/** Added to the rank of a unit beyond the weight of its account; greater than the priority of any queue. */
+const BEYOND_WEIGHT_RANK = Number.MAX_SAFE_INTEGER / 2
+
+/** Rank of units whose result has no value any more; greater than any other. */
 const WORTHLESS_RANK = Number.MAX_SAFE_INTEGER
 
-interface Ranked {
+export interface RankedUnit {
   unit: SchedulingUnit
   /** The lowest rank is placed first. */
   rank: number
@@ -34,17 +40,21 @@
 }
 
 export function sortUnits (units: Iterable<SchedulingUnit>, now: number): SchedulingUnit[] {
+  return rankUnits(units, now).map(({ unit }) => unit)
+}
+
+/** The units in their order, with their ranks. */
+export function rankUnits (units: Iterable<SchedulingUnit>, now: number): RankedUnit[] {
   const ranked = [...units].map(unit => rankUnit(unit, now))
-  ranked.sort((one, other) => one.rank - other.rank || one.latestStartAt - other.latestStartAt)
-  return ranked.map(({ unit }) => unit)
+  return ranked.sort((one, other) => one.rank - other.rank || one.latestStartAt - other.latestStartAt)
 }
 
-function rankUnit (unit: SchedulingUnit, now: number): Ranked {
-  const { spec, queue, objectiveAt, worthlessAt, remainingMs } = unit
-  if (spec.longRunning || isInTime(unit, now)) return { unit, rank: queue.priority, latestStartAt: objectiveAt - remainingMs }
-  if (isLastChance(unit, now)) return { unit, rank: queue.priority, latestStartAt: worthlessAt - remainingMs }
-  const hasValue = now + remainingMs <= worthlessAt
-  return { unit, rank: hasValue ? queue.priority + LATE_RANK_PENALTY : WORTHLESS_RANK, latestStartAt: worthlessAt - remainingMs }
+function rankUnit (unit: SchedulingUnit, now: number): RankedUnit {
+  const { objectiveAt, worthlessAt, remainingMs } = unit
+  const rank = unit.queue.priority + (unit.isBeyondWeight === true ? BEYOND_WEIGHT_RANK : 0)
+  if (unit.spec.longRunning || isInTime(unit, now)) return { unit, rank, latestStartAt: objectiveAt - remainingMs }
+  if (isLastChance(unit, now)) return { unit, rank, latestStartAt: worthlessAt - remainingMs }
+  return { unit, rank: hasValue(unit, now) ? rank + LATE_RANK_PENALTY : WORTHLESS_RANK, latestStartAt: worthlessAt - remainingMs }
 }
 
 /** True when the job of a unit meets its objective if the unit starts now. */
@@ -52,6 +62,11 @@
   return now + remainingMs <= objectiveAt
 }
 
+/** True while the result of the job still has a value if the unit starts now. Long-running stages always have one. */
+export function hasValue ({ spec, remainingMs, worthlessAt }: SchedulingUnit, now: number): boolean {
+  return spec.longRunning || now + remainingMs <= worthlessAt
+}
+
 /**
  * True for a late unit that must start soon, or its result will have no value. Declared run times are often too short, so
  * this begins one more run time before the last moment.
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -17,13 +17,15 @@
  */
 
 import { limitToCap, type AccountUsage } from '../accounts/account-usage.js'
-import { isPreemptionDue } from '../order/unit-order.js'
+import { hasValue, isPreemptionDue } from '../order/unit-order.js'
 import { isTicketValid, QUERY_WORKER_LIMIT, type AdmissionTickets, type Ticket } from './admission-tickets.js'
 import type { SchedulingUnit } from '../order/scheduling-units.js'
 import type { Run, WorkerView } from '../workers/worker-view.js'
 import { add, applyDemand, fits, getReleasing, isBelowLimit, isEligible, reserveTask, sumAvailable, type Amounts, type Candidate } from './candidate.js'
 import { pickCandidate } from './candidate-score.js'
+import { countReservedEntries } from './entry-reserve.js'
 import { listPreemptible } from './preemptible-runs.js'
+import { SpareCapacity } from '../shares/spare-capacity.js'
 
 /** Least number of units for which one pass may reserve capacity because not all of their tasks could be placed. */
 const RESERVATION_MINIMUM = 12
@@ -40,15 +42,6 @@
  */
 const LARGE_SHARE = 0.2
 
-/** Least number of idle entries that queries for queues below the highest priority leave for queues of the highest priority. */
-const URGENT_ENTRY_RESERVE = 3
-
-/**
- * Share of all entries that they leave idle, if that is more. Under a backlog, units that wait renew their tickets as often
- * as there are entries for it.
- */
-const URGENT_ENTRY_SHARE = 0.2
-
 /**
  * Share of the workers on which a suspected task may be in its startup, or that wait for such a task, at the same time; each
  * of them gets no other work meanwhile, and may crash.
@@ -98,6 +91,8 @@
   private readonly eligible = new Map<string, Candidate[]>()
   /** The runs in `preemptions`. */
   private readonly preemptedRuns = new Set<Run>()
+  /** What work beyond the weight of its account may use. */
+  private readonly spare = SpareCapacity.create(this.candidates)
   private reservationCount = 0
   /** Number of workers that a suspected task may still get for itself. */
   private suspectWorkersLeft: number
@@ -132,9 +127,13 @@
     return new PlacementPass(views, tickets, now, previouslyReserved, usage)
   }
 
-  /** Places a unit as far as the cap of its account allows; false if the cap allows nothing, and then the pass ignores the unit. */
+  /**
+   * Places a unit as far as the cap of its account allows and, if it is beyond the weight of its account, the spare capacity;
+   * false if they allow nothing, and then the pass ignores the unit.
+   */
   place (unit: SchedulingUnit): boolean {
-    const startable = this.usage === undefined ? unit : limitToCap(unit, this.usage)
+    const capped = this.usage === undefined ? unit : limitToCap(unit, this.usage)
+    const startable = capped === undefined ? undefined : this.spare.limit(capped)
     if (startable !== undefined) this.placeUnit(startable)
     return startable !== undefined
   }
@@ -152,12 +151,13 @@
         this.placements.push({ unit, index, view: candidate.view, ticket: this.findTicket(unit, candidate) ?? '' })
       }
       this.usage?.charge(unit.account, unit.spec.resources, chosen.length)
+      this.spare.take(unit, chosen.length)
     } else {
       for (const { candidate } of chosen) applyDemand(candidate.free, unit, 1)
     }
     if (isWhole) return
     const missing = unit.spec.gang ? unit.waiting.length : unit.waiting.length - chosen.length
-    const reservedIds = this.reserve(unit, candidates, missing)
+    const reservedIds = mayReserve(unit, this.now) ? this.reserve(unit, candidates, missing) : new Set<string>()
     if (unit.queue.admission !== undefined) this.queryAdmission(unit, candidates, reservedIds)
   }
 
@@ -364,7 +364,7 @@
    */
   private queryAdmission (unit: SchedulingUnit, candidates: Candidate[], reservedIds: ReadonlySet<string>): void {
     const { tickets } = this
-    const reservedEntries = unit.queue.priority === 0 ? 0 : Math.max(URGENT_ENTRY_RESERVE, Math.ceil(URGENT_ENTRY_SHARE * tickets.entryCount))
+    const reservedEntries = countReservedEntries(unit, tickets.entryCount)
     if (!tickets.isQueryAllowed(unit.key, this.now) || tickets.findIdleEntry(reservedEntries) === undefined) return
     const { granted, refused } = tickets.getStageTickets(unit.key)
     const wanted = candidates.filter(candidate => {
@@ -385,6 +385,11 @@
   }
 }
 
+/** False for work of an account that is beyond its weight or has no value any more; it takes what is free and holds nothing back from other work. */
+function mayReserve (unit: SchedulingUnit, now: number): boolean {
+  return unit.isBeyondWeight !== true && (unit.account === undefined || hasValue(unit, now))
+}
+
 function isLarge (unit: SchedulingUnit): boolean {
   const demand = unit.spec.resources.millicores
   return demand > LARGE_SHARE * LARGE_REFERENCE_MILLICORES
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -16,7 +16,6 @@
 import { AccountTotals } from './accounts/account-totals.js'
 import { AccountUsage } from './accounts/account-usage.js'
 import { acceptJob, cancelJob, configureCell, readCell, readJob } from './job-requests.js'
-import { sortUnits } from './order/unit-order.js'
 import { PlacementPass, type RunPlacement, type AdmissionQuery } from './placement/placement-pass.js'
 import { findQueue } from './order/queues.js'
 import { RunManager } from './runs/run-manager.js'
@@ -24,6 +23,9 @@
 import { excludeOrphans, occurrenceDueAt, SchedulingUnitIndex, splitSuspects, type SchedulingUnit } from './order/scheduling-units.js'
 import { Upkeep } from './upkeep/upkeep.js'
 import { isDeadly } from './runs/worker-crashes.js'
+import { CellUse } from './shares/cell-use.js'
+import { OwedJobs } from './shares/owed-jobs.js'
+import { createUnitOrder } from './shares/unit-orders.js'
 
 /** Cluster time for which a closed job can still be read. */
 const CLOSED_JOB_RETENTION_MS = 300_000
@@ -31,6 +33,12 @@
 /** Maximum number of units that one placement pass considers. */
 const PASS_UNIT_LIMIT = 200
 
+/**
+ * Maximum number of those that are beyond the weight of their account. The pause between passes grows with the units, so that
+ * a burst that waits would make owed work wait as well: with 200 of them urgent jobs waited 16 ms longer.
+ */
+const BEYOND_WEIGHT_UNIT_LIMIT = 10
+
 /**
  * The pause after a pass is one millisecond for this many pairs of a unit and a worker that the pass considered. A pass
  * takes less than half of its pause, which bounds the share of time spent on placement.
@@ -55,6 +63,8 @@
 
   private readonly upkeep: Upkeep
   private readonly units = SchedulingUnitIndex.create()
+  private readonly owedJobs: OwedJobs
+  private readonly cellUse = CellUse.create()
   private readonly tickets = AdmissionTickets.create()
   private readonly accountTotals = AccountTotals.create()
   /** Ids of the recurring jobs in the replicated state. */
@@ -78,6 +88,7 @@
   private constructor (private readonly runManager: RunManager, private readonly limits: Readonly<Limits>) {
     super()
     this.upkeep = Upkeep.create(runManager)
+    this.owedJobs = OwedJobs.create(limits.accountWindowMs)
   }
 
   static create (limits: Partial<Limits> = {}): StagedJobs {
@@ -89,6 +100,8 @@
     this.runManager.reset(state, now)
     this.upkeep.reset(now)
     this.units.clear()
+    this.owedJobs.reset(state.jobs.values())
+    this.cellUse.reset()
     this.tickets.clear()
     this.accountTotals.clear()
     this.changedJobs.clear()
@@ -108,7 +121,7 @@
 
   handle (event: Event, step: Step): void {
     switch (event.kind) {
-      case 'acceptJob': return acceptJob(event, step, this.limits.accountOverage)
+      case 'acceptJob': return acceptJob(event, step, this.limits.accountOverage, this.owedJobs)
       case 'readJob': return readJob(event, step, job => this.runManager.hasConfirmedRun(job))
       case 'cancelJob': return cancelJob(event, step)
       case 'configureCell': return configureCell(event, step)
@@ -146,6 +159,7 @@
     switch (decision.kind) {
       case 'jobAccepted':
         if (decision.spec.recurrence !== undefined) this.recurringJobs.add(decision.id)
+        this.owedJobs.record(decision.account, decision.isBeyondWeight, decision.at)
         this.changedJobs.add(decision.id)
         return
       case 'jobClosed':
@@ -241,7 +255,8 @@
     this.isPassDue = false
     this.lastPassAt = step.now
     const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, this.computeAccountUsage(step.state))
-    const considered = this.placeUnits(pass, sortUnits(this.units.list(), step.now))
+    const order = createUnitOrder(step.state.cell, this.runManager.views.values(), this.cellUse, step.now)
+    const considered = this.placeUnits(pass, order.sort(this.units.list(), step.now))
     this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, considered * this.runManager.views.size / PAIRS_PER_PAUSE_MS)
     this.reservedWorkers = pass.reservedWorkers
     for (const query of pass.queries) this.queryAdmission(step, query)
@@ -259,15 +274,20 @@
   private placeUnits (pass: PlacementPass, units: readonly SchedulingUnit[]): number {
     const orphans = this.runManager.listOrphans()
     let considered = 0
+    let beyondCount = 0
     for (let next = 0; next < units.length && considered < PASS_UNIT_LIMIT;) {
       const group = units.slice(next, next + PASS_UNIT_LIMIT - considered)
       next += group.length
       const startable = group.map(unit => excludeOrphans(unit, orphans)).filter(({ waiting }) => waiting.length > 0)
       const { suspected, others } = splitSuspects(startable)
       const held = new Set<string>()
-      // A suspected task needs a worker on which nothing else starts in this pass.
-      for (const unit of [...suspected, ...others]) {
-        if (!pass.place(unit)) held.add(unit.key)
+      // A suspected task needs a worker on which nothing else starts in this pass; one beyond a weight must not hold it back.
+      const isBeyondWeight = (unit: SchedulingUnit): boolean => unit.isBeyondWeight === true
+      const owed = suspected.filter(unit => !isBeyondWeight(unit))
+      for (const unit of [...owed, ...others, ...suspected.filter(isBeyondWeight)]) {
+        const isPlaced = (!isBeyondWeight(unit) || beyondCount < BEYOND_WEIGHT_UNIT_LIMIT) && pass.place(unit)
+        if (!isPlaced) held.add(unit.key)
+        else if (isBeyondWeight(unit)) beyondCount += 1
       }
       considered += group.length - held.size
     }
@@ -295,6 +315,7 @@
       const ref = { job, occurrence, stage, index }
       step.decide({ kind: 'runPlaced', ref, run, worker: view.id, incarnation: view.worker.incarnation })
       this.runManager.startRun(step, ref, view, run, unit, ticket)
+      this.cellUse.add(unit)
     }
   }
 
--- a/packages/scheduler/src/core/jobs/workers/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -35,6 +35,8 @@
   image: string
   /** It keeps its progress in checkpoints, is not in a gang and not long-running, so it can be stopped without loss. */
   isPreemptible: boolean
+  /** It runs until its job is cancelled. */
+  isLongRunning: boolean
   /** Cluster time at which its job misses its objective; Infinity when not known. */
   objectiveAt: number
   /** Cluster time after which the result of its job has no value; Infinity when not known. */
@@ -118,6 +120,8 @@
   private usedMillicores = 0
   private usedMemoryMib = 0
   private usedAccelerators = 0
+  /** In use by long-running tasks. */
+  readonly longRunning: Resources = { millicores: 0, memoryMib: 0, accelerators: 0 }
   /** Number of runs of suspected tasks. */
   private suspectCount = 0
   /** Increases when a run that counts against the cap of an account is added or removed. */
@@ -208,6 +212,11 @@
     if (!run.fills) this.usedMillicores += sign * run.resources.millicores
     this.usedMemoryMib += sign * run.resources.memoryMib
     this.usedAccelerators += sign * run.resources.accelerators
+    if (run.isLongRunning) {
+      if (!run.fills) this.longRunning.millicores += sign * run.resources.millicores
+      this.longRunning.memoryMib += sign * run.resources.memoryMib
+      this.longRunning.accelerators += sign * run.resources.accelerators
+    }
     if (run.isSuspect) this.suspectCount += sign
     if (run.charge !== undefined) this.chargeVersion += 1
   }
@@ -227,6 +236,7 @@
     priority,
     image,
     isPreemptible,
+    isLongRunning: stage.longRunning,
     objectiveAt: Infinity,
     worthlessAt: Infinity,
     estimateMs: stage.estimateMs,
@@ -263,6 +273,7 @@
     priority: 0,
     image: '',
     isPreemptible: false,
+    isLongRunning: false,
     objectiveAt: Infinity,
     worthlessAt: Infinity,
     estimateMs: 0,
