Learn run times from committed ends

Histograms of the logarithm of work, with a half-life in samples, are part of the replicated state. Estimates refine the distribution of the queue and the rated declared time by that of the image or of similar declared times. Nothing is recorded unless learntRunTimes is on.

--- a/packages/scheduler/src/core/jobs/apply-job-decision.ts
+++ b/packages/scheduler/src/core/jobs/apply-job-decision.ts
@@ -7,6 +7,7 @@
 import { createOccurrence, JobPhase, StageTaskPhase, type StageTask, type TaskRef } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
 import { isWaveOver } from '../../types/upkeep.js'
+import { recordWork } from './run-times/run-time-records.js'
 
 export function applyJobDecision (state: ClusterState, decision: Decision): void {
   switch (decision.kind) {
@@ -79,8 +80,10 @@
     task.incarnation = 0
     task.phase = succeeded ? StageTaskPhase.done : StageTaskPhase.waiting
   }
-  if (succeeded) task.checkpoint = ''
-  else recordFailure(task, run)
+  if (!succeeded) return recordFailure(task, run)
+  task.checkpoint = ''
+  const job = state.jobs.get(decision.ref.job)
+  if (job !== undefined && decision.workMs !== undefined) recordWork(state, job.queue, job.spec.stages[decision.ref.stage], decision.workMs)
 }
 
 function recordFailure (task: StageTask, run: number): void {
--- a/packages/scheduler/src/core/jobs/runs/run-ends.ts
+++ b/packages/scheduler/src/core/jobs/runs/run-ends.ts
@@ -5,9 +5,10 @@
 
 import type { EndedRun } from '../../../types/events.js'
 import { RunAnomaly, RunEndCause } from '../../../types/events.js'
-import { formatTaskRef, parseTaskRef, StageTaskPhase, type TaskRef } from '../../../types/jobs.js'
+import { formatTaskRef, parseTaskRef, StageTaskPhase, type StageSpec, type TaskRef } from '../../../types/jobs.js'
 import type { Step } from '../../step.js'
 import { findStageTask } from '../apply-job-decision.js'
+import { measureWork } from '../run-times/run-work.js'
 import type { Run, WorkerView } from '../workers/worker-view.js'
 import { noteRunAnomaly } from './run-descriptions.js'
 import type { RunOrders } from './run-orders.js'
@@ -29,10 +30,11 @@
   /** Moving average of the run times of a queue in milliseconds, by queue name; no value before the first observed run. */
   readonly meanRunMs = new Map<string, number>()
 
-  private constructor (private readonly orders: RunOrders) {}
+  private constructor (private readonly orders: RunOrders, private readonly recordsWork: boolean) {}
 
-  static create (orders: RunOrders): RunEnds {
-    return new RunEnds(orders)
+  /** With `recordsWork`, the end of a run says how much work its task was. */
+  static create (orders: RunOrders, recordsWork = false): RunEnds {
+    return new RunEnds(orders, recordsWork)
   }
 
   /** Handles the end of a run: records a result, or releases the task so that it waits again. */
@@ -49,7 +51,8 @@
     if (endedRun.cause === RunEndCause.done && !stage.longRunning) {
       this.recordSuccess(view)
       this.recordRunTime(run, job.queue, step.now)
-      return stage.gang ? this.completeGang(step, run.ref, run.run) : this.completeTask(step, run.ref, run.run)
+      const workMs = this.recordsWork ? this.measureWork(step, view, run, stage) : undefined
+      return stage.gang ? this.completeGang(step, run.ref, run.run, workMs) : this.completeTask(step, run.ref, run.run, workMs)
     }
     if (endedRun.cause === RunEndCause.failed && !stage.longRunning) {
       this.recordFailure(view, step.now)
@@ -79,16 +82,34 @@
     else this.completeTask(step, ref, run)
   }
 
-  /** Records success for all members of a gang run; the success of one member implies that of the others. */
-  private completeGang (step: Step, ref: TaskRef, run: number): void {
+  /**
+   * Records success for all members of a gang run; the success of one member implies that of the others. They run as long as
+   * each other, so the work of the one that was listed stands for all.
+   */
+  private completeGang (step: Step, ref: TaskRef, run: number, workMs?: number): void {
     const tasks = step.state.jobs.get(ref.job)?.occurrences.get(ref.occurrence)?.[ref.stage] ?? []
     tasks.forEach((task, index) => {
-      if (task.phase !== StageTaskPhase.done && task.run >= run) this.completeTask(step, { ...ref, index }, run)
+      const isListed = index === ref.index
+      if (task.phase !== StageTaskPhase.done && task.run >= run) this.completeTask(step, { ...ref, index }, run, isListed ? workMs : undefined)
+    })
+  }
+
+  private measureWork (step: Step, view: WorkerView, run: Run, { gang }: StageSpec): number | undefined {
+    const members = gang ? this.listMembers(step, run) : []
+    return measureWork(run, [run, ...members], 1, step.now)
+  }
+
+  /** The other runs of a gang that are tracked. */
+  private listMembers (step: Step, { ref, run }: Run): Run[] {
+    const tasks = step.state.jobs.get(ref.job)?.occurrences.get(ref.occurrence)?.[ref.stage] ?? []
+    return tasks.flatMap((task, index) => {
+      const member = this.orders.findPlacement(task)?.runs.get(formatTaskRef({ ...ref, index }))
+      return member?.run === run ? [member] : []
     })
   }
 
   /** Records the success of a run, and stops a later run of its task. */
-  private completeTask (step: Step, ref: TaskRef, run: number): void {
+  private completeTask (step: Step, ref: TaskRef, run: number, workMs?: number): void {
     const task = findStageTask(step.state, ref)
     const view = task === undefined ? undefined : this.orders.findPlacement(task)
     const placed = view?.runs.get(formatTaskRef(ref))
@@ -100,7 +121,7 @@
         this.orders.stopRun(step, view, placed, 'an earlier run of its task succeeded')
       }
     }
-    step.decide({ kind: 'runEnded', ref, run, succeeded: true })
+    step.decide({ kind: 'runEnded', ref, run, succeeded: true, ...(workMs === undefined ? {} : { workMs: Math.max(1, Math.round(workMs)) }) })
   }
 
   /** Updates the mean run time of a queue with a successful run; a run without a confirmed start is ignored. */
--- a/packages/scheduler/src/core/jobs/runs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/runs/run-manager.ts
@@ -37,7 +37,7 @@
 
 export class RunManager {
   readonly orders = RunOrders.create()
-  readonly ends = RunEnds.create(this.orders)
+  readonly ends: RunEnds
   private readonly slowRuns = SlowRuns.create(this.orders)
   private readonly crashes = WorkerCrashes.create()
   /** Cluster time at which this leader took over. */
@@ -48,13 +48,14 @@
   /** Time after which no lease remains on a worker that this leader never reached, in milliseconds. */
   private readonly unreachedLeaseMs: number
 
-  private constructor (runLeaseMs: number) {
+  private constructor (runLeaseMs: number, learntRunTimes: boolean) {
+    this.ends = RunEnds.create(this.orders, learntRunTimes)
     this.unreachedLeaseMs = runLeaseMs / (1 - CLOCK_DRIFT) + PREVIOUS_LEADER_MS
   }
 
   /** `runLeaseMs` is the longest lease that a called worker grants to its runs, in milliseconds of its clock. */
-  static create (runLeaseMs: number): RunManager {
-    return new RunManager(runLeaseMs)
+  static create (runLeaseMs: number, learntRunTimes = false): RunManager {
+    return new RunManager(runLeaseMs, learntRunTimes)
   }
 
   /** Views of the called workers, by worker id. */
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -78,7 +78,7 @@
 
   static create (limits: Partial<Limits> = {}): StagedJobs {
     const complete = { ...DEFAULT_LIMITS, ...limits }
-    return new StagedJobs(RunManager.create(complete.runLeaseMs), complete)
+    return new StagedJobs(RunManager.create(complete.runLeaseMs, complete.learntRunTimes), complete)
   }
 
   reset (state: ClusterState, now: number): void {
--- a/packages/scheduler/src/types/state.ts
+++ b/packages/scheduler/src/types/state.ts
@@ -7,6 +7,7 @@
 import type { AnsweredChange, AuditEntry, DocumentState, PolicyState, TeamState } from './configuration.js'
 import type { CalledWorker, CellConfiguration, StagedJob } from './jobs.js'
 import type { EntryState, RequestState } from './requests.js'
+import type { RunTimeState } from './run-times.js'
 import type { UpkeepWave } from './upkeep.js'
 import type { TargetState } from './targets.js'
 import type { WorkloadState } from './workloads.js'
@@ -54,6 +55,8 @@
   cell: CellConfiguration | undefined
   /** Upkeep waves by number, oldest first. */
   upkeepWaves: Map<number, UpkeepWave>
+  /** What was learnt from finished runs; undefined before the first run whose work is known. */
+  runTimes?: RunTimeState
 }
 
 export function createClusterState (): ClusterState {
