Simulate workers of unlike speed and long tasks

The replay of staged jobs can mix worker speeds, slow workers down for a time, let a share of tasks take 7 times as long, and change the work in mid-run. It counts the time on workers that stops discard, and the stops by reason.

--- a/bench/support/load-patterns.ts
+++ b/bench/support/load-patterns.ts
@@ -92,3 +92,67 @@
 export function scaleLoad (classes: readonly JobClass[], factor: number): JobClass[] {
   return classes.map(jobClass => ({ ...jobClass, jobsPerSecond: jobClass.jobsPerSecond * factor }))
 }
+
+/** A cell whose workers are of two generations, whose declared times are far off, and in which 3 of 100 tasks take 7 times as long. */
+export const UNEVEN_CELL: readonly JobClass[] = [
+  {
+    queue: createQueue('lookup', 0, 2, 1.5, 250, 14, 0.2),
+    jobsPerSecond: 68,
+    credit: 0.413,
+    stages: 1,
+    tasksPerStage: 3,
+    taskMs: 680,
+    maxTaskMs: 2_000,
+    millicores: 5_000,
+    memoryMib: 8_000,
+    gangShare: 0.3,
+    checkpointShare: 0,
+    failureShare: 0.02,
+    allowedShare: 0.7,
+    estimateDeviation: 0.6,
+    longShare: 0.03
+  },
+  {
+    queue: createQueue('rebuild', 1, 2, 2.2, 1_000, 560, 8),
+    jobsPerSecond: 2.9,
+    credit: 5.46,
+    stages: 1.2,
+    tasksPerStage: 20,
+    taskMs: 4_200,
+    maxTaskMs: 12_000,
+    millicores: 9_000,
+    memoryMib: 12_000,
+    gangShare: 1,
+    checkpointShare: 0.5,
+    failureShare: 0.002,
+    allowedShare: 0.35,
+    estimateDeviation: 0.6,
+    longShare: 0.03
+  },
+  {
+    queue: createQueue('recon', 2, 4, 4, 3_000, 105, 1.5),
+    jobsPerSecond: 7.6,
+    credit: 2.62,
+    stages: 1.5,
+    tasksPerStage: 25,
+    taskMs: 1_900,
+    maxTaskMs: 5_000,
+    millicores: 3_500,
+    memoryMib: 5_000,
+    gangShare: 0,
+    checkpointShare: 0.8,
+    failureShare: 0.02,
+    allowedShare: 0.45,
+    estimateDeviation: 0.9,
+    longShare: 0.03
+  }
+]
+
+export const UNEVEN_CELL_SHAPE: Omit<StagedJobSimulationOptions, 'seed' | 'durationMs' | 'burst'> = {
+  workers: 246, workerMillicores: 32_000, workerMemoryMib: 65_536, entries: 35, stopMs: 200, commitLatencyMs: 40, callLatencyMs: 25, speeds: [0.7, 0.7, 1.7]
+}
+
+/** Demand that swings by 0.55 in 17 s. */
+export function swing (_queue: string, now: number): number {
+  return 1 + 0.55 * Math.sin(2 * Math.PI * now / (17 * SECOND_MS))
+}
--- a/bench/support/staged-job-simulation.ts
+++ b/bench/support/staged-job-simulation.ts
@@ -6,38 +6,14 @@
 
 import {
   isLiveJob, OrderOutcome, parseTaskRef, RunEndCause, Scheduler, StagedJobs, stageKey,
-  type CalledWorker, type Effect, type EndedRun, type Event, type JobPhase, type JobQueue, type JobSpec, type ReportedRun, type StageSpec
+  type Effect, type Event, type JobPhase, type Limits, type ReportedRun
 } from '../../packages/scheduler/src/index.js'
 import { SimulatedClock } from './simulated-clock.js'
 import { Random } from './random.js'
+import { JobSource, type JobClass, type SubmittedJob } from './simulated-jobs.js'
+import { ActiveRun, WorkerModel, type Slowdown } from './simulated-workers.js'
 
-/** A queue and the jobs that callers submit to it. */
-export interface JobClass {
-  queue: JobQueue
-  jobsPerSecond: number
-  /** Credit for a job with the mean amount of work. */
-  credit: number
-  /** Mean number of stages, from 1 to 2. */
-  stages: number
-  /** Approximate mean number of tasks of a stage. */
-  tasksPerStage: number
-  /** Approximate mean run time of a task, in milliseconds. */
-  taskMs: number
-  /** Upper limit of the run time of a task, in milliseconds. */
-  maxTaskMs: number
-  millicores: number
-  memoryMib: number
-  /** Share of jobs whose stages are gangs. */
-  gangShare: number
-  /** Share of jobs whose tasks save checkpoints. */
-  checkpointShare: number
-  /** Share of tasks whose first run fails. */
-  failureShare: number
-  /** Share of workers that the admission service allows for a stage. */
-  allowedShare: number
-  /** Standard deviation of the logarithm of the declared run time over the real one; absent for a declared time that is off by 0.3 at most. */
-  estimateDeviation?: number
-}
+export type { JobClass } from './simulated-jobs.js'
 
 export interface StagedJobSimulationOptions {
   seed: number
@@ -56,6 +32,10 @@
   callLatencyMs?: number
   /** A time without a leader, in milliseconds. Calls made meanwhile reach the next leader; orders made before are carried out. */
   withoutLeader?: { fromMs: number, toMs: number }
+  /** Speeds of the workers, in turn; all 1 when absent. */
+  speeds?: readonly number[]
+  slowdown?: Slowdown
+  limits?: Partial<Limits>
 }
 
 /**
@@ -77,45 +57,20 @@
 const CHECKPOINT_RESTORE_MS = 250
 /** Interval at which a task saves a checkpoint. */
 const CHECKPOINT_INTERVAL_MS = 500
-/** Standard deviation of the logarithm of the run time of a task. */
-const WORK_DEVIATION = 0.45
-/** Standard deviation of the logarithm of the number of tasks of a stage. */
-const SIZE_DEVIATION = 0.6
 /** Share of its credit that a job earns when it misses its objective. */
 const LATE_CREDIT_SHARE = 0.2
 /** Multiple of the objective after which a job earns nothing. */
 const LATE_LIMIT_FACTOR = 3
-/** Share of the credit of a mean job that each job has regardless of its work; the rest is proportional to its work. */
-const FIXED_CREDIT_SHARE = 0.3
-/** Upper limit of the credit of a job, as a multiple of the credit of a mean job. */
-const MAX_CREDIT_FACTOR = 4
-
-/**
- * A run on a worker. `workMs` is the whole run time of its task, including the restore of a
- * checkpoint, of which `doneMs` were done by the checkpoint from which the run resumed; `gang` is the key of its stage, empty unless the
- * stage is a gang.
- */
-interface ActiveRun { progress: ReportedRun, workMs: number, doneMs: number, workingSince: number, fails: boolean, gang: string, isStopping: boolean }
-/** A job that was submitted, with the run time of each task by stage and index. */
-interface SubmittedJob { jobClass: JobClass, objectiveMs: number, submittedAt: number, credit: number, spec: JobSpec, savesCheckpoints: boolean, taskWorkMs: number[][] }
-
-/** A simulated worker: its active runs, and the ended runs that the leader has not acknowledged. */
-class WorkerModel {
-  readonly active = new Map<string, ActiveRun>()
-  ended: EndedRun[] = []
-  lastEndNumber = 0
-  private constructor (readonly facts: CalledWorker) {}
-
-  static create (facts: CalledWorker): WorkerModel {
-    return new WorkerModel(facts)
-  }
-}
 
 export class StagedJobSimulation {
   readonly reports = new Map<string, QueueReport>()
   /** Time spent in the scheduler, in milliseconds. */
   decisionMs = 0
   stops = 0
+  /** Number of stops by the first words of their reasons. */
+  readonly stopsByReason = new Map<string, number>()
+  /** Time on workers that was lost because runs were stopped, in millicores times milliseconds. */
+  discardedMillicoreMs = 0
   starts = 0
   admissionQueries = 0
   /** Work of the runs that succeeded, in millicores times milliseconds. */
@@ -124,14 +79,17 @@
   /** Draws the jobs; the runs have a source of their own, so that the jobs do not depend on the decisions. */
   private readonly random: Random
   private readonly runRandom: Random
-  private readonly scheduler = Scheduler.create([StagedJobs.create()])
+  private readonly source: JobSource
+  private readonly scheduler: Scheduler
   private readonly models = new Map<string, WorkerModel>()
   private readonly jobs = new Map<string, SubmittedJob>()
   private readonly busyUntilByEntry = new Map<string, number>()
   private lastJob = 0
 
   private constructor (private readonly classes: readonly JobClass[], private readonly options: StagedJobSimulationOptions) {
+    this.scheduler = Scheduler.create([StagedJobs.create(options.limits)])
     this.random = Random.create(options.seed)
+    this.source = JobSource.create(this.random, { millicores: options.workerMillicores, memoryMib: options.workerMemoryMib })
     this.runRandom = Random.create(options.seed + 1)
   }
 
@@ -145,7 +103,7 @@
   }
 
   private setUp (): void {
-    const { workers, workerMillicores, workerMemoryMib } = this.options
+    const { workers, workerMillicores, workerMemoryMib, speeds = [1] } = this.options
     this.scheduler.startLeading(0)
     this.handleEvent({
       kind: 'configureCell',
@@ -165,13 +123,14 @@
         capacity: { millicores: workerMillicores, memoryMib: workerMemoryMib, accelerators: 0 },
         isDraining: false,
         hasLeft: false
-      })
+      }, speeds[index % speeds.length])
       this.models.set(model.facts.id, model)
       this.handleEvent({ kind: 'workerReported', call: 0, worker: model.facts })
       this.clock.schedule(index, () => { this.sendListsPeriodically(model) })
     }
     this.scheduleTick()
     this.scheduleTakeover()
+    this.scheduleSlowdown()
     for (const jobClass of this.classes) this.scheduleArrival(jobClass)
   }
 
@@ -213,6 +172,19 @@
     })
   }
 
+  private scheduleSlowdown (): void {
+    const { slowdown } = this.options
+    if (slowdown === undefined) return
+    const models = slowdown.workers.flatMap(index => this.models.get(`worker-${index}`) ?? [])
+    this.clock.schedule(slowdown.fromMs, () => { for (const model of models) this.changeSpeed(model, slowdown.factor) })
+    this.clock.schedule(slowdown.toMs, () => { for (const model of models) this.changeSpeed(model, 1 / slowdown.factor) })
+  }
+
+  private changeSpeed (model: WorkerModel, factor: number): void {
+    model.speed *= factor
+    for (const active of model.active.values()) this.startWork(active.gang === '' ? [{ model, active }] : this.listGangMembers(active.gang, active.progress.run))
+  }
+
   private listEntries (): string[] {
     return Array.from({ length: this.options.entries }, (_, index) => `entry-${index}`)
   }
@@ -226,69 +198,18 @@
   }
 
   private submitJob (jobClass: JobClass): void {
-    const { random } = this
     this.lastJob += 1
     const id = `${jobClass.queue.name}-${this.lastJob}`
-    const savesCheckpoints = random.sampleFraction() < jobClass.checkpointShare
-    const gang = random.sampleFraction() < jobClass.gangShare
-    const stages: StageSpec[] = []
-    const taskWorkMs: number[][] = []
-    const stageCount = 1 + (random.sampleFraction() < jobClass.stages - 1 ? 1 : 0)
-    for (let stage = 0; stage < stageCount; stage++) {
-      // A log-normal sample is drawn by its median, which is below the mean; hence the factors below 1.
-      const taskCount = Math.max(1, Math.round(random.sampleLogNormal(jobClass.tasksPerStage * 0.8, SIZE_DEVIATION)))
-      const taskMs = Math.min(jobClass.maxTaskMs, random.sampleLogNormal(jobClass.taskMs * 0.9, WORK_DEVIATION))
-      taskWorkMs.push(Array.from({ length: taskCount }, () => taskMs * (gang ? 1 : 0.85 + 0.3 * random.sampleFraction())))
-      stages.push(this.createStage(jobClass, stage, taskCount, taskMs, gang, savesCheckpoints))
-    }
-    const criticalPathMs = taskWorkMs.reduce((sum, tasks) => sum + Math.max(...tasks), 0)
-    const { admission, stretch, targetMs } = jobClass.queue
-    // The objective of a job allows for one admission query about 30 workers per stage.
-    const admissionMs = admission === undefined ? 0 : stageCount * (admission.decideMs + 30 * admission.perWorkerMs)
-    const work = stages.reduce((sum, stage, index) => sum + stage.resources.millicores * taskWorkMs[index].reduce((total, ms) => total + ms, 0), 0)
-    const meanWork = jobClass.stages * jobClass.tasksPerStage * jobClass.taskMs * jobClass.millicores
-    const credit = jobClass.credit * Math.min(MAX_CREDIT_FACTOR, FIXED_CREDIT_SHARE + (1 - FIXED_CREDIT_SHARE) * work / meanWork)
-    const spec: JobSpec = { payload: '', stages }
-    this.jobs.set(id, { jobClass, objectiveMs: stretch * (criticalPathMs + admissionMs) + targetMs, submittedAt: this.clock.now, credit, spec, savesCheckpoints, taskWorkMs })
-    this.handleEvent({ kind: 'acceptJob', call: 0, host: 'jobs.example', path: `/${jobClass.queue.name}/${id}`, spec })
-  }
-
-  /** The factors 0.92 and 0.87 convert the mean resources of the class to the medians of the samples. */
-  private createStage (jobClass: JobClass, stage: number, taskCount: number, taskMs: number, gang: boolean, checkpoints: boolean): StageSpec {
-    const { random } = this
-    return {
-      taskCount,
-      resources: {
-        millicores: Math.min(this.options.workerMillicores / 2, Math.round(random.sampleLogNormal(jobClass.millicores * 0.92, 0.4))),
-        memoryMib: Math.min(this.options.workerMemoryMib / 2.5, Math.round(random.sampleLogNormal(jobClass.memoryMib * 0.87, 0.5))),
-        accelerators: 0
-      },
-      estimateMs: Math.round(this.sampleEstimate(taskMs, jobClass.estimateDeviation)),
-      dependsOn: stage === 0 ? [] : [stage - 1],
-      checkpoints,
-      gang,
-      rackLocal: false,
-      requiredLabel: '',
-      dataRack: '',
-      perWorkerLimit: 0,
-      speculative: false,
-      longRunning: false,
-      image: '',
-      targetMs: 0,
-      fills: false,
-      disruptionBudget: 0
-    }
-  }
-
-  private sampleEstimate (taskMs: number, deviation: number | undefined): number {
-    return deviation === undefined ? taskMs * (0.7 + 0.6 * this.random.sampleFraction()) : this.random.sampleLogNormal(taskMs, deviation)
+    const job = this.source.draw(jobClass, this.clock.now)
+    this.jobs.set(id, job)
+    this.handleEvent({ kind: 'acceptJob', call: 0, host: 'jobs.example', path: `/${jobClass.queue.name}/${id}`, spec: job.spec })
   }
 
   private handleEffect (effect: Effect): void {
     switch (effect.kind) {
       case 'askAdmission': return this.forwardQuery(effect)
       case 'startRun': return this.startRun(effect)
-      case 'stopRun': return this.stopRun(effect.worker.id, effect.task, effect.run)
+      case 'stopRun': return this.stopRun(effect)
       case 'ackEnds': {
         const model = this.models.get(effect.id)
         if (model !== undefined) model.ended = model.ended.filter(endedRun => endedRun.number > effect.cursor)
@@ -319,14 +240,28 @@
     const doneMs = Number(checkpoint === '' ? 0 : checkpoint)
     const workMs = job.taskWorkMs[ref.stage][ref.index] + (doneMs > 0 ? CHECKPOINT_RESTORE_MS : 0)
     const fails = run === 1 && this.runRandom.sampleFraction() < job.jobClass.failureShare
-    const active: ActiveRun = { progress: { task, run, checkpoint, percent: 0, load: 0 }, workMs, doneMs, workingSince: this.clock.now, fails, gang: stage.gang ? stageKey(ref) : '', isStopping: false }
+    const progress: ReportedRun = { task, run, checkpoint, percent: 0, load: 0 }
+    const active = ActiveRun.create(progress, workMs, doneMs, fails, stage.gang ? stageKey(ref) : '', this.clock.now)
     model.active.set(task, active)
     this.handleEvent({ kind: 'runOrdered', id: worker.id, incarnation: 1, order: 'start', task, run, outcome: OrderOutcome.done, unanswered: 0, sentAt: this.clock.now })
     // The tasks of a gang begin to work when the last of them has started.
-    if (active.gang !== '' && this.listGangMembers(active.gang, run).length < stage.taskCount) return
     const members = active.gang === '' ? [{ model, active }] : this.listGangMembers(active.gang, run)
-    for (const member of members) member.active.workingSince = this.clock.now
-    this.clock.schedule(Math.max(1, workMs - doneMs), () => { this.endRuns(members) })
+    if (active.gang === '' || members.length >= stage.taskCount) this.startWork(members)
+  }
+
+  /** Runs work at the speed of their worker, gangs at that of the slowest one. */
+  private startWork (members: Array<{ model: WorkerModel, active: ActiveRun }>): void {
+    const { now } = this.clock
+    const speed = Math.min(...members.map(({ model }) => model.speed))
+    for (const { active } of members) {
+      active.setSpeed(speed, now)
+      active.endSchedule += 1
+    }
+    const { active } = members[members.length - 1]
+    const { endSchedule } = active
+    this.clock.schedule(active.countLeft(now), () => {
+      if (active.endSchedule === endSchedule) this.endRuns(members)
+    })
   }
 
   private listGangMembers (gang: string, run: number): Array<{ model: WorkerModel, active: ActiveRun }> {
@@ -340,8 +275,10 @@
     for (const { model, active } of members) this.endRun(model, active, failed === undefined ? RunEndCause.done : active === failed.active ? RunEndCause.failed : RunEndCause.broken)
   }
 
-  private stopRun (worker: string, task: string, run: number): void {
+  private stopRun ({ worker: { id: worker }, task, run, reason }: Extract<Effect, { kind: 'stopRun' }>): void {
     const model = this.models.get(worker)
+    const kind = reason.split(/:| to free/)[0]
+    this.stopsByReason.set(kind, (this.stopsByReason.get(kind) ?? 0) + 1)
     const active = model?.active.get(task)
     this.stops += 1
     this.handleEvent({ kind: 'runOrdered', id: worker, incarnation: 1, order: 'stop', task, run, outcome: OrderOutcome.done, unanswered: 0, sentAt: this.clock.now })
@@ -354,17 +291,19 @@
     if (model.active.get(active.progress.task) !== active) return
     model.active.delete(active.progress.task)
     model.lastEndNumber += 1
-    model.ended.push({ number: model.lastEndNumber, task: active.progress.task, run: active.progress.run, cause, checkpoint: this.getCheckpoint(active, cause) })
+    const checkpoint = this.getCheckpoint(active, cause)
+    model.ended.push({ number: model.lastEndNumber, task: active.progress.task, run: active.progress.run, cause, checkpoint })
     const ref = parseTaskRef(active.progress.task)
     const resources = this.jobs.get(ref?.job ?? '')?.spec.stages[ref?.stage ?? 0].resources
     if (cause === RunEndCause.done) this.busyMillicoreMs += (resources?.millicores ?? 0) * active.workMs
+    if (cause === RunEndCause.stopped) this.discardedMillicoreMs += (resources?.millicores ?? 0) * active.countLostTime(Number(checkpoint), this.clock.now)
     this.clock.schedule(this.callLatencyMs, () => { this.sendList(model) })
   }
 
   private getCheckpoint (active: ActiveRun, cause: RunEndCause): string {
     const ref = parseTaskRef(active.progress.task)
     if (this.jobs.get(ref?.job ?? '')?.savesCheckpoints !== true || cause === RunEndCause.done) return ''
-    const doneMs = Math.min(active.workMs - 1, active.doneMs + this.clock.now - active.workingSince)
+    const doneMs = Math.min(active.workMs - 1, active.countDone(this.clock.now))
     return String(Math.round(cause === RunEndCause.stopped ? doneMs : doneMs - doneMs % CHECKPOINT_INTERVAL_MS))
   }
 
@@ -375,8 +314,8 @@
 
   private sendList (model: WorkerModel): void {
     const { now } = this.clock
-    const running = [...model.active.values()].map(({ progress, workMs, doneMs, workingSince }): ReportedRun => {
-      return { ...progress, percent: Math.min(99, Math.floor((doneMs + now - workingSince) * 100 / workMs)) }
+    const running = [...model.active.values()].map((active): ReportedRun => {
+      return { ...active.progress, percent: Math.min(99, Math.floor(active.countDone(now) * 100 / active.workMs)) }
     })
     this.handleEvent({ kind: 'workerListed', id: model.facts.id, incarnation: 1, sentAt: now, running, ended: [...model.ended] })
   }
