Tell slow workers from long tasks

With learntRunTimes a run is stopped only if it makes no progress, or if other stages on its worker show that the worker is slow and a restart would end sooner. The speed of a worker is estimated from progress and ends, relative to its peers; the tasks of one stage count as one observation, because they are long or short together.

--- a/bench/support/simulated-jobs.ts
+++ b/bench/support/simulated-jobs.ts
@@ -32,6 +32,8 @@
   allowedShare: number
   /** Standard deviation of the logarithm of the declared run time over the real one; absent for a declared time that is off by 0.3 at most. */
   estimateDeviation?: number
+  /** Factor by which declared times are off on average; 1 when absent. */
+  declaredFactor?: number
   /** Share of tasks, or of gangs, that take LONG_FACTOR times as long as the rest; 0 when absent. */
   longShare?: number
   /** Returns the factor by which the work of tasks that are submitted at a time is multiplied; their declared times stay. */
@@ -101,7 +103,7 @@
         memoryMib: Math.min(this.worker.memoryMib / 2.5, Math.round(random.sampleLogNormal(jobClass.memoryMib * 0.87, 0.5))),
         accelerators: 0
       },
-      estimateMs: Math.round(this.sampleEstimate(taskMs, jobClass.estimateDeviation)),
+      estimateMs: Math.round((jobClass.declaredFactor ?? 1) * this.sampleEstimate(taskMs, jobClass.estimateDeviation)),
       dependsOn: stage === 0 ? [] : [stage - 1],
       checkpoints,
       gang,
--- a/packages/scheduler/src/core/jobs/run-times/run-work.ts
+++ b/packages/scheduler/src/core/jobs/run-times/run-work.ts
@@ -11,16 +11,17 @@
 const MIN_OBSERVED_SHARE = 0.25
 
 /**
- * Work of a whole task in milliseconds on a worker of speed 1, from a run that succeeded at `now`; undefined when it is not
- * known. `members` are the runs of the gang, or the run alone; they work from the start of the last one, at the speed of the
- * slowest worker, which is `speed`.
+ * Time in milliseconds that a whole task takes, from a run that succeeded at `now`; undefined when it is not known. `members`
+ * are the runs of the gang, or the run alone; they work from the start of the last one.
  */
-export function measureWork (run: Run, members: readonly Run[], speed: number, now: number): number | undefined {
+export function measureElapsed (run: Run, members: readonly Run[], now: number): number | undefined {
   if (run.progress === undefined || members.some(({ confirmedAt }) => confirmedAt === 0)) return undefined
-  const { baseAt, basePercent } = run.progress
+  const { baseAt, basePercent, isWhole } = run.progress
+  // Of the runs that a new leader finds in progress most are long, and they would make its estimates too high.
+  if (isWhole !== true && !run.isResumed) return undefined
   const observedShare = 1 - basePercent / 100
   if (observedShare < MIN_OBSERVED_SHARE) return undefined
   const workingSince = Math.max(baseAt, ...members.map(({ confirmedAt }) => confirmedAt))
-  const workMs = (now - workingSince) * speed / observedShare
-  return workMs > 0 ? workMs : undefined
+  const elapsedMs = (now - workingSince) / observedShare
+  return elapsedMs > 0 ? elapsedMs : undefined
 }
--- a/packages/scheduler/src/core/jobs/runs/run-ends.ts
+++ b/packages/scheduler/src/core/jobs/runs/run-ends.ts
@@ -5,10 +5,11 @@
 
 import type { EndedRun } from '../../../types/events.js'
 import { RunAnomaly, RunEndCause } from '../../../types/events.js'
-import { formatTaskRef, parseTaskRef, StageTaskPhase, type StageSpec, type TaskRef } from '../../../types/jobs.js'
+import { formatTaskRef, parseTaskRef, StageTaskPhase, type StagedJob, type TaskRef } from '../../../types/jobs.js'
 import type { Step } from '../../step.js'
 import { findStageTask } from '../apply-job-decision.js'
-import { measureWork } from '../run-times/run-work.js'
+import type { LearntRunTimes } from '../run-times/learnt-run-times.js'
+import { measureElapsed } from '../run-times/run-work.js'
 import type { Run, WorkerView } from '../workers/worker-view.js'
 import { noteRunAnomaly } from './run-descriptions.js'
 import type { RunOrders } from './run-orders.js'
@@ -30,11 +31,11 @@
   /** Moving average of the run times of a queue in milliseconds, by queue name; no value before the first observed run. */
   readonly meanRunMs = new Map<string, number>()
 
-  private constructor (private readonly orders: RunOrders, private readonly recordsWork: boolean) {}
+  private constructor (private readonly orders: RunOrders, private readonly learnt: LearntRunTimes | undefined) {}
 
-  /** With `recordsWork`, the end of a run says how much work its task was. */
-  static create (orders: RunOrders, recordsWork = false): RunEnds {
-    return new RunEnds(orders, recordsWork)
+  /** With `learnt`, the end of a run says how much work its task was. */
+  static create (orders: RunOrders, learnt?: LearntRunTimes): RunEnds {
+    return new RunEnds(orders, learnt)
   }
 
   /** Handles the end of a run: records a result, or releases the task so that it waits again. */
@@ -42,6 +43,7 @@
     const run = view.runs.get(endedRun.task)
     if (run === undefined || run.run !== endedRun.run) return this.handleUntrackedEnd(step, view, endedRun)
     view.remove(endedRun.task)
+    if (endedRun.cause !== RunEndCause.done) this.learnt?.speeds.forgetRun(view.id, run.task)
     if (run.isOrphan) return this.handleUntrackedEnd(step, view, endedRun)
     clearCrashes(step, run.ref)
     const checkpoint = endedRun.checkpoint === '' ? run.checkpoint : endedRun.checkpoint
@@ -51,7 +53,7 @@
     if (endedRun.cause === RunEndCause.done && !stage.longRunning) {
       this.recordSuccess(view)
       this.recordRunTime(run, job.queue, step.now)
-      const workMs = this.recordsWork ? this.measureWork(step, view, run, stage) : undefined
+      const workMs = this.learnt === undefined ? undefined : this.measureWork(step, view, run, job, this.learnt)
       return stage.gang ? this.completeGang(step, run.ref, run.run, workMs) : this.completeTask(step, run.ref, run.run, workMs)
     }
     if (endedRun.cause === RunEndCause.failed && !stage.longRunning) {
@@ -94,17 +96,23 @@
     })
   }
 
-  private measureWork (step: Step, view: WorkerView, run: Run, { gang }: StageSpec): number | undefined {
-    const members = gang ? this.listMembers(step, run) : []
-    return measureWork(run, [run, ...members], 1, step.now)
+  /** Work of a run that succeeded, and of its gang, which runs at the speed of its slowest worker; undefined when not known. */
+  private measureWork (step: Step, view: WorkerView, run: Run, { queue, spec }: StagedJob, learnt: LearntRunTimes): number | undefined {
+    const stage = spec.stages[run.ref.stage]
+    const members = stage.gang ? this.listMembers(step, run) : []
+    const elapsedMs = measureElapsed(run, [run, ...members.map(member => member.run)], step.now)
+    const speed = Math.min(learnt.speeds.speedOf(view.id), ...members.map(member => learnt.speeds.speedOf(member.view.id)))
+    learnt.recordEnd(view.id, run, queue, stage, elapsedMs, step.now)
+    return elapsedMs === undefined ? undefined : elapsedMs * speed
   }
 
   /** The other runs of a gang that are tracked. */
-  private listMembers (step: Step, { ref, run }: Run): Run[] {
+  private listMembers (step: Step, { ref, run }: Run): Array<{ view: WorkerView, run: Run }> {
     const tasks = step.state.jobs.get(ref.job)?.occurrences.get(ref.occurrence)?.[ref.stage] ?? []
     return tasks.flatMap((task, index) => {
-      const member = this.orders.findPlacement(task)?.runs.get(formatTaskRef({ ...ref, index }))
-      return member?.run === run ? [member] : []
+      const view = this.orders.findPlacement(task)
+      const member = view?.runs.get(formatTaskRef({ ...ref, index }))
+      return view === undefined || member?.run !== run ? [] : [{ view, run: member }]
     })
   }
 
--- a/packages/scheduler/src/core/jobs/runs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/runs/run-manager.ts
@@ -23,6 +23,8 @@
 import { RunEnds } from './run-ends.js'
 import { RunOrders } from './run-orders.js'
 import { SlowRuns } from './slow-runs.js'
+import { LearntRunTimes } from '../run-times/learnt-run-times.js'
+import { DeclaredStragglers, LearntStragglers } from '../run-times/straggler-policy.js'
 import { clearCrashes, isSuspected, WorkerCrashes } from './worker-crashes.js'
 import { createOrphanRun, createRun, isInStartup, isServing, RunStatus, WorkerView, type Run } from '../workers/worker-view.js'
 
@@ -38,7 +40,9 @@
 export class RunManager {
   readonly orders = RunOrders.create()
   readonly ends: RunEnds
-  private readonly slowRuns = SlowRuns.create(this.orders)
+  /** Undefined unless run times are to be learnt. */
+  readonly learnt: LearntRunTimes | undefined
+  private readonly slowRuns: SlowRuns
   private readonly crashes = WorkerCrashes.create()
   /** Cluster time at which this leader took over. */
   private leaderSince = 0
@@ -49,7 +53,9 @@
   private readonly unreachedLeaseMs: number
 
   private constructor (runLeaseMs: number, learntRunTimes: boolean) {
-    this.ends = RunEnds.create(this.orders, learntRunTimes)
+    this.learnt = learntRunTimes ? LearntRunTimes.create() : undefined
+    this.ends = RunEnds.create(this.orders, this.learnt)
+    this.slowRuns = SlowRuns.create(this.orders, this.learnt === undefined ? DeclaredStragglers.create(this.ends.meanRunMs) : LearntStragglers.create(this.learnt))
     this.unreachedLeaseMs = runLeaseMs / (1 - CLOCK_DRIFT) + PREVIOUS_LEADER_MS
   }
 
@@ -66,6 +72,7 @@
   reset (state: ClusterState, now: number): void {
     this.views.clear()
     this.ends.meanRunMs.clear()
+    this.learnt?.reset(state)
     this.crashes.clear()
     this.leaderSince = now
     this.isFencedOff = false
@@ -231,6 +238,8 @@
    */
   tick (step: Step): void {
     this.crashes.forgetOld(step.now)
+    this.learnt?.model.attach(step.state)
+    this.learnt?.speeds.refresh(step.now, this.views)
     for (const view of this.views.values()) {
       if (view.restartedAt > 0) {
         if (step.now - view.restartedAt > this.unreachedLeaseMs) this.forgetWorker(step, view.id, view.worker.incarnation, WorkerLoss.restarted, 'it started again and did not report itself')
@@ -314,11 +323,11 @@
     if (run.stopReason !== '') return this.orders.stopRun(step, view, run, run.stopReason)
     const job = step.state.jobs.get(run.ref.job)
     if (job === undefined || !isLiveJob(job)) return this.orders.stopRun(step, view, run, 'its job is closed')
-    this.slowRuns.stopIfSlow(step, view, run, job, this.ends.meanRunMs.get(job.queue))
+    this.slowRuns.stopIfSlow(step, view, run, job)
   }
 
   private confirmStart (run: Run, now: number): void {
-    if (run.status === RunStatus.starting && !run.isResumed) run.progress ??= { baseAt: now, basePercent: 0 }
+    if (run.status === RunStatus.starting && !run.isResumed) run.progress ??= { baseAt: now, basePercent: 0, isWhole: true }
     run.status = RunStatus.running
     run.hasStarted = true
     run.resendWaitStartsAt = 0
--- a/packages/scheduler/src/core/jobs/runs/run-progress.ts
+++ b/packages/scheduler/src/core/jobs/runs/run-progress.ts
@@ -11,6 +11,10 @@
   baseAt: number
   /** Percent complete at that time. */
   basePercent: number
+  /** Cluster time in milliseconds at which a higher percentage was last reported; undefined before that. */
+  gainedAt?: number
+  /** True if the run was observed from its start; one that a new leader finds in progress is longer than its like on average. */
+  isWhole?: boolean
 }
 
 /** Minimum time over which a speed is computed: over shorter times, rounding of the percentage dominates. */
@@ -33,6 +37,19 @@
   return percent <= progress.basePercent && now - progress.baseAt > STALL_TIMEOUT_MS
 }
 
+/** Share of the upper run time without progress after which a run is stuck; even a task that takes 7 times as long gains a percent by then. */
+const STUCK_SHARE = 0.1
+
+/** Multiple of the time that a run took for each percent so far after which it is stuck if it gains none. */
+const STUCK_FACTOR = 5
+
+/** True when a run has stopped to make progress, however long it takes. `upperMs` is an upper bound of its usual run time. */
+export function isStuck ({ baseAt, basePercent, gainedAt = baseAt }: RunProgress, percent: number, now: number, upperMs: number): boolean {
+  const gainedPercent = percent - basePercent
+  const percentMs = gainedPercent <= 0 ? 0 : (gainedAt - baseAt) / gainedPercent
+  return now - gainedAt > Math.max(STALL_TIMEOUT_MS, STUCK_SHARE * upperMs, STUCK_FACTOR * percentMs)
+}
+
 /** True when a run would finish much sooner if it were restarted on a healthy worker. `expectedMs` is the expected run time. */
 export function isTooSlow (progress: RunProgress, percent: number, now: number, expectedMs: number): boolean {
   const spanMs = now - progress.baseAt
