--- a/packages/scheduler/src/core/jobs/run-times/straggler-policy.ts
+++ b/packages/scheduler/src/core/jobs/run-times/straggler-policy.ts
@@ -71,7 +71,7 @@
   findReason ({ worker, run, queue, stage }: PlacedRun, now: number): string | undefined {
     if (run.progress === undefined) return undefined
     const { baseAt, basePercent } = run.progress
-    const { expectedMs, upperMs, samples } = this.learnt.model.estimate(queue, stage)
+    const { expectedMs, upperMs, samples } = this.learnt.estimate(queue, stage)
     if (isStuck(run.progress, run.percent, now, upperMs)) {
       return `no progress: at ${run.percent} percent after ${now - baseAt} ms, expected ${Math.round(expectedMs)} ms, at most ${Math.round(upperMs)} ms by ${Math.round(samples)} runs`
     }
--- a/packages/scheduler/src/core/jobs/run-times/worker-speeds.ts
+++ b/packages/scheduler/src/core/jobs/run-times/worker-speeds.ts
@@ -16,6 +16,9 @@
 /** Share of its usual speed below which a worker is slow; work restarted elsewhere then ends sooner even at some cost. */
 const SLOW_SHARE = 0.5
 
+/** Share of its usual speed below which the overall estimate of a worker makes it worth a closer look. */
+const SUSPICIOUS_SHARE = 0.85
+
 /** Least usual speed that is assumed of a worker, relative to the mean, so that one that was never fast can be slow as well. */
 const MIN_USUAL_SPEED = 0.6
 
@@ -109,8 +112,10 @@
   /** Evidence that the worker of a run is slow, without that run itself; undefined when there is none. */
   findSlowEvidence (worker: string, run: Run, now: number): SlowEvidence | undefined {
     const record = this.records.get(worker)
-    const others = record?.estimateWithout(run, this.centre, now, SUDDEN_VARIANCE)
-    if (record === undefined || others === undefined || others.samples === 0) return undefined
+    // Checked first because it is cheap: the overall estimate of a slow worker is well below its usual speed.
+    if (record === undefined || record.estimate.log - this.centre > (record.usual ?? 0) + Math.log(SUSPICIOUS_SHARE)) return undefined
+    const others = record.estimateWithout(run, this.centre, now, SUDDEN_VARIANCE)
+    if (others.samples === 0) return undefined
     const usual = Math.max(record.usual ?? 0, Math.log(MIN_USUAL_SPEED))
     const upper = others.log - this.centre + SLOW_CONFIDENCE * Math.sqrt(others.variance)
     const limit = usual + Math.log(SLOW_SHARE)
--- a/packages/scheduler/src/core/jobs/runs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/runs/run-manager.ts
@@ -72,7 +72,7 @@
   reset (state: ClusterState, now: number): void {
     this.views.clear()
     this.ends.meanRunMs.clear()
-    this.learnt?.reset(state)
+    this.learnt?.reset(state, now)
     this.crashes.clear()
     this.leaderSince = now
     this.isFencedOff = false
@@ -238,8 +238,7 @@
    */
   tick (step: Step): void {
     this.crashes.forgetOld(step.now)
-    this.learnt?.model.attach(step.state)
-    this.learnt?.speeds.refresh(step.now, this.views)
+    this.learnt?.tick(step.state, this.views, step.now)
     for (const view of this.views.values()) {
       if (view.restartedAt > 0) {
         if (step.now - view.restartedAt > this.unreachedLeaseMs) this.forgetWorker(step, view.id, view.worker.incarnation, WorkerLoss.restarted, 'it started again and did not report itself')
