--- a/packages/runtime/src/core/metrics-registry.ts
+++ b/packages/runtime/src/core/metrics-registry.ts
@@ -5,6 +5,7 @@
  */
 
 import { isClosedInTime, type ClusterState, type Decision, type Effect } from '@flamingorouter/scheduler'
+import { EstimateErrors } from './estimate-errors.js'
 import { MetricsRecorder } from './metrics-recorder.js'
 
 /** Upper bounds of the histogram buckets in milliseconds. */
@@ -16,6 +17,7 @@
 export class MetricsRegistry extends MetricsRecorder {
   private readonly counters = new Map<string, number>()
   private readonly histograms = new Map<string, Histogram>()
+  private readonly estimateErrors = EstimateErrors.create()
   private readonly gauges = new Map<string, () => number>()
 
   static create (): MetricsRegistry {
@@ -62,6 +64,7 @@
   override recordDecisions (decisions: readonly Decision[], state: ClusterState, now: number): void {
     for (const decision of decisions) {
       this.incrementCounter('decisions_total', `kind="${decision.kind}"`)
+      if (decision.kind === 'runEnded') this.estimateErrors.record(decision, state)
       if (decision.kind === 'jobClosed') this.recordClosing(decision.id, state, now)
       if (decision.kind === 'runPlaced' && isFirstRun(decision)) this.recordFirstPlacement(decision.ref.job, state, now)
     }
@@ -94,6 +97,10 @@
     const lines: string[] = []
     for (const [key, value] of this.counters) lines.push(`flamingorouter_${key} ${value}`)
     for (const [name, read] of this.gauges) lines.push(`flamingorouter_${name} ${read()}`)
+    for (const { queue, p50, p90 } of this.estimateErrors.list()) {
+      lines.push(`flamingorouter_run_time_error_ratio{queue="${queue}",quantile="0.5"} ${p50.toFixed(2)}`)
+      lines.push(`flamingorouter_run_time_error_ratio{queue="${queue}",quantile="0.9"} ${p90.toFixed(2)}`)
+    }
     for (const [key, histogram] of this.histograms) lines.push(...renderHistogram(key, histogram))
     return `${lines.join('\n')}\n`
   }
--- a/packages/scheduler/src/core/jobs/run-times/straggler-policy.ts
+++ b/packages/scheduler/src/core/jobs/run-times/straggler-policy.ts
@@ -17,9 +17,6 @@
 /** Factor by which a restart must end sooner, since the placement may have to wait for capacity. */
 const RESTART_GAIN = 1.3
 
-/** The same for a gang, which waits until there is capacity for all of it. */
-const GANG_RESTART_GAIN = 2
-
 /** A run on a worker, with its stage. */
 export interface PlacedRun { worker: string, run: Run, queue: string, stage: StageSpec }
 
@@ -75,6 +72,7 @@
     if (isStuck(run.progress, run.percent, now, upperMs)) {
       return `no progress: at ${run.percent} percent after ${now - baseAt} ms, expected ${Math.round(expectedMs)} ms, at most ${Math.round(upperMs)} ms by ${Math.round(samples)} runs`
     }
+    // Restarting a whole gang for one slow member discarded far more work in replays than it saved.
     if (stage.gang || expectedMs === 0) return undefined
     const evidence = this.learnt.speeds.findSlowEvidence(worker, run, now)
     if (evidence === undefined) return undefined
@@ -83,7 +81,7 @@
     const hereMs = workMs * (100 - run.percent) / 100 / evidence.speed
     // A stop saves a checkpoint if the task has any.
     const elsewhereMs = workMs * (stage.checkpoints ? 100 - run.percent : 100) / 100 + RESTART_MS
-    if (hereMs < (stage.gang ? GANG_RESTART_GAIN : RESTART_GAIN) * elsewhereMs) return undefined
+    if (hereMs < RESTART_GAIN * elsewhereMs) return undefined
     return `slow worker: at ${run.percent} percent after ${now - baseAt} ms, ${Math.round(hereMs)} ms left here, ${Math.round(elsewhereMs)} ms elsewhere; ` +
       `worker speed ${evidence.speed.toFixed(2)}, usually ${evidence.usualSpeed.toFixed(2)}, by ${evidence.samples} other stages; ` +
       `expected ${Math.round(expectedMs)} ms, at most ${Math.round(upperMs)} ms by ${Math.round(samples)} runs`
