--- a/packages/scheduler/__tests__/worker-speeds.test.ts
+++ b/packages/scheduler/__tests__/worker-speeds.test.ts
@@ -22,7 +22,7 @@
   readonly real: Map<string, number>
   /** Work of the ended runs, by worker, computed with the learnt speeds. */
   readonly work = new Map<string, number[]>()
-  private readonly views = new Map<string, { runs: Map<string, Run> }>()
+  private readonly views = new Map<string, { runs: Map<string, Run>, speedLog: number }>()
   private readonly doneMs = new Map<Run, number>()
   private readonly workMs = new Map<Run, number>()
   private readonly random = Random.create(5)
@@ -31,7 +31,7 @@
 
   private constructor (speeds: readonly number[]) {
     this.real = new Map(speeds.map((speed, index) => [`worker-${index}`, speed]))
-    for (const worker of this.real.keys()) this.views.set(worker, { runs: new Map() })
+    for (const worker of this.real.keys()) this.views.set(worker, { runs: new Map(), speedLog: 0 })
   }
 
   static create (speeds: readonly number[]): SpeedScript {
@@ -163,7 +163,7 @@
         run.percent += task === 'job-0/0/0/0' ? 4 : 30
         speeds.recordProgress('one', run, WORK, now)
       }
-      speeds.refresh(now, new Map([['one', { runs }], ['two', { runs: new Map() }]]))
+      speeds.refresh(now, new Map([['one', { runs, speedLog: 0 }], ['two', { runs: new Map(), speedLog: 0 }]]))
     }
     assert.ok(speeds.speedOf('one') > 0.8, `${speeds.speedOf('one')}`)
   })
@@ -172,7 +172,7 @@
 describe('the choice of a worker', () => {
   /** The score of a worker with some free capacity and a speed, for a task of a queue; the lowest one is chosen. */
   function score (priority: number, millicores: number, speed: number): number {
-    const candidate = { view: { failureRate: 0 }, free: { millicores, memoryMib: 0, accelerators: 0 }, speedLog: Math.log(speed), isReserved: false }
+    const candidate = { view: { failureRate: 0, speedLog: Math.log(speed) }, free: { millicores, memoryMib: 0, accelerators: 0 }, isReserved: false }
     const unit = { spec: createStage(), queue: { priority } }
     return computeScore(candidate as unknown as Candidate, unit as unknown as SchedulingUnit, new Map())
   }
--- a/packages/scheduler/src/core/jobs/placement/candidate-score.ts
+++ b/packages/scheduler/src/core/jobs/placement/candidate-score.ts
@@ -49,7 +49,7 @@
  */
 export function computeScore (candidate: Candidate, { spec, queue }: SchedulingUnit, taskCounts: ReadonlyMap<string, number>): number {
   let score = candidate.free.millicores + FAILURE_PENALTY * candidate.view.failureRate
-  if (queue.priority === 0) score -= SPEED_BONUS * candidate.speedLog
+  if (queue.priority === 0) score -= SPEED_BONUS * candidate.view.speedLog
   if (spec.fills) score = (isServing(candidate.view) ? SERVING_PENALTY : 0) - candidate.free.millicores
   if (candidate.isReserved && !spec.gang) score += RESERVED_PENALTY
   if (spec.dataRack !== '' && candidate.view.worker.rack !== spec.dataRack) score += REMOTE_PENALTY
--- a/packages/scheduler/src/core/jobs/placement/candidate.ts
+++ b/packages/scheduler/src/core/jobs/placement/candidate.ts
@@ -14,8 +14,6 @@
 export interface Candidate {
   view: WorkerView
   free: Amounts
-  /** Logarithm of its speed relative to its peers; 0 where speeds are not learnt. */
-  speedLog: number
   /** Capacity that runs being stopped will release, less what is reserved of it; computed on first use. */
   releasing: Amounts | undefined
   /** True when units reserved capacity there in the previous pass. */
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -21,7 +21,6 @@
 import type { SchedulingUnit } from '../order/scheduling-units.js'
 import type { Run, WorkerView } from '../workers/worker-view.js'
 import { add, applyDemand, fits, getReleasing, isBelowLimit, isEligible, reserveTask, sumAvailable, type Amounts, type Candidate } from './candidate.js'
-import type { WorkerSpeeds } from '../run-times/worker-speeds.js'
 import { pickCandidate } from './candidate-score.js'
 import { listPreemptible } from './preemptible-runs.js'
 
@@ -106,8 +105,7 @@
     views: Iterable<WorkerView>,
     private readonly tickets: AdmissionTickets,
     private readonly now: number,
-    previouslyReserved: ReadonlySet<string>,
-    speeds: WorkerSpeeds | undefined
+    previouslyReserved: ReadonlySet<string>
   ) {
     let probedCount = 0
     for (const view of views) {
@@ -115,18 +113,18 @@
       if (!view.isSilent && view.isProbed(now)) probedCount += 1
       if (!view.isSchedulable(now)) continue
       const free = { millicores: view.freeMillicores, memoryMib: view.freeMemoryMib, accelerators: view.freeAccelerators }
-      const candidate = { view, free, speedLog: speeds?.speedLogOf(view.id) ?? 0, releasing: undefined, isReserved: previouslyReserved.has(view.id), suspectUnit: undefined, isChosen: false, preemptible: undefined }
+      const candidate = { view, free, releasing: undefined, isReserved: previouslyReserved.has(view.id), suspectUnit: undefined, isChosen: false, preemptible: undefined }
       this.candidates.push(candidate)
       this.candidatesById.set(view.id, candidate)
     }
     this.suspectWorkersLeft = Math.max(1, Math.floor(SUSPECT_WORKER_SHARE * (this.candidates.length + probedCount))) - probedCount
   }
 
-  /** `previouslyReserved` contains the ids of workers on which units reserved capacity in the previous pass; `speeds` is absent where speeds are not learnt. */
+  /** `previouslyReserved` contains the ids of workers on which units reserved capacity in the previous pass. */
   static create (
-    views: Iterable<WorkerView>, tickets: AdmissionTickets, now: number, previouslyReserved: ReadonlySet<string> = new Set(), speeds?: WorkerSpeeds
+    views: Iterable<WorkerView>, tickets: AdmissionTickets, now: number, previouslyReserved: ReadonlySet<string> = new Set()
   ): PlacementPass {
-    return new PlacementPass(views, tickets, now, previouslyReserved, speeds)
+    return new PlacementPass(views, tickets, now, previouslyReserved)
   }
 
   /** Places the tasks of a unit as far as possible; for the rest, reserves capacity and queries the admission service. */
--- a/packages/scheduler/src/core/jobs/run-times/worker-speeds.ts
+++ b/packages/scheduler/src/core/jobs/run-times/worker-speeds.ts
@@ -95,7 +95,7 @@
   }
 
   /** Computes the mean of all workers again, in intervals, and forgets workers and runs that `views` no longer contains. */
-  refresh (now: number, views: ReadonlyMap<string, { runs: ReadonlyMap<string, Run> }>): void {
+  refresh (now: number, views: ReadonlyMap<string, { runs: ReadonlyMap<string, Run>, speedLog: number }>): void {
     if (now - this.centreAt < CENTRE_INTERVAL_MS) return
     this.centreAt = now
     let sum = 0
@@ -112,6 +112,8 @@
       weight += 1 / variance
     }
     if (weight > 0) this.centre = sum / weight
+    // Kept with the worker because a pass reads it for each pair of a task and a worker.
+    for (const [worker, view] of views) view.speedLog = this.speedLogOf(worker)
   }
 
   /** Evidence that the worker of a run is slow, without that run itself; undefined when there is none. */
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -239,7 +239,7 @@
   private runPass (step: Step): void {
     this.isPassDue = false
     this.lastPassAt = step.now
-    const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, this.runManager.learnt?.speeds)
+    const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers)
     const units = sortUnits(this.units.list(), step.now)
     const considered = units.slice(0, PASS_UNIT_LIMIT)
     const orphans = this.runManager.listOrphans()
--- a/packages/scheduler/src/core/jobs/workers/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -112,6 +112,8 @@
   cooldownUntil = 0
   /** Moving average of the share of runs on this worker that failed, 0 to 1. */
   failureRate = 0
+  /** Logarithm of its speed relative to its peers, computed again in intervals; 0 where speeds are not learnt. */
+  speedLog = 0
   private usedMillicores = 0
   private usedMemoryMib = 0
   private usedAccelerators = 0
