--- a/bench/support/drawn-jobs.ts
+++ b/bench/support/drawn-jobs.ts
@@ -34,12 +34,20 @@
   allowedShare: number
   /** Standard deviation of the logarithm of the declared run time over the real one; absent for a declared time that is off by 0.3 at most. */
   estimateDeviation?: number
+  /** Factor by which declared times are off on average; 1 when absent. */
+  declaredFactor?: number
+  /** Share of tasks, or of gangs, that take LONG_FACTOR times as long as the rest; 0 when absent. */
+  longShare?: number
+  /** Returns the factor by which the work of tasks that are submitted at a time is multiplied; their declared times stay. */
+  workFactor?: (now: number) => number
 }
 
 /** Standard deviation of the logarithm of the run time of a task. */
 const WORK_DEVIATION = 0.45
 /** Standard deviation of the logarithm of the number of tasks of a stage. */
 const SIZE_DEVIATION = 0.6
+/** Multiple of its usual run time that a long task takes; see `longShare`. */
+const LONG_FACTOR = 7
 /** Share of the credit of a mean job that each job has regardless of its work; the rest is proportional to its work. */
 const FIXED_CREDIT_SHARE = 0.3
 /** Upper limit of the credit of a job, as a multiple of the credit of a mean job. */
@@ -51,7 +59,8 @@
 /** Size of the workers, which limits the size of a task. */
 interface WorkerSize { workerMillicores: number, workerMemoryMib: number }
 
-export function drawJob (jobClass: JobClass, random: Random, size: WorkerSize): DrawnJob {
+/** Draws a job that is submitted at a time. */
+export function drawJob (jobClass: JobClass, random: Random, size: WorkerSize, now: number): DrawnJob {
   const savesCheckpoints = random.sampleFraction() < jobClass.checkpointShare
   const gang = random.sampleFraction() < jobClass.gangShare
   const stages: StageSpec[] = []
@@ -61,7 +70,8 @@
     // A log-normal sample is drawn by its median, which is below the mean; hence the factors below 1.
     const taskCount = Math.max(1, Math.round(random.sampleLogNormal(jobClass.tasksPerStage * 0.8, SIZE_DEVIATION)))
     const taskMs = Math.min(jobClass.maxTaskMs, random.sampleLogNormal(jobClass.taskMs * 0.9, WORK_DEVIATION))
-    taskWorkMs.push(Array.from({ length: taskCount }, () => taskMs * (gang ? 1 : 0.85 + 0.3 * random.sampleFraction())))
+    const factor = (jobClass.workFactor?.(now) ?? 1) * (gang ? drawLongFactor(jobClass, random) : 1)
+    taskWorkMs.push(Array.from({ length: taskCount }, () => factor * taskMs * (gang ? 1 : (0.85 + 0.3 * random.sampleFraction()) * drawLongFactor(jobClass, random))))
     stages.push(drawStage(jobClass, random, size, { stage, taskCount, taskMs, gang, checkpoints: savesCheckpoints }))
   }
   const criticalPathMs = taskWorkMs.reduce((sum, tasks) => sum + Math.max(...tasks), 0)
@@ -85,7 +95,7 @@
       memoryMib: Math.min(size.workerMemoryMib / 2.5, Math.round(random.sampleLogNormal(jobClass.memoryMib * 0.87, 0.5))),
       accelerators: 0
     },
-    estimateMs: Math.round(drawEstimate(taskMs, random, jobClass.estimateDeviation)),
+    estimateMs: Math.round((jobClass.declaredFactor ?? 1) * drawEstimate(taskMs, random, jobClass.estimateDeviation)),
     dependsOn: stage === 0 ? [] : [stage - 1],
     checkpoints,
     gang,
@@ -105,3 +115,7 @@
 function drawEstimate (taskMs: number, random: Random, deviation: number | undefined): number {
   return deviation === undefined ? taskMs * (0.7 + 0.6 * random.sampleFraction()) : random.sampleLogNormal(taskMs, deviation)
 }
+
+function drawLongFactor ({ longShare }: JobClass, random: Random): number {
+  return longShare !== undefined && random.sampleFraction() < longShare ? LONG_FACTOR : 1
+}
--- a/bench/support/staged-job-simulation.ts
+++ b/bench/support/staged-job-simulation.ts
@@ -6,7 +6,7 @@
 
 import {
   isLiveJob, OrderOutcome, parseTaskRef, RunEndCause, Scheduler, StagedJobs, stageKey,
-  type ClientAccount, type Effect, type Event, type JobPhase, type ReportedRun
+  type ClientAccount, type Effect, type Event, type JobPhase, type Limits, type ReportedRun
 } from '../../packages/scheduler/src/index.js'
 import { createClientAccount, createStreams, type AccountReport, type JobStream, type SimulatedAccount } from './account-load.js'
 import { drawJob, type DrawnJob, type JobClass } from './drawn-jobs.js'
@@ -14,7 +14,7 @@
 import { Random } from './random.js'
 import { SimulatedAdmission } from './simulated-admission.js'
 import { SimulatedCallers, type LeaderlessTime } from './simulated-callers.js'
-import { WorkerModel, type ActiveRun } from './simulated-worker.js'
+import { ActiveRun, WorkerModel, type Slowdown } from './simulated-workers.js'
 
 export type { JobClass } from './drawn-jobs.js'
 
@@ -43,6 +43,10 @@
   reportsBusyEntries?: boolean
   /** Client accounts that share the arrivals of each queue; without them the jobs have none. */
   sharedBy?: readonly SimulatedAccount[]
+  /** Speeds of the workers, in turn; all 1 when absent. */
+  speeds?: readonly number[]
+  slowdown?: Slowdown
+  limits?: Partial<Limits>
 }
 
 /**
@@ -81,6 +85,10 @@
   /** Time spent in the scheduler, in milliseconds. */
   decisionMs = 0
   stops = 0
+  /** Number of stops by the first words of their reasons. */
+  readonly stopsByReason = new Map<string, number>()
+  /** Time on workers that was lost because runs were stopped, in millicores times milliseconds. */
+  discardedMillicoreMs = 0
   starts = 0
   /** Submissions that were refused. */
   refusals = 0
@@ -90,7 +98,7 @@
   /** Draws the jobs; the runs have a source of their own, so that the jobs do not depend on the decisions. */
   private readonly random: Random
   private readonly runRandom: Random
-  private readonly scheduler = Scheduler.create([StagedJobs.create()])
+  private readonly scheduler: Scheduler
   private readonly models = new Map<string, WorkerModel>()
   private readonly jobs = new Map<string, SubmittedJob>()
   readonly admission: SimulatedAdmission
@@ -102,6 +110,7 @@
   readonly longestWaitMs = new Map<string, number>()
 
   private constructor (private readonly classes: readonly JobClass[], private readonly options: StagedJobSimulationOptions) {
+    this.scheduler = Scheduler.create([StagedJobs.create(options.limits)])
     this.random = Random.create(options.seed)
     this.runRandom = Random.create(options.seed + 1)
     this.admission = SimulatedAdmission.create(options.entries, options.reportsBusyEntries !== false)
@@ -120,7 +129,7 @@
   }
 
   private setUp (): void {
-    const { workers, workerMillicores, workerMemoryMib, accounts, sharedBy } = this.options
+    const { workers, workerMillicores, workerMemoryMib, accounts, sharedBy, speeds = [1] } = this.options
     this.scheduler.startLeading(0)
     this.handleEvent({
       kind: 'configureCell',
@@ -140,7 +149,7 @@
         capacity: { millicores: workerMillicores, memoryMib: workerMemoryMib, accelerators: 0 },
         isDraining: false,
         hasLeft: false
-      })
+      }, speeds[index % speeds.length])
       this.models.set(model.facts.id, model)
       this.handleEvent({ kind: 'workerReported', call: 0, worker: model.facts })
       this.clock.schedule(index, () => { this.sendListsPeriodically(model) })
@@ -148,6 +157,7 @@
     this.scheduleTick()
     this.scheduleTakeover()
     for (const stream of createStreams(this.classes, sharedBy, this.random, this.options.seed)) this.scheduleArrival(stream)
+    this.scheduleSlowdown()
   }
 
   private get callLatencyMs (): number {
@@ -186,6 +196,19 @@
     })
   }
 
+  private scheduleSlowdown (): void {
+    const { slowdown } = this.options
+    if (slowdown === undefined) return
+    const models = slowdown.workers.flatMap(index => this.models.get(`worker-${index}`) ?? [])
+    this.clock.schedule(slowdown.fromMs, () => { for (const model of models) this.changeSpeed(model, slowdown.factor) })
+    this.clock.schedule(slowdown.toMs, () => { for (const model of models) this.changeSpeed(model, 1 / slowdown.factor) })
+  }
+
+  private changeSpeed (model: WorkerModel, factor: number): void {
+    model.speed *= factor
+    for (const active of model.active.values()) this.startWork(active.gang === '' ? [{ model, active }] : this.listGangMembers(active.gang, active.progress.run))
+  }
+
   private reportEntries (): void {
     this.handleEvent({ kind: 'advisorsChanged', entries: this.admission.listEntries(this.clock.now) })
   }
@@ -202,7 +225,7 @@
 
   private submitJob ({ jobClass, account, random }: JobStream): void {
     this.lastJob += 1
-    const job = drawJob(jobClass, random, this.options)
+    const job = drawJob(jobClass, random, this.options, this.clock.now)
     const { queue: { name } } = jobClass
     const id = account === undefined ? `${name}-${this.lastJob}` : `${name}-${account.name}-${this.lastJob}`
     this.jobs.set(id, { ...job, sends: 0, account, submittedAt: this.clock.now, startedAt: undefined })
@@ -236,7 +259,7 @@
       case 'askAdmission': return this.forwardQuery(effect)
       case 'refuse': return this.handleRefusal(effect)
       case 'startRun': return this.startRun(effect)
-      case 'stopRun': return this.stopRun(effect.worker.id, effect.task, effect.run)
+      case 'stopRun': return this.stopRun(effect)
       case 'ackEnds': {
         const model = this.models.get(effect.id)
         if (model !== undefined) model.ended = model.ended.filter(endedRun => endedRun.number > effect.cursor)
@@ -270,14 +293,28 @@
     const doneMs = Number(checkpoint === '' ? 0 : checkpoint)
     const workMs = job.taskWorkMs[ref.stage][ref.index] + (doneMs > 0 ? CHECKPOINT_RESTORE_MS : 0)
     const fails = run === 1 && this.runRandom.sampleFraction() < job.jobClass.failureShare
-    const active: ActiveRun = { progress: { task, run, checkpoint, percent: 0, load: 0 }, workMs, doneMs, workingSince: this.clock.now, fails, gang: stage.gang ? stageKey(ref) : '', isStopping: false }
+    const progress: ReportedRun = { task, run, checkpoint, percent: 0, load: 0 }
+    const active = ActiveRun.create(progress, workMs, doneMs, fails, stage.gang ? stageKey(ref) : '', this.clock.now)
     model.active.set(task, active)
     this.handleEvent({ kind: 'runOrdered', id: worker.id, incarnation: 1, order: 'start', task, run, outcome: OrderOutcome.done, unanswered: 0, sentAt: this.clock.now })
     // The tasks of a gang begin to work when the last of them has started.
-    if (active.gang !== '' && this.listGangMembers(active.gang, run).length < stage.taskCount) return
     const members = active.gang === '' ? [{ model, active }] : this.listGangMembers(active.gang, run)
-    for (const member of members) member.active.workingSince = this.clock.now
-    this.clock.schedule(Math.max(1, workMs - doneMs), () => { this.endRuns(members) })
+    if (active.gang === '' || members.length >= stage.taskCount) this.startWork(members)
+  }
+
+  /** Runs work at the speed of their worker, gangs at that of the slowest one. */
+  private startWork (members: Array<{ model: WorkerModel, active: ActiveRun }>): void {
+    const { now } = this.clock
+    const speed = Math.min(...members.map(({ model }) => model.speed))
+    for (const { active } of members) {
+      active.setSpeed(speed, now)
+      active.endSchedule += 1
+    }
+    const { active } = members[members.length - 1]
+    const { endSchedule } = active
+    this.clock.schedule(active.countLeft(now), () => {
+      if (active.endSchedule === endSchedule) this.endRuns(members)
+    })
   }
 
   private listGangMembers (gang: string, run: number): Array<{ model: WorkerModel, active: ActiveRun }> {
@@ -291,8 +328,10 @@
     for (const { model, active } of members) this.endRun(model, active, failed === undefined ? RunEndCause.done : active === failed.active ? RunEndCause.failed : RunEndCause.broken)
   }
 
-  private stopRun (worker: string, task: string, run: number): void {
+  private stopRun ({ worker: { id: worker }, task, run, reason }: Extract<Effect, { kind: 'stopRun' }>): void {
     const model = this.models.get(worker)
+    const kind = reason.split(/:| to free/)[0]
+    this.stopsByReason.set(kind, (this.stopsByReason.get(kind) ?? 0) + 1)
     const active = model?.active.get(task)
     this.stops += 1
     this.handleEvent({ kind: 'runOrdered', id: worker, incarnation: 1, order: 'stop', task, run, outcome: OrderOutcome.done, unanswered: 0, sentAt: this.clock.now })
@@ -305,17 +344,19 @@
     if (model.active.get(active.progress.task) !== active) return
     model.active.delete(active.progress.task)
     model.lastEndNumber += 1
-    model.ended.push({ number: model.lastEndNumber, task: active.progress.task, run: active.progress.run, cause, checkpoint: this.getCheckpoint(active, cause) })
+    const checkpoint = this.getCheckpoint(active, cause)
+    model.ended.push({ number: model.lastEndNumber, task: active.progress.task, run: active.progress.run, cause, checkpoint })
     const ref = parseTaskRef(active.progress.task)
     const resources = this.jobs.get(ref?.job ?? '')?.spec.stages[ref?.stage ?? 0].resources
     if (cause === RunEndCause.done) this.busyMillicoreMs += (resources?.millicores ?? 0) * active.workMs
+    if (cause === RunEndCause.stopped) this.discardedMillicoreMs += (resources?.millicores ?? 0) * active.countLostTime(Number(checkpoint), this.clock.now)
     this.clock.schedule(this.callLatencyMs, () => { this.sendList(model) })
   }
 
   private getCheckpoint (active: ActiveRun, cause: RunEndCause): string {
     const ref = parseTaskRef(active.progress.task)
     if (this.jobs.get(ref?.job ?? '')?.savesCheckpoints !== true || cause === RunEndCause.done) return ''
-    const doneMs = Math.min(active.workMs - 1, active.doneMs + this.clock.now - active.workingSince)
+    const doneMs = Math.min(active.workMs - 1, active.countDone(this.clock.now))
     return String(Math.round(cause === RunEndCause.stopped ? doneMs : doneMs - doneMs % CHECKPOINT_INTERVAL_MS))
   }
 
@@ -326,8 +367,8 @@
 
   private sendList (model: WorkerModel): void {
     const { now } = this.clock
-    const running = [...model.active.values()].map(({ progress, workMs, doneMs, workingSince }): ReportedRun => {
-      return { ...progress, percent: Math.min(99, Math.floor((doneMs + now - workingSince) * 100 / workMs)) }
+    const running = [...model.active.values()].map((active): ReportedRun => {
+      return { ...active.progress, percent: Math.min(99, Math.floor(active.countDone(now) * 100 / active.workMs)) }
     })
     this.handleEvent({ kind: 'workerListed', id: model.facts.id, incarnation: 1, sentAt: now, running, ended: [...model.ended] })
   }
