--- a/packages/scheduler/src/core/jobs/job-requests.ts
+++ b/packages/scheduler/src/core/jobs/job-requests.ts
@@ -44,7 +44,7 @@
   if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
   const capFault = findCapFault(event.spec.stages, step.state.cell, account, accountOverage)
   if (capFault !== '') return refuseConfirmed(event.call, step, ErrorKind.infeasible, capFault)
-  const isBeyondWeight = owedJobs.isBeyondWeight(findAccount(step.state.cell, account ?? ''), step.now)
+  const isBeyondWeight = isOneTime(event.spec) && owedJobs.isBeyondWeight(findAccount(step.state.cell, account ?? ''), step.now)
   const heldMs = Math.min(HELD_LIMIT_MS, Math.max(0, event.heldMs ?? 0))
   step.decide({
     kind: 'jobAccepted',
@@ -183,3 +183,8 @@
   const { millicores, memoryMib, accelerators } = stage.resources
   return [millicores, memoryMib, accelerators].some(amount => !(amount >= 0)) ? 'an amount of its resources is negative or not a number' : ''
 }
+
+/** True for a job that ends by itself. Others would keep for their whole life that they were submitted in a burst. */
+function isOneTime ({ stages, recurrence }: JobSpec): boolean {
+  return recurrence === undefined && stages.every(({ longRunning }) => !longRunning)
+}
--- a/packages/scheduler/src/core/jobs/placement/entry-reserve.ts
+++ b/packages/scheduler/src/core/jobs/placement/entry-reserve.ts
@@ -20,6 +20,6 @@
 
 /** Number of idle entries that a query for a unit leaves to more urgent ones. */
 export function countReservedEntries ({ queue, isBeyondWeight }: SchedulingUnit, entryCount: number): number {
-  if (isBeyondWeight === true) return Math.floor(OWED_ENTRY_SHARE * entryCount)
-  return queue.priority === 0 ? 0 : Math.max(URGENT_ENTRY_RESERVE, Math.ceil(URGENT_ENTRY_SHARE * entryCount))
+  const reserved = queue.priority === 0 ? 0 : Math.max(URGENT_ENTRY_RESERVE, Math.ceil(URGENT_ENTRY_SHARE * entryCount))
+  return isBeyondWeight === true ? Math.max(reserved, Math.floor(OWED_ENTRY_SHARE * entryCount)) : reserved
 }
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -117,13 +117,8 @@
     this.suspectWorkersLeft = Math.max(1, Math.floor(SUSPECT_WORKER_SHARE * (this.candidates.length + probedCount))) - probedCount
   }
 
-  /**
-   * `previouslyReserved` contains the ids of workers on which units reserved capacity in the previous pass; `usage` is what
-   * the accounts have before the pass, if any account has a cap.
-   */
-  static create (
-    views: Iterable<WorkerView>, tickets: AdmissionTickets, now: number, previouslyReserved: ReadonlySet<string> = new Set(), usage?: AccountUsage
-  ): PlacementPass {
+  /** `previouslyReserved`: workers on which units reserved capacity in the previous pass; `usage`: what accounts have before this one. */
+  static create (views: Iterable<WorkerView>, tickets: AdmissionTickets, now: number, previouslyReserved: ReadonlySet<string> = new Set(), usage?: AccountUsage): PlacementPass {
     return new PlacementPass(views, tickets, now, previouslyReserved, usage)
   }
 
@@ -138,6 +133,11 @@
     return startable !== undefined
   }
 
+  /** True when some worker would be large enough for a task of the unit if it were empty. */
+  hasWorkerFor (unit: SchedulingUnit): boolean {
+    return this.listEligible(unit).some(({ view }) => fits(view.worker.capacity, unit.spec.resources, unit.spec.fills))
+  }
+
   /** Places the tasks of a unit as far as possible; for the rest, reserves capacity and queries the admission service. */
   private placeUnit (unit: SchedulingUnit): void {
     const candidates = this.listEligible(unit)
@@ -266,7 +266,8 @@
       }
     }
     // Later units of its account must not use the room under the cap that this capacity is being released for.
-    this.usage?.charge(unit.account, unit.spec.resources, missing - open)
+    // A gang that cannot have all of its capacity yet starts in no case, and must not use up the cap.
+    if (!unit.spec.gang || open === 0) this.usage?.charge(unit.account, unit.spec.resources, missing - open)
     if (open > 0 && (unit.spec.gang || isLarge(unit))) this.reserveFreest(unit, allowed, open, reservedIds)
     return reservedIds
   }
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -45,6 +45,12 @@
  */
 const PAIRS_PER_PAUSE_MS = 1_000
 
+/**
+ * Where the cell has accounts, the pause is also one millisecond for this many units: those that a cap or a weight holds back
+ * are looked at in each pass, at 1.2 microseconds each.
+ */
+const UNITS_PER_PAUSE_MS = 200
+
 /** Maximum pause between two passes; short enough not to delay urgent work noticeably. */
 const PASS_PAUSE_LIMIT_MS = 60
 
@@ -262,8 +268,10 @@
     this.lastPassAt = step.now
     const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, this.computeAccountUsage(step.state))
     const order = createUnitOrder(step.state.cell, this.runManager.views.values(), this.cellUse, step.now)
-    const considered = this.placeUnits(pass, order.sort(this.units.list(), step.now))
-    this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, considered * this.runManager.views.size / PAIRS_PER_PAUSE_MS)
+    const units = order.sort(this.units.list(), step.now)
+    const considered = this.placeUnits(pass, units)
+    const heldPauseMs = hasAccounts(step.state.cell) ? units.length / UNITS_PER_PAUSE_MS : 0
+    this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, Math.max(heldPauseMs, considered * this.runManager.views.size / PAIRS_PER_PAUSE_MS))
     this.reservedWorkers = pass.reservedWorkers
     for (const query of pass.queries) this.queryAdmission(step, query)
     for (const { view, run, unit } of pass.preemptions) this.runManager.orders.stopRun(step, view, run, `preempted to free capacity for ${unit.key}`)
@@ -291,8 +299,8 @@
       const isBeyondWeight = (unit: SchedulingUnit): boolean => unit.isBeyondWeight === true
       const owed = suspected.filter(unit => !isBeyondWeight(unit))
       for (const unit of [...owed, ...others, ...suspected.filter(isBeyondWeight)]) {
-        const isPlaced = (!isBeyondWeight(unit) || beyondCount < BEYOND_WEIGHT_UNIT_LIMIT) && pass.place(unit)
-        if (!isPlaced) held.add(unit.key)
+        const isTried = (!isBeyondWeight(unit) || (beyondCount < BEYOND_WEIGHT_UNIT_LIMIT && pass.hasWorkerFor(unit))) && pass.place(unit)
+        if (!isTried) held.add(unit.key)
         else if (isBeyondWeight(unit)) beyondCount += 1
       }
       considered += group.length - held.size
