Bound what a pause, an unknown length and long names do to learnt run times

Found by a review, each shown by a run: after a pause of over a minute the usual speed of a worker diverged (to 1e94 after five pauses of 15 minutes); a run of which nothing is known was stopped three times after 2.6 s without a percent; names of three-byte characters made the state 282,694 bytes; a queue named 'a image b' shared what was learnt with image b of queue a. The tests of the first, second and fourth failed before; that of the size passes on the old code too, since its histograms are less dense than those of the review.

--- a/packages/scheduler/__tests__/run-times.test.ts
+++ b/packages/scheduler/__tests__/run-times.test.ts
@@ -129,6 +129,26 @@
     assert.ok(bytes < 256 * 1_024, `${bytes} bytes`)
   })
 
+  it('stays under 256 KB with names of 48 characters of three bytes each and samples of all lengths', () => {
+    const script = LearningScript.create()
+    for (let kind = 0; kind < 400; kind++) {
+      const name = `${kind}`.padEnd(48, '\u20ac')
+      for (let step = 0; step < 52; step++) script.add(2 ** (step / 2), { image: name, estimateMs: 1_000 }, `${kind % 60}`.padEnd(48, '\u20ac'))
+    }
+    const bytes = encode(script.state.runTimes).length
+    assert.ok(bytes < 256 * 1_024, `${bytes} bytes`)
+  })
+
+  it('does not take a queue for an image of another queue', () => {
+    const script = LearningScript.create()
+    for (let index = 0; index < 50; index++) {
+      script.add(100, { estimateMs: 0 }, 'a image b')
+      script.add(60_000, { estimateMs: 0, image: 'b' }, 'a')
+    }
+    const { expectedMs } = RunTimeModel.create(script.state.runTimes).estimate('a image b', createStage({ estimateMs: 0 }))
+    assert.ok(expectedMs < 150, `${expectedMs} ms`)
+  })
+
   it('has the size of its histograms bounded after many samples', () => {
     const script = LearningScript.create()
     const random = Random.create(3)
--- a/packages/scheduler/__tests__/stragglers.test.ts
+++ b/packages/scheduler/__tests__/stragglers.test.ts
@@ -122,6 +122,14 @@
   })
 })
 
+describe('a run about whose length nothing is known', () => {
+  it('is not stopped for a first percent that takes long', () => {
+    const script = ProgressScript.create()
+    script.submit('unknown', { estimateMs: 0 })
+    assert.deepEqual(script.run(4, () => 0), [])
+  })
+})
+
 describe('a member of a gang that has done its part', () => {
   // On the uneven cell such gangs were stopped again and again: 74,064 core-seconds were discarded in a day instead of 13,159.
   it('is not stopped while a member on a slower worker still makes progress', () => {
--- a/packages/scheduler/__tests__/worker-speeds.test.ts
+++ b/packages/scheduler/__tests__/worker-speeds.test.ts
@@ -189,3 +189,36 @@
     assert.ok(score(0, 16_000, 1) > score(0, 8_000, 1))
   })
 })
+
+describe('a worker that has no work for a quarter of an hour again and again', () => {
+  const WORKERS = ['idle', 'a', 'b', 'c', 'd']
+  const PAUSE_MS = 900_000
+  const BUSY_MS = 30_000
+
+  it('keeps the speed that its runs show', () => {
+    const speeds = WorkerSpeeds.create()
+    const views = new Map(WORKERS.map(worker => [worker, { runs: new Map<string, Run>(), speedLog: 0 }]))
+    let now = 1_000
+    let lastJob = 0
+    const endRun = (worker: string, elapsedMs: number): void => {
+      const job = `job-${++lastJob}`
+      const run = createRun({ job, occurrence: 0, stage: 0, index: 0 }, `${job}/0/0/0`, 1, createStage(), 1, now - elapsedMs)
+      speeds.recordEnd(worker, { ...run, progress: { baseAt: now - elapsedMs, basePercent: 0, isWhole: true } }, elapsedMs, { expectedMs: 1_000, deviation: 0.2 }, now)
+    }
+    const work = (durationMs: number, isBusy: boolean): void => {
+      for (const end = now + durationMs; now < end; now += 500) {
+        for (const worker of WORKERS) {
+          if (worker !== 'idle' || isBusy) endRun(worker, worker === 'idle' ? 900 + 200 * ((now / 500) % 2) : 1_000)
+        }
+        speeds.refresh(now, views)
+      }
+    }
+    for (let pause = 0; pause < 6; pause++) {
+      work(BUSY_MS, true)
+      work(PAUSE_MS, false)
+    }
+    work(BUSY_MS, true)
+    const speed = speeds.speedOf('idle')
+    assert.ok(speed > 0.8 && speed < 1.25, `${speed}`)
+  })
+})
--- a/packages/scheduler/src/core/jobs/run-times/run-time-records.ts
+++ b/packages/scheduler/src/core/jobs/run-times/run-time-records.ts
@@ -17,21 +17,24 @@
 /** Queues whose declared times are rated. */
 const QUEUE_LIMIT = 60
 
-/** Names that are longer are replaced by a digest. */
+/** Names that are longer, in bytes, are replaced by a digest. */
 const NAME_LENGTH_LIMIT = 48
 
+/** No name of a queue contains it, so kinds of different queues cannot have the same key. */
+const KIND_SEPARATOR = '\0'
+
 export function keyOfQueue (queue: string): string {
   return shorten(queue)
 }
 
 /** Kind of the tasks of one image; undefined for a stage without one. */
 export function keyOfImage (queue: string, { image }: Pick<StageSpec, 'image'>): string | undefined {
-  return image === '' ? undefined : `${shorten(queue)} image ${shorten(image)}`
+  return image === '' ? undefined : `${shorten(queue)}${KIND_SEPARATOR}image ${shorten(image)}`
 }
 
 /** Kind of the tasks whose declared times are within a factor of 2; undefined for a stage that declares none. */
 export function keyOfDeclared (queue: string, { estimateMs }: Pick<StageSpec, 'estimateMs'>): string | undefined {
-  return estimateMs > 0 ? `${shorten(queue)} declared ${Math.floor(Math.log2(estimateMs))}` : undefined
+  return estimateMs > 0 ? `${shorten(queue)}${KIND_SEPARATOR}declared ${Math.floor(Math.log2(estimateMs))}` : undefined
 }
 
 /** Records the work of a run that succeeded, in milliseconds on a worker of speed 1. A value that is no time is ignored. */
@@ -58,5 +61,5 @@
 }
 
 function shorten (name: string): string {
-  return name.length <= NAME_LENGTH_LIMIT ? name : createHash('sha256').update(name).digest('base64url').slice(0, 16)
+  return Buffer.byteLength(name) <= NAME_LENGTH_LIMIT ? name : createHash('sha256').update(name).digest('base64url').slice(0, 16)
 }
--- a/packages/scheduler/src/core/jobs/run-times/speed-record.ts
+++ b/packages/scheduler/src/core/jobs/run-times/speed-record.ts
@@ -206,7 +206,8 @@
       this.usual = 0
       this.usualSince = now - USUAL_PRIOR_MS
     } else {
-      const share = (now - this.usualAt) / Math.min(USUAL_SPEED_MS, now - this.usualSince)
+      // After a pause in the evidence one estimate replaces the usual speed at most; a share above 1 would make it diverge.
+      const share = Math.min(1, (now - this.usualAt) / Math.min(USUAL_SPEED_MS, now - this.usualSince))
       this.usual += share * (log - this.usual)
     }
     this.usualAt = now
--- a/packages/scheduler/src/core/jobs/run-times/straggler-policy.ts
+++ b/packages/scheduler/src/core/jobs/run-times/straggler-policy.ts
@@ -72,7 +72,7 @@
     if (run.progress === undefined || (stage.gang && run.percent >= FINISHED_PERCENT)) return undefined
     const { baseAt, basePercent } = run.progress
     const { expectedMs, upperMs, samples } = this.learnt.estimate(queue, stage)
-    if (isStuck(run.progress, run.percent, now, upperMs)) {
+    if (expectedMs > 0 && isStuck(run.progress, run.percent, now, upperMs)) {
       return `no progress: at ${run.percent} percent after ${now - baseAt} ms, expected ${Math.round(expectedMs)} ms, at most ${Math.round(upperMs)} ms by ${Math.round(samples)} runs`
     }
     // Restarting a whole gang for one slow member discarded far more work in replays than it saved.
