Drop marks of work beyond a weight with the last account

Cause: the mark is stored with the job and was obeyed whatever the configuration, so after an operator removed all accounts a short job still waited behind a long one. Change: a unit has the mark only where the cell has accounts, and all units are computed again when the first account comes or the last one goes. Measured: the test in held-units.test.ts failed before (the long job started first) and passes now.

--- a/packages/scheduler/__tests__/held-units.test.ts
+++ b/packages/scheduler/__tests__/held-units.test.ts
@@ -58,6 +58,19 @@
   })
 })
 
+describe('a cell whose last account was removed', () => {
+  it('starts a job that was beyond a weight in its turn', () => {
+    const capacity = { millicores: 4_000, memoryMib: 65_536, accelerators: 0 }
+    const cell = AccountCell.create([createAccount('zero', 0), createAccount('other', 100)], [{ id: 'one', capacity }])
+    cell.submit('short', 'zero', { requiredLabel: 'later', estimateMs: 1_000 })
+    cell.submit('long', 'other', { requiredLabel: 'later', estimateMs: 60_000 })
+    cell.configure([])
+    cell.leader.report('one', 1, { capacity, labels: ['later'], sequence: 2 })
+    const started = listOrders([...cell.leader.list('one'), ...cell.leader.advance(300)])
+    assert.deepEqual(started, ['start short/0/0/0 run 1 on one'])
+  })
+})
+
 describe('the cap of an account', () => {
   it('is not used up by a gang of which only a part can have its capacity', () => {
     const small = { millicores: 4_000, memoryMib: 65_536, accelerators: 0 }
--- a/packages/scheduler/src/core/jobs/order/scheduling-units.ts
+++ b/packages/scheduler/src/core/jobs/order/scheduling-units.ts
@@ -4,6 +4,7 @@
  * the units is volatile and is derived from the replicated state.
  */
 
+import { hasAccounts } from '../../../types/accounts.js'
 import {
   isLiveJob, StageTaskPhase, stageKey, type CellConfiguration, type Occurrence, type JobQueue, type StagedJob, type StageSpec
 } from '../../../types/jobs.js'
@@ -77,6 +78,8 @@
         const waiting = tasks.flatMap((task, index) => task.phase === StageTaskPhase.waiting ? [index] : [])
         if (waiting.length === 0) return
         const unit = createUnit(job, occurrenceNumber, stage, queue, waiting, meanRunMs)
+        // A mark from before a configuration without accounts has no effect any more.
+        if (!hasAccounts(cell)) unit.isBeyondWeight = false
         this.units.set(unit.key, unit)
         keys.push(unit.key)
       })
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -7,7 +7,7 @@
 import type { Decision } from '../../types/decisions.js'
 import type { Event, EventOf } from '../../types/events.js'
 import {
-  isLiveJob, JobPhase, StageTaskPhase, type StagedJob, type StageTask
+  hasPlacedTask, isLiveJob, JobPhase, StageTaskPhase, type StagedJob, type StageTask
 } from '../../types/jobs.js'
 import { DEFAULT_LIMITS, type Limits } from '../../types/limits.js'
 import type { ClusterState } from '../../types/state.js'
@@ -82,6 +82,8 @@
   /** Ids of workers on which units reserved capacity in the last pass. */
   private reservedWorkers: ReadonlySet<string> = new Set()
   private isPassDue = false
+  /** True if the cell had accounts in the last step. */
+  private hadAccounts = false
   /** True while orders wait to be sent. A pass would only add to them, and would commit work that urgent work could overtake later. */
   private hasOrderBacklog = false
   /** True from the start of this leader until it watches the workers in the replicated state. */
@@ -194,6 +196,7 @@
   }
 
   override reconcile (step: Step): void {
+    this.refreshOnAccountChange(step)
     if (this.isWatchDue) {
       this.isWatchDue = false
       this.runManager.watchWorkers(step)
@@ -203,6 +206,13 @@
     if (this.isPassDue && this.mayRunPass(step.now)) this.runPass(step)
   }
 
+  /** Recomputes all units when the cell gets its first account or loses its last one. */
+  private refreshOnAccountChange ({ state }: Step): void {
+    if (hasAccounts(state.cell) === this.hadAccounts) return
+    this.hadAccounts = !this.hadAccounts
+    for (const id of state.jobs.keys()) this.changedJobs.add(id)
+  }
+
   private mayRunPass (now: number): boolean {
     return !this.runManager.isFencedOff && !this.hasOrderBacklog && now - this.lastPassAt >= this.passPauseMs
   }
@@ -357,10 +367,6 @@
   }
 }
 
-function hasPlacedTask (job: StagedJob): boolean {
-  return [...job.occurrences.values()].some(stages => stages.some(tasks => tasks.some(({ phase }) => phase === StageTaskPhase.placed)))
-}
-
 /**
  * How a job closes; undefined while it continues. Failed runs are counted for each task, in a gang for all of its tasks
  * together; long-running tasks have no limit. A task that crashes its workers fails its job, whatever its kind.
--- a/packages/scheduler/src/types/jobs.ts
+++ b/packages/scheduler/src/types/jobs.ts
@@ -217,6 +217,11 @@
   return job.phase === JobPhase.live
 }
 
+/** True while a run of the job is placed, which may also be so after it was closed. */
+export function hasPlacedTask (job: StagedJob): boolean {
+  return [...job.occurrences.values()].some(stages => stages.some(tasks => tasks.some(({ phase }) => phase === StageTaskPhase.placed)))
+}
+
 export function createOccurrence (spec: JobSpec): Occurrence {
   return spec.stages.map(stage => Array.from({ length: stage.taskCount }, () => ({
     phase: StageTaskPhase.waiting, run: 0, failures: 0, worker: '', incarnation: 0, checkpoint: ''
