Count only entries that serve callers when one asks not to be ready

Change: an entry states that the load balancer sends callers to it, and only such entries count; one of an earlier version counts as none. Measured: the test in entry-relief.test.ts failed before (three permissions) and passes now (one).

--- a/packages/controllers/src/types/methods.ts
+++ b/packages/controllers/src/types/methods.ts
@@ -46,6 +46,8 @@
   isAdmitting: boolean
   /** True when the process can query the external admission service. */
   isAdvisor?: boolean
+  /** True for an entry to which the load balancer sends callers; a controller that forwards calls to the leader is none. */
+  servesCallers?: boolean
   /** True while the entry is short of headroom and asks to report itself not ready. */
   isShort?: boolean
   /** Set while the sender is a controller that asks to become a member. */
--- a/packages/runtime/__tests__/entry-relief.test.ts
+++ b/packages/runtime/__tests__/entry-relief.test.ts
@@ -14,7 +14,7 @@
 const SETTLED_MS = LEADING_SINCE_MS + 3_000
 
 function createHeartbeat (process: string, isShort?: boolean): HeartbeatBody {
-  return { process, availabilityZone: 'zone', configurationVersion: 0, isAdmitting: true, ...(isShort === undefined ? {} : { isShort }) }
+  return { process, availabilityZone: 'zone', configurationVersion: 0, isAdmitting: true, servesCallers: true, ...(isShort === undefined ? {} : { isShort }) }
 }
 
 describe('the table of entries', () => {
@@ -56,6 +56,13 @@
     assert.equal(beat('a', true, SETTLED_MS), true)
   })
 
+  // With three controllers beside three entries, all three entries could be unready at once.
+  it('does not count processes to which the load balancer sends no callers', () => {
+    for (const process of ['a/control', 'b/control', 'c/control']) table.recordHeartbeat({ ...createHeartbeat(process), servesCallers: undefined }, SETTLED_MS)
+    for (const process of ['a', 'b', 'c']) beat(process, false, SETTLED_MS)
+    assert.deepEqual(['a', 'b', 'c'].map(process => beat(process, true, SETTLED_MS + 1)), [true, false, false])
+  })
+
   it('counts a silent entry as not ready', () => {
     for (const process of ['a', 'b']) beat(process, false, SETTLED_MS)
     assert.equal(beat('a', true, SETTLED_MS + 5_000), false)
--- a/packages/runtime/src/core/entry-table.ts
+++ b/packages/runtime/src/core/entry-table.ts
@@ -15,6 +15,8 @@
   /** Version of the configuration in force; -1 before the first. */
   configurationVersion: number
   isAdmitting: boolean
+  /** True if the load balancer sends callers to it. */
+  servesCallers?: boolean
   /** True if the entry can forward admission queries. */
   isAdvisor?: boolean
   /** Monotonic time in milliseconds until which the entry may report itself not ready for want of headroom; absent if it never could. */
@@ -82,7 +84,7 @@
   grantRelief ({ process, isShort = false }: HeartbeatBody, now: number): boolean {
     const tracked = this.entries.get(process)
     if (tracked === undefined || !isShort || now - this.leadingSince <= RELIEF_VALIDITY_MS + CLOCK_DRIFT_ALLOWANCE_MS) return false
-    const entries = this.list().map(entry => ({ ...entry, isReady: entry.isAdmitting && now >= (entry.relievedUntil ?? 0) && this.isLive(entry, now) }))
+    const entries = this.list().filter(entry => entry.servesCallers === true).map(entry => ({ ...entry, isReady: entry.isAdmitting && now >= (entry.relievedUntil ?? 0) && this.isLive(entry, now) }))
     const isGranted = mayBeUnready(process, entries)
     // The answer may be lost, so the permission counts until it has lapsed at the entry, even if the next one is refused.
     if (isGranted) tracked.relievedUntil = now + RELIEF_VALIDITY_MS + CLOCK_DRIFT_ALLOWANCE_MS
--- a/packages/runtime/src/core/job-gateway.ts
+++ b/packages/runtime/src/core/job-gateway.ts
@@ -32,6 +32,8 @@
   admission?: AdmissionService
   /** Set in a controller: returns its id and address to offer itself as a member, or undefined for no offer. */
   candidate?: () => MemberCandidate | undefined
+  /** True in a process to which the load balancer sends callers. */
+  servesCallers?: boolean
   /** Set where readiness follows headroom: returns true while this process is short of it. */
   isShort?: () => boolean
 }
@@ -87,7 +89,7 @@
   }
 
   createHeartbeat (link: Link): HeartbeatBody {
-    const { hello, admission, candidate, isShort } = this.options
+    const { hello, admission, candidate, isShort, servesCallers } = this.options
     return {
       process: hello.process,
       availabilityZone: hello.availabilityZone,
@@ -98,6 +100,7 @@
       // former one, which may take seconds.
       isAdvisor: admission !== undefined && !this.isDraining && this.queryLinks.every(queryLink => queryLink === link),
       candidate: candidate?.(),
+      ...(servesCallers === true ? { servesCallers } : {}),
       ...(isShort === undefined ? {} : { isShort: isShort() })
     }
   }
