--- a/bench/support/staged-job-simulation.ts
+++ b/bench/support/staged-job-simulation.ts
@@ -10,6 +10,7 @@
 } from '../../packages/scheduler/src/index.js'
 import { createClientAccount, createStreams, type AccountReport, type JobStream, type SimulatedAccount } from './account-load.js'
 import { drawJob, type DrawnJob, type JobClass } from './drawn-jobs.js'
+import { countJob, createQueueReport, type QueueReport } from './queue-report.js'
 import { SimulatedClock } from './simulated-clock.js'
 import { Random } from './random.js'
 import { SimulatedAdmission } from './simulated-admission.js'
@@ -17,6 +18,7 @@
 import { ActiveRun, WorkerModel, type Slowdown } from './simulated-workers.js'
 
 export type { JobClass } from './drawn-jobs.js'
+export type { QueueReport } from './queue-report.js'
 
 export interface StagedJobSimulationOptions {
   seed: number
@@ -49,12 +51,6 @@
   limits?: Partial<Limits>
 }
 
-/**
- * Jobs and credit of one queue. `inTime` counts the jobs that were completed within their
- * objective, and `late` those that were completed within LATE_LIMIT_FACTOR times their objective.
- */
-export interface QueueReport { jobs: number, inTime: number, late: number, possibleCredit: number, earnedCredit: number }
-
 /** Times that a caller whose job is refused sends it again. */
 const CALLER_RETRIES = 4
 /** Latency of an effect that has to be committed first. */
@@ -70,10 +66,6 @@
 const CHECKPOINT_RESTORE_MS = 250
 /** Interval at which a task saves a checkpoint. */
 const CHECKPOINT_INTERVAL_MS = 500
-/** Share of its credit that a job earns when it misses its objective. */
-const LATE_CREDIT_SHARE = 0.2
-/** Multiple of the objective after which a job earns nothing. */
-const LATE_LIMIT_FACTOR = 3
 
 /** A job that was submitted; `startedAt` is the time of its first start. */
 interface SubmittedJob extends DrawnJob { sends: number, account: SimulatedAccount | undefined, submittedAt: number, startedAt: number | undefined }
@@ -388,26 +380,10 @@
   }
 }
 
-function createQueueReport (): QueueReport {
-  return { jobs: 0, inTime: 0, late: 0, possibleCredit: 0, earnedCredit: 0 }
-}
-
 function getOrCreate<Value> (map: Map<string, Value>, key: string, create: () => Value): Value {
   const value = map.get(key) ?? create()
   map.set(key, value)
   return value
 }
 
-function countJob (report: QueueReport, { objectiveMs, credit }: DrawnJob, tookMs: number): void {
-  report.jobs += 1
-  report.possibleCredit += credit
-  if (tookMs <= objectiveMs) {
-    report.inTime += 1
-    report.earnedCredit += credit
-  } else if (tookMs <= LATE_LIMIT_FACTOR * objectiveMs) {
-    report.late += 1
-    report.earnedCredit += LATE_CREDIT_SHARE * credit
-  }
-}
-
 const COMPLETED_PHASE: JobPhase = 'completed'
