List what stays open as tests that fail, and keep seeds that failed once

Seeds lateLeases 55 and strayLateStarts 10 and 28 pass since the parts were merged and are regressions now.

--- a/packages/runtime/__tests__/account-caps.test.ts
+++ b/packages/runtime/__tests__/account-caps.test.ts
@@ -24,6 +24,19 @@
   newLeaders: { failure: 'a new leader that does not know the orders of the one before', count: 8 }
 } as const satisfies Partial<Record<ScheduleGroupName, { failure: string, count: number }>>
 
+/** Seeds that failed before the parts were merged, which changed the schedules, and pass since. */
+const REGRESSION_SEEDS = {
+  lateLeases: [55],
+  strayLateStarts: [10, 28]
+} as const satisfies Partial<Record<ScheduleGroupName, readonly number[]>>
+
+/** Seeds that fail: over the cap by a late lease, and the faults of KNOWN-RED.txt, entries 10 and 11, in schedules that a cap changes. */
+const KNOWN_RED_SEEDS = {
+  lateLeases: [3, 13, 26, 39],
+  strayLateStarts: [17],
+  longTasks: [50]
+} as const satisfies Partial<Record<ScheduleGroupName, readonly number[]>>
+
 /** The most that all runs together had at the start of any of them, in millicores. */
 function findPeak (journal: readonly RunInterval[]): { millicores: number, at: number } {
   let peak = { millicores: 0, at: 0 }
@@ -73,4 +86,28 @@
       }
     })
   }
+
+  describe('holds in schedules that failed once', () => {
+    for (const [name, seeds] of Object.entries(REGRESSION_SEEDS)) {
+      for (const seed of seeds) {
+        it(`in the group ${name} (seed ${seed})`, async () => {
+          const group = SCHEDULE_GROUPS[name as keyof typeof REGRESSION_SEEDS]
+          const cell = await runSchedule({ ...group, plan: { ...group.plan, accountCap: CAP_MILLICORES }, jobsEndAt: 2 * group.jobsEndAt }, seed)
+          assertUnderCap(cell)
+        })
+      }
+    }
+  })
+
+  describe('does not hold, or the schedule fails otherwise, with known and open faults', () => {
+    for (const [name, seeds] of Object.entries(KNOWN_RED_SEEDS)) {
+      for (const seed of seeds) {
+        it(`in the group ${name} (seed ${seed})`, { todo: 'KNOWN-RED.txt, entry 23' }, async () => {
+          const group = SCHEDULE_GROUPS[name as keyof typeof KNOWN_RED_SEEDS]
+          const cell = await runSchedule({ ...group, plan: { ...group.plan, accountCap: CAP_MILLICORES }, jobsEndAt: 2 * group.jobsEndAt }, seed)
+          assertUnderCap(cell)
+        })
+      }
+    }
+  })
 })
--- a/packages/scheduler/__tests__/run-times.test.ts
+++ b/packages/scheduler/__tests__/run-times.test.ts
@@ -69,6 +69,12 @@
       assertWithin(script.estimate({ estimateMs: 8_000 * factor }).expectedMs, 1_000, 12_000)
     })
 
+    it(`moves by a factor of 2 at most, when one job declares ${factor} times the run time of a queue that declares well`, { todo: 'KNOWN-RED.txt, entry 22' }, () => {
+      const script = LearningScript.create()
+      script.addMany(200, 1_000, () => ({ estimateMs: 1_000 }))
+      assertWithin(script.estimate({ estimateMs: 1_000 * factor }).expectedMs, 1_000 / 2, 1_000 * 2)
+    })
+
     it(`moves by the weight of a declared time only, when one job declares ${factor} times the run time of its queue`, () => {
       const script = LearningScript.create()
       const random = Random.create(2)
@@ -207,6 +213,21 @@
     assertWithin(estimate(leader).expectedMs, 1_600, 2_500)
   })
 
+  it('is not that of the rest alone when a run that resumed near its end was listed at 0 percent only', { todo: 'KNOWN-RED.txt, entry 22' }, () => {
+    const leader = createLeader()
+    leader.submit({ estimateMs: 0, checkpoints: true })
+    leader.answer('one', 'start', TASK, 1, OrderOutcome.done)
+    leader.list('one', { running: [{ task: TASK, run: 1, checkpoint: 'nine tenths', percent: 90, load: 0 }] })
+    leader.listEnd('one', TASK, 1, RunEndCause.lapsed)
+    leader.advance(200)
+    leader.answer('one', 'start', TASK, 2, OrderOutcome.done)
+    leader.list('one', { running: [{ task: TASK, run: 2, checkpoint: '', percent: 0, load: 0 }] })
+    leader.advance(200)
+    leader.listEnd('one', TASK, 2, RunEndCause.done)
+    const { expectedMs, samples } = estimate(leader)
+    if (samples > 0) assertWithin(expectedMs, 1_600, 2_500)
+  })
+
   it('excludes the time in which a gang waits for its last member, and counts once for the gang', () => {
     const leader = createLeader()
     leader.submit({ estimateMs: 0, gang: true, taskCount: 2 })
--- a/packages/scheduler/__tests__/stragglers.test.ts
+++ b/packages/scheduler/__tests__/stragglers.test.ts
@@ -122,6 +122,41 @@
   })
 })
 
+describe('a slow worker with the tasks of one stage only', () => {
+  it('has them moved, since each falls behind its own past', { todo: 'KNOWN-RED.txt, entry 20' }, () => {
+    const script = ProgressScript.create()
+    script.submit('slow', { taskCount: 4, estimateMs: 20_000 })
+    for (const worker of WORKERS.slice(1)) for (const job of ['a', 'b']) script.submit(`${worker}${job}`, { estimateMs: 20_000 }, worker)
+    script.run(3, () => 5)
+    assert.equal(script.run(20, task => task.startsWith('slow') ? 0.7 : 4).filter(order => order.startsWith('stop slow')).length, 4)
+  })
+})
+
+describe('a hung run', () => {
+  it('is stopped although its stage has checkpoints and it has reported none yet', { todo: 'KNOWN-RED.txt, entry 21' }, () => {
+    const script = ProgressScript.create()
+    script.submit('hung', { checkpoints: true })
+    assert.match(script.run(60, () => 0).join(), /stop hung/)
+  })
+
+  it('is stopped although its task was refused three times before', { todo: 'KNOWN-RED.txt, entry 21' }, () => {
+    const task = 'job/0/0/0'
+    const leader = ScriptedLeader.create({ learntRunTimes: true })
+    leader.addWorker('one')
+    leader.submit({ estimateMs: 1_000 })
+    for (let refusal = 1; refusal <= 3; refusal++) {
+      leader.answer('one', 'start', task, refusal, 'noRoom')
+      leader.advance(400)
+    }
+    leader.answer('one', 'start', task, 4, 'done')
+    const effects: Effect[] = []
+    for (let second = 0; second < 60; second++) {
+      effects.push(...leader.advance(1_000), ...leader.list('one', { running: [{ task, run: 4, checkpoint: '', percent: 0, load: 0 }] }))
+    }
+    assert.match(listOrders(effects).join(), /stop job/)
+  })
+})
+
 describe('a run about whose length nothing is known', () => {
   it('is not stopped for a first percent that takes long', () => {
     const script = ProgressScript.create()
