Name what run times are expected by

Cause: since run times are learnt, a parameter called meanRunMs could be a function, and a branch on its type stood in the middle of the critical path. Change: the type RunTimeSource with its meaning stated once, and one function that applies it.

--- a/packages/scheduler/src/core/jobs/order/queues.ts
+++ b/packages/scheduler/src/core/jobs/order/queues.ts
@@ -8,8 +8,11 @@
 /** Number of workers that each admission query is assumed to cover when the objective of a job is computed. */
 const OBJECTIVE_QUERY_WORKERS = 30
 
-/** Expected run time of the tasks of a stage in milliseconds, where run times are learnt. */
-export type ExpectedRunTimes = (stage: StageSpec) => number
+/**
+ * What the run times of a queue are expected by: the mean that was observed in it, undefined before the first run; or, where run
+ * times are learnt, a function that estimates those of a stage in milliseconds.
+ */
+export type RunTimeSource = number | undefined | ((stage: StageSpec) => number)
 
 export interface Route {
   queue: JobQueue
@@ -34,17 +37,16 @@
 }
 
 /**
- * Length of the critical path through the stages of a job in milliseconds, from declared and observed run times.
- * `meanRunMs` is the mean run time observed in the queue; undefined before the first one. Where run times are learnt, they take
- * its place and that of the declared times.
+ * Length of the critical path through the stages of a job in milliseconds, from declared and observed run times, or from learnt
+ * ones alone.
  */
-export function criticalPathMs (spec: JobSpec, queue: JobQueue, meanRunMs: number | undefined | ExpectedRunTimes): number {
-  return Math.max(0, ...spec.stages.map((_stage, index) => remainingPathMs(spec, queue, meanRunMs, index)))
+export function criticalPathMs (spec: JobSpec, queue: JobQueue, runTimes: RunTimeSource): number {
+  return Math.max(0, ...spec.stages.map((_stage, index) => remainingPathMs(spec, queue, runTimes, index)))
 }
 
 /** Time from the acceptance of a job to its objective, in milliseconds; see `criticalPathMs`. */
-export function objectiveMs (spec: JobSpec, queue: JobQueue, meanRunMs: number | undefined | ExpectedRunTimes): number {
-  return queue.stretch * criticalPathMs(spec, queue, meanRunMs) + queue.targetMs
+export function objectiveMs (spec: JobSpec, queue: JobQueue, runTimes: RunTimeSource): number {
+  return queue.stretch * criticalPathMs(spec, queue, runTimes) + queue.targetMs
 }
 
 /** Cluster time in milliseconds at which the submission of a job reached the system, from which its objective counts. */
@@ -59,23 +61,26 @@
 }
 
 /** Length of the critical path that begins with stage `first`, in milliseconds. */
-export function remainingPathMs (spec: JobSpec, queue: JobQueue, meanRunMs: number | undefined | ExpectedRunTimes, first: number): number {
+export function remainingPathMs (spec: JobSpec, queue: JobQueue, runTimes: RunTimeSource, first: number): number {
   const { admission } = queue
   const queryMs = admission === undefined ? 0 : admission.decideMs + OBJECTIVE_QUERY_WORKERS * admission.perWorkerMs
   // Stages depend only on earlier ones, so one pass in order is enough.
   const ends: Array<number | undefined> = []
   let longest = 0
   for (const [index, stage] of spec.stages.entries()) {
-    const { dependsOn, estimateMs } = stage
-    const dependencyEnds = dependsOn.flatMap(stage => ends[stage] ?? [])
+    const dependencyEnds = stage.dependsOn.flatMap(earlier => ends[earlier] ?? [])
     if (index !== first && dependencyEnds.length === 0) continue
-    const end = Math.max(0, ...dependencyEnds) + queryMs + (typeof meanRunMs === 'function' ? meanRunMs(stage) : computeExpectedRunMs(estimateMs, meanRunMs))
+    const end = Math.max(0, ...dependencyEnds) + queryMs + expectRunMs(stage, runTimes)
     ends[index] = end
     longest = Math.max(longest, end)
   }
   return longest
 }
 
+function expectRunMs (stage: StageSpec, runTimes: RunTimeSource): number {
+  return typeof runTimes === 'function' ? runTimes(stage) : computeExpectedRunMs(stage.estimateMs, runTimes)
+}
+
 /**
  * Expected run time of a task in milliseconds; 0 when neither time is known. Declared times are often far off, so the
  * result is the geometric mean of the declared time and the mean observed in the queue.
--- a/packages/scheduler/src/core/jobs/order/scheduling-units.ts
+++ b/packages/scheduler/src/core/jobs/order/scheduling-units.ts
@@ -8,7 +8,7 @@
 import {
   isLiveJob, StageTaskPhase, stageKey, type CellConfiguration, type Occurrence, type JobQueue, type StagedJob, type StageSpec
 } from '../../../types/jobs.js'
-import { findQueue, objectiveMs, remainingPathMs, submittedAt, type ExpectedRunTimes } from './queues.js'
+import { findQueue, objectiveMs, remainingPathMs, submittedAt, type RunTimeSource } from './queues.js'
 import { isSuspected } from '../runs/worker-crashes.js'
 
 /** Multiple of the objective after which the result of a job has no value to its caller. */
@@ -64,9 +64,9 @@
 
   /**
    * Recomputes the units of a job from its current state. A job that is closed, or whose queue is not known, has none.
-   * `meanRunMs` is the mean run time observed in its queue, or what was learnt.
+   * `runTimes` says what the run times of its queue are expected by.
    */
-  refresh (job: StagedJob, cell: CellConfiguration | undefined, meanRunMs: number | undefined | ExpectedRunTimes): void {
+  refresh (job: StagedJob, cell: CellConfiguration | undefined, runTimes: RunTimeSource): void {
     this.remove(job.id)
     if (!isLiveJob(job)) return
     const queue = findQueue(cell, job.queue)
@@ -77,7 +77,7 @@
         if (!isStageReady(job, occurrence, stage)) return
         const waiting = tasks.flatMap((task, index) => task.phase === StageTaskPhase.waiting ? [index] : [])
         if (waiting.length === 0) return
-        const unit = createUnit(job, occurrenceNumber, stage, queue, waiting, meanRunMs)
+        const unit = createUnit(job, occurrenceNumber, stage, queue, waiting, runTimes)
         // A mark from before a configuration without accounts has no effect any more.
         if (!hasAccounts(cell)) unit.isBeyondWeight = false
         this.units.set(unit.key, unit)
@@ -143,10 +143,10 @@
 }
 
 function createUnit (
-  job: StagedJob, occurrenceNumber: number, stage: number, queue: JobQueue, waiting: number[], meanRunMs: number | undefined | ExpectedRunTimes
+  job: StagedJob, occurrenceNumber: number, stage: number, queue: JobQueue, waiting: number[], runTimes: RunTimeSource
 ): SchedulingUnit {
   const startAt = occurrenceDueAt(job, occurrenceNumber)
-  const jobObjectiveMs = objectiveMs(job.spec, queue, meanRunMs)
+  const jobObjectiveMs = objectiveMs(job.spec, queue, runTimes)
   const placedCounts = new Map<string, number>()
   const tasks = job.occurrences.get(occurrenceNumber)?.[stage] ?? []
   for (const { worker } of tasks) {
@@ -164,7 +164,7 @@
     isBeyondWeight: job.isBeyondWeight === true,
     objectiveAt: startAt + jobObjectiveMs,
     worthlessAt: startAt + WORTHLESS_FACTOR * jobObjectiveMs,
-    remainingMs: remainingPathMs(job.spec, queue, meanRunMs, stage),
+    remainingMs: remainingPathMs(job.spec, queue, runTimes, stage),
     waiting,
     suspects: new Set(waiting.filter(index => isSuspected(tasks[index]))),
     placedCounts
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -17,7 +17,7 @@
 import { AccountUsage } from './accounts/account-usage.js'
 import { acceptJob, cancelJob, configureCell, readCell, readJob } from './job-requests.js'
 import { PlacementPass, type RunPlacement, type AdmissionQuery } from './placement/placement-pass.js'
-import { findQueue, type ExpectedRunTimes } from './order/queues.js'
+import { findQueue, type RunTimeSource } from './order/queues.js'
 import { RunManager } from './runs/run-manager.js'
 import { AdmissionTickets } from './placement/admission-tickets.js'
 import { excludeOrphans, occurrenceDueAt, SchedulingUnitIndex, splitSuspects, type SchedulingUnit } from './order/scheduling-units.js'
@@ -263,12 +263,12 @@
       this.runManager.orders.stopJobRuns(step, id)
       this.tickets.forgetJob(id)
     }
-    this.units.refresh(job, step.state.cell, this.expectRunTimes(job.queue))
+    this.units.refresh(job, step.state.cell, this.findRunTimes(job.queue))
     this.isPassDue = true
   }
 
   /** What run times of a queue are expected by: the mean of observed ones, or what was learnt. */
-  private expectRunTimes (queue: string): number | undefined | ExpectedRunTimes {
+  private findRunTimes (queue: string): RunTimeSource {
     const { learnt, ends } = this.runManager
     return learnt === undefined ? ends.meanRunMs.get(queue) : stage => learnt.estimate(queue, stage).expectedMs
   }
