Name the work of a stall, each election and the time of collections in the logs

Cause: event_loop_stalled tells how long the loop was held up, not by what; no line tells which controller starts an election or how long it had heard nothing; busyPercent mixes work with garbage collection.

Change: event_loop_stalled carries workMs and the work that took longest by kind, election_started the silence of the leader, cell_load gcPercent.

A stall of 307 ms at a new leader consists of 136 ms of 318 events and as much of reading; another controller starts an election 8 ms before it ends, after 372 ms of silence. One follower starts 15 elections in 7 s because it hears a live leader only every 0.4 to 1.1 s.

--- a/packages/controllers/src/core/raft/follower.ts
+++ b/packages/controllers/src/core/raft/follower.ts
@@ -50,6 +50,11 @@
     return now - this.leaderContactAt < this.state.timing.electionMs
   }
 
+  /** Time since the last contact with a leader, in milliseconds. */
+  leaderSilentMs (now: number): number {
+    return now - this.leaderContactAt
+  }
+
   isElectionDue (now: number): boolean {
     return now >= this.electionDueAt
   }
--- a/packages/controllers/src/core/raft/raft.ts
+++ b/packages/controllers/src/core/raft/raft.ts
@@ -80,17 +80,27 @@
     return this.state.log.members.filter(member => leader.hasRecentAnswer(member, now)).map(member => member.id)
   }
 
-  tick (now: number): void {
+  /** Time since this replica last heard from a leader, in milliseconds. */
+  leaderSilentMs (now: number): number {
+    return this.follower.leaderSilentMs(now)
+  }
+
+  /** Returns true when the tick starts an election. */
+  tick (now: number): boolean {
     this.now = now
     if (this.leader !== undefined) {
       this.leader.tick(now)
       this.membership?.tick(now)
-      return
+      return false
+    }
+    if (!this.state.isFormed) {
+      this.formation.tick(now)
+      return false
     }
-    if (!this.state.isFormed) return this.formation.tick(now)
-    if (!this.state.isVoter || !this.follower.isElectionDue(now)) return
+    if (!this.state.isVoter || !this.follower.isElectionDue(now)) return false
     this.follower.restartElectionTimer(now)
     this.candidate.startPreVote()
+    return true
   }
 
   /** Sends entries proposed since the last call. */
--- a/packages/controllers/src/core/replica.ts
+++ b/packages/controllers/src/core/replica.ts
@@ -95,7 +95,9 @@
 
   /** Advances timers and takes snapshots. Must be called every 10 to 20 ms. */
   tick (): void {
-    this.step(now => { this.raft.tick(now) })
+    this.step(now => {
+      if (this.raft.tick(now)) this.owner.startElection?.(this.raft.state.term, this.raft.leaderSilentMs(now))
+    })
     this.takeSnapshotIfDue()
   }
 
--- a/packages/controllers/src/types/replica.ts
+++ b/packages/controllers/src/types/replica.ts
@@ -41,6 +41,8 @@
    * The replica does not use the result until that entry is committed.
    */
   encodeSnapshot: () => Uint8Array
+  /** Called when this process starts an election since no leader has sent anything for `leaderSilentMs`; for the log only. */
+  startElection?: (term: number, leaderSilentMs: number) => void
   /** Called when the disk or a consistency check failed; the replica stops until the process restarts. */
   handleFault?: (failure: Failure) => void
 }
--- a/packages/runtime/__tests__/loop-monitor.test.ts
+++ b/packages/runtime/__tests__/loop-monitor.test.ts
@@ -30,14 +30,16 @@
   now = 0
   usedMs = 0
   readonly delays: number[] = []
-  stalls = 0
+  gcMs = 0
+  readonly stalls: Array<{ workMs: number, work: string }> = []
   readonly monitor = LoopMonitor.create({
     intervalMs: INTERVAL_MS,
     now: () => this.now,
     readProcessorTime: () => ({ user: this.usedMs * 1_000, system: 0 }),
-    handleDelay: (delayMs, isStalled) => {
+    readGcMs: () => this.gcMs,
+    handleDelay: ({ delayMs, isStalled, workMs, work }) => {
       this.delays.push(delayMs)
-      if (isStalled) this.stalls += 1
+      if (isStalled) this.stalls.push({ workMs, work })
     }
   })
 
@@ -72,18 +74,30 @@
   it('counts no delay while timers run on time', () => {
     const process = MonitoredProcess.create()
     for (let tick = 0; tick < 50; tick++) process.runTimer(INTERVAL_MS, 5)
-    assert.deepEqual(process.monitor.takeReport(), { busyPercent: 25, loopDelayMs: 0 })
-    assert.equal(process.stalls, 0)
+    assert.deepEqual(process.monitor.takeReport(), { busyPercent: 25, gcPercent: 0, loopDelayMs: 0 })
+    assert.deepEqual(process.stalls, [])
   })
 
   it('reports the longest delay and the processor time since the previous report', () => {
     const process = MonitoredProcess.create()
     process.runTimer(INTERVAL_MS + 350, 300)
+    process.gcMs = 42
     process.runTimer(INTERVAL_MS + 30, 30)
-    assert.deepEqual(process.monitor.takeReport(), { busyPercent: 79, loopDelayMs: 350 })
-    assert.equal(process.stalls, 1)
+    assert.deepEqual(process.monitor.takeReport(), { busyPercent: 79, gcPercent: 10, loopDelayMs: 350 })
+    assert.equal(process.stalls.length, 1)
     process.runTimer(INTERVAL_MS)
-    assert.deepEqual(process.monitor.takeReport(), { busyPercent: 0, loopDelayMs: 0 })
+    assert.deepEqual(process.monitor.takeReport(), { busyPercent: 0, gcPercent: 0, loopDelayMs: 0 })
+  })
+
+  it('names the work that a stall consists of, without that of earlier turns', () => {
+    const process = MonitoredProcess.create()
+    process.monitor.recordWork('tick', 90)
+    process.runTimer(INTERVAL_MS + 90)
+    process.monitor.recordWork('workerListed', 3)
+    process.monitor.recordWork('encodeSnapshot', 120)
+    process.monitor.recordWork('workerListed', 80)
+    process.runTimer(INTERVAL_MS + 230)
+    assert.deepEqual(process.stalls, [{ workMs: 203, work: 'encodeSnapshot:120/1/120 workerListed:83/2/80' }])
   })
 })
 
--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -13,6 +13,7 @@
 import { ControllerLinks } from './controller-links.js'
 import type { LocalMethod } from './local-methods.js'
 import { monotonicNow } from './clock.js'
+import { observeGcMs } from './gc-clock.js'
 import { LoopMonitor } from './loop-monitor.js'
 import type { MetricsRecorder } from './metrics-recorder.js'
 import type { RuntimeLog } from './runtime-log.js'
@@ -171,9 +172,10 @@
     intervalMs: TICK_INTERVAL_MS,
     now: monotonicNow,
     readProcessorTime: () => process.cpuUsage(),
-    handleDelay: (delayMs, isStalled) => {
+    readGcMs: observeGcMs(),
+    handleDelay: ({ delayMs, isStalled, workMs, work }) => {
       metrics?.recordLoopDelay(delayMs)
-      if (isStalled) log.warn('event_loop_stalled', { delayMs: Math.round(delayMs) })
+      if (isStalled) log.warn('event_loop_stalled', { delayMs: Math.round(delayMs), workMs, work })
     }
   })
 }
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -163,9 +163,11 @@
   // Callbacks of the replica.
 
   applyEntry (index: number, entry: Uint8Array, isOwn: boolean): void {
-    if (isOwn) this.proposals.handleCommit(index)
-    else this.applyDecisions(index, entry)
-    this.watches.completeChanged(this.state)
+    this.measure(isOwn ? 'releaseEffects' : 'applyEntry', () => {
+      if (isOwn) this.proposals.handleCommit(index)
+      else this.applyDecisions(index, entry)
+      this.watches.completeChanged(this.state)
+    })
   }
 
   /** A controller that cannot apply an entry must not continue with a state that differs from the log. */
@@ -220,7 +222,19 @@
   }
 
   encodeSnapshot (): Uint8Array {
-    return encodeValue(this.state)
+    return this.measure('encodeSnapshot', () => encodeValue(this.state))
+  }
+
+  startElection (term: number, leaderSilentMs: number): void {
+    this.options.log.warn('election_started', { term, leaderSilentMs: Math.round(leaderSilentMs) })
+  }
+
+  /** Runs a function and records its time under a name, which the line of a stall then shows. */
+  private measure<T> (kind: string, run: () => T): T {
+    const startedAt = monotonicNow()
+    const result = run()
+    this.options.loopMonitor?.recordWork(kind, monotonicNow() - startedAt)
+    return result
   }
 
   /** Handles a one-way message of an entry. */
@@ -343,7 +357,9 @@
     const now = clusterNow()
     const startedAt = monotonicNow()
     const result = this.handleEvent(event, now)
-    metrics?.recordStep(event.kind, monotonicNow() - startedAt)
+    const durationMs = monotonicNow() - startedAt
+    metrics?.recordStep(event.kind, durationMs)
+    this.options.loopMonitor?.recordWork(event.kind, durationMs)
     metrics?.recordDecisions(result.decisions, scheduler.state, now)
     metrics?.recordEffects(result.effects)
     logDecisions(this.options.log, result.decisions, scheduler.state, now)
--- a/packages/runtime/src/core/loop-monitor.ts
+++ b/packages/runtime/src/core/loop-monitor.ts
@@ -4,6 +4,8 @@
  * its peers for silent, so both belong beside every decision about them.
  */
 
+import { TurnWork } from './turn-work.js'
+
 /** Delay of a timer from which the event loop counts as stalled; two thirds of an election timeout of 300 ms. */
 const STALL_THRESHOLD_MS = 200
 
@@ -18,6 +20,18 @@
   busyPercent: number
   /** Longest delay of a timer, in milliseconds. */
   loopDelayMs: number
+  /** Time spent on garbage collection by the thread of the event loop, in percent of the elapsed time. */
+  gcPercent: number
+}
+
+/** A delay of the event loop, and what the process did during it. */
+export interface LoopDelay {
+  delayMs: number
+  isStalled: boolean
+  /** Time spent on named work, in milliseconds; the rest of the delay went into reading, writing and garbage collection. */
+  workMs: number
+  /** The work that took longest, each as `kind:total/count/longest` in milliseconds. */
+  work: string
 }
 
 export interface LoopMonitorOptions {
@@ -26,8 +40,10 @@
   /** Monotonic time in milliseconds. */
   now: () => number
   readProcessorTime: () => ProcessorTime
-  /** Called with the delay of each timer, in milliseconds. */
-  handleDelay: (delayMs: number, isStalled: boolean) => void
+  /** Time spent on garbage collection since the start of the process, in milliseconds. */
+  readGcMs?: () => number
+  /** Called with the delay of each timer. */
+  handleDelay: (delay: LoopDelay) => void
 }
 
 export class LoopMonitor {
@@ -35,6 +51,8 @@
   private longestDelayMs = 0
   private reportedAt: number
   private reportedTime: ProcessorTime
+  private reportedGcMs = 0
+  private readonly turnWork = TurnWork.create()
 
   private constructor (private readonly options: LoopMonitorOptions) {
     this.lastTickAt = options.now()
@@ -46,13 +64,20 @@
     return new LoopMonitor(options)
   }
 
+  /** Records work since the last tick, by kind. */
+  recordWork (kind: string, durationMs: number): void {
+    this.turnWork.record(kind, durationMs)
+  }
+
   /** Records the delay of the timer that calls it. */
   tick (): void {
     const now = this.options.now()
     const delayMs = Math.max(0, now - this.lastTickAt - this.options.intervalMs)
     this.lastTickAt = now
     this.longestDelayMs = Math.max(this.longestDelayMs, delayMs)
-    this.options.handleDelay(delayMs, delayMs >= STALL_THRESHOLD_MS)
+    const isStalled = delayMs >= STALL_THRESHOLD_MS
+    this.options.handleDelay({ delayMs, isStalled, ...isStalled ? this.turnWork.summarize() : { workMs: 0, work: '' } })
+    this.turnWork.clear()
   }
 
   /** The load since the previous call. */
@@ -61,7 +86,10 @@
     const time = this.options.readProcessorTime()
     const usedMs = (time.user + time.system - this.reportedTime.user - this.reportedTime.system) / 1_000
     const elapsedMs = now - this.reportedAt
-    const load = { busyPercent: elapsedMs > 0 ? Math.round(PERCENT * usedMs / elapsedMs) : 0, loopDelayMs: Math.round(this.longestDelayMs) }
+    const gcMs = this.options.readGcMs?.() ?? 0
+    const toPercent = (ms: number): number => elapsedMs > 0 ? Math.round(PERCENT * ms / elapsedMs) : 0
+    const load = { busyPercent: toPercent(usedMs), gcPercent: toPercent(gcMs - this.reportedGcMs), loopDelayMs: Math.round(this.longestDelayMs) }
+    this.reportedGcMs = gcMs
     this.reportedAt = now
     this.reportedTime = time
     this.longestDelayMs = 0
