Send a member that does not answer no entries until it does

Cause: a leader that had no answer of a member for an election timeout sent it everything after the last acknowledged entry again with each heartbeat, up to 512 KB each, and from the first entry of the log if it had acknowledged nothing in this term. The frames were encoded on the leader's core and queued on the link, behind which later heartbeats came late.

Change: a probe carries no entries; the first acceptance ends the probe and entries follow. A member that has acknowledged nothing yet is probed at the end of the log, where a refusal corrects the guess.

--- a/packages/controllers/__tests__/raft.test.ts
+++ b/packages/controllers/__tests__/raft.test.ts
@@ -170,6 +170,65 @@
     })
   })
 
+  describe('a member that does not answer', () => {
+    const ELECTED_AT = AFTER_ELECTION_TIMEOUT_MS
+    const ENTRY_BYTES = 1_000
+    const ENTRY_COUNT = 50
+
+    /** A leader whose followers have answered once; from then on b answers and c does not. */
+    function createLeader (): Raft {
+      const raft = createRaft(3, 1, 2)
+      elect(raft)
+      sync(raft, ELECTED_AT)
+      raft.receive('b', createMessage(4, createAcceptance(3), 'b1'), ELECTED_AT)
+      return raft
+    }
+
+    /** Lets the leader run for a second, in which it proposes entries; returns the bytes of entries that it sent to c. */
+    function countBytesToSilentMember (raft: Raft): number {
+      let bytes = 0
+      for (let now = ELECTED_AT + 10; now <= ELECTED_AT + 1_000; now += 10) {
+        if (now <= ELECTED_AT + 10 * ENTRY_COUNT) raft.propose(new Uint8Array(ENTRY_BYTES))
+        raft.tick(now)
+        raft.flush(now)
+        const { writes } = raft.state
+        if (writes.length > 0) raft.completeSync(writes.splice(0).at(-1)!.sequence, raft.state.log.lastIndex, now)
+        for (const { to, message } of raft.state.messages.splice(0)) {
+          if (to === 'c' && message.kind === 'appendRequest') bytes += message.entries.reduce((sum, entry) => sum + entry.data.length, 0)
+        }
+        raft.receive('b', createMessage(4, createAcceptance(raft.state.log.lastIndex, now), 'b1'), now)
+      }
+      assert.equal(raft.role, 'leader')
+      return bytes
+    }
+
+    it('is not sent the log with every heartbeat', () => {
+      const bytes = countBytesToSilentMember(createLeader())
+      assert.ok(bytes <= ENTRY_COUNT * ENTRY_BYTES, `${bytes} bytes were sent`)
+    })
+
+    it('is not sent what it has acknowledged before its answers stopped', () => {
+      const raft = createLeader()
+      raft.receive('c', createMessage(4, createAcceptance(3), 'c1'), ELECTED_AT)
+      const bytes = countBytesToSilentMember(raft)
+      assert.ok(bytes <= ENTRY_COUNT * ENTRY_BYTES, `${bytes} bytes were sent`)
+    })
+
+    it('gets all entries once it answers again', () => {
+      const raft = createLeader()
+      countBytesToSilentMember(raft)
+      const now = ELECTED_AT + 1_060
+      const receive = (body: MessageBody): Message[] => {
+        raft.receive('c', createMessage(4, body, 'c1'), now)
+        raft.flush(now)
+        return raft.state.messages.splice(0).map(({ message }) => message)
+      }
+      receive({ kind: 'appendAnswer', accepted: false, index: 2, refusedIndex: raft.state.log.lastIndex, sentAt: now })
+      const sent = receive(createAcceptance(3, now)).flatMap(message => message.kind === 'appendRequest' ? message.entries.map(({ index }) => index) : [])
+      assert.deepEqual([sent[0], sent.at(-1)], [4, raft.state.log.lastIndex])
+    })
+  })
+
   describe('a message with the wrong disk identity', () => {
     it('is not counted as a vote', () => {
       const raft = createRaft(3, 1)
--- a/packages/controllers/src/core/raft/leader.ts
+++ b/packages/controllers/src/core/raft/leader.ts
@@ -265,18 +265,21 @@
     }
   }
 
-  /** Sends the next entries, possibly none as a heartbeat; starts a snapshot if the entries were compacted. */
+  /**
+   * Sends the next entries, possibly none as a heartbeat; starts a snapshot if the entries were compacted. A probe carries
+   * no entries: repeated with each heartbeat to a member that is slow to answer, they would delay its answers further.
+   */
   private sendAppend (id: string, progress: Progress, now: number): void {
     const { state } = this
     const previousIndex = progress.nextIndex - 1
     const previousTerm = state.log.termAt(previousIndex)
     if (previousTerm === undefined) return this.startSnapshotUpload(id, progress, now)
-    const entries = progress.bytesInFlight < IN_FLIGHT_LIMIT_BYTES ? state.log.slice(progress.nextIndex, MESSAGE_LIMIT_BYTES) : []
+    const hasRoom = !progress.isProbing && progress.bytesInFlight < IN_FLIGHT_LIMIT_BYTES
+    const entries = hasRoom ? state.log.slice(progress.nextIndex, MESSAGE_LIMIT_BYTES) : []
     state.send(id, this.diskOf(id, progress), {
       kind: 'appendRequest', previousIndex, previousTerm, entries, commitIndex: state.commitIndex, sentAt: now
     })
     progress.sentAt = now
-    if (progress.isProbing) return
     progress.nextIndex += entries.length
     for (const entry of entries) progress.bytesInFlight += entry.data.length
   }
--- a/packages/controllers/src/core/raft/progress.ts
+++ b/packages/controllers/src/core/raft/progress.ts
@@ -67,10 +67,13 @@
     this.bytesInFlight = 0
   }
 
-  /** Probes a silent member again, because pipelined entries may be lost. */
+  /**
+   * Probes a silent member again, because pipelined entries may be lost. Before the member has acknowledged any entry,
+   * the end of the leader's log at the start of the term remains the better guess; a refusal corrects it.
+   */
   restartProbe (): void {
     this.isProbing = true
     this.bytesInFlight = 0
-    this.nextIndex = this.matchIndex + 1
+    if (this.matchIndex > 0) this.nextIndex = this.matchIndex + 1
   }
 }
