Send due heartbeats between the events of a long turn

Callers saw no leader for seconds although a working one was there. Cause: a leader sends heartbeats when a timer runs, once in a turn of the event loop. A turn in which hundreds of workers and callers are answered takes 200 to 400 ms beside the load of a burst; at the end of it the followers have elected another leader, which has the same turn before it. The lease ends in such a turn as well, so that the leader refuses calls before it is deposed.

Change: after each event the replica sends the heartbeats that are due, and nothing else of a tick. Members count as silent by ticks as well as by time, since their answers wait until the turn ends.

--- a/packages/controllers/src/core/raft/leader.ts
+++ b/packages/controllers/src/core/raft/leader.ts
@@ -105,6 +105,12 @@
     this.recordLease(now)
     if (now - this.leaseHeldAt > LEASELESS_LIMIT_FACTOR * electionMs) return this.stepDown(now)
     if (this.transfer !== undefined && now >= this.transfer.deadline) return this.stepDown(now)
+    for (const progress of this.progressById.values()) progress.ticksSinceAnswer += 1
+    this.sendDueHeartbeats(now)
+  }
+
+  /** Sends heartbeats if they are due. Unlike a tick it draws no conclusion from the answers that this process has not read yet. */
+  sendDueHeartbeats (now: number): void {
     if (now - this.lastHeartbeatAt >= this.state.timing.heartbeatMs) this.broadcast(now)
   }
 
@@ -248,7 +254,7 @@
     this.lastHeartbeatAt = now
     for (const [id, progress] of this.progressById) {
       const { electionMs } = this.state.timing
-      const isSilent = now - progress.lastAnswerAt > electionMs
+      const isSilent = progress.isSilent(now, this.state.timing)
       if (isSilent) progress.restartProbe()
       if (progress.upload === undefined) this.sendAppend(id, progress, now)
       // Snapshot chunks are large, so a silent member gets only one per election timeout.
--- a/packages/controllers/src/core/raft/progress.ts
+++ b/packages/controllers/src/core/raft/progress.ts
@@ -2,7 +2,7 @@
  * Replication progress of one member, as tracked by the leader.
  */
 
-import type { Snapshot } from '../../types/raft.js'
+import type { RaftTiming, Snapshot } from '../../types/raft.js'
 
 export interface SnapshotUpload {
   snapshot: Snapshot
@@ -19,6 +19,8 @@
   isProbing = true
   /** Time of the last answer; initially the time of creation. */
   lastAnswerAt: number
+  /** Number of ticks of the leader since the last answer. */
+  ticksSinceAnswer = 0
   /**
    * Latest send time, on the leader's clock, that an answer echoed. The member
    * cannot have started its vote hold-off earlier, so the lease counts from here.
@@ -46,9 +48,18 @@
   /** Records an answer; `sentAt` is the send time of the request, which the answer echoes. */
   recordAnswer (sentAt: number, now: number): void {
     this.lastAnswerAt = now
+    this.ticksSinceAnswer = 0
     this.leaseStartAt = Math.max(this.leaseStartAt, sentAt)
   }
 
+  /**
+   * True when the member has not answered for an election timeout. Ticks count as well as time: answers that arrive during
+   * a long turn of the event loop are only read after it.
+   */
+  isSilent (now: number, { electionMs, heartbeatMs }: RaftTiming): boolean {
+    return now - this.lastAnswerAt > electionMs && this.ticksSinceAnswer * heartbeatMs > electionMs
+  }
+
   /** Records that the member's log is durable up to `index`, which acknowledges `bytes` of entries. */
   recordAcceptance (index: number, bytes: number): void {
     this.bytesInFlight = Math.max(0, this.bytesInFlight - bytes)
--- a/packages/controllers/src/core/raft/raft.ts
+++ b/packages/controllers/src/core/raft/raft.ts
@@ -103,6 +103,11 @@
     return true
   }
 
+  /** Sends the heartbeats of a leader that are due, in the middle of a turn. */
+  sustain (now: number): void {
+    this.leader?.sendDueHeartbeats(now)
+  }
+
   /** Sends entries proposed since the last call. */
   flush (now: number): void {
     this.leader?.flush(now)
--- a/packages/controllers/src/core/replica.ts
+++ b/packages/controllers/src/core/replica.ts
@@ -101,6 +101,16 @@
     this.takeSnapshotIfDue()
   }
 
+  /**
+   * Sends the heartbeats that are due, and nothing else. A leader calls it between two pieces of work of one turn of the
+   * event loop, so that a long turn is not taken for the loss of the leader.
+   */
+  sustain (): void {
+    if (this.isStopped || this.isProcessingOutput) return
+    this.raft.sustain(this.clock.now())
+    this.sendMessages()
+  }
+
   /**
    * Appends an entry and returns its index. Throws notLeader before the owner was
    * notified that it leads, after leadership is lost, and during a leadership transfer.
--- a/packages/runtime/__tests__/take-over.test.ts
+++ b/packages/runtime/__tests__/take-over.test.ts
@@ -106,7 +106,7 @@
     dispatcher = RecordingDispatcher.create()
     const scheduler = Scheduler.create([StagedJobs.create()], createBacklog())
     controller = Controller.create({ scheduler, bindings: [], localMethods: new Map(), log: NoopLog.create(), orderDispatcher: dispatcher, handleFault: reason => { assert.fail(reason) } })
-    const replica = { holdsLease: () => holdsLease, propose: () => 1, status: () => ({ term: 2, members: [], leader: '' }) }
+    const replica = { holdsLease: () => holdsLease, sustain: () => {}, propose: () => 1, status: () => ({ term: 2, members: [], leader: '' }) }
     controller.attach(replica as unknown as Replica)
   })
 
--- a/packages/runtime/__tests__/unexpected-errors.test.ts
+++ b/packages/runtime/__tests__/unexpected-errors.test.ts
@@ -41,7 +41,7 @@
     log: NoopLog.create(),
     handleFault: reason => { faults.push(reason) }
   })
-  controller.attach({ holdsLease: () => true, propose: () => 1, status: () => ({ term: 1, leader: 'self', members: [] }) } as unknown as Replica)
+  controller.attach({ holdsLease: () => true, sustain: () => {}, propose: () => 1, status: () => ({ term: 1, leader: 'self', members: [] }) } as unknown as Replica)
   controller.startLeading(1)
   const read = (path: string): Promise<unknown> => {
     const frame: CallFrame = { kind: 'call', id: 1, method: InternalMethod.job, body: { kind: 'readJob', host: 'h', path } }
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -370,6 +370,7 @@
       else deferred.push(effect)
     }
     this.proposals.add({ decisions: result.decisions, effects: deferred })
+    this.replica.sustain()
   }
 
   /**
