Count the time limits of calls in time in which the answers can be read

Callers' work was started late, twice, or given up although its workers had answered within milliseconds. Cause: after a turn longer than the time limit of a call, timers run before the answers that wait are read. The leader closed the connection, dialled again and sent the start up to three times, which took more time than the start itself and made the next turn longer.

Change: a time limit has eight parts, of which a turn of the event loop counts as one at most, and ends a call only after what has arrived is read.

--- a/packages/controllers/__tests__/link.test.ts
+++ b/packages/controllers/__tests__/link.test.ts
@@ -101,6 +101,22 @@
     server.close()
   })
 
+  it('read an answer that arrived while this process was held up for longer than the time limit of the call', async () => {
+    const answering = new LinkObserver()
+    answering.handlers.called = async (_link, { body }) => {
+      // An immediate runs after the answer was written, and before it is read.
+      setImmediate(() => { for (const startedAt = performance.now(); performance.now() - startedAt < 200;); })
+      return body
+    }
+    const { server, port } = await listen(answering)
+    const calling = new LinkObserver()
+    const dialler = LinkDialler.create(`127.0.0.1:${port}`, createHello('client'), calling.handlers)
+    const link = await calling.opened
+    assert.equal(await link.call('method', 'body', 50), 'body')
+    dialler.close()
+    server.close()
+  })
+
   it('reject pending calls with deadlineExceeded when they close', async () => {
     const serverObserver = new LinkObserver()
     const { server, port } = await listen(serverObserver)
--- a/packages/controllers/src/core/link.ts
+++ b/packages/controllers/src/core/link.ts
@@ -9,6 +9,7 @@
 import { ErrorKind, Failure, toFailure, type ErrorKind as Kind } from '@flamingorouter/scheduler'
 import type { AnswerFrame, CallFrame, Frame, HelloFrame } from '../types/frames.js'
 import { encodeFrame, FRAME_LIMIT_BYTES, FrameReader } from './framing.js'
+import { TimeLimit } from './time-limit.js'
 
 /** Bytes that may be buffered for sending; a link with more refuses further frames. */
 const SEND_BUFFER_LIMIT_BYTES = 64 * 1024 * 1024
@@ -22,7 +23,7 @@
 interface PendingCall {
   resolve: (body: unknown) => void
   reject: (failure: Failure) => void
-  timer: NodeJS.Timeout
+  limit: TimeLimit
 }
 
 /** Interval of pings over an idle link, in milliseconds. */
@@ -118,11 +119,11 @@
         reject(Failure.create(ErrorKind.unavailable, `${method} was not sent: the link is closed or its send buffer is full`))
         return
       }
-      const timer = setTimeout(() => {
+      const limit = TimeLimit.start(timeoutMs, () => {
         this.pendingCalls.delete(id)
         reject(Failure.create(ErrorKind.deadlineExceeded, `no answer to ${method} within ${timeoutMs} ms`))
-      }, timeoutMs)
-      this.pendingCalls.set(id, { resolve, reject, timer })
+      })
+      this.pendingCalls.set(id, { resolve, reject, limit })
     })
   }
 
@@ -147,7 +148,7 @@
   /** Rejects every pending call with deadlineExceeded; answers that still arrive are dropped. */
   rejectPendingCalls (reason: string): void {
     for (const pendingCall of this.pendingCalls.values()) {
-      clearTimeout(pendingCall.timer)
+      pendingCall.limit.cancel()
       pendingCall.reject(Failure.create(ErrorKind.deadlineExceeded, `the call was abandoned before its answer arrived: ${reason}`))
     }
     this.pendingCalls.clear()
@@ -203,7 +204,7 @@
     const pendingCall = this.pendingCalls.get(frame.id)
     if (pendingCall === undefined) return
     this.pendingCalls.delete(frame.id)
-    clearTimeout(pendingCall.timer)
+    pendingCall.limit.cancel()
     if (frame.error === undefined) return pendingCall.resolve(frame.body)
     const { kind, message, retryAfterMs } = frame.error
     pendingCall.reject(Failure.create(kind as Kind, message, { retryAfterMs }))
