--- a/packages/runtime/src/core/estimate-errors.ts
+++ b/packages/runtime/src/core/estimate-errors.ts
@@ -8,8 +8,18 @@
 /** Number of queues whose errors are kept; the one that was updated longest ago is left out. */
 const QUEUE_LIMIT = 64
 
+/** Number of ends of a queue for each that is compared; an estimate walks histograms that every end changes. */
+const ENDS_PER_COMPARISON = 8
+
+interface QueueErrors {
+  /** Number of ends of the queue. */
+  ends: number
+  /** Ratios of real over expected time. */
+  ratios: LogHistogram
+}
+
 export class EstimateErrors {
-  private readonly ratios = new Map<string, LogHistogram>()
+  private readonly errors = new Map<string, QueueErrors>()
 
   private constructor () {}
 
@@ -17,27 +27,28 @@
     return new EstimateErrors()
   }
 
-  /** Takes the end of a run whose work is known. `state` contains the end already, by the weight of one sample. */
+  /** Takes the end of a run whose work is known, and compares some of them. `state` contains the end already, by the weight of one sample. */
   record ({ ref, workMs }: Extract<Decision, { kind: 'runEnded' }>, state: ClusterState): void {
     const job = state.jobs.get(ref.job)
     const stage = job?.spec.stages[ref.stage]
     if (job === undefined || stage === undefined || workMs === undefined) return
+    const errors = this.errors.get(job.queue) ?? { ends: 0, ratios: createHistogram() }
+    this.errors.delete(job.queue)
+    this.errors.set(job.queue, errors)
+    if (errors.ends++ % ENDS_PER_COMPARISON !== 0) return
     const { expectedMs } = RunTimeModel.create(state.runTimes).estimate(job.queue, stage)
     if (expectedMs <= 0) return
-    const histogram = this.ratios.get(job.queue) ?? createHistogram()
-    addSample(histogram, workMs / expectedMs)
-    this.ratios.delete(job.queue)
-    this.ratios.set(job.queue, histogram)
-    for (const oldest of this.ratios.keys()) {
-      if (this.ratios.size <= QUEUE_LIMIT) return
-      this.ratios.delete(oldest)
+    addSample(errors.ratios, workMs / expectedMs)
+    for (const oldest of this.errors.keys()) {
+      if (this.errors.size <= QUEUE_LIMIT) return
+      this.errors.delete(oldest)
     }
   }
 
   /** The 50th and 90th percentile of the ratio of real to expected run time, by queue. */
   list (): Array<{ queue: string, p50: number, p90: number }> {
-    return [...this.ratios].flatMap(([queue, histogram]) => {
-      const summary = summarize(histogram)
+    return [...this.errors].flatMap(([queue, { ratios }]) => {
+      const summary = summarize(ratios)
       return summary === undefined ? [] : [{ queue, p50: Math.exp(summary.median), p90: Math.exp(summary.upper) }]
     })
   }
--- a/packages/scheduler/src/utils/errors.ts
+++ b/packages/scheduler/src/utils/errors.ts
@@ -59,6 +59,12 @@
   internal: { httpStatus: 500, code: 'internal', exitCode: 1, retryable: false }
 })
 
+/**
+ * Kinds whose failures have no stack trace: they say that a process cannot answer now, and an overloaded process creates
+ * hundreds of them a second.
+ */
+const UNTRACED_KINDS: ReadonlySet<ErrorKind> = new Set([ErrorKind.notLeader, ErrorKind.unavailable, ErrorKind.deadlineExceeded, ErrorKind.resourceExhausted])
+
 /** The only error type that is reported to callers, operators and other processes. */
 export class Failure extends VError {
   readonly kind: ErrorKind
@@ -72,7 +78,13 @@
   }
 
   static create (kind: ErrorKind, message: string, options: { retryAfterMs?: number, cause?: Error } = {}): Failure {
-    return new Failure(kind, message, options.retryAfterMs ?? 0, options.cause)
+    const { stackTraceLimit } = Error
+    if (UNTRACED_KINDS.has(kind)) Error.stackTraceLimit = 0
+    try {
+      return new Failure(kind, message, options.retryAfterMs ?? 0, options.cause)
+    } finally {
+      Error.stackTraceLimit = stackTraceLimit
+    }
   }
 }
 
