Write fewer lines for each job while lines wait for the reader, and name more of a stall

Cause: a process whose turns take 250 ms completes two writes of 4 KB in each, a tenth of what a leader logs in a burst. Its log came up to 8 s late and broke off when the buffer was full, so that the seconds of the incident had no lines, and every line was still formatted.

Change: beyond 32 KB that wait, 40 instead of 400 lines a second of one event are written.

Evidence: the new test of the log failed before (22 writes without the line).

--- a/packages/runtime/__tests__/json-log.test.ts
+++ b/packages/runtime/__tests__/json-log.test.ts
@@ -69,6 +69,25 @@
     assert.equal(chunks.join('').split('\n').length - 1, 45)
   })
 
+  it('writes a rare line of a process that turns four times a second within half a second, however many lines each job has', () => {
+    const pendingWrites: Done[] = []
+    const chunks: Buffer[] = []
+    const log = JsonLog.create('p', (bytes, done) => {
+      chunks.push(bytes)
+      pendingWrites.push(done)
+    }, 0)
+    const turn = (): void => { for (const done of pendingWrites.splice(0)) done(null) }
+    for (let round = 0; round < 8; round++) {
+      for (let index = 0; index < 100; index++) {
+        for (const event of ['run_placed', 'run_ended', 'job_accepted']) log.info(event, { text: 'x'.repeat(200) })
+      }
+      turn()
+    }
+    log.warn('event_loop_stalled')
+    for (let turns = 0; turns < 2 && !chunks.join('').includes('event_loop_stalled'); turns++) turn()
+    assert.ok(chunks.join('').includes('event_loop_stalled'), `${chunks.length} writes, none of them with the line`)
+  })
+
   it('drops lines of an event beyond its rate limit', () => {
     let lines = 0
     const log = JsonLog.create('p', (bytes, done) => { lines += bytes.toString().split('\n').length - 1; done(null) }, 0)
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -71,6 +71,8 @@
   private readonly effectCalls: EffectCalls
   private readonly admissionEntries: AdmissionEntries
   private isLeading = false
+  /** Number of calls of `measure` in progress. */
+  private measuredDepth = 0
 
   private constructor (private readonly options: ControllerOptions) {
     this.loadReporter = LoadReporter.create(options.log, options.loopMonitor)
@@ -143,7 +145,7 @@
 
   /** Proposes all decisions made so far. Called before each tick of the replica, since a snapshot of the state may contain only decisions that are in the log. */
   flush (): void {
-    this.proposals.flush()
+    this.measure('propose', () => { this.proposals.flush() })
   }
 
   /**
@@ -191,7 +193,11 @@
     this.entries.reset(monotonicNow())
     this.isLeading = true
     this.admissionEntries.reset()
-    this.options.orderDispatcher?.startLeading(term, event => { if (this.isLeading) this.feed(event) })
+    this.options.orderDispatcher?.startLeading(
+      term,
+      event => { if (this.isLeading) this.feed(event) },
+      (kind, durationMs) => { this.recordWork(kind, durationMs) }
+    )
     for (const link of this.entryLinks.values()) link.send({ kind: 'notice', topic: Topic.leading, body: { term } })
     this.options.log.info('leading', { term, change: this.state.change })
     // The first event makes the scheduler watch the workers; it follows the notices, so that heartbeats arrive meanwhile.
@@ -229,12 +235,20 @@
     this.options.log.warn('election_started', { term, leaderSilentMs: Math.round(leaderSilentMs) })
   }
 
+  private recordWork (kind: string, durationMs: number): void {
+    this.options.loopMonitor?.recordWork(kind, durationMs, this.measuredDepth > 0)
+  }
+
   /** Runs a function and records its time under a name, which the line of a stall then shows. */
-  private measure<T> (kind: string, run: () => T): T {
+  measure<T> (kind: string, run: () => T): T {
     const startedAt = monotonicNow()
-    const result = run()
-    this.options.loopMonitor?.recordWork(kind, monotonicNow() - startedAt)
-    return result
+    this.measuredDepth += 1
+    try {
+      return run()
+    } finally {
+      this.measuredDepth -= 1
+      this.recordWork(kind, monotonicNow() - startedAt)
+    }
   }
 
   /** Handles a one-way message of an entry. */
@@ -359,7 +373,7 @@
     const result = this.handleEvent(event, now)
     const durationMs = monotonicNow() - startedAt
     metrics?.recordStep(event.kind, durationMs)
-    this.options.loopMonitor?.recordWork(event.kind, durationMs)
+    this.recordWork(event.kind, durationMs)
     metrics?.recordDecisions(result.decisions, scheduler.state, now)
     metrics?.recordEffects(result.effects)
     logDecisions(this.options.log, result.decisions, scheduler.state, now)
--- a/packages/runtime/src/core/json-log.ts
+++ b/packages/runtime/src/core/json-log.ts
@@ -16,6 +16,15 @@
 /** Maximum number of lines of one event in one rate window. */
 const EVENT_LIMIT_PER_SECOND = 400
 
+/**
+ * Maximum number of lines of one event in one rate window while lines wait for the reader. A process that completes few
+ * writes is overloaded, and its rare lines must not wait behind those of each job.
+ */
+const BACKLOGGED_EVENT_LIMIT = 40
+
+/** Size of the waiting lines from which the lower limit holds, in UTF-16 code units. */
+const BACKLOG_BYTES = 32 * 1024
+
 /** Length of the window over which the lines of one event are counted, in milliseconds. */
 const RATE_WINDOW_MS = 1_000
 
@@ -43,7 +52,7 @@
   private writesInFlight = 0
   private droppedLines = 0
   private isFlushDue = false
-  private readonly rates = new Map<string, { since: number, count: number }>()
+  private readonly rates = new Map<string, { since: number, count: number, dropped: number }>()
 
   private constructor (private readonly process: string, private readonly writeBytes: WriteBytes, private readonly gatherMs: number) {
     super()
@@ -104,11 +113,14 @@
   private countLine (event: string, now: number): number {
     const rate = this.rates.get(event)
     if (rate === undefined || now - rate.since >= RATE_WINDOW_MS || now < rate.since) {
-      this.rates.set(event, { since: now, count: 1 })
-      return Math.max(0, (rate?.count ?? 0) - EVENT_LIMIT_PER_SECOND)
+      this.rates.set(event, { since: now, count: 1, dropped: 0 })
+      return rate?.dropped ?? 0
     }
     rate.count += 1
-    return rate.count > EVENT_LIMIT_PER_SECOND ? -1 : 0
+    const limit = this.bufferedBytes >= BACKLOG_BYTES ? BACKLOGGED_EVENT_LIMIT : EVENT_LIMIT_PER_SECOND
+    if (rate.count <= limit) return 0
+    rate.dropped += 1
+    return -1
   }
 
   private flush (): void {
--- a/packages/runtime/src/core/loop-monitor.ts
+++ b/packages/runtime/src/core/loop-monitor.ts
@@ -64,9 +64,9 @@
     return new LoopMonitor(options)
   }
 
-  /** Records work since the last tick, by kind. */
-  recordWork (kind: string, durationMs: number): void {
-    this.turnWork.record(kind, durationMs)
+  /** Records work since the last tick, by kind; `isNested` if its time is part of that of other work. */
+  recordWork (kind: string, durationMs: number, isNested = false): void {
+    this.turnWork.record(kind, durationMs, isNested)
   }
 
   /** Records the delay of the timer that calls it. */
--- a/packages/runtime/src/core/sliced-queue.ts
+++ b/packages/runtime/src/core/sliced-queue.ts
@@ -12,6 +12,8 @@
   now: () => number
   /** Runs a function in the next turn of the event loop. */
   defer: (run: () => void) => void
+  /** Called with the time spent on items in a turn, in milliseconds. */
+  recordTurn?: (spentMs: number) => void
 }
 
 export class SlicedQueue<T> {
@@ -58,6 +60,7 @@
 
   private startTurn (): void {
     this.isDeferred = false
+    this.options.recordTurn?.(this.spentMs)
     this.spentMs = 0
     if (this.length > 0) this.carryOutSlice()
   }
--- a/packages/runtime/src/core/turn-work.ts
+++ b/packages/runtime/src/core/turn-work.ts
@@ -22,8 +22,9 @@
     return new TurnWork()
   }
 
-  record (kind: string, durationMs: number): void {
-    this.totalMs += durationMs
+  /** `isNested`: the time is part of that of other work. */
+  record (kind: string, durationMs: number, isNested = false): void {
+    if (!isNested) this.totalMs += durationMs
     const work = this.byKind.get(kind)
     if (work === undefined) {
       this.byKind.set(kind, { count: 1, durationMs, longestMs: durationMs })
--- a/packages/runtime/src/core/worker-sessions.ts
+++ b/packages/runtime/src/core/worker-sessions.ts
@@ -4,7 +4,7 @@
 
 import type { CalledWorker, Event } from '@flamingorouter/scheduler'
 import { clusterNow, monotonicNow } from './clock.js'
-import { OrderDispatcher, type WorkerEffect } from './order-dispatcher.js'
+import { OrderDispatcher, type RecordWork, type WorkerEffect } from './order-dispatcher.js'
 import type { RuntimeLog } from './runtime-log.js'
 import { SlicedQueue } from './sliced-queue.js'
 import { computeSessionFence, WorkerSession, type LeaseLimits, type SessionOwner, type WorkerClient } from './worker-session.js'
@@ -34,6 +34,7 @@
   /** Number of sessions in this term. */
   private sessionCount = 0
   private owner: SessionOwner | undefined
+  private recordWork: RecordWork | undefined
   /** True once the scheduler was told that orders wait to be sent. */
   private isBacklogged = false
   /** A pass may order hundreds of starts. */
@@ -53,8 +54,9 @@
     return new WorkerSessions(client, limits, log)
   }
 
-  override startLeading (term: number, feed: (event: Event) => void): void {
+  override startLeading (term: number, feed: (event: Event) => void, recordWork?: RecordWork): void {
     this.stopLeading()
+    this.recordWork = recordWork
     this.term = term
     this.sessionCount = 0
     this.owner = { feed, clusterNow, monotonicNow, pause }
@@ -80,6 +82,7 @@
       carryOut: effect => { this.carryOut(effect) },
       sliceMs,
       now: monotonicNow,
+      recordTurn: spentMs => { this.recordWork?.('sendOrders', spentMs) },
       defer: run => setImmediate(() => {
         run()
         this.reportBacklog()
