--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -114,7 +114,7 @@
       snapshotEvery: settings.snapshotEvery
     })
     controller.attach(replica)
-    links.handleMessage = (from, message) => { controller.measure('replication', () => { replica.receive(from, message) }) }
+    links.handleMessage = (from, message) => { controller.work.measure('replication', () => { replica.receive(from, message) }) }
     const server = LinkServer.create(hello, { ...createHandlers(controller, replica, links, context.log), traffic: context.traffic }, context.peerKeys?.())
     server.handleError = error => { context.log.error('server_failed', { error: error.message }) }
     await server.listen(parseAddress(settings.listen))
@@ -187,7 +187,7 @@
       controller.handleLinkOpened(link)
     },
     called: (link, frame) => controller.handleCall(link, frame),
-    replication: (link, message) => { controller.measure('replication', () => { replica.receive(link.peer?.process ?? '', message) }) },
+    replication: (link, message) => { controller.work.measure('replication', () => { replica.receive(link.peer?.process ?? '', message) }) },
     notice: (link, topic, body) => { controller.handleNotice(link, topic, body) },
     closed: (link, reason) => {
       if (link.peer !== undefined) log.warn('peer_lost', { peer: link.peer.process, role: link.peer.role, reason })
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -3,14 +3,12 @@
  * while this process leads, carries out its effects, and answers the calls of entries.
  */
 
-import { fromBinary, toBinary } from '@bufbuild/protobuf'
-import { createHash } from 'node:crypto'
 import {
   decodeValue, encodeValue, InternalMethod, Topic,
   type CallFrame, type ConfigurationAnswer, type ControllerAddress, type ForwardedCall,
   type HeartbeatAnswer, type HeartbeatBody, type JobEvent, type Link, type MemberCandidate, type MembersAnswer, type Replica, type ReplicaOwner, type RequestEvent
 } from '@flamingorouter/controllers'
-import type { Binding, CallContext } from '@flamingorouter/rpc'
+import type { Binding } from '@flamingorouter/rpc'
 import {
   createClusterState, ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type Scheduler, type StepResult
 } from '@flamingorouter/scheduler'
@@ -27,9 +25,11 @@
 import type { LoopMonitor } from './loop-monitor.js'
 import type { OrderDispatcher } from './order-dispatcher.js'
 import { ProposalQueue } from './proposal-queue.js'
+import { RpcCalls } from './rpc-calls.js'
 import type { RuntimeLog } from './runtime-log.js'
 import type { VmService } from './vm-service.js'
 import { StateWatches } from './state-watches.js'
+import { WorkMeter } from './work-meter.js'
 
 /** Services and callbacks that a controller of staged jobs needs in addition; absent in other controllers. */
 export interface ControllerHooks {
@@ -61,20 +61,21 @@
 
 export class Controller implements ReplicaOwner {
   readonly entries = EntryTable.create()
+  /** Names what holds up the event loop. */
+  readonly work: WorkMeter
   private attached: { replica: Replica, proposals: ProposalQueue } | undefined
   private readonly pendingCalls = PendingCalls.create()
   private readonly loadReporter: LoadReporter
   private readonly watches = StateWatches.create()
-  private readonly bindings = new Map<string, Binding>()
+  private readonly rpcCalls: RpcCalls
   /** Open links to entries, by the name of the process. */
   private readonly entryLinks = new Map<string, Link>()
   private readonly effectCalls: EffectCalls
   private readonly admissionEntries: AdmissionEntries
   private isLeading = false
-  /** Number of calls of `measure` in progress. */
-  private measuredDepth = 0
 
   private constructor (private readonly options: ControllerOptions) {
+    this.work = WorkMeter.create(options.loopMonitor)
     this.loadReporter = LoadReporter.create(options.log, options.loopMonitor)
     this.effectCalls = EffectCalls.create({
       feed: event => { this.feed(event) },
@@ -88,9 +89,7 @@
       now: monotonicNow,
       defer: run => { setImmediate(run) }
     })
-    for (const binding of options.bindings) {
-      this.bindings.set(`${binding.method.parent.typeName}/${binding.method.name}`, binding)
-    }
+    this.rpcCalls = RpcCalls.create(this, options.bindings, options.localMethods, this.watches)
   }
 
   static create (options: ControllerOptions): Controller {
@@ -145,7 +144,7 @@
 
   /** Proposes all decisions made so far. Called before each tick of the replica, since a snapshot of the state may contain only decisions that are in the log. */
   flush (): void {
-    this.measure('propose', () => { this.proposals.flush() })
+    this.work.measure('propose', () => { this.proposals.flush() })
   }
 
   /**
@@ -165,7 +164,7 @@
   // Callbacks of the replica.
 
   applyEntry (index: number, entry: Uint8Array, isOwn: boolean): void {
-    this.measure(isOwn ? 'releaseEffects' : 'applyEntry', () => {
+    this.work.measure(isOwn ? 'releaseEffects' : 'applyEntry', () => {
       if (isOwn) this.proposals.handleCommit(index)
       else this.applyDecisions(index, entry)
       this.watches.completeChanged(this.state)
@@ -196,7 +195,7 @@
     this.options.orderDispatcher?.startLeading(
       term,
       event => { if (this.isLeading) this.feed(event) },
-      (kind, durationMs) => { this.recordWork(kind, durationMs) }
+      (kind, durationMs) => { this.work.record(kind, durationMs) }
     )
     for (const link of this.entryLinks.values()) link.send({ kind: 'notice', topic: Topic.leading, body: { term } })
     this.options.log.info('leading', { term, change: this.state.change })
@@ -228,29 +227,13 @@
   }
 
   encodeSnapshot (): Uint8Array {
-    return this.measure('encodeSnapshot', () => encodeValue(this.state))
+    return this.work.measure('encodeSnapshot', () => encodeValue(this.state))
   }
 
   startElection (term: number, leaderSilentMs: number): void {
     this.options.log.warn('election_started', { term, leaderSilentMs: Math.round(leaderSilentMs) })
   }
 
-  private recordWork (kind: string, durationMs: number): void {
-    this.options.loopMonitor?.recordWork(kind, durationMs, this.measuredDepth > 0)
-  }
-
-  /** Runs a function and records its time under a name, which the line of a stall then shows. */
-  measure<T> (kind: string, run: () => T): T {
-    const startedAt = monotonicNow()
-    this.measuredDepth += 1
-    try {
-      return run()
-    } finally {
-      this.measuredDepth -= 1
-      this.recordWork(kind, monotonicNow() - startedAt)
-    }
-  }
-
   /** Handles a one-way message of an entry. */
   handleNotice (link: Link, topic: string, body: unknown): void {
     if (!this.isAuthoritative || topic !== Topic.grantsHeld) return
@@ -268,7 +251,7 @@
       case InternalMethod.configuration: return await this.answerConfiguration()
       case InternalMethod.job: return await this.ask(call => ({ ...frame.body as JobEvent, call }))
       case InternalMethod.request: return await this.answerRequest(entry, frame.body as RequestEvent)
-      default: return await this.answerRpc(entry, frame.method, frame.body as ForwardedCall)
+      default: return await this.rpcCalls.answer(entry, frame.method, frame.body as ForwardedCall)
     }
   }
 
@@ -314,39 +297,6 @@
     return answer
   }
 
-  private async answerRpc (entry: string, method: string, body: ForwardedCall): Promise<Uint8Array> {
-    const context = this.createContext(entry, body)
-    const local = this.options.localMethods.get(method)
-    if (local !== undefined) return await local(body.request, context, this)
-    const binding = this.bindings.get(method)
-    if (binding === undefined) fail(ErrorKind.unimplemented, `no method ${method}`)
-    const request = fromBinary(binding.method.input, body.request)
-    if (binding.kind === 'event') {
-      const answer = await this.ask(call => binding.toEvent(request, { ...context, call }))
-      return toBinary(binding.method.output, binding.toResponse(answer, request))
-    }
-    const waitMs = binding.waitMs?.(request) ?? 0
-    if (waitMs > 0 && binding.isChanged !== undefined) {
-      const isChanged = binding.isChanged
-      await this.watches.wait(state => isChanged(request, state), waitMs, this.state)
-    }
-    const response = toBinary(binding.method.output, binding.read(request, context, this.state))
-    await this.barrier()
-    return response
-  }
-
-  private createContext (entry: string, body: ForwardedCall): CallContext {
-    return {
-      // A method that is an event replaces this by the number of its pending call.
-      call: 0,
-      actor: body.actor,
-      team: body.team,
-      entry,
-      now: clusterNow(),
-      digest: createHash('sha256').update(body.request).digest('hex')
-    }
-  }
-
   /**
    * Resolves when every decision made so far is committed. Rejects with
    * deadlineExceeded when leadership is lost meanwhile, and with notLeader when the
@@ -373,7 +323,7 @@
     const result = this.handleEvent(event, now)
     const durationMs = monotonicNow() - startedAt
     metrics?.recordStep(event.kind, durationMs)
-    this.recordWork(event.kind, durationMs)
+    this.work.record(event.kind, durationMs)
     metrics?.recordDecisions(result.decisions, scheduler.state, now)
     metrics?.recordEffects(result.effects)
     logDecisions(this.options.log, result.decisions, scheduler.state, now)
