End the heartbeats of a turn that does not end

Heartbeats between events keep the followers from an election for as long as a turn lasts, also for one that never ends, in which the leader reads nothing and grants nothing.

Change: after the time in which a leader without a lease steps down, three election timeouts, no heartbeats are sent in the middle of a turn.

--- a/packages/controllers/__tests__/raft.test.ts
+++ b/packages/controllers/__tests__/raft.test.ts
@@ -170,6 +170,37 @@
     })
   })
 
+  describe('a leader in a long turn', () => {
+    const ELECTED_AT = AFTER_ELECTION_TIMEOUT_MS
+
+    /** Times at which a leader that is in one turn from its election on sends heartbeats to c. */
+    function listHeartbeats (turnMs: number): number[] {
+      const raft = createRaft(3, 1, 2)
+      elect(raft)
+      sync(raft, ELECTED_AT)
+      raft.receive('b', createMessage(4, createAcceptance(3), 'b1'), ELECTED_AT)
+      raft.tick(ELECTED_AT)
+      raft.state.messages = []
+      const times: number[] = []
+      for (let now = ELECTED_AT; now <= ELECTED_AT + turnMs; now++) {
+        raft.sustain(now)
+        for (const { to } of raft.state.messages.splice(0)) if (to === 'c') times.push(now - ELECTED_AT)
+      }
+      assert.equal(raft.role, 'leader')
+      return times
+    }
+
+    it('sends heartbeats at their interval', () => {
+      const times = listHeartbeats(2 * TIMING.electionMs)
+      assert.deepEqual(times, Array.from({ length: Math.floor(2 * TIMING.electionMs / TIMING.heartbeatMs) }, (_, index) => (index + 1) * TIMING.heartbeatMs))
+    })
+
+    it('falls silent in a turn that does not end, so that another replica can lead', () => {
+      const times = listHeartbeats(10 * TIMING.electionMs)
+      assert.ok(times[times.length - 1] <= 3 * TIMING.electionMs, `the last heartbeat was sent after ${times[times.length - 1]} ms`)
+    })
+  })
+
   describe('a member that does not answer', () => {
     const ELECTED_AT = AFTER_ELECTION_TIMEOUT_MS
     const ENTRY_BYTES = 1_000
--- a/packages/controllers/src/core/raft/leader.ts
+++ b/packages/controllers/src/core/raft/leader.ts
@@ -109,8 +109,16 @@
     this.sendDueHeartbeats(now)
   }
 
-  /** Sends heartbeats if they are due. Unlike a tick it draws no conclusion from the answers that this process has not read yet. */
-  sendDueHeartbeats (now: number): void {
+  /**
+   * Sends heartbeats if they are due, in the middle of a turn of the event loop. Unlike a tick it draws no conclusion from the
+   * answers that this process has not read yet. A turn that never ends must not keep the others from electing a leader, so
+   * after a time in which a leader without a lease would step down none are sent.
+   */
+  sustain (now: number): void {
+    if (now - this.lastTickAt <= LEASELESS_LIMIT_FACTOR * this.state.timing.electionMs) this.sendDueHeartbeats(now)
+  }
+
+  private sendDueHeartbeats (now: number): void {
     if (now - this.lastHeartbeatAt >= this.state.timing.heartbeatMs) this.broadcast(now)
   }
 
--- a/packages/controllers/src/core/raft/raft.ts
+++ b/packages/controllers/src/core/raft/raft.ts
@@ -105,7 +105,7 @@
 
   /** Sends the heartbeats of a leader that are due, in the middle of a turn. */
   sustain (now: number): void {
-    this.leader?.sendDueHeartbeats(now)
+    this.leader?.sustain(now)
   }
 
   /** Sends entries proposed since the last call. */
