Send a member that catches up a mebibyte ahead, not four

Change: 1 MiB ahead of the answers and 128 KiB to a message.

Evidence: the new test failed before (4,716,000 bytes in one turn).

--- a/packages/controllers/__tests__/raft.test.ts
+++ b/packages/controllers/__tests__/raft.test.ts
@@ -245,6 +245,19 @@
       assert.ok(bytes <= ENTRY_COUNT * ENTRY_BYTES, `${bytes} bytes were sent`)
     })
 
+    it('gets no more than a mebibyte in one turn when it begins to catch up', () => {
+      const raft = createLeader()
+      for (let entry = 0; entry < 8_000; entry++) raft.propose(new Uint8Array(ENTRY_BYTES))
+      const now = ELECTED_AT + 10
+      sync(raft, now)
+      raft.receive('c', createMessage(4, createAcceptance(3, now), 'c1'), now)
+      raft.flush(now)
+      const bytes = raft.state.messages.splice(0).reduce((sum, { to, message }) => {
+        return sum + (to === 'c' && message.kind === 'appendRequest' ? message.entries.reduce((total, { data }) => total + data.length, 0) : 0)
+      }, 0)
+      assert.ok(bytes > 0 && bytes <= 1_200_000, `${bytes} bytes were sent`)
+    })
+
     it('gets all entries once it answers again', () => {
       const raft = createLeader()
       countBytesToSilentMember(raft)
--- a/packages/controllers/src/core/raft/leader.ts
+++ b/packages/controllers/src/core/raft/leader.ts
@@ -13,9 +13,9 @@
 import type { RaftState } from './raft-state.js'
 
 /** Limit on the bytes of entries in one message; a single larger entry is sent alone. */
-const MESSAGE_LIMIT_BYTES = 512 * 1024
+const MESSAGE_LIMIT_BYTES = 128 * 1024
 /** No further entries are sent to a member while at least this many bytes of entries to it are not acknowledged. */
-const IN_FLIGHT_LIMIT_BYTES = 4 * 1024 * 1024
+const IN_FLIGHT_LIMIT_BYTES = 1024 * 1024
 /** Bytes of a snapshot in one message. */
 const SNAPSHOT_CHUNK_BYTES = 256 * 1024
 
