Bound the queues of the error metric whether or not an end is compared

Cause: found by reading. A queue whose ends could not be compared was added without the check of the limit. Change: the limit is checked when a queue is added.

--- a/packages/runtime/src/core/estimate-errors.ts
+++ b/packages/runtime/src/core/estimate-errors.ts
@@ -32,17 +32,23 @@
     const job = state.jobs.get(ref.job)
     const stage = job?.spec.stages[ref.stage]
     if (job === undefined || stage === undefined || workMs === undefined) return
-    const errors = this.errors.get(job.queue) ?? { ends: 0, ratios: createHistogram() }
-    this.errors.delete(job.queue)
-    this.errors.set(job.queue, errors)
+    const errors = this.touch(job.queue)
     if (errors.ends++ % ENDS_PER_COMPARISON !== 0) return
     const { expectedMs } = RunTimeModel.create(state.runTimes).estimate(job.queue, stage)
     if (expectedMs <= 0) return
     addSample(errors.ratios, workMs / expectedMs)
+  }
+
+  /** The errors of a queue, moved to the end; those of the first queues beyond the limit are removed. */
+  private touch (queue: string): QueueErrors {
+    const errors = this.errors.get(queue) ?? { ends: 0, ratios: createHistogram() }
+    this.errors.delete(queue)
+    this.errors.set(queue, errors)
     for (const oldest of this.errors.keys()) {
-      if (this.errors.size <= QUEUE_LIMIT) return
+      if (this.errors.size <= QUEUE_LIMIT) break
       this.errors.delete(oldest)
     }
+    return errors
   }
 
   /** The 50th and 90th percentile of the ratio of real to expected run time, by queue. */
