Log where an order of an operator spent its time

Cause: control_refused names neither the version nor the parts of the time, so the logs cannot tell whether a late acknowledgement waited for a leader, for its turn, or for the commit. Leaders of earlier versions state nothing, and their answers are read as before.

--- a/packages/controllers/src/types/methods.ts
+++ b/packages/controllers/src/types/methods.ts
@@ -3,7 +3,7 @@
  * of the published schema are forwarded under their full RPC name.
  */
 
-import type { Command, CommandResult, Event } from '@flamingorouter/scheduler'
+import type { Answer, Command, CommandResult, Event } from '@flamingorouter/scheduler'
 
 export const InternalMethod = Object.freeze({
   /**
@@ -105,6 +105,17 @@
     'startUpkeepWave' | 'readUpkeepWave'
 }>>
 
+/** How long the leader took for a call, in milliseconds. */
+export interface HandlingTimes {
+  /** Length of the leader's turn of the event loop when it read the call, in steps of a timer interval. */
+  turnMs: number
+  /** From the reading of the call to its answer, which waits for the commit of the decisions. */
+  commitMs: number
+}
+
+/** The answer to a job event. Leaders of earlier versions state no times. */
+export type JobAnswer = Answer & { handling?: HandlingTimes }
+
 /** Commands to a worker, which an entry calls at `address`. */
 export interface ExecuteBody {
   target: string
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -21,6 +21,7 @@
 import { describeError } from './error-handlers.js'
 import type { MetricsRecorder } from './metrics-recorder.js'
 import { LoadReporter } from './load-reporter.js'
+import { JobCalls } from './job-calls.js'
 import type { LocalMethod } from './local-methods.js'
 import type { LoopMonitor } from './loop-monitor.js'
 import type { OrderDispatcher } from './order-dispatcher.js'
@@ -68,6 +69,7 @@
   private readonly loadReporter: LoadReporter
   private readonly watches = StateWatches.create()
   private readonly rpcCalls: RpcCalls
+  private readonly jobCalls: JobCalls
   /** Open links to entries, by the name of the process. */
   private readonly entryLinks = new Map<string, Link>()
   private readonly effectCalls: EffectCalls
@@ -90,6 +92,10 @@
       defer: run => { setImmediate(run) }
     })
     this.rpcCalls = RpcCalls.create(this, options.bindings, options.localMethods, this.watches)
+    this.jobCalls = JobCalls.create({
+      ask: async toEvent => await this.ask(toEvent),
+      readTurnMs: () => options.loopMonitor?.sinceTickMs ?? 0
+    }, options.log)
   }
 
   static create (options: ControllerOptions): Controller {
@@ -249,7 +255,7 @@
     switch (frame.method) {
       case InternalMethod.heartbeat: return this.answerHeartbeat(frame.body as HeartbeatBody)
       case InternalMethod.configuration: return await this.answerConfiguration()
-      case InternalMethod.job: return await this.ask(call => ({ ...frame.body as JobEvent, call }))
+      case InternalMethod.job: return await this.jobCalls.answer(entry, frame.body as JobEvent)
       case InternalMethod.request: return await this.answerRequest(entry, frame.body as RequestEvent)
       default: return await this.rpcCalls.answer(entry, frame.method, frame.body as ForwardedCall)
     }
--- /dev/null
+++ b/packages/runtime/src/core/job-calls.ts
@@ -0,0 +1,42 @@
+/**
+ * Answers the calls of gateways on staged jobs, the cell, called workers and upkeep
+ * waves, and states with each answer how long the leader took for it.
+ */
+
+import type { HandlingTimes, JobAnswer, JobEvent } from '@flamingorouter/controllers'
+import type { Answer, Event } from '@flamingorouter/scheduler'
+import { monotonicNow } from './clock.js'
+import { describeOrder } from './operator-orders.js'
+import type { RuntimeLog } from './runtime-log.js'
+
+/** The controller that decides. */
+export interface JobCallsOwner {
+  ask: (toEvent: (call: number) => Event) => Promise<Answer>
+  /** Time since the last timer of the event loop, in milliseconds: a call that is read now waited at most that long for its turn. */
+  readTurnMs: () => number
+}
+
+export class JobCalls {
+  private constructor (private readonly owner: JobCallsOwner, private readonly log: RuntimeLog) {}
+
+  static create (owner: JobCallsOwner, log: RuntimeLog): JobCalls {
+    return new JobCalls(owner, log)
+  }
+
+  /** `from` is the process that forwards the event. */
+  async answer (from: string, event: JobEvent): Promise<JobAnswer> {
+    const turnMs = Math.round(this.owner.readTurnMs())
+    const startedAt = monotonicNow()
+    const order = describeOrder(event)
+    const measure = (): HandlingTimes => ({ turnMs, commitMs: Math.round(monotonicNow() - startedAt) })
+    try {
+      const answer = await this.owner.ask(call => ({ ...event, call }))
+      const handling = measure()
+      if (order !== undefined) this.log.info('order_committed', { ...order, from, ...handling })
+      return { ...answer, handling }
+    } catch (thrown) {
+      if (order !== undefined) this.log.warn('order_not_committed', { ...order, from, ...measure(), error: String(thrown) })
+      throw thrown
+    }
+  }
+}
--- a/packages/runtime/src/core/job-gateway.ts
+++ b/packages/runtime/src/core/job-gateway.ts
@@ -6,11 +6,14 @@
 
 import {
   InternalMethod, type AdmissionAnswer, type AdmissionBody, type CallFrame, type ControllerAddress, type HeartbeatAnswer,
-  type HeartbeatBody, type HelloFrame, type JobEvent, type Link, type MemberCandidate
+  type HeartbeatBody, type HelloFrame, type JobAnswer, type JobEvent, type Link, type MemberCandidate
 } from '@flamingorouter/controllers'
-import { ErrorKind, fail, type Answer } from '@flamingorouter/scheduler'
+import { ErrorKind, fail, toFailure, type Answer } from '@flamingorouter/scheduler'
+import { CallTimes } from './call-times.js'
 import { monotonicNow } from './clock.js'
+import { describeOrder } from './operator-orders.js'
 import { RELIEF_VALIDITY_MS } from './entry-table.js'
+import type { RuntimeLog } from './runtime-log.js'
 import { LostAnswerPolicy, LeaderClient, type HeartbeatOwner } from './leader-client.js'
 
 /** Time without a confirmed leader after which a process is no longer ready, in milliseconds. */
@@ -28,6 +31,8 @@
 export interface JobGatewayOptions {
   hello: HelloFrame
   controllers: readonly ControllerAddress[]
+  /** Logs where the orders that are acknowledged one by one spent their time. */
+  log?: RuntimeLog
   /** Absent in a process that does not forward admission queries. */
   admission?: AdmissionService
   /** Set in a controller: returns its id and address to offer itself as a member, or undefined for no offer. */
@@ -81,7 +86,16 @@
    */
   async ask (event: JobEvent, timeoutMs: number): Promise<Answer> {
     const describe = (heldMs: number): JobEvent => event.kind === 'acceptJob' && heldMs > 0 ? { ...event, heldMs } : event
-    return await this.leader.call(InternalMethod.job, describe, timeoutMs, LostAnswerPolicy.repeat, LEADER_SEARCH_TIMEOUT_MS) as Answer
+    const times = CallTimes.create()
+    const order = describeOrder(event)
+    try {
+      const answer = await this.leader.call(InternalMethod.job, describe, timeoutMs, LostAnswerPolicy.repeat, { searchTimeoutMs: LEADER_SEARCH_TIMEOUT_MS, times }) as JobAnswer
+      if (order !== undefined) this.options.log?.info('order_acknowledged', { ...order, ...times.describe(answer.handling) })
+      return answer
+    } catch (thrown) {
+      if (order !== undefined) this.options.log?.warn('order_unacknowledged', { ...order, ...times.describe(), error: toFailure(thrown).message })
+      throw thrown
+    }
   }
 
   close (): void {
--- a/packages/runtime/src/core/leader-client.ts
+++ b/packages/runtime/src/core/leader-client.ts
@@ -8,6 +8,7 @@
   type MembersAnswer, type ControllerAddress, type HeartbeatAnswer, type HeartbeatBody, type HelloFrame, type LeadingBody, type Link, type LinkHandlers, type PeerKeys
 } from '@flamingorouter/controllers'
 import { computeRetryAfterMs, ErrorKind, Failure, toFailure } from '@flamingorouter/scheduler'
+import { CallTimes } from './call-times.js'
 import { monotonicNow } from './clock.js'
 
 /** Time between two heartbeats, in milliseconds. */
@@ -49,6 +50,13 @@
 } as const)
 export type LostAnswerPolicy = typeof LostAnswerPolicy[keyof typeof LostAnswerPolicy]
 
+export interface CallOptions {
+  /** How long the call searches for a leader, in milliseconds. */
+  searchTimeoutMs?: number
+  /** Records where the call spends its time. */
+  times?: CallTimes
+}
+
 export class LeaderClient {
   private readonly handlers: LinkHandlers
   /** Diallers by the id of the controller. */
@@ -119,7 +127,7 @@
 
   /**
    * Calls the leader, and searches for it first for up to `searchTimeoutMs` if it is
-   * unknown. A call that was certainly not acted on is sent again, unless the failure
+   * unknown; `times` records where the time went. A call that was certainly not acted on is sent again, unless the failure
    * sets a retry delay; one whose answer was lost is sent again only if
    * `lostAnswerPolicy` allows it. Rejects with the failure that the leader answered,
    * with unavailable when no attempt was acted on, and with deadlineExceeded when
@@ -128,7 +136,8 @@
    * has waited for a leader, which is 0 for a first attempt that finds one at once.
    */
   async call (
-    method: string, body: unknown, timeoutMs: number, lostAnswerPolicy: LostAnswerPolicy, searchTimeoutMs = SEARCH_TIMEOUT_MS
+    method: string, body: unknown, timeoutMs: number, lostAnswerPolicy: LostAnswerPolicy,
+    { searchTimeoutMs = SEARCH_TIMEOUT_MS, times = CallTimes.create() }: CallOptions = {}
   ): Promise<unknown> {
     const startedAt = monotonicNow()
     const deadline = startedAt + timeoutMs
@@ -136,11 +145,14 @@
     let hasWaited = this.leader === undefined
     for (;;) {
       // After a lost answer the search may use all remaining time, since only a repeat of the call shows its outcome.
+      const searchStartedAt = monotonicNow()
       const link = await this.findLeader(deadline, lostAnswer === undefined ? searchTimeoutMs : timeoutMs)
+      const sentAt = monotonicNow()
+      times.recordSearch(sentAt - searchStartedAt)
       if (link === undefined) throw lostAnswer ?? this.createNoLeaderFailure()
       try {
         const attempt = typeof body === 'function' ? body(hasWaited ? Math.round(monotonicNow() - startedAt) : 0) as unknown : body
-        return await link.call(method, attempt, Math.max(1, deadline - monotonicNow()))
+        return await link.call(method, attempt, Math.max(1, deadline - monotonicNow())).finally(() => { times.recordAttempt(monotonicNow() - sentAt) })
       } catch (thrown) {
         const failure = toFailure(thrown)
         if (failure.kind === ErrorKind.deadlineExceeded) lostAnswer = failure
--- a/packages/runtime/src/core/loop-monitor.ts
+++ b/packages/runtime/src/core/loop-monitor.ts
@@ -69,6 +69,11 @@
     this.turnWork.record(kind, durationMs, isNested)
   }
 
+  /** Time since the last tick, in milliseconds. */
+  get sinceTickMs (): number {
+    return this.options.now() - this.lastTickAt
+  }
+
   /** Records the delay of the timer that calls it. */
   tick (): void {
     const now = this.options.now()
