Wait for the whole time limit of a call, and send a call that ran out of time once

Callers saw: orders and reports without an answer. Cause: a timer counts from the start of the turn of the event loop in which it is set, and the parts of a limit are cut to whole milliseconds, so that a limit ended up to an eighth early. The caller of the leader then saw time left: it took the leader for lost, searched for it again, and sent the call a second time in what was left. An overloaded leader got every late call twice, and other calls of that process waited for its next heartbeat. Change: a limit that would end early waits for the rest.

--- a/packages/controllers/__tests__/link.test.ts
+++ b/packages/controllers/__tests__/link.test.ts
@@ -117,6 +117,22 @@
     server.close()
   })
 
+  it('wait for an answer until the time limit, also when the call was made late in a long turn', async () => {
+    const answering = new LinkObserver()
+    answering.handlers.called = async () => await new Promise(() => {})
+    const { server, port } = await listen(answering)
+    const calling = new LinkObserver()
+    const dialler = LinkDialler.create(`127.0.0.1:${port}`, createHello('client'), calling.handlers)
+    const link = await calling.opened
+    for (const turnStartedAt = performance.now(); performance.now() - turnStartedAt < 100;);
+    const calledAt = performance.now()
+    await assert.rejects(link.call('never', {}, 190), thrown => toFailure(thrown).kind === 'deadlineExceeded')
+    const waitedMs = performance.now() - calledAt
+    dialler.close()
+    server.close()
+    assert.ok(waitedMs >= 190, `waited ${waitedMs} ms`)
+  })
+
   it('reject pending calls with deadlineExceeded when they close', async () => {
     const serverObserver = new LinkObserver()
     const { server, port } = await listen(serverObserver)
--- a/packages/controllers/src/core/time-limit.ts
+++ b/packages/controllers/src/core/time-limit.ts
@@ -12,12 +12,14 @@
   private timer: NodeJS.Timeout | undefined
   private isCancelled = false
 
-  private constructor (private readonly partMs: number, private readonly expire: () => void) {}
+  private readonly startedAt = performance.now()
 
-  /** Calls `expire` after `limitMs`, unless the limit is cancelled before. */
+  private constructor (private readonly limitMs: number, private readonly expire: () => void) {}
+
+  /** Calls `expire` after `limitMs` or more, unless the limit is cancelled before. */
   static start (limitMs: number, expire: () => void): TimeLimit {
-    const limit = new TimeLimit(limitMs / PART_COUNT, expire)
-    limit.wait(PART_COUNT)
+    const limit = new TimeLimit(limitMs, expire)
+    limit.wait(PART_COUNT, limitMs / PART_COUNT)
     return limit
   }
 
@@ -26,11 +28,14 @@
     clearTimeout(this.timer)
   }
 
-  private wait (partsLeft: number): void {
+  private wait (partsLeft: number, partMs: number): void {
     this.timer = setTimeout(() => {
-      if (partsLeft > 1) return this.wait(partsLeft - 1)
+      if (partsLeft > 1) return this.wait(partsLeft - 1, partMs)
+      // A timer counts from the start of the turn in which it is set, so that the first part may be short.
+      const missingMs = this.limitMs - (performance.now() - this.startedAt)
+      if (missingMs > 0) return this.wait(1, missingMs)
       // Immediates run after the answers that have arrived are read.
       setImmediate(() => { if (!this.isCancelled) this.expire() })
-    }, this.partMs)
+    }, partMs)
   }
 }
--- a/packages/runtime/__tests__/leader-client.test.ts
+++ b/packages/runtime/__tests__/leader-client.test.ts
@@ -97,6 +97,8 @@
   /** Term in which it leads; 0 while it follows. */
   term = 0
   isFrozen = false
+  /** True while it answers heartbeats only, as a leader that cannot keep up with its calls. */
+  isOverloaded = false
   address = ''
   private readonly links: Link[] = []
   private readonly server: LinkServer
@@ -138,6 +140,7 @@
     if (frame.method === InternalMethod.members) return { controllers: [] }
     if (this.term === 0) throw Failure.create(ErrorKind.notLeader, 'another controller leads')
     if (frame.method === InternalMethod.heartbeat) return { term: this.term, configurationVersion: 0, controllers: [] }
+    if (this.isOverloaded) return await new Promise(() => {})
     return { kind: 'jobAccepted' }
   }
 }
@@ -241,3 +244,35 @@
     assert.ok(Math.max(...delays) - Math.min(...delays) > 500, `the delays are not spread: ${delays.join()}`)
   })
 })
+
+describe('an entry whose leader does not answer calls in time', () => {
+  let leader: ScriptedController
+  let gateway: JobGateway
+
+  beforeEach(async () => {
+    leader = await ScriptedController.start('leader')
+    leader.term = 1
+    leader.isOverloaded = true
+    gateway = JobGateway.create({ hello: createHello('entry'), controllers: [{ id: 'leader', address: leader.address }] })
+    while (!gateway.leader.hasLeader) await pause(5)
+  })
+
+  afterEach(() => {
+    gateway.close()
+    leader.close()
+  })
+
+  /** Makes calls in a turn of the event loop that has lasted for 100 ms, as in a process that serves many callers. */
+  async function submitLateInTurn (count: number): Promise<void> {
+    for (const startedAt = performance.now(); performance.now() - startedAt < 100;);
+    await Promise.all(Array.from({ length: count }, async () => {
+      await assert.rejects(gateway.ask({ kind: 'acceptJob', host: 'host', path: '/queue/id', spec: { payload: '', stages: [] } }, 400), { kind: ErrorKind.deadlineExceeded })
+    }))
+  }
+
+  it('sends each call once, since a repeat could not succeed in what is left of its time', async () => {
+    await submitLateInTurn(20)
+    await pause(50)
+    assert.equal(leader.submissions.length, 20)
+  })
+})
