Carry orders on after an attempt, and acknowledge those that are known to be committed

Callers saw: a valid configuration without an acknowledgement for seconds. Cause: an attempt has 950 ms, the search for a leader included, and nothing of a failed attempt is kept: the next one, at another process and after a longer pause, has to find the leader, wait for its turn and for a commit once more. While one attempt takes longer than its limit, no number of attempts helps, although the leader committed the first one; an order that comes while no leader is known is passed on by none. A retry without progress. What is committed is never undone, so a process acknowledges an order that its own replica has applied, and a configuration up to the version that the leader states with each answer to a heartbeat, without asking the leader. A leader answers for its own state only what it has committed. A failed attempt is reported as unknown, not as not run.

--- a/packages/controllers/src/types/methods.ts
+++ b/packages/controllers/src/types/methods.ts
@@ -65,6 +65,8 @@
   controllers: ControllerAddress[]
   /** True when the entry may report itself not ready for want of headroom, until the permission lapses. */
   isRelieved?: boolean
+  /** Version of the newest configuration of the cell that is committed; not stated by leaders of earlier versions. */
+  committedCellVersion?: number
 }
 
 export interface ControllerAddress {
--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -88,6 +88,7 @@
       localMethods: context.localMethods ?? new Map(),
       orderDispatcher: context.orderDispatcher,
       vmService: context.vmService,
+      handleApplied: context.handleApplied,
       handleCandidate: context.handleCandidate,
       knownControllers: context.knownControllers,
       log: context.log,
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -38,6 +38,8 @@
   orderDispatcher?: OrderDispatcher
   /** Lists VMs and takes them down for upkeep. */
   vmService?: VmService
+  /** Called after an entry of the log was applied. */
+  handleApplied?: () => void
   /** Called when a controller that is not a member offers itself as one in a heartbeat. */
   handleCandidate?: (candidate: MemberCandidate) => void
   /** Controllers to name to other processes while the membership in this controller's log is empty. */
@@ -126,6 +128,11 @@
     return this.options.scheduler.state
   }
 
+  /** The state, while this process follows and all of it is committed; undefined while it leads. */
+  get committedState (): ClusterState | undefined {
+    return this.isLeading ? undefined : this.state
+  }
+
   /** Number of proposed log entries that are not committed yet. */
   get inFlight (): number {
     return this.proposals.inFlight
@@ -173,6 +180,7 @@
     this.work.measure(isOwn ? 'releaseEffects' : 'applyEntry', () => {
       if (isOwn) this.proposals.handleCommit(index)
       else this.applyDecisions(index, entry)
+      this.options.handleApplied?.()
       this.watches.completeChanged(this.state)
     })
   }
@@ -274,6 +282,7 @@
     return {
       term,
       configurationVersion: this.state.configurationVersion,
+      committedCellVersion: this.jobCalls.committedCellVersion,
       controllers: members.map(({ id, address }) => ({ id, address })),
       ...(this.entries.grantRelief(body, monotonicNow()) ? { isRelieved: true } : {})
     }
--- a/packages/runtime/src/core/job-calls.ts
+++ b/packages/runtime/src/core/job-calls.ts
@@ -17,6 +17,9 @@
 }
 
 export class JobCalls {
+  /** Version of the newest configuration of the cell that is known to be committed; -1 before the first. */
+  committedCellVersion = -1
+
   private constructor (private readonly owner: JobCallsOwner, private readonly log: RuntimeLog) {}
 
   static create (owner: JobCallsOwner, log: RuntimeLog): JobCalls {
@@ -32,6 +35,7 @@
     try {
       const answer = await this.owner.ask(call => ({ ...event, call }))
       const handling = measure()
+      if (answer.kind === 'cell') this.committedCellVersion = Math.max(this.committedCellVersion, answer.version)
       if (order !== undefined) this.log.info('order_committed', { ...order, from, ...handling })
       return { ...answer, handling }
     } catch (thrown) {
--- a/packages/runtime/src/core/job-gateway.ts
+++ b/packages/runtime/src/core/job-gateway.ts
@@ -8,10 +8,11 @@
   InternalMethod, type AdmissionAnswer, type AdmissionBody, type CallFrame, type ControllerAddress, type HeartbeatAnswer,
   type HeartbeatBody, type HelloFrame, type JobAnswer, type JobEvent, type Link, type MemberCandidate
 } from '@flamingorouter/controllers'
-import { ErrorKind, fail, toFailure, type Answer } from '@flamingorouter/scheduler'
+import { ErrorKind, fail, findCommittedAnswer, findConfigurationAnswer, toFailure, type Answer, type ClusterState } from '@flamingorouter/scheduler'
 import { CallTimes } from './call-times.js'
 import { monotonicNow } from './clock.js'
-import { describeOrder } from './operator-orders.js'
+import { describeOrder, identifyOrder } from './operator-orders.js'
+import { PendingOrders } from './pending-orders.js'
 import { RELIEF_VALIDITY_MS } from './entry-table.js'
 import type { RuntimeLog } from './runtime-log.js'
 import { LostAnswerPolicy, LeaderClient, type HeartbeatOwner } from './leader-client.js'
@@ -50,6 +51,15 @@
   /** Monotonic time in milliseconds until which the leader permits this process not to be ready for want of headroom. */
   private relievedUntil = -Infinity
   private isDraining = false
+  /** Version of the newest configuration of the cell that a leader stated to be committed; -1 before the first. */
+  private committedCellVersion = -1
+  private readCommittedState: () => ClusterState | undefined = () => undefined
+  private readonly orders = PendingOrders.create({
+    send: async (event, timeoutMs) => await this.send(event, timeoutMs, timeoutMs),
+    findAnswer: event => this.findCommitted(event),
+    now: monotonicNow
+  })
+
   /** Links over which the admission queries in progress arrived, one for each. */
   private queryLinks: Link[] = []
 
@@ -81,15 +91,44 @@
    * Sends an event to the leader and resolves with its answer. Events on staged
    * jobs may be repeated after a lost answer, since each identifies a job, a version
    * or an incarnation. Rejects with unavailable when the event was certainly not
-   * acted on, and with deadlineExceeded when that is unknown. A submission that had to
+   * acted on, and with deadlineExceeded when that is unknown, or when it is an order that this process
+   * carries on (see `PendingOrders`). A submission that had to
    * wait for a leader states for how long, since its objective counts from its arrival.
    */
   async ask (event: JobEvent, timeoutMs: number): Promise<Answer> {
+    const known = this.findCommitted(event)
+    if (known !== undefined) {
+      this.options.log?.info('order_acknowledged', { ...describeOrder(event), tookMs: 0, attempts: 0 })
+      return known
+    }
+    const key = identifyOrder(event)
+    if (key === undefined) return await this.send(event, timeoutMs, LEADER_SEARCH_TIMEOUT_MS)
+    return await this.orders.ask(key, event, timeoutMs)
+  }
+
+  /** In a process with a replica: acknowledges orders that its state, which is undefined unless all of it is committed, shows to be done. */
+  attachState (readCommittedState: () => ClusterState | undefined): void {
+    this.readCommittedState = readCommittedState
+  }
+
+  /** Completes the orders that the state of this process, or the leader's last answer, shows to be committed. */
+  completeCommittedOrders (): void {
+    this.orders.completeCommitted()
+  }
+
+  private findCommitted (event: JobEvent): Answer | undefined {
+    if (event.kind !== 'configureCell' && event.kind !== 'startUpkeepWave' && event.kind !== 'workerReported') return undefined
+    const state = this.readCommittedState()
+    const answer = state === undefined ? undefined : findCommittedAnswer(event, state)
+    return answer ?? (event.kind === 'configureCell' ? findConfigurationAnswer(event.cell, this.committedCellVersion) : undefined)
+  }
+
+  private async send (event: JobEvent, timeoutMs: number, searchTimeoutMs: number): Promise<Answer> {
     const describe = (heldMs: number): JobEvent => event.kind === 'acceptJob' && heldMs > 0 ? { ...event, heldMs } : event
     const times = CallTimes.create()
     const order = describeOrder(event)
     try {
-      const answer = await this.leader.call(InternalMethod.job, describe, timeoutMs, LostAnswerPolicy.repeat, { searchTimeoutMs: LEADER_SEARCH_TIMEOUT_MS, times }) as JobAnswer
+      const answer = await this.leader.call(InternalMethod.job, describe, timeoutMs, LostAnswerPolicy.repeat, { searchTimeoutMs, times }) as JobAnswer
       if (order !== undefined) this.options.log?.info('order_acknowledged', { ...order, ...times.describe(answer.handling) })
       return answer
     } catch (thrown) {
@@ -121,6 +160,8 @@
 
   handleConfirmation (answer: HeartbeatAnswer, sentAt: number): void {
     this.confirmedAt = sentAt
+    this.committedCellVersion = Math.max(this.committedCellVersion, answer.committedCellVersion ?? -1)
+    this.orders.completeCommitted()
     this.relievedUntil = answer.isRelieved === true ? sentAt + RELIEF_VALIDITY_MS : -Infinity
   }
 
