Acknowledge a known upkeep wave from the replicated state only if the order is valid

Cause: the acknowledgement from a replica compared the number of the wave alone, while the leader refuses an invalid wave whatever its number. Change: the same check of validity before both. Evidence: late-acknowledgements.test.ts asks with an invalid wave of a known number; it was acknowledged before.

--- a/packages/runtime/__tests__/late-acknowledgements.test.ts
+++ b/packages/runtime/__tests__/late-acknowledgements.test.ts
@@ -147,12 +147,13 @@
     assert.deepEqual(leader.orders, [])
   })
 
-  it('asks the leader for all else: a higher version, an invalid configuration, another incarnation', async () => {
-    state = { ...createClusterState(), cell: createCell(41), calledWorkers: new Map([['w', WORKER]]) }
+  it('asks the leader for all else: a higher version, an invalid configuration or wave, another incarnation', async () => {
+    const wave = { id: 3, vms: new Map(), cap: 1, acceptedAt: 0, durationMs: 1 }
+    state = { ...createClusterState(), cell: createCell(41), upkeepWaves: new Map([[3, wave]]), calledWorkers: new Map([['w', WORKER]]) }
     const account = { name: 'a', weight: 1, keyDigests: ['k'] }
     const invalid = { ...createCell(40), accounts: [account, account] } as unknown as CellConfiguration
     const open: JobEvent[] = [
-      configure(42), { kind: 'configureCell', cell: invalid }, { kind: 'startUpkeepWave', id: 4, vms: ['m'], cap: 1, durationMs: 1 },
+      configure(42), { kind: 'configureCell', cell: invalid }, { kind: 'startUpkeepWave', id: 3, vms: [], cap: 1, durationMs: 1 }, { kind: 'startUpkeepWave', id: 4, vms: ['m'], cap: 1, durationMs: 1 },
       { kind: 'workerReported', worker: { ...WORKER, incarnation: 2 } }, { kind: 'workerLeft', id: 'w', incarnation: 0 }
     ]
     for (const event of open) await assert.rejects(gateway.ask(event, ATTEMPT_MS), { kind: ErrorKind.deadlineExceeded })
--- a/packages/scheduler/src/core/jobs/committed-answers.ts
+++ b/packages/scheduler/src/core/jobs/committed-answers.ts
@@ -7,6 +7,7 @@
 import type { Event } from '../../types/events.js'
 import type { CellConfiguration } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
+import { findWaveFault } from './upkeep/upkeep.js'
 import { findAccountFault } from './accounts/account-changes.js'
 
 type OrderOf<Kind extends Event['kind']> = Omit<Extract<Event, { kind: Kind }>, 'call'>
@@ -18,7 +19,8 @@
 export function findCommittedAnswer (order: RepeatableOrder, state: ClusterState): Answer | undefined {
   switch (order.kind) {
     case 'configureCell': return findConfigurationAnswer(order.cell, state.cell?.version ?? -1)
-    case 'startUpkeepWave': return state.upkeepWaves.has(order.id) ? { kind: 'upkeepWave', isKnown: true, isOver: false } : undefined
+    case 'startUpkeepWave':
+      return state.upkeepWaves.has(order.id) && findWaveFault(order) === '' ? { kind: 'upkeepWave', isKnown: true, isOver: false } : undefined
     case 'workerReported': {
       const { id, incarnation, isDraining } = order.worker
       const known = state.calledWorkers.get(id)
--- a/packages/scheduler/src/core/jobs/upkeep/upkeep.ts
+++ b/packages/scheduler/src/core/jobs/upkeep/upkeep.ts
@@ -261,7 +261,7 @@
 }
 
 /** Why a wave is invalid; empty when it is valid. */
-function findWaveFault ({ id, vms, cap, durationMs }: EventOf<'startUpkeepWave'>): string {
+export function findWaveFault ({ id, vms, cap, durationMs }: Omit<EventOf<'startUpkeepWave'>, 'call'>): string {
   if (!Number.isSafeInteger(id) || id < 0) return 'the id of the wave is negative or not an integer'
   if (vms.length === 0) return 'the wave contains no VM'
   if (!Number.isSafeInteger(cap) || cap < 1) return 'the cap of the wave is not a positive integer, so no VM could be taken down'
