Answer an order at once in a process that has been without a leader for longer than an election takes

Cause: since orders are carried on, an attempt waited for its whole limit also where a search had already been refused at once before. Change: such an attempt is answered at once, as unknown, and the order is carried on; the operator tries another process sooner. Evidence: late-acknowledgements.test.ts: it waited for 950 ms before.

--- a/packages/runtime/__tests__/late-acknowledgements.test.ts
+++ b/packages/runtime/__tests__/late-acknowledgements.test.ts
@@ -79,6 +79,15 @@
     await assert.rejects(late.ask(configure(42), ATTEMPT_MS), { kind: ErrorKind.deadlineExceeded })
   })
 
+  it('is answered at once, as unknown, by a process that has found no leader for longer than an election takes', async () => {
+    leader.term = 0
+    gateways[0].leader.sendHeartbeats()
+    while (gateways[0].leader.leaderlessMs < 1_050) await pause(20)
+    const startedAt = performance.now()
+    await assert.rejects(gateways[0].ask(configure(41), 950), { kind: ErrorKind.deadlineExceeded })
+    assert.ok(performance.now() - startedAt < 500, 'the caller waited for a process that is cut off')
+  })
+
   it('is an order of its own if its content differs', async () => {
     await gateways[0].ask(configure(41), 2 * SLOW_COMMIT_MS)
     await assert.rejects(gateways[0].ask(configure(43, 'one'), ATTEMPT_MS), { kind: ErrorKind.deadlineExceeded })
--- a/packages/runtime/__tests__/support/slow-leader.ts
+++ b/packages/runtime/__tests__/support/slow-leader.ts
@@ -56,7 +56,8 @@
 
   private async commit (): Promise<Answer> {
     const order = this.orders[this.orders.length - 1]
-    await pause(this.commitMs)
+    // A commit that the test does not wait for must not keep the process running.
+    await new Promise(resolve => { setTimeout(resolve, this.commitMs).unref() })
     if (this.refusal !== undefined) throw this.refusal
     return order.kind === 'configureCell' ? { kind: 'cell', version: order.cell.version, document: order.cell.document } : { kind: 'workerKnown' }
   }
--- a/packages/runtime/src/core/job-gateway.ts
+++ b/packages/runtime/src/core/job-gateway.ts
@@ -23,6 +23,9 @@
 /** How long a call searches for a leader before it is refused, in milliseconds: slightly more than an election takes. */
 const LEADER_SEARCH_TIMEOUT_MS = 1_000
 
+/** How long an attempt at an order waits in a process that has not found a leader for that long, in milliseconds. */
+const LEADERLESS_ATTEMPT_MS = 25
+
 /** Client of the external admission service. */
 export abstract class AdmissionService {
   /** Asks which workers may run a stage; rejects when there is no valid answer in time. */
@@ -103,10 +106,12 @@
     }
     const key = identifyOrder(event)
     if (key === undefined) return await this.send(event, timeoutMs, LEADER_SEARCH_TIMEOUT_MS)
+    // Elections are shorter than that, so this process is probably cut off, and the caller does better at another one.
+    const attemptMs = this.leader.leaderlessMs > LEADER_SEARCH_TIMEOUT_MS ? LEADERLESS_ATTEMPT_MS : timeoutMs
     try {
-      return await this.orders.ask(key, event, timeoutMs)
+      return await this.orders.ask(key, event, attemptMs)
     } catch (thrown) {
-      if (toFailure(thrown).kind === ErrorKind.deadlineExceeded) this.options.log?.warn('order_carried_on', { ...describeOrder(event), waitedMs: Math.round(timeoutMs) })
+      if (toFailure(thrown).kind === ErrorKind.deadlineExceeded) this.options.log?.warn('order_carried_on', { ...describeOrder(event), waitedMs: Math.round(attemptMs) })
       throw thrown
     }
   }
--- a/packages/runtime/src/core/leader-client.ts
+++ b/packages/runtime/src/core/leader-client.ts
@@ -117,6 +117,11 @@
     return this.leader !== undefined
   }
 
+  /** Time for which no leader has been known, in milliseconds; 0 while one is. */
+  get leaderlessMs (): number {
+    return this.leader === undefined ? monotonicNow() - this.leaderlessSince : 0
+  }
+
   /** Sends a heartbeat at once, to announce a change: to the leader, or to all connected controllers while none is known. */
   sendHeartbeats (): void {
     if (this.leader !== undefined) return this.sendHeartbeat(this.leader)
