Send a carried order again when its answer is lost for good

Cause: read, not seen in a play: further attempts join an order in progress, so that one call whose answer never comes, while the link and the leader live, would hold all of them for 10 s. Before orders were carried on, each attempt was a call of its own. Change: an order in progress is sent again after 2 s without an answer or without a leader, until its 10 s are over or the process stops. Evidence: late-acknowledgements.test.ts: the first call is never answered; the order was not acknowledged within 3 s before, and is now.

--- a/packages/runtime/__tests__/late-acknowledgements.test.ts
+++ b/packages/runtime/__tests__/late-acknowledgements.test.ts
@@ -88,6 +88,14 @@
     assert.ok(performance.now() - startedAt < 500, 'the caller waited for a process that is cut off')
   })
 
+  it('is sent again when its answer is lost for good, though its callers only join it', async () => {
+    leader.commitMs = 60_000
+    await assert.rejects(gateways[0].ask(configure(41), ATTEMPT_MS))
+    leader.commitMs = 10
+    assert.equal((await gateways[0].ask(configure(41), 3_000)).kind, 'cell')
+    assert.equal(leader.orders.length, 2)
+  })
+
   it('is an order of its own if its content differs', async () => {
     await gateways[0].ask(configure(41), 2 * SLOW_COMMIT_MS)
     await assert.rejects(gateways[0].ask(configure(43, 'one'), ATTEMPT_MS), { kind: ErrorKind.deadlineExceeded })
--- a/packages/runtime/src/core/job-gateway.ts
+++ b/packages/runtime/src/core/job-gateway.ts
@@ -8,7 +8,7 @@
   InternalMethod, type AdmissionAnswer, type AdmissionBody, type CallFrame, type ControllerAddress, type HeartbeatAnswer,
   type HeartbeatBody, type HelloFrame, type JobAnswer, type JobEvent, type Link, type MemberCandidate
 } from '@flamingorouter/controllers'
-import { ErrorKind, fail, findCommittedAnswer, findConfigurationAnswer, toFailure, type Answer, type ClusterState } from '@flamingorouter/scheduler'
+import { ErrorKind, fail, Failure, findCommittedAnswer, findConfigurationAnswer, toFailure, type Answer, type ClusterState } from '@flamingorouter/scheduler'
 import { CallTimes } from './call-times.js'
 import { monotonicNow } from './clock.js'
 import { describeOrder, identifyOrder } from './operator-orders.js'
@@ -58,7 +58,7 @@
   private committedCellVersion = -1
   private readCommittedState: () => ClusterState | undefined = () => undefined
   private readonly orders = PendingOrders.create({
-    send: async (event, timeoutMs) => await this.send(event, timeoutMs, timeoutMs),
+    send: async (event, timeoutMs) => await this.carry(event, timeoutMs),
     findAnswer: event => this.findCommitted(event),
     now: monotonicNow
   })
@@ -133,6 +133,17 @@
     return answer ?? (event.kind === 'configureCell' ? findConfigurationAnswer(event.cell, this.committedCellVersion) : undefined)
   }
 
+  /** Sends an order that is sent again without an answer; without a leader, its outcome is as open as after a lost answer. */
+  private async carry (event: JobEvent, timeoutMs: number): Promise<Answer> {
+    try {
+      return await this.send(event, timeoutMs, timeoutMs)
+    } catch (thrown) {
+      const failure = toFailure(thrown)
+      if (failure.kind !== ErrorKind.unavailable) throw failure
+      throw Failure.create(ErrorKind.deadlineExceeded, failure.message, { cause: failure })
+    }
+  }
+
   private async send (event: JobEvent, timeoutMs: number, searchTimeoutMs: number): Promise<Answer> {
     const describe = (heldMs: number): JobEvent => event.kind === 'acceptJob' && heldMs > 0 ? { ...event, heldMs } : event
     const times = CallTimes.create()
@@ -148,6 +159,7 @@
   }
 
   close (): void {
+    this.orders.close()
     this.leader.close()
   }
 
--- a/packages/runtime/src/core/pending-orders.ts
+++ b/packages/runtime/src/core/pending-orders.ts
@@ -10,6 +10,12 @@
 /** How long an order is carried, in milliseconds. */
 const CARRY_LIMIT_MS = 10_000
 
+/** How long a leader has for its answer before the order is sent again, in milliseconds; an answer may be lost for good. */
+const SEND_LIMIT_MS = 2_000
+
+/** Pause before an order is sent again, in milliseconds. */
+const RESEND_PAUSE_MS = 50
+
 /** How long an acknowledgement is kept for further attempts, in milliseconds. */
 const ANSWER_RETENTION_MS = 10_000
 
@@ -26,7 +32,7 @@
 }
 
 export interface PendingOrdersOptions {
-  /** Sends an order to the leader; rejects if it gets no answer within the time limit. */
+  /** Sends an order to the leader; rejects with deadlineExceeded if it gets no answer within the time limit. */
   send: (event: JobEvent, timeoutMs: number) => Promise<Answer>
   /** The acknowledgement of an order that this process knows to be committed. */
   findAnswer: (event: JobEvent) => Answer | undefined
@@ -40,6 +46,8 @@
   /** Acknowledgements by key, oldest first, with the monotonic time until which each is kept. */
   private readonly answers = new Map<string, { answer: Answer, keptUntil: number }>()
 
+  private isClosed = false
+
   private constructor (private readonly options: PendingOrdersOptions) {}
 
   static create (options: PendingOrdersOptions): PendingOrders {
@@ -67,11 +75,16 @@
     }
   }
 
+  /** Sends no order again from here on. */
+  close (): void {
+    this.isClosed = true
+  }
+
   private carry (key: string, event: JobEvent): PendingOrder {
-    const { send, now } = this.options
+    const { now } = this.options
     let resolve!: (answer: Answer) => void
     const completed = new Promise<Answer>(_resolve => { resolve = _resolve })
-    const answer = Promise.race([completed, send(event, CARRY_LIMIT_MS)])
+    const answer = Promise.race([completed, this.sendUntilAnswered(event)])
     const order = { event, answer, resolve }
     this.pending.set(key, order)
     answer
@@ -82,6 +95,18 @@
     return order
   }
 
+  private async sendUntilAnswered (event: JobEvent): Promise<Answer> {
+    const { send, now } = this.options
+    for (const endsAt = now() + CARRY_LIMIT_MS; ;) {
+      try {
+        return await send(event, SEND_LIMIT_MS)
+      } catch (thrown) {
+        if (this.isClosed || now() >= endsAt || toFailure(thrown).kind !== ErrorKind.deadlineExceeded) throw thrown
+      }
+      await new Promise(resolve => { setTimeout(resolve, RESEND_PAUSE_MS) })
+    }
+  }
+
   private forgetOldAnswers (): void {
     const now = this.options.now()
     for (const [key, { keptUntil }] of this.answers) {
