--- a/packages/runtime/__tests__/long-turns.test.ts
+++ b/packages/runtime/__tests__/long-turns.test.ts
@@ -5,132 +5,10 @@
 
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
-import { Clock, InternalMethod, Replica, Transport, type CallFrame, type Link, type MemberFacts } from '@flamingorouter/controllers'
-import { Component, Scheduler, StagedJobs, type Event } from '@flamingorouter/scheduler'
-import { FakeDisk, Medium } from '../../controllers/__tests__/support/disk.js'
-import { Controller, NoopLog, OrderDispatcher } from '../src/index.js'
+import type { Event } from '@flamingorouter/scheduler'
+import { Group, STEP_MS } from './support/controller-group.js'
 
-const TIMING = Object.freeze({ heartbeatMs: 60, electionMs: 300, driftMs: 30 })
-const STEP_MS = 5
-const TICK_MS = 20
-const DELIVERY_MS = 1
 const WORKER_COUNT = 250
-const IDS = ['a', 'b', 'c']
-const MEMBERS: MemberFacts[] = IDS.map(id => ({ id, address: `${id}:1`, availabilityZone: id, role: 'voter' }))
-
-/** Charges virtual time for each list of a worker. */
-class ChargingComponent extends Component {
-  override readonly handledKinds = ['workerListed'] as const
-
-  private constructor (private readonly charge: () => void) {
-    super()
-  }
-
-  static create (charge: () => void): ChargingComponent {
-    return new ChargingComponent(charge)
-  }
-
-  override reset (): void {}
-
-  override handle (): void {
-    this.charge()
-  }
-}
-
-/** Keeps the function that passes events to the scheduler. */
-class FeedingDispatcher extends OrderDispatcher {
-  feed: (event: Event) => void = () => {}
-
-  static create (): FeedingDispatcher {
-    return new FeedingDispatcher()
-  }
-
-  override startLeading (_term: number, feed: (event: Event) => void): void {
-    this.feed = feed
-  }
-
-  override stopLeading (): void {}
-  override dispatch (): void {}
-}
-
-interface Process {
-  controller: Controller
-  replica: Replica
-  dispatcher: FeedingDispatcher
-}
-
-/** Three controllers in virtual time. */
-class Group {
-  now = 0
-  /** Virtual time for which the list of one worker keeps the leader busy, in milliseconds. */
-  listingMs = 0
-  elections = 0
-  private readonly processes = new Map<string, Process>()
-  private messages: Array<{ dueAt: number, from: string, to: string, message: unknown }> = []
-
-  static async create (): Promise<Group> {
-    const group = new Group()
-    for (const [index, id] of IDS.entries()) group.processes.set(id, await group.start(id, index))
-    return group
-  }
-
-  get leader (): Process | undefined {
-    return [...this.processes.values()].find(({ controller }) => controller.isAuthoritative)
-  }
-
-  /** Lets all processes run, each in short turns. */
-  async run (ms: number): Promise<void> {
-    for (const end = this.now + ms; this.now < end;) {
-      this.step(IDS)
-      await new Promise(resolve => { setImmediate(resolve) })
-    }
-  }
-
-  private async start (id: string, seed: number): Promise<Process> {
-    const { messages } = this
-    const dispatcher = FeedingDispatcher.create()
-    const component = ChargingComponent.create(() => { this.keepBusy(id, this.listingMs) })
-    const controller = Controller.create({
-      scheduler: Scheduler.create([component, StagedJobs.create()]),
-      bindings: [],
-      localMethods: new Map(),
-      log: NoopLog.create(),
-      orderDispatcher: dispatcher,
-      handleFault: reason => { assert.fail(reason) }
-    })
-    controller.startElection = () => { this.elections += 1 }
-    const readNow = (): number => this.now
-    const clock = new (class extends Clock { now (): number { return readNow() } })()
-    const transport = new (class extends Transport {
-      send (to: string, message: unknown): void { messages.push({ dueAt: readNow() + DELIVERY_MS, from: id, to, message }) }
-    })()
-    const replica = await Replica.open({
-      id, group: 'group', disk: FakeDisk.create(Medium.create()), newDiskId: `${id}1`, bootstrap: MEMBERS, transport, owner: controller, clock, seed, timing: TIMING, snapshotEvery: 1_000
-    })
-    controller.attach(replica)
-    return { controller, replica, dispatcher }
-  }
-
-  /** Lets virtual time pass in which one process is in the middle of a turn. */
-  private keepBusy (busy: string, ms: number): void {
-    const idle = IDS.filter(id => id !== busy)
-    for (const end = this.now + ms; this.now < end;) this.step(idle, Math.min(STEP_MS, end - this.now))
-  }
-
-  private step (running: readonly string[], ms = STEP_MS): void {
-    const before = Math.floor(this.now / TICK_MS)
-    this.now += ms
-    if (Math.floor(this.now / TICK_MS) > before) {
-      for (const id of running) {
-        this.processes.get(id)?.controller.flush()
-        this.processes.get(id)?.replica.tick()
-      }
-    }
-    const due = this.messages.filter(({ dueAt, to }) => dueAt <= this.now && running.includes(to))
-    this.messages.splice(0, this.messages.length, ...this.messages.filter(message => !due.includes(message)))
-    for (const { from, to, message } of due) this.processes.get(to)?.replica.receive(from, message)
-  }
-}
 
 function createListing (index: number): Event {
   return { kind: 'workerListed', id: `worker-${index}`, incarnation: 1, sentAt: 0, clockMs: 0, running: [], ended: [] }
@@ -174,11 +52,9 @@
     const { leader } = group
     assert.ok(leader !== undefined, 'no controller leads')
     group.listingMs = 1
-    const body = { kind: 'configureCell', cell: { version: 1, queues: [], retired: [], services: [], document: '' } }
-    const frame: CallFrame = { kind: 'call', id: 1, method: InternalMethod.job, body }
     const arrivedAt = group.now
     let acknowledgedAt = Infinity
-    const answer = leader.controller.handleCall({ peer: { process: 'relay' } } as unknown as Link, frame).then(() => { acknowledgedAt = group.now })
+    const answer = group.order(leader, { kind: 'configureCell', cell: { version: 1, queues: [], retired: [], services: [], document: '' } }).then(() => { acknowledgedAt = group.now })
     for (let turn = 0; turn < 3; turn++) {
       for (let index = 0; index < WORKER_COUNT; index++) {
         leader.dispatcher.feed(createListing(index))
