Stop sending an order that is known to be committed, and measure only orders

Cause: read: an order that was acknowledged from the replicated state was still sent again every 2 s while the leader did not answer, and the leader measured and stated times for every call of a caller. Change: sending ends with the acknowledgement; only orders are measured; 16 orders are carried at most, since each may hold 4 MiB and the heap 160 MB. Evidence: late-acknowledgements.test.ts counts the calls of an order known to be committed: one within 2.3 s, two before.

--- a/packages/controllers/src/types/methods.ts
+++ b/packages/controllers/src/types/methods.ts
@@ -109,13 +109,13 @@
 
 /** How long the leader took for a call, in milliseconds. */
 export interface HandlingTimes {
-  /** Length of the leader's turn of the event loop when it read the call, in steps of a timer interval. */
+  /** From the last timer of the leader's event loop to the reading of the call: most of a long turn is seen in it. */
   turnMs: number
   /** From the reading of the call to its answer, which waits for the commit of the decisions. */
   commitMs: number
 }
 
-/** The answer to a job event. Leaders of earlier versions state no times. */
+/** The answer to a job event; with times for the orders that are logged one by one, except from leaders of earlier versions. */
 export type JobAnswer = Answer & { handling?: HandlingTimes }
 
 /** Commands to a worker, which an entry calls at `address`. */
--- a/packages/runtime/__tests__/late-acknowledgements.test.ts
+++ b/packages/runtime/__tests__/late-acknowledgements.test.ts
@@ -156,6 +156,16 @@
     assert.equal((await answer).kind, 'cell')
   })
 
+  it('does not send an order again that has become known to be committed', async () => {
+    const answer = gateway.ask(configure(41), 500)
+    while (leader.orders.length === 0) await pause(5)
+    state = { ...createClusterState(), cell: createCell(41) }
+    gateway.completeCommittedOrders()
+    await answer
+    await pause(2_300)
+    assert.equal(leader.orders.length, 1)
+  })
+
   it('acknowledges what its replica shows to be done: versions up to the one in force, waves and draining workers', async () => {
     const wave = { id: 3, vms: new Map(), cap: 1, acceptedAt: 0, durationMs: 1 }
     state = { ...createClusterState(), cell: createCell(41), upkeepWaves: new Map([[3, wave]]), calledWorkers: new Map([['w', WORKER]]) }
--- a/packages/runtime/src/core/job-calls.ts
+++ b/packages/runtime/src/core/job-calls.ts
@@ -1,13 +1,13 @@
 /**
- * Answers the calls of gateways on staged jobs, the cell, called workers and upkeep
- * waves, and states with each answer how long the leader took for it.
+ * Answers the calls of gateways on staged jobs, the cell, called workers and upkeep waves. Orders are
+ * proposed at once, and their answers state how long the leader took.
  */
 
 import type { HandlingTimes, JobAnswer, JobEvent } from '@flamingorouter/controllers'
 import type { Answer, Event } from '@flamingorouter/scheduler'
 import { monotonicNow } from './clock.js'
 import { describeOrder } from './operator-orders.js'
-import type { RuntimeLog } from './runtime-log.js'
+import type { LogFields, RuntimeLog } from './runtime-log.js'
 
 /** The controller that decides. */
 export interface JobCallsOwner {
@@ -30,22 +30,31 @@
 
   /** `from` is the process that forwards the event. */
   async answer (from: string, event: JobEvent): Promise<JobAnswer> {
+    const order = describeOrder(event)
+    return order === undefined ? await this.decide(event) : await this.answerOrder(from, event, order)
+  }
+
+  private async answerOrder (from: string, event: JobEvent, order: LogFields): Promise<JobAnswer> {
     const turnMs = Math.round(this.owner.readTurnMs())
     const startedAt = monotonicNow()
-    const order = describeOrder(event)
     const measure = (): HandlingTimes => ({ turnMs, commitMs: Math.round(monotonicNow() - startedAt) })
     try {
-      const answered = this.owner.ask(call => ({ ...event, call }))
+      const decided = this.decide(event)
       // Proposed at the end of a long turn, the decision would miss the next one, in which the leader reads the other members' answers.
-      if (order !== undefined) this.owner.propose()
-      const answer = await answered
+      this.owner.propose()
+      const answer = await decided
       const handling = measure()
-      if (answer.kind === 'cell') this.committedCellVersion = Math.max(this.committedCellVersion, answer.version)
-      if (order !== undefined) this.log.info('order_committed', { ...order, from, ...handling })
+      this.log.info('order_committed', { ...order, from, ...handling })
       return { ...answer, handling }
     } catch (thrown) {
-      if (order !== undefined) this.log.warn('order_not_committed', { ...order, from, ...measure(), error: String(thrown) })
+      this.log.warn('order_not_committed', { ...order, from, ...measure(), error: String(thrown) })
       throw thrown
     }
   }
+
+  private async decide (event: JobEvent): Promise<Answer> {
+    const answer = await this.owner.ask(call => ({ ...event, call }))
+    if (answer.kind === 'cell') this.committedCellVersion = Math.max(this.committedCellVersion, answer.version)
+    return answer
+  }
 }
--- a/packages/runtime/src/core/pending-orders.ts
+++ b/packages/runtime/src/core/pending-orders.ts
@@ -20,7 +20,7 @@
 const ANSWER_RETENTION_MS = 10_000
 
 /** Orders in progress, at most; each may hold a configuration of several megabytes. */
-const PENDING_LIMIT = 32
+const PENDING_LIMIT = 16
 
 /** Acknowledgements kept, at most. */
 const ANSWER_LIMIT = 1_000
@@ -45,7 +45,6 @@
   private readonly pending = new Map<string, PendingOrder>()
   /** Acknowledgements by key, oldest first, with the monotonic time until which each is kept. */
   private readonly answers = new Map<string, { answer: Answer, keptUntil: number }>()
-
   private isClosed = false
 
   private constructor (private readonly options: PendingOrdersOptions) {}
@@ -84,7 +83,7 @@
     const { now } = this.options
     let resolve!: (answer: Answer) => void
     const completed = new Promise<Answer>(_resolve => { resolve = _resolve })
-    const answer = Promise.race([completed, this.sendUntilAnswered(event)])
+    const answer = Promise.race([completed, this.sendUntilAnswered(key, event)])
     const order = { event, answer, resolve }
     this.pending.set(key, order)
     answer
@@ -95,13 +94,14 @@
     return order
   }
 
-  private async sendUntilAnswered (event: JobEvent): Promise<Answer> {
+  private async sendUntilAnswered (key: string, event: JobEvent): Promise<Answer> {
     const { send, now } = this.options
     for (const endsAt = now() + CARRY_LIMIT_MS; ;) {
       try {
         return await send(event, SEND_LIMIT_MS)
       } catch (thrown) {
-        if (this.isClosed || now() >= endsAt || toFailure(thrown).kind !== ErrorKind.deadlineExceeded) throw thrown
+        const isOver = this.isClosed || !this.pending.has(key) || now() >= endsAt
+        if (isOver || toFailure(thrown).kind !== ErrorKind.deadlineExceeded) throw thrown
       }
       await new Promise(resolve => { setTimeout(resolve, RESEND_PAUSE_MS) })
     }
