Hold calls until a leader in a long turn has renewed its lease

Callers saw: 'no leader could be reached' for two seconds and more from all processes, in calm and with one leader alive all the time; orders, reports of runners and reads of the configuration failed. Cause: the lease ends 270 ms after the sending of the last heartbeat that a quorum has answered. In turns of 300 ms and more it runs out while the answers that renew it wait to be read. A call or heartbeat that the leader read meanwhile was answered with 'the leader is' itself, as not leading; the process dropped its leader, and its searches met the next long turn. All its calls failed, and the searches added load: a state that keeps itself up until the load falls. Change: a leader whose lease has run out holds what it reads until the next answers renew the lease, or until it is deposed; it decides and answers nothing before.

--- a/packages/runtime/__tests__/long-turns.test.ts
+++ b/packages/runtime/__tests__/long-turns.test.ts
@@ -5,11 +5,16 @@
 
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
-import type { Event } from '@flamingorouter/scheduler'
+import type { JobEvent } from '@flamingorouter/controllers'
+import { ErrorKind, toFailure, type Event } from '@flamingorouter/scheduler'
 import { Group, STEP_MS } from './support/controller-group.js'
 
 const WORKER_COUNT = 250
 
+function configure (version: number): JobEvent {
+  return { kind: 'configureCell', cell: { version, queues: [], retired: [], services: [], document: '' } }
+}
+
 function createListing (index: number): Event {
   return { kind: 'workerListed', id: `worker-${index}`, incarnation: 1, sentAt: 0, clockMs: 0, running: [], ended: [] }
 }
@@ -54,7 +59,7 @@
     group.listingMs = 1
     const arrivedAt = group.now
     let acknowledgedAt = Infinity
-    const answer = group.order(leader, { kind: 'configureCell', cell: { version: 1, queues: [], retired: [], services: [], document: '' } }).then(() => { acknowledgedAt = group.now })
+    const answer = group.order(leader, configure(1)).then(() => { acknowledgedAt = group.now })
     for (let turn = 0; turn < 3; turn++) {
       for (let index = 0; index < WORKER_COUNT; index++) {
         leader.dispatcher.feed(createListing(index))
@@ -68,3 +73,39 @@
     assert.ok(acknowledgedAt - arrivedAt <= turnMs + 2 * STEP_MS, `acknowledged ${acknowledgedAt - arrivedAt} ms after its arrival, in turns of ${turnMs} ms`)
   })
 })
+
+describe('calls to a leader whose lease has run out in the middle of a turn', () => {
+  let group: Group
+
+  beforeEach(async () => {
+    group = await Group.create()
+    await group.run(2_000)
+    group.listingMs = 2
+  })
+
+  /** Keeps the leader busy for longer than its lease. */
+  function feedTurn (): NonNullable<Group['leader']> {
+    const leader = group.leader ?? assert.fail('no controller leads')
+    for (let index = 0; index < WORKER_COUNT; index++) leader.dispatcher.feed(createListing(index))
+    assert.equal(leader.controller.isAuthoritative, false, 'the lease has not run out')
+    return leader
+  }
+
+  it('are answered once it has read the answers of the other members, instead of being told that it does not lead', async () => {
+    const leader = feedTurn()
+    const answers = Promise.all([configure(1), configure(2)].map(async order => await group.order(leader, order)))
+    const heartbeat = group.heartbeat(leader)
+    await group.run(10 * STEP_MS)
+    assert.equal((await answers).length, 2)
+    assert.equal((await heartbeat as { term: number }).term, leader.replica.status().term)
+  })
+
+  it('are told that it does not lead once it has been deposed', async () => {
+    group.cutOff.add(group.leader?.replica.status().id ?? '')
+    const leader = feedTurn()
+    const answer = group.order(leader, configure(1)).then(() => 'answered', (thrown: unknown) => toFailure(thrown).kind)
+    await group.run(2_000)
+    assert.notEqual(group.leader, leader)
+    assert.equal(await answer, ErrorKind.notLeader)
+  })
+})
--- a/packages/runtime/__tests__/support/controller-group.ts
+++ b/packages/runtime/__tests__/support/controller-group.ts
@@ -4,7 +4,7 @@
  */
 
 import assert from 'node:assert/strict'
-import { Clock, InternalMethod, Replica, Transport, type CallFrame, type JobEvent, type Link, type MemberFacts } from '@flamingorouter/controllers'
+import { Clock, InternalMethod, Replica, Transport, type CallFrame, type HeartbeatBody, type JobEvent, type Link, type MemberFacts } from '@flamingorouter/controllers'
 import { Component, Scheduler, StagedJobs, type Event } from '@flamingorouter/scheduler'
 import { FakeDisk, Medium } from '../../../controllers/__tests__/support/disk.js'
 import { Controller, NoopLog, OrderDispatcher } from '../../src/index.js'
@@ -88,6 +88,12 @@
     return await controller.handleCall({ peer: { process: 'relay' } } as unknown as Link, frame)
   }
 
+  /** Sends a heartbeat to a controller, as a process does that searches for the leader. */
+  async heartbeat ({ controller }: Process): Promise<unknown> {
+    const body: HeartbeatBody = { process: 'relay', availabilityZone: 'a', configurationVersion: 0, isAdmitting: true }
+    return await controller.handleCall({ peer: { process: 'relay' } } as unknown as Link, { kind: 'call', id: 1, method: InternalMethod.heartbeat, body })
+  }
+
   /** Lets all processes run, each in short turns. */
   async run (ms: number): Promise<void> {
     for (const end = this.now + ms; this.now < end;) {
@@ -140,6 +146,6 @@
     }
     const due = this.messages.filter(({ dueAt, to }) => dueAt <= this.now && running.includes(to))
     this.messages.splice(0, this.messages.length, ...this.messages.filter(message => !due.includes(message)))
-    for (const { from, to, message } of due) this.processes.get(to)?.replica.receive(from, message)
+    for (const { from, to, message } of due) this.processes.get(to)?.controller.receive(from, message)
   }
 }
--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -115,8 +115,8 @@
       snapshotEvery: settings.snapshotEvery
     })
     controller.attach(replica)
-    links.handleMessage = (from, message) => { controller.work.measure('replication', () => { replica.receive(from, message) }) }
-    const server = LinkServer.create(hello, { ...createHandlers(controller, replica, links, context.log), traffic: context.traffic }, context.peerKeys?.())
+    links.handleMessage = (from, message) => { controller.receive(from, message) }
+    const server = LinkServer.create(hello, { ...createHandlers(controller, links, context.log), traffic: context.traffic }, context.peerKeys?.())
     server.handleError = error => { context.log.error('server_failed', { error: error.message }) }
     await server.listen(parseAddress(settings.listen))
     links.dialMembers()
@@ -181,14 +181,14 @@
   })
 }
 
-function createHandlers (controller: Controller, replica: Replica, links: ControllerLinks, log: RuntimeLog): LinkHandlers {
+function createHandlers (controller: Controller, links: ControllerLinks, log: RuntimeLog): LinkHandlers {
   return {
     opened: link => {
       links.addInbound(link)
       controller.handleLinkOpened(link)
     },
     called: (link, frame) => controller.handleCall(link, frame),
-    replication: (link, message) => { controller.work.measure('replication', () => { replica.receive(link.peer?.process ?? '', message) }) },
+    replication: (link, message) => { controller.receive(link.peer?.process ?? '', message) },
     notice: (link, topic, body) => { controller.handleNotice(link, topic, body) },
     closed: (link, reason) => {
       if (link.peer !== undefined) log.warn('peer_lost', { peer: link.peer.process, role: link.peer.role, reason })
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -10,24 +10,26 @@
 } from '@flamingorouter/controllers'
 import type { Binding } from '@flamingorouter/rpc'
 import {
-  createClusterState, ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type Scheduler, type StepResult
+  ErrorKind, fail, toFailure, type Answer, type ClusterState, type Failure, type Decision, type Effect, type Event, type EntryReport, type Scheduler, type StepResult
 } from '@flamingorouter/scheduler'
 import { AdmissionEntries } from './admission-entries.js'
 import { PendingCalls } from './pending-calls.js'
 import { clusterNow, monotonicNow } from './clock.js'
 import { logTransientEvents, logDecisions } from './decision-log.js'
-import { EffectCalls } from './effect-calls.js'
+import { EffectCalls, isImmediate } from './effect-calls.js'
 import { EntryTable } from './entry-table.js'
 import { describeError } from './error-handlers.js'
 import type { MetricsRecorder } from './metrics-recorder.js'
 import { LoadReporter } from './load-reporter.js'
 import { JobCalls } from './job-calls.js'
+import { LeaseGate } from './lease-gate.js'
 import type { LocalMethod } from './local-methods.js'
 import type { LoopMonitor } from './loop-monitor.js'
 import type { OrderDispatcher } from './order-dispatcher.js'
 import { ProposalQueue } from './proposal-queue.js'
 import { RpcCalls } from './rpc-calls.js'
 import type { RuntimeLog } from './runtime-log.js'
+import { decodeState } from './state-snapshot.js'
 import type { VmService } from './vm-service.js'
 import { StateWatches } from './state-watches.js'
 import { WorkMeter } from './work-meter.js'
@@ -59,9 +61,6 @@
   handleFault: (reason: string) => void
 }
 
-/** Effects that depend on no decision and are therefore released without waiting for a commit. */
-const IMMEDIATE_EFFECTS: ReadonlySet<Effect['kind']> = new Set(['askAdmission', 'listVms', 'watchWorker', 'unwatchWorker'])
-
 export class Controller implements ReplicaOwner {
   readonly entries = EntryTable.create()
   /** Names what holds up the event loop. */
@@ -76,6 +75,7 @@
   private readonly entryLinks = new Map<string, Link>()
   private readonly effectCalls: EffectCalls
   private readonly admissionEntries: AdmissionEntries
+  private readonly leaseGate = LeaseGate.create()
   private isLeading = false
 
   private constructor (private readonly options: ControllerOptions) {
@@ -198,7 +198,7 @@
   }
 
   restoreSnapshot (index: number, snapshot: Uint8Array): void {
-    this.options.scheduler.restore(snapshot.length === 0 ? createClusterState() : decodeState(snapshot))
+    this.options.scheduler.restore(decodeState(snapshot))
     this.options.log.info('state_restored', { index, bytes: snapshot.length })
   }
 
@@ -234,6 +234,7 @@
     this.attached?.proposals.discard()
     this.pendingCalls.rejectAll('leadership was lost before the change was committed; its outcome is unknown')
     this.watches.rejectAll()
+    this.leaseGate.refuse('leadership was lost')
   }
 
   handleFault (failure: Failure): void {
@@ -249,6 +250,12 @@
     this.options.log.warn('election_started', { term, leaderSilentMs: Math.round(leaderSilentMs) })
   }
 
+  /** Passes a message of another member to the replica; it may renew the lease for which calls wait. */
+  receive (from: string, message: unknown): void {
+    this.work.measure('replication', () => { this.replica.receive(from, message) })
+    this.leaseGate.openIf(() => this.isAuthoritative)
+  }
+
   /** Handles a one-way message of an entry. */
   handleNotice (link: Link, topic: string, body: unknown): void {
     if (!this.isAuthoritative || topic !== Topic.grantsHeld) return
@@ -259,6 +266,7 @@
 
   async handleCall (link: Link, frame: CallFrame): Promise<unknown> {
     if (frame.method === InternalMethod.members) return this.answerMembers()
+    if (this.isLeading && !this.isAuthoritative) await this.leaseGate.wait()
     if (!this.isAuthoritative) this.failWithNotLeader()
     const entry = link.peer?.process ?? ''
     switch (frame.method) {
@@ -346,7 +354,7 @@
     logTransientEvents(this.options.log, event, result.effects, scheduler.state)
     const deferred: Effect[] = []
     for (const effect of result.effects) {
-      if (IMMEDIATE_EFFECTS.has(effect.kind)) this.release(effect)
+      if (isImmediate(effect)) this.release(effect)
       else deferred.push(effect)
     }
     this.proposals.add({ decisions: result.decisions, effects: deferred })
@@ -389,8 +397,3 @@
     }
   }
 }
-
-function decodeState (snapshot: Uint8Array): ClusterState {
-  // A snapshot of an earlier version lacks the fields that were added later; they get their initial values.
-  return { ...createClusterState(), ...decodeValue(snapshot) as Partial<ClusterState> }
-}
--- a/packages/runtime/src/core/effect-calls.ts
+++ b/packages/runtime/src/core/effect-calls.ts
@@ -14,6 +14,13 @@
 /** How long an entry may take to deliver commands to a worker and return the results, in milliseconds; longer than the entry waits for the worker. */
 const EXECUTE_TIMEOUT_MS = 2_000
 
+/** Effects that depend on no decision and are therefore released without waiting for a commit. */
+const IMMEDIATE_KINDS: ReadonlySet<Effect['kind']> = new Set(['askAdmission', 'listVms', 'watchWorker', 'unwatchWorker'])
+
+export function isImmediate (effect: Effect): boolean {
+  return IMMEDIATE_KINDS.has(effect.kind)
+}
+
 type EffectOf<Kind extends Effect['kind']> = Extract<Effect, { kind: Kind }>
 
 /** An effect that is a call to another process or service. */
