Review: name the record in each case, and end all processes after any failure

The stand-ins end what they started after an error, a signal and the time limit too, and start nothing more then.

--- a/review/3/scenario.js
+++ b/review/3/scenario.js
@@ -3,8 +3,7 @@
  * killed at the same moment. They are back after half a second. Meanwhile the tasks end `done`. None of them must be started again.
  */
 
-import { dirname } from 'node:path'
-import { fileURLToPath } from 'node:url'
+import { join } from 'node:path'
 import { HAS_TROUBLE, pause, play } from '../standins/cell.js'
 
 const TASKS = 2_400
@@ -13,7 +12,7 @@
 
 let jobs = 0
 
-await play(dirname(fileURLToPath(import.meta.url)), async cell => {
+await play(join(import.meta.dirname, 'record.txt'), async cell => {
   await cell.start()
   await cell.configure(cell.configuration(1))
   for (let index = 0; index < 2; index++) cell.startRunner(index)
--- a/review/4/scenario.js
+++ b/review/4/scenario.js
@@ -3,15 +3,14 @@
  * service that is idle. They must run.
  */
 
-import { dirname } from 'node:path'
-import { fileURLToPath } from 'node:url'
+import { join } from 'node:path'
 import { BOUNDS, HAS_TROUBLE, pause, play } from '../standins/cell.js'
 
 const HOPELESS = 'dead000000000001'
 const RUNNERS = 7
 const JOBS = 20
 
-await play(dirname(fileURLToPath(import.meta.url)), async cell => {
+await play(join(import.meta.dirname, 'record.txt'), async cell => {
   await cell.start()
   await cell.configure(cell.configuration(1))
   for (let index = 0; index < RUNNERS; index++) cell.startRunner(index)
--- a/review/standins/cell.js
+++ b/review/standins/cell.js
@@ -53,15 +53,16 @@
 export const pause = ms => new Promise(resolve => { setTimeout(resolve, ms) })
 
 export class Cell {
-  constructor (folder) {
-    this.folder = folder
+  /** `recordPath` is the file record.txt of the case. */
+  constructor (recordPath) {
     this.startedAt = Date.now()
-    this.recordPath = join(folder, 'record.txt')
+    this.recordPath = recordPath
     writeFileSync(this.recordPath, '')
     this.temporary = mkdtempSync(join(tmpdir(), 'review-'))
     const draw = () => 1 + Math.floor(Math.random() * 253)
     this.network = `127.${draw()}.${draw()}`
     this.processes = new Map()
+    this.children = new Set()
     this.runs = []
     /** The highest end that was taken note of, by runner, and the leases that lapsed. */
     this.acks = new Map()
@@ -164,10 +165,18 @@
     this.readLines(child.stderr, line => { this.noteProductLine(name, line) })
   }
 
+  /** Keeps a process that was started, so that it is ended with the case, however that ends. */
   track (name, child) {
+    if (this.isOver) {
+      child.kill('SIGKILL')
+      return
+    }
     this.processes.set(name, child)
+    this.children.add(child)
+    child.on('error', error => { this.record(`${name} could not be started: ${error.message}`) })
     this.record(`${name} starts as process ${child.pid}`)
     child.on('exit', (code, signal) => {
+      this.children.delete(child)
       this.record(`${name} (process ${child.pid}) ended: ${signal ?? code}`)
       if (this.processes.get(name) === child) this.processes.delete(name)
     })
@@ -288,14 +297,15 @@
     return answer
   }
 
+  killAll () {
+    for (const child of this.children) child.kill('SIGKILL')
+  }
+
   async stop () {
     this.isOver = true
     const ends = []
-    for (const child of this.processes.values()) {
-      ends.push(new Promise(resolve => { child.once('exit', resolve) }))
-      child.kill('SIGCONT')
-      child.kill('SIGKILL')
-    }
+    for (const child of this.children) ends.push(new Promise(resolve => { child.once('exit', resolve) }))
+    this.killAll()
     await Promise.race([Promise.all(ends), pause(3_000)])
     this.cloudServer?.closeAllConnections()
     this.cloudServer?.close()
@@ -303,28 +313,41 @@
   }
 }
 
-/** Plays a case and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
-export async function play (folder, scenario, limitMs = 110_000) {
-  const cell = new Cell(folder)
-  let status = 2
-  const finish = async () => {
-    await cell.stop()
-    cell.record(`exit ${status}`)
-    process.exit(status)
+/**
+ * Plays a case and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case could not run. All processes that were
+ * started end before, also after an error, a signal or the time limit.
+ */
+export async function play (recordPath, scenario, limitMs = 110_000) {
+  const cell = new Cell(recordPath)
+  let ending
+  const finish = status => {
+    ending ??= (async () => {
+      await cell.stop()
+      cell.record(`exit ${status}`)
+      process.exit(status)
+    })()
+    return ending
+  }
+  const giveUp = reason => {
+    if (ending !== undefined) return
+    cell.record(`the case could not run: ${reason}`)
+    process.stdout.write(`the case could not run: ${reason}\n`)
+    finish(2)
   }
-  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => { finish() })
-  setTimeout(() => {
-    cell.record('the time of the case is over')
-    finish()
-  }, limitMs)
+  process.on('exit', () => { cell.killAll() })
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => { giveUp(signal) })
+  process.on('uncaughtException', error => { giveUp(error.stack) })
+  process.on('unhandledRejection', error => { giveUp(String(error)) })
+  setTimeout(() => { giveUp('its time is over') }, limitMs)
   try {
     const broken = await scenario(cell)
-    status = broken === '' ? 0 : 1
-    cell.record(broken === '' ? 'the rule held' : `BROKEN: ${broken}`)
-    process.stdout.write(broken === '' ? 'the rule held\n' : `BROKEN: ${broken}\n`)
+    if (ending !== undefined) return await ending
+    const text = broken === '' ? 'the rule held' : `BROKEN: ${broken}`
+    cell.record(text)
+    process.stdout.write(`${text}\n`)
+    await finish(broken === '' ? 0 : 1)
   } catch (thrown) {
-    cell.record(`the case could not run: ${thrown.stack}`)
-    process.stdout.write(`the case could not run: ${thrown.message}\n`)
+    giveUp(thrown.stack)
+    await ending
   }
-  await finish()
 }
