Runs: wait for all ends before a run that a list does not name is given up

Cause: a worker lists at most 500 ends at a time, and nothing passed on that a list was truncated. A run that was neither in `running` nor among these ends counted as one that never began (inherited by a new leader), as stopped (after a confirmed stop, also of an orphan), or was told to stop (running), and its task waited again. Its end followed with the next list.

Change: the platform boundary says whether a list may be truncated. A run that a list does not name is judged once all ends from before that list are known: by a list that is not truncated, or by the end of a run that a list still named as running, since ends are numbered and listed in order. So a worker whose lists are always truncated yields evidence as well. Until then the run keeps its task and its resources.

--- a/bench/support/staged-job-simulation.ts
+++ b/bench/support/staged-job-simulation.ts
@@ -362,7 +362,7 @@
     const running = [...model.active.values()].map((active): ReportedRun => {
       return { ...active.progress, percent: Math.min(99, Math.floor(active.countDone(now) * 100 / active.workMs)) }
     })
-    this.handleEvent({ kind: 'workerListed', id: model.facts.id, incarnation: 1, sentAt: now, running, ended: [...model.ended] })
+    this.handleEvent({ kind: 'workerListed', id: model.facts.id, incarnation: 1, sentAt: now, running, ended: [...model.ended], isTruncated: false })
   }
 
   private recordReports (): void {
--- a/packages/runtime/__tests__/account-logs.test.ts
+++ b/packages/runtime/__tests__/account-logs.test.ts
@@ -100,7 +100,7 @@
     it('have the largest share of its cap that each account uses', () => {
       const leader = LoggedLeader.create([createAccount('one', DIGEST, 16_000), createAccount('idle', 'other', 1_000), createAccount('unlimited', 'third', 0)])
       leader.handle({ kind: 'workerReported', call: 4, worker: WORKER })
-      leader.handle({ kind: 'workerListed', id: 'w', incarnation: 1, sentAt: 1, running: [], ended: [] })
+      leader.handle({ kind: 'workerListed', id: 'w', incarnation: 1, sentAt: 1, running: [], ended: [], isTruncated: false })
       leader.submit('a', DIGEST)
       assert.deepEqual(render(leader), ['flamingorouter_account_cap_used_ratio{account="one"} 0.25', 'flamingorouter_account_cap_used_ratio{account="idle"} 0'])
     })
--- a/packages/runtime/__tests__/called-workers.test.ts
+++ b/packages/runtime/__tests__/called-workers.test.ts
@@ -29,6 +29,7 @@
   deadlyTasks: { failure: 'a task that crashes one worker after another', count: 20 },
   deadlyTasksAndRestarts: { failure: 'a task that crashes one worker after another, all under their former ids', count: 20 },
   resizes: { failure: 'a start on a capacity that has shrunk', count: 20 },
+  truncatedLists: { failure: 'a run that ended but is not in the list yet, and is taken for one that never ran or was stopped', count: 20 },
   newLeaders: { failure: 'a new leader that does not know the orders of the one before', count: 8 }
 }
 
@@ -47,6 +48,7 @@
   deadlyTasks: [29, 37, 69],
   deadlyTasksAndRestarts: [34, 47, 48, 61, 66, 85, 86],
   resizes: [],
+  truncatedLists: [],
   newLeaders: [22, 36, 63, 71, 73, 102, 105]
 }
 
--- a/packages/runtime/__tests__/long-turns.test.ts
+++ b/packages/runtime/__tests__/long-turns.test.ts
@@ -16,7 +16,7 @@
 }
 
 function createListing (index: number): Event {
-  return { kind: 'workerListed', id: `worker-${index}`, incarnation: 1, sentAt: 0, clockMs: 0, running: [], ended: [] }
+  return { kind: 'workerListed', id: `worker-${index}`, incarnation: 1, sentAt: 0, clockMs: 0, running: [], ended: [], isTruncated: false }
 }
 
 describe('a leader to which all workers answer in one turn', () => {
--- a/packages/runtime/__tests__/support/called-worker-model.ts
+++ b/packages/runtime/__tests__/support/called-worker-model.ts
@@ -59,7 +59,7 @@
 /** Cause of the end of a run that crashed its worker. */
 export const DEADLY_END = 'crashed its worker'
 
-/** Maximum number of ends in one list. */
+/** Maximum number of ends in one list if the plan sets no limit. */
 const LISTED_END_LIMIT = 500
 
 /** How an order arrives at a worker: how late, and for which incarnation it was meant. */
@@ -167,7 +167,7 @@
   list (order: ListOrder, arrival: Arrival): ListAnswer {
     this.expireLease()
     if (arrival.incarnation === this.facts.incarnation) this.isKnown = true
-    if (order.fence < this.fence) return { ...this.createAnswer(OrderOutcome.fenced), running: [], ended: [] }
+    if (order.fence < this.fence) return { ...this.createAnswer(OrderOutcome.fenced), running: [], ended: [], isTruncated: true }
     this.fence = order.fence
     this.acknowledge(order.cursor)
     if (order.untilMs !== undefined) this.extendLease(this.shiftLease(order.untilMs, arrival))
@@ -186,7 +186,9 @@
   createListAnswer (): ListAnswer {
     this.expireLease()
     const running = [...this.activeRuns.values()].map(active => this.createReportedRun(active))
-    return { ...this.createAnswer(OrderOutcome.done), running, ended: this.unacknowledgedEnds.slice(0, LISTED_END_LIMIT).map(({ end }) => end) }
+    const limit = this.surroundings.plan.listedEnds ?? LISTED_END_LIMIT
+    const ended = this.unacknowledgedEnds.slice(0, limit).map(({ end }) => end)
+    return { ...this.createAnswer(OrderOutcome.done), running, ended, isTruncated: ended.length >= limit }
   }
 
   pace (task: string, run: number, percent: number, fence: number): OrderAnswer {
--- a/packages/runtime/__tests__/support/fault-plan.ts
+++ b/packages/runtime/__tests__/support/fault-plan.ts
@@ -39,6 +39,8 @@
   deadlyJobs?: number
   /** True if the process that follows a worker at its address has another id. */
   hasNewIds?: boolean
+  /** Maximum number of ends in one list of a worker; 500 if undefined. */
+  listedEnds?: number
   /** True if the members of a gang end once one of them has ended. */
   hasGangBreaks?: boolean
   /** Shortest and longest duration of a run in milliseconds; derived from the estimate of the stage if undefined. */
--- a/packages/runtime/__tests__/support/schedule-groups.ts
+++ b/packages/runtime/__tests__/support/schedule-groups.ts
@@ -47,6 +47,9 @@
   deadlyTasks: { plan: { ...COMMON_PLAN, ...DEADLY }, rates: COMMON_RATES, ...MANY_SHORT_TASKS },
   deadlyTasksAndRestarts: { plan: { ...RESTART_PLAN, ...DEADLY, hasNewIds: false }, rates: RESTART_RATES, ...MANY_SHORT_TASKS },
   resizes: { plan: { ...COMMON_PLAN, delayedReports: 400, runMs: [1_000, 4_000] }, rates: { ...COMMON_RATES, crashes: 50, cuts: 50, resizes: 900 }, ...LONG_TASKS, jobs: 40 },
+  truncatedLists: {
+    plan: { ...COMMON_PLAN, listedEnds: 2, lostAnswers: 100, runMs: [400, 600] }, rates: { ...COMMON_RATES, newLeaders: 500 }, ...SHORT_TASKS, jobs: 40
+  },
   newLeaders: {
     plan: { ...STRAY_ORDER_PLAN, ...REFUSALS, ...LONG_RUNS, refusedConnections: 200 },
     rates: { ...RESTART_RATES, newLeaders: 300 },
--- a/packages/runtime/__tests__/support/simulated-orders.ts
+++ b/packages/runtime/__tests__/support/simulated-orders.ts
@@ -121,7 +121,7 @@
     const isLongPoll = this.cell.plan.hasLongPolling === true
     if (!isLongPoll) await this.cell.time.pause(order.waitMs)
     const answer = await this.call(worker, timeoutMs, (model, arrival) => model.list(order, arrival), isLongPoll ? order.waitMs : 0, true)
-    return { running: [], ended: [], ...answer }
+    return { running: [], ended: [], isTruncated: true, ...answer }
   }
 
   async pace (worker: CalledWorker, task: string, run: number, percent: number, fence: number, timeoutMs: number): Promise<OrderAnswer> {
--- a/packages/runtime/__tests__/worker-session.test.ts
+++ b/packages/runtime/__tests__/worker-session.test.ts
@@ -45,7 +45,7 @@
   override async list (_worker: CalledWorker, { cursor }: ListOrder): Promise<ListAnswer> {
     this.cursors.push(cursor)
     this.ended = this.ended.filter(({ number }) => number > cursor)
-    return { outcome: OrderOutcome.done, clockMs: 1_000, running: [], ended: this.ended }
+    return { outcome: OrderOutcome.done, clockMs: 1_000, running: [], ended: this.ended, isTruncated: false }
   }
 
   override async pace (): Promise<OrderAnswer> {
@@ -90,7 +90,7 @@
   }
 
   override async list (): Promise<ListAnswer> {
-    return { outcome: this.isUp ? OrderOutcome.done : OrderOutcome.unknown, clockMs: this.isUp ? 1_000 : undefined, running: [], ended: [] }
+    return { outcome: this.isUp ? OrderOutcome.done : OrderOutcome.unknown, clockMs: this.isUp ? 1_000 : undefined, running: [], ended: [], isTruncated: false }
   }
 }
 
--- a/packages/runtime/src/core/worker-session.ts
+++ b/packages/runtime/src/core/worker-session.ts
@@ -32,10 +32,12 @@
   isClosed?: boolean
 }
 
-/** A worker's answer to a list request: its active runs, and the ends that are not acknowledged yet. */
+/** A worker's answer to a list request: its active runs, and the ends that are not acknowledged yet, lowest number first. */
 export interface ListAnswer extends OrderAnswer {
   running: ReportedRun[]
   ended: EndedRun[]
+  /** True if the worker may have more ends than `ended` names. */
+  isTruncated: boolean
 }
 
 export interface StartOrder {
@@ -225,7 +227,7 @@
     if (answer.outcome !== OrderOutcome.done) return await this.handleFailedRequest(answer)
     this.consecutiveFailures = 0
     this.acceptedCursor = Math.max(this.acceptedCursor, cursor)
-    this.owner.feed({ kind: 'workerListed', id, incarnation, sentAt, clockMs: answer.clockMs, running: answer.running, ended: answer.ended })
+    this.owner.feed({ kind: 'workerListed', id, incarnation, sentAt, clockMs: answer.clockMs, running: answer.running, ended: answer.ended, isTruncated: answer.isTruncated })
     if (answer.ended.length > 0) await this.waitForAck()
   }
 
--- a/packages/scheduler/__tests__/staged-leader.test.ts
+++ b/packages/scheduler/__tests__/staged-leader.test.ts
@@ -95,7 +95,7 @@
       const queues = [createQueue({ name: 'bulk', pathPrefix: '/bulk/', priority: 2 }), createQueue({ name: 'urgent', pathPrefix: '/urgent/', priority: 0 })]
       scheduler.handle({ kind: 'configureCell', call: 1, cell: { version: 1, queues, retired: [], services: [], document: '' } }, 0)
       scheduler.handle({ kind: 'workerReported', call: 2, worker: createView('one').worker }, 0)
-      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [] }, 0)
+      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [], isTruncated: false }, 0)
       const submit = (queue: string, now: number): string[] => {
         const spec = { payload: '', stages: [createStage({ taskCount: 4 })] }
         return listStarts(scheduler.handle({ kind: 'acceptJob', call: 3, host: 'jobs.example', path: `/${queue}/${queue}`, spec }, now).effects)
@@ -117,14 +117,14 @@
       scheduler.handle({ kind: 'advisorsChanged', entries: ['entry'] }, 0)
       const { worker } = createView('one')
       scheduler.handle({ kind: 'workerReported', call: 2, worker }, 0)
-      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [] }, 0)
+      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [], isTruncated: false }, 0)
       const stage = createStage({ resources: { millicores: 16_000, memoryMib: 1_024, accelerators: 0 }, estimateMs: 3_000 })
       scheduler.handle({ kind: 'acceptJob', call: 3, host: 'jobs.example', path: '/q/job', spec: { payload: '', stages: [stage] } }, 0)
       scheduler.handle({ kind: 'workerSilent', id: 'one', incarnation: 1, isClosed: true }, 600)
       const tickets = [{ worker: 'one', ticket: 'ticket' }]
       scheduler.handle({ kind: 'admissionAnswered', entry: 'entry', stage: 'job/0/0', workers: ['one'], tickets, askedAt: 0, isAnswered: true }, 1_200)
       scheduler.handle({ kind: 'workerReported', call: 4, worker }, 2_900)
-      const { effects } = scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 3_000, running: [], ended: [] }, 3_000)
+      const { effects } = scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 3_000, running: [], ended: [], isTruncated: false }, 3_000)
       assert.deepEqual(effects.map(({ kind }) => kind), ['startRun'])
     })
   })
@@ -135,12 +135,12 @@
       scheduler.startLeading(0)
       scheduler.handle({ kind: 'configureCell', call: 1, cell: { version: 1, queues: [createQueue()], retired: [], services: [], document: '' } }, 0)
       scheduler.handle({ kind: 'workerReported', call: 2, worker: createView('one').worker }, 0)
-      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [] }, 0)
+      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [], isTruncated: false }, 0)
       const call = { call: 3, host: 'jobs.example', path: '/q/job' }
       const spec = { payload: '', stages: [createStage({ taskCount: 2 })] }
       const tasks = listStarts(scheduler.handle({ kind: 'acceptJob', ...call, spec }, 10).effects)
       const ended = tasks.map((task, index) => ({ number: index + 1, task, run: 1, cause: RunEndCause.done, checkpoint: '' }))
-      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 20, running: [], ended }, 20)
+      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 20, running: [], ended, isTruncated: false }, 20)
       assert.equal(scheduler.state.jobs.get('job')?.occurrences.size, 0)
       const { effects } = scheduler.handle({ kind: 'readJob', ...call }, 30)
       assert.deepEqual(effects, [{ kind: 'reply', call: 3, answer: { kind: 'job', phase: 'completed', isStarted: true } }])
@@ -156,7 +156,7 @@
       for (const [id, isDraining] of [['one', false], ['two', true]] as const) {
         scheduler.handle({ kind: 'workerReported', call: 2, worker: { ...createView(id).worker, isDraining } }, 0)
       }
-      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [] }, 0)
+      scheduler.handle({ kind: 'workerListed', id: 'one', incarnation: 1, sentAt: 0, running: [], ended: [], isTruncated: false }, 0)
       const stages = [createStage({ taskCount: 5 }), createStage({ taskCount: 9, dependsOn: [0] })]
       scheduler.handle({ kind: 'acceptJob', call: 3, host: 'jobs.example', path: '/q/job', spec: { payload: '', stages } }, 0)
       assert.deepEqual(summarizeCellLoad(scheduler.state), {
--- a/packages/scheduler/__tests__/support/scripted-leader.ts
+++ b/packages/scheduler/__tests__/support/scripted-leader.ts
@@ -4,7 +4,7 @@
  */
 
 import {
-  Scheduler, StagedJobs, type CalledWorker, type ClusterState, type Effect, type EndedRun, type Event, type EventOf, type Limits, type OrderOutcome, type ReportedRun, type RunEndCause, type StageSpec, type StageTask
+  Scheduler, StagedJobs, type CalledWorker, type ClusterState, type Effect, type Event, type EventOf, type Limits, type OrderOutcome, type ReportedRun, type RunEndCause, type StageSpec, type StageTask
 } from '../../src/index.js'
 import { createStage } from './stages.js'
 
@@ -73,8 +73,8 @@
   }
 
   /** A worker lists its runs, at a request that was sent after all events so far. */
-  list (id: string, { incarnation = 1, clockMs, running = [], ended = [] }: { incarnation?: number, clockMs?: number, running?: ReportedRun[], ended?: EndedRun[] } = {}): readonly Effect[] {
-    return this.handle({ kind: 'workerListed', id, incarnation, sentAt: this.now + 5, clockMs, running, ended })
+  list (id: string, { incarnation = 1, clockMs, running = [], ended = [], isTruncated = false }: Partial<EventOf<'workerListed'>> = {}): readonly Effect[] {
+    return this.handle({ kind: 'workerListed', id, incarnation, sentAt: this.now + 5, clockMs, running, ended, isTruncated })
   }
 
   /** A worker lists the end of one run. */
--- a/packages/scheduler/__tests__/take-over.test.ts
+++ b/packages/scheduler/__tests__/take-over.test.ts
@@ -65,7 +65,7 @@
       const scheduler = Scheduler.create([StagedJobs.create()], createFormerLeader().state)
       scheduler.startLeading(1_000)
       scheduler.handle({ kind: 'tick' }, 1_000)
-      scheduler.handle({ kind: 'workerListed', id: 'worker-0', incarnation: 1, sentAt: 1_000, running: [], ended: [] }, 1_100)
+      scheduler.handle({ kind: 'workerListed', id: 'worker-0', incarnation: 1, sentAt: 1_000, running: [], ended: [], isTruncated: false }, 1_100)
       const entries = Array.from({ length: 35 }, (_, index) => `entry-${index}`)
       const { effects } = scheduler.handle({ kind: 'advisorsChanged', entries }, 1_101)
       assert.equal(countKind(effects, 'askAdmission'), entries.length)
@@ -92,7 +92,7 @@
         const stage = createStage({ taskCount: 1, estimateMs: 680, resources: { millicores: 20_000, memoryMib: 1_024, accelerators: 0 } })
         scheduler.handle({ kind: 'acceptJob', call: 3, host: open.host, path: `/urgent/held-${heldMs}`, spec: { payload: '', stages: [stage] }, heldMs }, 1_000)
       }
-      const { effects } = scheduler.handle({ kind: 'workerListed', id: 'worker-0', incarnation: 1, sentAt: 1_000, running: [], ended: [] }, 1_100)
+      const { effects } = scheduler.handle({ kind: 'workerListed', id: 'worker-0', incarnation: 1, sentAt: 1_000, running: [], ended: [], isTruncated: false }, 1_100)
       assert.deepEqual(effects.flatMap(effect => effect.kind === 'startRun' ? [effect.task] : []), ['held-300/0/0/0'])
     })
 
@@ -138,7 +138,7 @@
       const tickets = workers.map(worker => ({ worker, ticket: 'ticket' }))
       const answered = scheduler.handle({ kind: 'admissionAnswered', entry, stage, workers, tickets, askedAt: 1_001, isAnswered: true }, 1_100)
       assert.equal(countKind(answered.effects, 'startRun'), 0)
-      const listed = scheduler.handle({ kind: 'workerListed', id: workers[0], incarnation: 1, sentAt: 1_100, running: [], ended: [] }, 1_200)
+      const listed = scheduler.handle({ kind: 'workerListed', id: workers[0], incarnation: 1, sentAt: 1_100, running: [], ended: [], isTruncated: false }, 1_200)
       const starts = listed.effects.flatMap(effect => effect.kind === 'startRun' ? [effect.worker.id] : [])
       assert.deepEqual(starts, Array.from({ length: 3 }, () => workers[0]))
     })
--- a/packages/scheduler/__tests__/upkeep.test.ts
+++ b/packages/scheduler/__tests__/upkeep.test.ts
@@ -57,7 +57,7 @@
         hasLeft: false
       }
     })
-    this.handle({ kind: 'workerListed', id: 'worker-1', incarnation, sentAt: this.now, running: [], ended: [] })
+    this.handle({ kind: 'workerListed', id: 'worker-1', incarnation, sentAt: this.now, running: [], ended: [], isTruncated: false })
   }
 
   answer (outcome: UpkeepOutcome): void {
--- a/packages/scheduler/src/core/jobs/runs/former-workers.ts
+++ b/packages/scheduler/src/core/jobs/runs/former-workers.ts
@@ -15,7 +15,7 @@
     former.remove(run.task)
     // An orphan that counts against the cap of an account counts until the successor has listed its runs.
     if (run.isOrphan && run.charge === undefined) continue
-    successor.add({ ...run, status: RunStatus.inherited, confirmedAt: 0, resendWaitStartsAt: 0, progress: undefined, startedClockMs: undefined, isCrashCounted: true })
+    successor.add({ ...run, status: RunStatus.inherited, confirmedAt: 0, resendWaitStartsAt: 0, progress: undefined, startedClockMs: undefined, isCrashCounted: true, listedAt: undefined, missingSince: undefined })
   }
 }
 
--- a/packages/scheduler/src/core/jobs/runs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/runs/run-manager.ts
@@ -21,13 +21,14 @@
 import type { Orphan, SchedulingUnit } from '../order/scheduling-units.js'
 import { createUnknownWorker, formatFormerWorker, passOnRuns } from './former-workers.js'
 import { describeYoungestRuns, noteRunAnomaly } from './run-descriptions.js'
+import { handleMissingRun, recordKnownEnd } from './missing-runs.js'
 import { RunEnds } from './run-ends.js'
 import { RunOrders } from './run-orders.js'
 import { SlowRuns } from './slow-runs.js'
 import { LearntRunTimes } from '../run-times/learnt-run-times.js'
 import { DeclaredStragglers, LearntStragglers } from '../run-times/straggler-policy.js'
-import { clearCrashes, isSuspected, WorkerCrashes } from './worker-crashes.js'
-import { createOrphanRun, createRun, isInStartup, isServing, RunStatus, WorkerView, type Run } from '../workers/worker-view.js'
+import { isSuspected, WorkerCrashes } from './worker-crashes.js'
+import { createOrphanRun, createRun, isServing, RunStatus, WorkerView, type Run } from '../workers/worker-view.js'
 
 /** Time for which a worker gets no new work after it refused a start or a connection. */
 const COOLDOWN_MS = { noRoom: 300, unhealthy: 2_000 } as const
@@ -151,15 +152,17 @@
     for (const endedRun of event.ended) {
       if (endedRun.number <= cursor) continue
       view.cursor = Math.max(view.cursor, endedRun.number)
+      recordKnownEnd(view, endedRun)
       this.ends.handleEnd(step, view, endedRun)
     }
+    if (!event.isTruncated) view.endsKnownUntil = event.sentAt
     const listed = new Set<string>()
     for (const reportedRun of event.running) {
       listed.add(reportedRun.task)
-      this.handleRunning(step, view, reportedRun, event.clockMs)
+      this.handleRunning(step, view, reportedRun, event)
     }
     for (const run of [...view.runs.values()]) {
-      if (!listed.has(run.task)) this.handleMissing(step, view, run, event.sentAt)
+      if (!listed.has(run.task)) handleMissingRun(step, this.orders, view, run, event.sentAt)
     }
     adjustPaces(step, view)
     if (view.cursor > 0 && event.ended.length > 0) {
@@ -302,7 +305,7 @@
   }
 
   /** Handles a run that a worker lists as running; one that the replicated state does not place there is stopped. */
-  private handleRunning (step: Step, view: WorkerView, reportedRun: ReportedRun, clockMs: number | undefined): void {
+  private handleRunning (step: Step, view: WorkerView, reportedRun: ReportedRun, { clockMs, sentAt }: EventOf<'workerListed'>): void {
     let run = view.runs.get(reportedRun.task)
     if (run?.status === RunStatus.inherited && run.run > reportedRun.run) {
       // A worker has at most one run of a task, so the inherited one never started.
@@ -316,6 +319,8 @@
     }
     if (run.run > reportedRun.run) return
     run.startedClockMs ??= clockMs
+    run.listedAt = sentAt
+    run.missingSince = undefined
     run.isInherited = false
     run.isCrashCounted = false
     this.slowRuns.recordProgress(run, reportedRun.percent, step.now)
@@ -338,16 +343,6 @@
     run.confirmedAt = now
   }
 
-  /** Handles a run that a worker lists neither as running nor as ended. */
-  private handleMissing (step: Step, view: WorkerView, run: Run, sentAt: number): void {
-    const hasNeverStarted = run.status === RunStatus.inherited
-    const hasStopped = run.status === RunStatus.stopping && run.confirmedAt > 0 && sentAt > run.confirmedAt
-    if (hasStopped && !isInStartup(view, run)) clearCrashes(step, run.ref)
-    if (hasNeverStarted || hasStopped) return this.orders.removeRun(step, view, run, hasStopped ? 'stopped' : 'it never started')
-    // Either its end was listed and acknowledged, or it was never there; a confirmed stop makes its end certain.
-    if (run.status === RunStatus.running && sentAt > run.confirmedAt) this.orders.stopRun(step, view, run, 'the worker does not list it')
-  }
-
   private handleStartAnswer (step: Step, view: WorkerView, run: Run, { outcome, unanswered, clockMs }: EventOf<'runOrdered'>): void {
     switch (outcome) {
       case OrderOutcome.done:
--- a/packages/scheduler/src/core/jobs/workers/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -73,6 +73,10 @@
   isInherited: boolean
   /** True if the crash of a former incarnation was counted for it, until the worker lists it as running. */
   isCrashCounted: boolean
+  /** Send time of the last list request whose answer named it as running; undefined before the first. */
+  listedAt: number | undefined
+  /** Send time of the first list request since its last order whose answer named it neither as running nor as ended; undefined if none. */
+  missingSince: number | undefined
   /** True once the worker confirmed that the run was started. */
   hasStarted: boolean
   /** The replicated state does not contain this placement; the run is tracked only until it has ended. */
@@ -112,6 +116,8 @@
   clockMs = 0
   /** Highest number of a run end that was processed. */
   cursor = 0
+  /** Send time of the latest list request before which no run ended without its end being known; -Infinity before the first. */
+  endsKnownUntil = -Infinity
   /** True while its VM is being evacuated for upkeep; it gets no new work. */
   isEvacuating = false
   /** True while an order to take its VM down may be in flight. */
@@ -260,6 +266,8 @@
     isSuspect: false,
     isInherited: false,
     isCrashCounted: false,
+    listedAt: undefined,
+    missingSince: undefined,
     hasStarted: false,
     isOrphan: false,
     charge: undefined
@@ -298,6 +306,8 @@
     isSuspect: false,
     isInherited: false,
     isCrashCounted: false,
+    listedAt: undefined,
+    missingSince: undefined,
     hasStarted: true,
     isOrphan: true,
     charge: undefined
--- a/packages/scheduler/src/types/events.ts
+++ b/packages/scheduler/src/types/events.ts
@@ -118,9 +118,10 @@
   | { kind: 'workerLeft', call: number, id: string, incarnation: number }
   /**
    * The runs in progress and the ended runs of a worker; `sentAt` is the cluster time in milliseconds of the query, `clockMs`
-   * the clock of the worker when it answered, in milliseconds.
+   * the clock of the worker when it answered, in milliseconds. `isTruncated` is true if more runs may have ended than `ended`
+   * names; `running` is always complete.
    */
-  | { kind: 'workerListed', id: string, incarnation: number, sentAt: number, clockMs?: number, running: ReportedRun[], ended: EndedRun[] }
+  | { kind: 'workerListed', id: string, incarnation: number, sentAt: number, clockMs?: number, running: ReportedRun[], ended: EndedRun[], isTruncated: boolean }
   /** A worker does not answer. `isClosed` is true if it closed or refused the connection, as a process that ends does. */
   | { kind: 'workerSilent', id: string, incarnation: number, isClosed: boolean }
   /** No run of that incarnation is in progress any more, as `loss` says. */
