Placement: leave work out of a pass that no known worker could hold

Cause: a gang or large task that fits nowhere reserves the freest workers in each pass, whether or not they could ever hold it. A lasting stage is never moved back in the order, so it did so for ever. Besides, each unit that waits counts towards the 200 that a pass considers, so that 200 hopeless units hid all later work, also those that reserve nothing.

Change: before a pass sorts the units, those are left out that the known workers could not hold after all work that ends by itself: one task, or all tasks of a gang together, by capacity less the lasting tasks that are not being stopped. The answer is computed for each pass, so a unit returns with the first worker that could hold it. Capacity is held back for a unit only on workers that could hold a task of it.

--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -17,31 +17,18 @@
  */
 
 import { limitToCap, type AccountUsage } from '../accounts/account-usage.js'
-import { hasValue, isPreemptionDue } from '../order/unit-order.js'
+import { isPreemptionDue } from '../order/unit-order.js'
 import { isTicketValid, QUERY_WORKER_LIMIT, type AdmissionTickets, type Ticket } from './admission-tickets.js'
 import type { SchedulingUnit } from '../order/scheduling-units.js'
 import type { Run, WorkerView } from '../workers/worker-view.js'
 import { add, applyDemand, fits, getReleasing, isBelowLimit, isEligible, reserveTask, sumAvailable, type Amounts, type Candidate } from './candidate.js'
 import { pickCandidate } from './candidate-score.js'
 import { countReservedEntries } from './entry-reserve.js'
+import { Feasibility } from './feasibility.js'
 import { listPreemptible } from './preemptible-runs.js'
+import { countReservations, isLarge, mayReserve } from './reservation-rules.js'
 import { SpareCapacity } from '../shares/spare-capacity.js'
 
-/** Least number of units for which one pass may reserve capacity because not all of their tasks could be placed. */
-const RESERVATION_MINIMUM = 12
-
-/**
- * Workers for each such unit in a large cell. With fewer reservations small tasks of less urgent queues fill what is released
- * before a gang that waits has all of its capacity; with more, capacity is idle.
- */
-const WORKERS_PER_RESERVATION = 20
-
-/**
- * Share of the processor capacity of the reference worker above which a task is large. For a large task, capacity is
- * reserved on workers where it does not fit yet, as for a gang.
- */
-const LARGE_SHARE = 0.2
-
 /**
  * Share of the workers on which a suspected task may be in its startup, or that wait for such a task, at the same time; each
  * of them gets no other work meanwhile, and may crash.
@@ -102,7 +89,8 @@
     private readonly tickets: AdmissionTickets,
     private readonly now: number,
     previouslyReserved: ReadonlySet<string>,
-    private readonly usage: AccountUsage | undefined
+    private readonly usage: AccountUsage | undefined,
+    private readonly feasibility: Feasibility
   ) {
     let probedCount = 0
     for (const view of views) {
@@ -119,7 +107,8 @@
 
   /** `previouslyReserved`: workers on which units reserved capacity in the previous pass; `usage`: what accounts have before this one. */
   static create (views: Iterable<WorkerView>, tickets: AdmissionTickets, now: number, previouslyReserved: ReadonlySet<string> = new Set(), usage?: AccountUsage): PlacementPass {
-    return new PlacementPass(views, tickets, now, previouslyReserved, usage)
+    const known = [...views]
+    return new PlacementPass(known, tickets, now, previouslyReserved, usage, Feasibility.create(known, tickets))
   }
 
   /**
@@ -133,9 +122,9 @@
     return startable !== undefined
   }
 
-  /** True when some worker would be large enough for a task of the unit if it were empty. */
-  hasWorkerFor (unit: SchedulingUnit): boolean {
-    return this.listEligible(unit).some(({ view }) => fits(view.worker.capacity, unit.spec.resources, unit.spec.fills))
+  /** The units that the known workers could hold; the others are not placed. */
+  filterFeasible (units: Iterable<SchedulingUnit>): SchedulingUnit[] {
+    return [...units].filter(unit => this.feasibility.isFeasible(unit))
   }
 
   /** Places the tasks of a unit as far as possible; for the rest, reserves capacity and queries the admission service. */
@@ -244,7 +233,7 @@
    */
   private reserve (unit: SchedulingUnit, candidates: Candidate[], missing: number): Set<string> {
     const reservedIds = new Set<string>()
-    if (this.reservationCount >= Math.max(RESERVATION_MINIMUM, this.candidates.length / WORKERS_PER_RESERVATION)) return reservedIds
+    if (this.reservationCount >= countReservations(this.candidates.length)) return reservedIds
     this.reservationCount += 1
     const allowed = unit.queue.admission === undefined ? candidates : this.listGranted(unit, () => true)
     const taskCounts = new Map(unit.placedCounts)
@@ -268,7 +257,10 @@
     // Later units of its account must not use the room under the cap that this capacity is being released for.
     // A gang that cannot have all of its capacity yet starts in no case, and must not use up the cap.
     if (!unit.spec.gang || open === 0) this.usage?.charge(unit.account, unit.spec.resources, missing - open)
-    if (open > 0 && (unit.spec.gang || isLarge(unit))) this.reserveFreest(unit, allowed, open, reservedIds)
+    if (open > 0 && (unit.spec.gang || isLarge(unit))) {
+      const holders = allowed.filter(candidate => isBelowLimit(candidate, unit, taskCounts) && this.feasibility.canHold(unit, candidate.view))
+      this.reserveFreest(unit, holders, open, reservedIds)
+    }
     return reservedIds
   }
 
@@ -349,9 +341,9 @@
    * Reserves capacity on the workers with the most free processor capacity although it does not suffice yet, so that
    * less urgent units of this pass do not use it up before enough has been released there.
    */
-  private reserveFreest (unit: SchedulingUnit, allowed: Candidate[], count: number, reservedIds: Set<string>): void {
-    const byFreeCapacity = [...allowed].sort((one, other) => other.free.millicores - one.free.millicores)
-    for (const candidate of byFreeCapacity.slice(0, count)) {
+  private reserveFreest (unit: SchedulingUnit, holders: Candidate[], count: number, reservedIds: Set<string>): void {
+    holders.sort((one, other) => other.free.millicores - one.free.millicores)
+    for (const candidate of holders.slice(0, count)) {
       applyDemand(candidate.free, unit, -1)
       reservedIds.add(candidate.view.id)
       this.reservedWorkers.add(candidate.view.id)
@@ -385,16 +377,3 @@
     this.queries.push({ unit, entry, workers })
   }
 }
-
-/** False for work of an account that is beyond its weight or has no value any more; it takes what is free and holds nothing back from other work. */
-function mayReserve (unit: SchedulingUnit, now: number): boolean {
-  return unit.isBeyondWeight !== true && (unit.account === undefined || hasValue(unit, now))
-}
-
-function isLarge (unit: SchedulingUnit): boolean {
-  const demand = unit.spec.resources.millicores
-  return demand > LARGE_SHARE * LARGE_REFERENCE_MILLICORES
-}
-
-/** Processor capacity of the reference worker; see `LARGE_SHARE`. */
-const LARGE_REFERENCE_MILLICORES = 32_000
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -265,7 +265,7 @@
     this.lastPassAt = step.now
     const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, this.computeAccountUsage(step.state))
     const order = createUnitOrder(step.state.cell, this.runManager.views.values(), this.cellUse, step.now)
-    const units = order.sort(this.units.list(), step.now)
+    const units = order.sort(pass.filterFeasible(this.units.list()), step.now)
     const considered = this.placeUnits(pass, units)
     const heldPauseMs = hasAccounts(step.state.cell) ? units.length / UNITS_PER_PAUSE_MS : 0
     this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, Math.max(heldPauseMs, considered * this.runManager.views.size / PAIRS_PER_PAUSE_MS))
@@ -296,7 +296,7 @@
       const isBeyondWeight = (unit: SchedulingUnit): boolean => unit.isBeyondWeight === true
       const owed = suspected.filter(unit => !isBeyondWeight(unit))
       for (const unit of [...owed, ...others, ...suspected.filter(isBeyondWeight)]) {
-        const isTried = (!isBeyondWeight(unit) || (beyondCount < BEYOND_WEIGHT_UNIT_LIMIT && pass.hasWorkerFor(unit))) && pass.place(unit)
+        const isTried = (!isBeyondWeight(unit) || beyondCount < BEYOND_WEIGHT_UNIT_LIMIT) && pass.place(unit)
         if (!isTried) held.add(unit.key)
         else if (isBeyondWeight(unit)) beyondCount += 1
       }
