Placement: hold at most half of the workers while a cell is in little use

What callers saw: seven workers of 64 cores each ran one task of 8 cores and 60 s; after a job of eight lasting tasks of 60 cores, none of 20 small jobs ran, though 56 of 448 cores were in use.

A large task or a gang that has to wait for running work reserves the freest workers, and a gang also those that are free already, without any bound. One such job holds the whole cell until the longest run has ended, and a lasting stage stays at the head of the order.

Change: until half of the processor capacity of a service is in use, a pass holds at most half of its workers for work that waits until other runs end. In a busy cell all may be held as before, so that a stream of small work does not keep a gang waiting.

--- a/packages/scheduler/__tests__/infeasible-work.test.ts
+++ b/packages/scheduler/__tests__/infeasible-work.test.ts
@@ -120,6 +120,17 @@
     assert.equal(cell.submitOrdinary(4).length, 4)
   })
 
+  it('more processor than any worker has, asks the admission service about none', () => {
+    const cell = SmallCell.create()
+    cell.configure([{ ...QUEUE, admission: { decideMs: 0, perWorkerMs: 0, validMs: 60_000 } }])
+    cell.leader.handle({ kind: 'advisorsChanged', entries: ['entry'] })
+    const asked = (id: string, resources: Resources): number => {
+      const submitted = cell.leader.handle({ kind: 'acceptJob', call: 3, host: 'jobs.example', path: `/q/${id}`, spec: { payload: '', stages: [createStage({ longRunning: true, resources })] } })
+      return [...submitted, ...cell.leader.advance(WAIT_MS)].filter(({ kind }) => kind === 'askAdmission').length
+    }
+    assert.deepEqual([asked('large', cores(96)), asked('small', cores(1))], [0, 1])
+  })
+
   it('more than the cap of its account permits since the cap was lowered, leaves all capacity to other jobs', () => {
     const cell = SmallCell.create()
     const createAccount = (name: string, millicores = 0): ClientAccount => ({ name, keyDigests: [name], weight: 1, cap: { millicores, memoryMib: 0, accelerators: 0 }, priority: 0 })
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -25,6 +25,7 @@
 import { pickCandidate } from './candidate-score.js'
 import { countReservedEntries } from './entry-reserve.js'
 import { Feasibility } from './feasibility.js'
+import { HeldWorkers } from './held-workers.js'
 import { listPreemptible } from './preemptible-runs.js'
 import { countReservations, isLarge, mayReserve } from './reservation-rules.js'
 import { SpareCapacity } from '../shares/spare-capacity.js'
@@ -61,8 +62,8 @@
   workers: string[]
 }
 
-/** Victims on a worker, and the amounts of that worker before they were chosen. */
-interface PlannedPreemption { candidate: Candidate, victims: Run[], free: Amounts, releasing: Amounts }
+/** The capacity for one task on a worker, the runs that are preempted for it, and the amounts of the worker before. */
+interface Reservation { candidate: Candidate, victims: Run[], free: Amounts, releasing: Amounts }
 
 export class PlacementPass {
   readonly placements: RunPlacement[] = []
@@ -80,6 +81,7 @@
   private readonly preemptedRuns = new Set<Run>()
   /** What work beyond the weight of its account may use. */
   private readonly spare = SpareCapacity.create(this.candidates)
+  private readonly heldWorkers = HeldWorkers.create(this.candidates)
   private reservationCount = 0
   /** Number of workers that a suspected task may still get for itself. */
   private suspectWorkersLeft: number
@@ -237,22 +239,23 @@
     this.reservationCount += 1
     const allowed = unit.queue.admission === undefined ? candidates : this.listGranted(unit, () => true)
     const taskCounts = new Map(unit.placedCounts)
-    const note = (candidate: Candidate): void => {
-      taskCounts.set(candidate.view.id, (taskCounts.get(candidate.view.id) ?? 0) + 1)
-      reservedIds.add(candidate.view.id)
-      this.reservedWorkers.add(candidate.view.id)
+    const reservations: Reservation[] = []
+    const note = (reservation: Reservation): void => {
+      const { id } = reservation.candidate.view
+      taskCounts.set(id, (taskCounts.get(id) ?? 0) + 1)
+      reservations.push(reservation)
     }
-    let open = missing
-    for (; open > 0; open--) {
-      const candidate = this.reserveReleasing(unit, allowed, taskCounts)
-      if (candidate === undefined) break
-      note(candidate)
+    while (reservations.length < missing) {
+      const reservation = this.reserveReleasing(unit, allowed, taskCounts)
+      if (reservation === undefined) break
+      note(reservation)
     }
-    if (open > 0 && isPreemptionDue(unit, this.now)) {
-      for (const candidate of this.preemptFor(unit, allowed, taskCounts, open)) {
-        note(candidate)
-        open -= 1
-      }
+    if (reservations.length < missing && isPreemptionDue(unit, this.now)) this.preemptFor(unit, allowed, taskCounts, missing - reservations.length).forEach(note)
+    const open = missing - reservations.length
+    for (const reservation of reservations.reverse()) {
+      // A gang that has to wait for the rest of its capacity cannot use this part of it before.
+      if (open > 0 && unit.spec.gang && !this.heldWorkers.hold(reservation.candidate.view)) this.undo(reservation)
+      else this.noteReserved(reservation.candidate, reservedIds)
     }
     // Later units of its account must not use the room under the cap that this capacity is being released for.
     // A gang that cannot have all of its capacity yet starts in no case, and must not use up the cap.
@@ -264,11 +267,27 @@
     return reservedIds
   }
 
+  private noteReserved ({ view }: Candidate, reservedIds: Set<string>): void {
+    reservedIds.add(view.id)
+    this.reservedWorkers.add(view.id)
+  }
+
   /** Reserves capacity for one task on the first candidate whose free and releasing capacity suffices; undefined when none does. */
-  private reserveReleasing (unit: SchedulingUnit, allowed: Candidate[], taskCounts: ReadonlyMap<string, number>): Candidate | undefined {
+  private reserveReleasing (unit: SchedulingUnit, allowed: Candidate[], taskCounts: ReadonlyMap<string, number>): Reservation | undefined {
     const candidate = allowed.find(candidate => isBelowLimit(candidate, unit, taskCounts) && fits(sumAvailable(candidate), unit.spec.resources, unit.spec.fills))
-    if (candidate !== undefined) reserveTask(candidate, unit)
-    return candidate
+    return candidate === undefined ? undefined : this.reserveOn(candidate, unit, [])
+  }
+
+  /** Reserves capacity for one task on a worker, where the victims release what is not free. */
+  private reserveOn (candidate: Candidate, unit: SchedulingUnit, victims: Run[]): Reservation {
+    const releasing = getReleasing(candidate)
+    const reservation = { candidate, victims, free: { ...candidate.free }, releasing: { ...releasing } }
+    for (const run of victims) {
+      this.preemptedRuns.add(run)
+      add(releasing, run.resources, 1)
+    }
+    reserveTask(candidate, unit)
+    return reservation
   }
 
   /**
@@ -276,9 +295,9 @@
    * progress are chosen. A gang starts as a whole, so it gets all of its tasks or no preemption: the capacity of a part would be
    * idle, and would be taken by other work before the rest is free.
    */
-  private preemptFor (unit: SchedulingUnit, allowed: Candidate[], taskCounts: ReadonlyMap<string, number>, count: number): Candidate[] {
+  private preemptFor (unit: SchedulingUnit, allowed: Candidate[], taskCounts: ReadonlyMap<string, number>, count: number): Reservation[] {
     const counts = new Map(taskCounts)
-    const planned: PlannedPreemption[] = []
+    const planned: Reservation[] = []
     while (planned.length < count) {
       const preemption = this.planPreemption(unit, allowed, counts)
       if (preemption === undefined) break
@@ -293,30 +312,21 @@
     for (const { candidate, victims } of planned) {
       for (const run of victims) this.preemptions.push({ view: candidate.view, run, unit })
     }
-    return planned.map(({ candidate }) => candidate)
+    return planned
   }
 
   /** Reserves the capacity of one task on the worker with the fewest victims; undefined when no worker suffices. */
-  private planPreemption (unit: SchedulingUnit, allowed: Candidate[], taskCounts: ReadonlyMap<string, number>): PlannedPreemption | undefined {
+  private planPreemption (unit: SchedulingUnit, allowed: Candidate[], taskCounts: ReadonlyMap<string, number>): Reservation | undefined {
     let best: { candidate: Candidate, victims: Run[] } | undefined
     for (const candidate of allowed) {
       if (!isBelowLimit(candidate, unit, taskCounts)) continue
       const victims = this.findVictims(unit, candidate)
       if (victims !== undefined && (best === undefined || victims.length < best.victims.length)) best = { candidate, victims }
     }
-    if (best === undefined) return undefined
-    const { candidate, victims } = best
-    const releasing = getReleasing(candidate)
-    const planned = { candidate, victims, free: { ...candidate.free }, releasing: { ...releasing } }
-    for (const run of victims) {
-      this.preemptedRuns.add(run)
-      add(releasing, run.resources, 1)
-    }
-    reserveTask(candidate, unit)
-    return planned
+    return best === undefined ? undefined : this.reserveOn(best.candidate, unit, best.victims)
   }
 
-  private undo ({ candidate, victims, free, releasing }: PlannedPreemption): void {
+  private undo ({ candidate, victims, free, releasing }: Reservation): void {
     for (const run of victims) this.preemptedRuns.delete(run)
     candidate.free = free
     candidate.releasing = releasing
@@ -344,9 +354,9 @@
   private reserveFreest (unit: SchedulingUnit, holders: Candidate[], count: number, reservedIds: Set<string>): void {
     holders.sort((one, other) => other.free.millicores - one.free.millicores)
     for (const candidate of holders.slice(0, count)) {
+      if (!this.heldWorkers.hold(candidate.view)) continue
       applyDemand(candidate.free, unit, -1)
-      reservedIds.add(candidate.view.id)
-      this.reservedWorkers.add(candidate.view.id)
+      this.noteReserved(candidate, reservedIds)
     }
   }
 
