Placement: log a stage that no known worker could hold

Cause: a job that fits on no worker is accepted and queued like any other, since a larger worker may come. Nothing told an operator which of the queued jobs wait for capacity that does not exist.

--- a/packages/runtime/__tests__/support/simulated-cell.ts
+++ b/packages/runtime/__tests__/support/simulated-cell.ts
@@ -384,7 +384,7 @@
       this.time.after(SERVICE_DELAY_MS, () => { if (term === this.term) this.feed({ kind: 'vmsListed', vms: this.vms.list(), sentAt }) })
     } else if (effect.kind === 'orderUpkeep') {
       this.orderUpkeep(effect.wave, effect.vm)
-    } else if (effect.kind !== 'refuse' && effect.kind !== 'command' && effect.kind !== 'noteRunAnomaly' && effect.kind !== 'noteWorkerLost') {
+    } else if (effect.kind !== 'refuse' && effect.kind !== 'command' && effect.kind !== 'noteRunAnomaly' && effect.kind !== 'noteWorkerLost' && effect.kind !== 'noteInfeasible') {
       this.dispatcher?.dispatch(effect)
     }
   }
--- a/packages/runtime/src/core/decision-log.ts
+++ b/packages/runtime/src/core/decision-log.ts
@@ -57,6 +57,9 @@
   } else if (effect.kind === 'noteWorkerLost') {
     const { worker: { id, incarnation, address, isDraining }, loss, runCount, runs } = effect
     log.warn('worker_lost', { worker: id, incarnation, address, isDraining, loss, runCount, runs })
+  } else if (effect.kind === 'noteInfeasible') {
+    const { stage, queue, taskCount, spec: { resources, gang, requiredLabel, perWorkerLimit } } = effect
+    log.warn('stage_infeasible', { job: stage.slice(0, stage.indexOf('/')), stage, queue, tasks: taskCount, gang, ...resources, requiredLabel, perWorkerLimit })
   } else if (effect.kind === 'refuse' && 'path' in event) {
     const configuration = state.cell?.version ?? 0
     log.info('call_refused', { call: event.kind, path: event.path, ...describeKey(event.keyDigest), configuration, error: effect.error, message: effect.message, retryAfterMs: effect.retryAfterMs })
--- a/packages/scheduler/__tests__/infeasible-work.test.ts
+++ b/packages/scheduler/__tests__/infeasible-work.test.ts
@@ -157,6 +157,13 @@
 })
 
 describe('a job that no worker could hold', () => {
+  it('is reported to operators once, if it stays so', () => {
+    const cell = SmallCell.create()
+    cell.submit('/q/large', { longRunning: true, resources: cores(96) })
+    const noteStages = (): string[] => cell.leader.advance(4_900).flatMap(effect => effect.kind === 'noteInfeasible' ? [effect.stage] : [])
+    assert.deepEqual([...noteStages(), ...noteStages(), ...noteStages()], ['large/0/0'])
+  })
+
   it('starts at once when a worker comes that can hold it', () => {
     const cell = SmallCell.create()
     cell.submit('/q/large', { longRunning: true, resources: cores(96) })
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -124,9 +124,12 @@
     return startable !== undefined
   }
 
-  /** The units that the known workers could hold; the others are not placed. */
-  filterFeasible (units: Iterable<SchedulingUnit>): SchedulingUnit[] {
-    return [...units].filter(unit => this.feasibility.isFeasible(unit))
+  /** Splits units into those that the known workers could hold and the others, which are not to be placed. */
+  splitFeasible (units: Iterable<SchedulingUnit>): { feasible: SchedulingUnit[], infeasible: SchedulingUnit[] } {
+    const feasible: SchedulingUnit[] = []
+    const infeasible: SchedulingUnit[] = []
+    for (const unit of units) (this.feasibility.isFeasible(unit) ? feasible : infeasible).push(unit)
+    return { feasible, infeasible }
   }
 
   /** Places the tasks of a unit as far as possible; for the rest, reserves capacity and queries the admission service. */
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -21,6 +21,7 @@
 import { RunManager } from './runs/run-manager.js'
 import { JobIndex } from './order/job-index.js'
 import { AdmissionTickets } from './placement/admission-tickets.js'
+import { InfeasibleUnits } from './placement/infeasible-units.js'
 import { excludeOrphans, occurrenceDueAt, SchedulingUnitIndex, splitSuspects, type SchedulingUnit } from './order/scheduling-units.js'
 import { Upkeep } from './upkeep/upkeep.js'
 import { isDeadly } from './runs/worker-crashes.js'
@@ -70,6 +71,7 @@
 
   private readonly upkeep: Upkeep
   private readonly units = SchedulingUnitIndex.create()
+  private readonly infeasibleUnits = InfeasibleUnits.create()
   private readonly owedJobs: OwedJobs
   private readonly cellUse = CellUse.create()
   private readonly tickets = AdmissionTickets.create()
@@ -106,6 +108,7 @@
     this.runManager.reset(state, now)
     this.upkeep.reset(now)
     this.units.clear()
+    this.infeasibleUnits.clear()
     this.owedJobs.reset(state.jobs.values())
     this.cellUse.reset()
     this.tickets.clear()
@@ -265,7 +268,9 @@
     this.lastPassAt = step.now
     const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, this.computeAccountUsage(step.state))
     const order = createUnitOrder(step.state.cell, this.runManager.views.values(), this.cellUse, step.now)
-    const units = order.sort(pass.filterFeasible(this.units.list()), step.now)
+    const { feasible, infeasible } = pass.splitFeasible(this.units.list())
+    this.infeasibleUnits.update(step, infeasible)
+    const units = order.sort(feasible, step.now)
     const considered = this.placeUnits(pass, units)
     const heldPauseMs = hasAccounts(step.state.cell) ? units.length / UNITS_PER_PAUSE_MS : 0
     this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, Math.max(heldPauseMs, considered * this.runManager.views.size / PAIRS_PER_PAUSE_MS))
--- a/packages/scheduler/src/types/effects.ts
+++ b/packages/scheduler/src/types/effects.ts
@@ -8,7 +8,7 @@
 import type { ErrorKind } from '../utils/errors.js'
 import type { Answer } from './answers.js'
 import type { Command, RunAnomaly, WorkerLoss } from './events.js'
-import type { CalledWorker } from './jobs.js'
+import type { CalledWorker, StageSpec } from './jobs.js'
 
 /** True for the effects that end a call. */
 export function isAnswerEffect (effect: Effect): effect is Extract<Effect, { kind: 'reply' | 'refuse' }> {
@@ -30,6 +30,8 @@
   | { kind: 'noteRunAnomaly', anomaly: RunAnomaly, worker: string, incarnation: number, task: string, run: number, detail: string }
   /** Record for operators that the runs of a worker are lost. `runs` describes the youngest of them, with their ages. */
   | { kind: 'noteWorkerLost', worker: CalledWorker, loss: WorkerLoss, runCount: number, runs: string }
+  /** Record for operators that no known worker could hold the waiting tasks of a stage, of a gang all of them together. */
+  | { kind: 'noteInfeasible', stage: string, queue: string, spec: StageSpec, taskCount: number }
   /** Run ends numbered up to `cursor` are committed; the worker may discard them. */
   | { kind: 'ackEnds', id: string, incarnation: number, cursor: number }
   /** Ask the VM service for the VMs that exist and whether they are up. */
