Placement: keep what the workers have for feasibility between passes

Cause: the room of each worker was computed again in each pass.

Change: the rooms are kept until a worker changes: its report, its place in the list of workers, or a long-running run that is added, removed or told to stop. The sum of all workers is only looked at for gangs.

--- a/packages/scheduler/src/core/jobs/placement/feasibility.ts
+++ b/packages/scheduler/src/core/jobs/placement/feasibility.ts
@@ -3,18 +3,19 @@
  * ended. A unit that none of them could hold would wait at the head of the order for as
  * long as its job lives, so it takes no part in a pass: it holds back no capacity, asks
  * for no tickets and uses up no limit on the number of units. Workers that are silent for
- * a while count, those that drain do not; the answer is computed again for each pass, so
- * a unit returns with the first worker that could hold it.
+ * a while count, those that drain do not. Each pass asks again, so a unit returns with
+ * the first worker that could hold it; what the workers have is kept until one changes.
  */
 
+import type { CalledWorker } from '../../../types/jobs.js'
 import type { Resources } from '../../../types/resources.js'
 import { addResources, copyResources, createZeroResources, RESOURCE_DIMENSIONS } from '../../placement/resource-arithmetic.js'
 import type { SchedulingUnit } from '../order/scheduling-units.js'
 import { RunStatus, type WorkerView } from '../workers/worker-view.js'
 import type { AdmissionTickets } from './admission-tickets.js'
 
-/** A worker, and what it has for work beside the long-running tasks that stay there. */
-interface Room { view: WorkerView, amounts: Resources }
+/** What a worker has for work beside the long-running tasks that stay there, and what this was computed from. */
+interface Room { view: WorkerView, worker: CalledWorker, longRunningVersion: number, amounts: Resources }
 
 /** The workers with one service and one label, the most that one of them has in each dimension, and what they have together. */
 interface RoomGroup { rooms: Room[], most: Resources, total: Resources }
@@ -24,14 +25,20 @@
   private readonly groups = new Map<string, Map<string, RoomGroup>>()
   private readonly rooms = new Map<string, Room>()
 
-  private constructor (views: Iterable<WorkerView>, private readonly tickets: AdmissionTickets) {
-    for (const view of views) {
-      if (!view.worker.isDraining && view.worker.address !== '') this.rooms.set(view.id, { view, amounts: computeRoom(view) })
-    }
+  private constructor (private readonly tickets: AdmissionTickets) {}
+
+  static create (tickets: AdmissionTickets): Feasibility {
+    return new Feasibility(tickets)
   }
 
-  static create (views: Iterable<WorkerView>, tickets: AdmissionTickets): Feasibility {
-    return new Feasibility(views, tickets)
+  /** Takes over what the workers have now. */
+  refresh (views: readonly WorkerView[]): void {
+    if (views.length === this.rooms.size && views.every(view => this.isCurrent(view))) return
+    this.groups.clear()
+    this.rooms.clear()
+    for (const view of views) {
+      this.rooms.set(view.id, { view, worker: view.worker, longRunningVersion: view.longRunningVersion, amounts: computeRoom(view) })
+    }
   }
 
   /** True when the workers could hold a task of the unit or, if it is a gang, all of its tasks at the same time. */
@@ -39,10 +46,12 @@
     const { spec, queue, waiting } = unit
     const { rooms, most, total } = this.getGroup(queue.service, spec.requiredLabel)
     const needed = spec.gang ? waiting.length : 1
-    if (countTasks(unit, most) === 0 || countTasks(unit, total) < needed) return false
+    if (countTasks(unit, most) === 0 || (needed > 1 && countTasks(unit, total) < needed)) return false
+    const { refused } = this.tickets.getStageTickets(unit.key)
     let count = 0
     for (const { view, amounts } of rooms) {
-      if (!this.isRefused(unit, view)) count += Math.min(countTasks(unit, amounts), countAllowed(unit, view))
+      if (refused.has(view.id)) continue
+      count += Math.min(countTasks(unit, amounts), countAllowed(unit, view))
       if (count >= needed) return true
     }
     return false
@@ -54,8 +63,9 @@
     return room !== undefined && countTasks(unit, room.amounts) > 0
   }
 
-  private isRefused ({ key, queue }: SchedulingUnit, { id }: WorkerView): boolean {
-    return queue.admission !== undefined && this.tickets.getStageTickets(key).refused.has(id)
+  private isCurrent (view: WorkerView): boolean {
+    const room = this.rooms.get(view.id)
+    return room?.view === view && room.worker === view.worker && room.longRunningVersion === view.longRunningVersion
   }
 
   private getGroup (service: string, label: string): RoomGroup {
@@ -67,7 +77,9 @@
   }
 
   private createGroup (service: string, label: string): RoomGroup {
-    const rooms = [...this.rooms.values()].filter(({ view: { worker } }) => worker.service === service && (label === '' || worker.labels.includes(label)))
+    const rooms = [...this.rooms.values()].filter(({ worker }) => {
+      return !worker.isDraining && worker.address !== '' && worker.service === service && (label === '' || worker.labels.includes(label))
+    })
     const most = createZeroResources()
     const total = createZeroResources()
     for (const { amounts } of rooms) {
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -107,10 +107,14 @@
     this.suspectWorkersLeft = Math.max(1, Math.floor(SUSPECT_WORKER_SHARE * (this.candidates.length + probedCount))) - probedCount
   }
 
-  /** `previouslyReserved`: workers on which units reserved capacity in the previous pass; `usage`: what accounts have before this one. */
-  static create (views: Iterable<WorkerView>, tickets: AdmissionTickets, now: number, previouslyReserved: ReadonlySet<string> = new Set(), usage?: AccountUsage): PlacementPass {
+  /**
+   * `previouslyReserved`: workers on which units reserved capacity in the previous pass; `usage`: what accounts have before this
+   * one; `feasibility`: kept between passes, so that each need not compute it anew.
+   */
+  static create (views: Iterable<WorkerView>, tickets: AdmissionTickets, now: number, previouslyReserved: ReadonlySet<string> = new Set(), usage?: AccountUsage, feasibility = Feasibility.create(tickets)): PlacementPass {
     const known = [...views]
-    return new PlacementPass(known, tickets, now, previouslyReserved, usage, Feasibility.create(known, tickets))
+    feasibility.refresh(known)
+    return new PlacementPass(known, tickets, now, previouslyReserved, usage, feasibility)
   }
 
   /**
--- a/packages/scheduler/src/core/jobs/runs/run-orders.ts
+++ b/packages/scheduler/src/core/jobs/runs/run-orders.ts
@@ -47,6 +47,7 @@
   stopRun (step: Step, view: WorkerView, run: Run, reason: string): void {
     if (run.status === RunStatus.stopping) return
     run.status = RunStatus.stopping
+    if (run.isLongRunning) view.longRunningVersion += 1
     run.confirmedAt = 0
     run.stopReason = reason
     this.orderStop(step, view, run)
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -21,6 +21,7 @@
 import { RunManager } from './runs/run-manager.js'
 import { JobIndex } from './order/job-index.js'
 import { AdmissionTickets } from './placement/admission-tickets.js'
+import { Feasibility } from './placement/feasibility.js'
 import { InfeasibleUnits } from './placement/infeasible-units.js'
 import { excludeOrphans, occurrenceDueAt, SchedulingUnitIndex, splitSuspects, type SchedulingUnit } from './order/scheduling-units.js'
 import { Upkeep } from './upkeep/upkeep.js'
@@ -75,6 +76,7 @@
   private readonly owedJobs: OwedJobs
   private readonly cellUse = CellUse.create()
   private readonly tickets = AdmissionTickets.create()
+  private readonly feasibility = Feasibility.create(this.tickets)
   private readonly accountTotals = AccountTotals.create()
   private readonly jobIndex = JobIndex.create()
   /** Ids of jobs that changed in this step. */
@@ -266,7 +268,7 @@
   private runPass (step: Step): void {
     this.isPassDue = false
     this.lastPassAt = step.now
-    const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, this.computeAccountUsage(step.state))
+    const pass = PlacementPass.create(this.runManager.views.values(), this.tickets, step.now, this.reservedWorkers, this.computeAccountUsage(step.state), this.feasibility)
     const order = createUnitOrder(step.state.cell, this.runManager.views.values(), this.cellUse, step.now)
     const { feasible, infeasible } = pass.splitFeasible(this.units.list())
     this.infeasibleUnits.update(step, infeasible)
--- a/packages/scheduler/src/core/jobs/workers/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -133,6 +133,8 @@
   private usedAccelerators = 0
   /** In use by long-running tasks. */
   readonly longRunning: Resources = { millicores: 0, memoryMib: 0, accelerators: 0 }
+  /** Increases when a long-running run is added or removed, or is told to stop. */
+  longRunningVersion = 0
   /** Number of runs of suspected tasks. */
   private suspectCount = 0
   /** Increases when a run that counts against the cap of an account is added or removed. */
@@ -224,6 +226,7 @@
     this.usedMemoryMib += sign * run.resources.memoryMib
     this.usedAccelerators += sign * run.resources.accelerators
     if (run.isLongRunning) {
+      this.longRunningVersion += 1
       if (!run.fills) this.longRunning.millicores += sign * run.resources.millicores
       this.longRunning.memoryMib += sign * run.resources.memoryMib
       this.longRunning.accelerators += sign * run.resources.accelerators
