Placement: lengthen the pause after a pass by the units that it left out

Cause: units that no worker could hold are not considered, and the pause after a pass is computed from those considered. With thousands of such units the leader looked at all of them for each event, without a pause.

Change: they count towards the pause like units that a cap or a weight holds back, one millisecond for 200 of them.

Measured: the new test (1,000 hopeless units, an event each 2 ms) fails without the change; 1,232 unit tests pass, 27 are todo as before.

--- a/packages/scheduler/__tests__/infeasible-work.test.ts
+++ b/packages/scheduler/__tests__/infeasible-work.test.ts
@@ -6,7 +6,7 @@
 
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { ClientAccount, JobQueue, Resources, StageSpec } from '../src/index.js'
+import type { ClientAccount, Effect, Event, JobQueue, Resources, StageSpec } from '../src/index.js'
 import { listOrders, ScriptedLeader } from './support/scripted-leader.js'
 import { createStage } from './support/stages.js'
 
@@ -26,6 +26,10 @@
   return { millicores: 1_000 * count, memoryMib: 64, accelerators: 0, ...others }
 }
 
+function createSubmission (path: string, stage: Partial<StageSpec>, keyDigest?: string): Event {
+  return { kind: 'acceptJob', call: 3, host: 'jobs.example', path, keyDigest, spec: { payload: '', stages: [createStage(stage)] } }
+}
+
 class SmallCell {
   readonly leader = ScriptedLeader.create()
   private sequence = 1
@@ -44,8 +48,7 @@
 
   /** Submits a job of one stage; returns the orders until everything that may start has started. */
   submit (path: string, stage: Partial<StageSpec>, keyDigest?: string): string[] {
-    const submitted = this.leader.handle({ kind: 'acceptJob', call: 3, host: 'jobs.example', path, keyDigest, spec: { payload: '', stages: [createStage(stage)] } })
-    return this.collect(submitted)
+    return this.collect(this.leader.handle(createSubmission(path, stage, keyDigest)))
   }
 
   /** Submits an ordinary job, whose tasks need half a worker each and which has more time than jobs before it; returns the orders. */
@@ -59,7 +62,7 @@
     return this.collect([...this.leader.report(id, 1, { capacity, sequence: this.sequence }), ...this.leader.list(id)])
   }
 
-  collect (effects: Parameters<typeof listOrders>[0] = []): string[] {
+  collect (effects: readonly Effect[]): string[] {
     return listOrders([...effects, ...this.leader.advance(WAIT_MS)])
   }
 }
@@ -125,7 +128,7 @@
     cell.configure([{ ...QUEUE, admission: { decideMs: 0, perWorkerMs: 0, validMs: 60_000 } }])
     cell.leader.handle({ kind: 'advisorsChanged', entries: ['entry'] })
     const asked = (id: string, resources: Resources): number => {
-      const submitted = cell.leader.handle({ kind: 'acceptJob', call: 3, host: 'jobs.example', path: `/q/${id}`, spec: { payload: '', stages: [createStage({ longRunning: true, resources })] } })
+      const submitted = cell.leader.handle(createSubmission(`/q/${id}`, { longRunning: true, resources }))
       return [...submitted, ...cell.leader.advance(WAIT_MS)].filter(({ kind }) => kind === 'askAdmission').length
     }
     assert.deepEqual([asked('large', cores(96)), asked('small', cores(1))], [0, 1])
@@ -141,6 +144,19 @@
     assert.equal(cell.submitOrdinary(2, 'other').length, 2)
   })
 
+  it('more processor than any worker has, is not looked at for each event if there are very many of them', () => {
+    const cell = SmallCell.create()
+    const accept = (id: string, stage: Partial<StageSpec>, atMs: number): string[] => {
+      return listOrders(cell.leader.handleAt(createSubmission(`/q/${id}`, stage), atMs))
+    }
+    const startMs = cell.leader.now + 200
+    for (let index = 0; index < 4 * MANY; index++) accept(`large-${index}`, { longRunning: true, resources: cores(96) }, startMs)
+    // The last pass was at `startMs + 100`; with 1,000 units the next one is at least 5 ms later.
+    accept('first', { resources: cores(1) }, startMs + 100)
+    assert.deepEqual(accept('second', { resources: cores(1) }, startMs + 102), [])
+    assert.equal(accept('third', { resources: cores(1) }, startMs + 105).length, 2)
+  })
+
   const manyReasons: Record<string, Partial<StageSpec>> = {
     ...INFEASIBLE_STAGES,
     'a label that no worker has': { requiredLabel: 'none', resources: cores(1) }
@@ -149,7 +165,7 @@
     it(`${reason}, does not keep a pass from other jobs if there are many of them`, () => {
       const cell = SmallCell.create()
       for (let index = 0; index < MANY; index++) {
-        cell.leader.handle({ kind: 'acceptJob', call: 3, host: 'jobs.example', path: `/q/large-${index}`, spec: { payload: '', stages: [createStage({ ...stage, longRunning: true })] } })
+        cell.leader.handle(createSubmission(`/q/large-${index}`, { ...stage, longRunning: true }))
       }
       assert.equal(cell.submitOrdinary().length, 2)
     })
--- a/packages/scheduler/__tests__/support/scripted-leader.ts
+++ b/packages/scheduler/__tests__/support/scripted-leader.ts
@@ -33,8 +33,13 @@
 
   /** Passes an event to the scheduler 10 ms after the one before. */
   handle (event: Event): readonly Effect[] {
-    this.now += 10
-    return this.scheduler.handle(event, this.now).effects
+    return this.handleAt(event, this.now + 10)
+  }
+
+  /** Passes an event to the scheduler at a cluster time. */
+  handleAt (event: Event, now: number): readonly Effect[] {
+    this.now = now
+    return this.scheduler.handle(event, now).effects
   }
 
   /** Another process takes over with the replicated state of this one. */
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -49,8 +49,8 @@
 const PAIRS_PER_PAUSE_MS = 1_000
 
 /**
- * Where the cell has accounts, the pause is also one millisecond for this many units: those that a cap or a weight holds back
- * are looked at in each pass, at 1.2 microseconds each.
+ * The pause is also one millisecond for this many units that are looked at in each pass and not considered, at 1.2 microseconds
+ * each: those that no worker could hold and, where the cell has accounts, those that a cap or a weight holds back.
  */
 const UNITS_PER_PAUSE_MS = 200
 
@@ -274,8 +274,8 @@
     this.infeasibleUnits.update(step, infeasible)
     const units = order.sort(feasible, step.now)
     const considered = this.placeUnits(pass, units)
-    const heldPauseMs = hasAccounts(step.state.cell) ? units.length / UNITS_PER_PAUSE_MS : 0
-    this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, Math.max(heldPauseMs, considered * this.runManager.views.size / PAIRS_PER_PAUSE_MS))
+    const unconsidered = infeasible.length + (hasAccounts(step.state.cell) ? units.length : 0)
+    this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, Math.max(unconsidered / UNITS_PER_PAUSE_MS, considered * this.runManager.views.size / PAIRS_PER_PAUSE_MS))
     this.reservedWorkers = pass.reservedWorkers
     for (const query of pass.queries) this.queryAdmission(step, query)
     for (const { view, run, unit } of pass.preemptions) this.runManager.orders.stopRun(step, view, run, `preempted to free capacity for ${unit.key}`)
