Placement: do not try a unit when the pass has found no room for as little

What callers would see: 250 lasting tasks wait for an accelerator that a run holds for a minute, and a small job that needs none does not start, though 31 of 32 cores are idle. Found by a test, not by a case.

A pass considers 200 units, and those that wait for a scarce resource count like those that start.

Change: a pass keeps the demands for which it found no room. Once all units that may reserve have done so, a unit that needs as much or more is neither tried nor counted. Room only shrinks during a pass, so the placements are the same. Units of queues with an admission service are left as they were. The types of what a pass decides moved to pass-results.ts.

--- a/packages/scheduler/__tests__/held-units.test.ts
+++ b/packages/scheduler/__tests__/held-units.test.ts
@@ -44,6 +44,24 @@
   }
 }
 
+describe('work behind more units than one pass considers', () => {
+  it('starts although they wait for an accelerator that is in use', () => {
+    const leader = ScriptedLeader.create()
+    leader.report('one', 1, { capacity: { millicores: 16_000, memoryMib: 65_536, accelerators: 1 } })
+    leader.list('one')
+    const submit = (id: string, stage: Partial<StageSpec>): string[] => {
+      const submitted = leader.handle({ kind: 'acceptJob', call: 3, host: 'jobs.example', path: `/q/${id}`, spec: { payload: '', stages: [createStage(stage)] } })
+      return listOrders([...submitted, ...leader.advance(10)])
+    }
+    const resources = { millicores: 1_000, memoryMib: 64, accelerators: 1 }
+    assert.equal(submit('training', { resources, estimateMs: 60_000 }).length, 1)
+    for (let index = 0; index < 250; index++) submit(`service-${index}`, { resources: { ...resources, memoryMib: 64 + index % 5 }, longRunning: true, estimateMs: 0 })
+    leader.report('one', 1, { capacity: { millicores: 16_000, memoryMib: 65_536, accelerators: 1 }, sequence: 2 })
+    const orders = [...submit('small', { resources: { ...resources, accelerators: 0 } }), ...listOrders(leader.advance(200))]
+    assert.deepEqual(orders.filter(order => order.includes('small')), ['start small/0/0/0 run 1 on one'])
+  })
+})
+
 describe('work beyond a weight', () => {
   it('starts although ten units beyond a weight wait for a label that no worker has', () => {
     const cell = AccountCell.create([createAccount('zero', 0), createAccount('other', 0)], [{ id: 'one' }, { id: 'two' }])
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -26,6 +26,8 @@
 import { countReservedEntries } from './entry-reserve.js'
 import { Feasibility } from './feasibility.js'
 import { HeldWorkers } from './held-workers.js'
+import { MissingRoom } from './missing-room.js'
+import type { AdmissionQuery, RunPlacement, RunPreemption } from './pass-results.js'
 import { listPreemptible } from './preemptible-runs.js'
 import { countReservations, isLarge, mayReserve } from './reservation-rules.js'
 import { SpareCapacity } from '../shares/spare-capacity.js'
@@ -36,32 +38,6 @@
  */
 const SUSPECT_WORKER_SHARE = 0.2
 
-/** A decision to start one task of a unit on a worker. */
-export interface RunPlacement {
-  unit: SchedulingUnit
-  /** Index of the task in its stage. */
-  index: number
-  view: WorkerView
-  /** Admission ticket; empty when the queue needs none. */
-  ticket: string
-}
-
-/** A less urgent run that is stopped without loss of progress so that a unit gets capacity. */
-export interface RunPreemption {
-  view: WorkerView
-  run: Run
-  unit: SchedulingUnit
-}
-
-/** A query to the admission service on which workers may run a unit. */
-export interface AdmissionQuery {
-  unit: SchedulingUnit
-  /** Entry through which the query is sent. */
-  entry: string
-  /** Ids of the queried workers. */
-  workers: string[]
-}
-
 /** The capacity for one task on a worker, the runs that are preempted for it, and the amounts of the worker before. */
 interface Reservation { candidate: Candidate, victims: Run[], free: Amounts, releasing: Amounts }
 
@@ -82,6 +58,7 @@
   /** What work beyond the weight of its account may use. */
   private readonly spare = SpareCapacity.create(this.candidates)
   private readonly heldWorkers = HeldWorkers.create(this.candidates)
+  private readonly missingRoom = MissingRoom.create()
   private reservationCount = 0
   /** Number of workers that a suspected task may still get for itself. */
   private suspectWorkersLeft: number
@@ -119,9 +96,10 @@
 
   /**
    * Places a unit as far as the cap of its account allows and, if it is beyond the weight of its account, the spare capacity;
-   * false if they allow nothing, and then the pass ignores the unit.
+   * false if they allow nothing, or there is certainly no room, and then the pass ignores the unit.
    */
   place (unit: SchedulingUnit): boolean {
+    if (!this.hasReservationsLeft && this.missingRoom.isCertain(unit)) return false
     const capped = this.usage === undefined ? unit : limitToCap(unit, this.usage)
     const startable = capped === undefined ? undefined : this.spare.limit(capped)
     if (startable !== undefined) this.placeUnit(startable)
@@ -154,6 +132,7 @@
       for (const { candidate } of chosen) applyDemand(candidate.free, unit, 1)
     }
     if (isWhole) return
+    this.missingRoom.record(unit)
     const missing = unit.spec.gang ? unit.waiting.length : unit.waiting.length - chosen.length
     const reservedIds = mayReserve(unit, this.now) ? this.reserve(unit, candidates, missing) : new Set<string>()
     if (unit.queue.admission !== undefined) this.queryAdmission(unit, candidates, reservedIds)
@@ -242,7 +221,7 @@
    */
   private reserve (unit: SchedulingUnit, candidates: Candidate[], missing: number): Set<string> {
     const reservedIds = new Set<string>()
-    if (this.reservationCount >= countReservations(this.candidates.length)) return reservedIds
+    if (!this.hasReservationsLeft) return reservedIds
     this.reservationCount += 1
     const allowed = unit.queue.admission === undefined ? candidates : this.listGranted(unit, () => true)
     const taskCounts = new Map(unit.placedCounts)
@@ -279,6 +258,10 @@
     this.reservedWorkers.add(view.id)
   }
 
+  private get hasReservationsLeft (): boolean {
+    return this.reservationCount < countReservations(this.candidates.length)
+  }
+
   /** Reserves capacity for one task on the first candidate whose free and releasing capacity suffices; undefined when none does. */
   private reserveReleasing (unit: SchedulingUnit, allowed: Candidate[], taskCounts: ReadonlyMap<string, number>): Reservation | undefined {
     const candidate = allowed.find(candidate => isBelowLimit(candidate, unit, taskCounts) && fits(sumAvailable(candidate), unit.spec.resources, unit.spec.fills))
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -16,7 +16,8 @@
 import { AccountTotals } from './accounts/account-totals.js'
 import { AccountUsage } from './accounts/account-usage.js'
 import { acceptJob, cancelJob, configureCell, readCell, readJob } from './job-requests.js'
-import { PlacementPass, type RunPlacement, type AdmissionQuery } from './placement/placement-pass.js'
+import type { AdmissionQuery, RunPlacement } from './placement/pass-results.js'
+import { PlacementPass } from './placement/placement-pass.js'
 import { findQueue, type RunTimeSource } from './order/queues.js'
 import { RunManager } from './runs/run-manager.js'
 import { JobIndex } from './order/job-index.js'
@@ -50,7 +51,7 @@
 
 /**
  * The pause is also one millisecond for this many units that are looked at in each pass and not considered, at 1.2 microseconds
- * each: those that no worker could hold and, where the cell has accounts, those that a cap or a weight holds back.
+ * each: those that no worker could hold, those for which there is no room and, where the cell has accounts, all.
  */
 const UNITS_PER_PAUSE_MS = 200
 
@@ -273,8 +274,8 @@
     const { feasible, infeasible } = pass.splitFeasible(this.units.list())
     this.infeasibleUnits.update(step, infeasible)
     const units = order.sort(feasible, step.now)
-    const considered = this.placeUnits(pass, units)
-    const unconsidered = infeasible.length + (hasAccounts(step.state.cell) ? units.length : 0)
+    const { considered, ignored } = this.placeUnits(pass, units)
+    const unconsidered = infeasible.length + (hasAccounts(step.state.cell) ? units.length : ignored)
     this.passPauseMs = Math.min(PASS_PAUSE_LIMIT_MS, Math.max(unconsidered / UNITS_PER_PAUSE_MS, considered * this.runManager.views.size / PAIRS_PER_PAUSE_MS))
     this.reservedWorkers = pass.reservedWorkers
     for (const query of pass.queries) this.queryAdmission(step, query)
@@ -288,12 +289,13 @@
     return AccountUsage.create(cell, this.accountTotals.update(this.runManager.views), this.limits.accountOverage)
   }
 
-  /** Places units in their order; returns how many were considered, without those that wait for the cap of their account alone. */
-  private placeUnits (pass: PlacementPass, units: readonly SchedulingUnit[]): number {
+  /** Places units in their order; returns how many were considered, and how many the pass ignored. */
+  private placeUnits (pass: PlacementPass, units: readonly SchedulingUnit[]): { considered: number, ignored: number } {
     const orphans = this.runManager.listOrphans()
     let considered = 0
     let beyondCount = 0
-    for (let next = 0; next < units.length && considered < PASS_UNIT_LIMIT;) {
+    let next = 0
+    while (next < units.length && considered < PASS_UNIT_LIMIT) {
       const group = units.slice(next, next + PASS_UNIT_LIMIT - considered)
       next += group.length
       const startable = group.map(unit => excludeOrphans(unit, orphans)).filter(({ waiting }) => waiting.length > 0)
@@ -309,7 +311,7 @@
       }
       considered += group.length - held.size
     }
-    return considered
+    return { considered, ignored: next - considered }
   }
 
   private queryAdmission (step: Step, { unit, entry, workers }: AdmissionQuery): void {
