--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -240,7 +240,7 @@
     const open = missing - reservations.length
     for (const reservation of reservations.reverse()) {
       // A gang that has to wait for the rest of its capacity cannot use this part of it before.
-      if (open > 0 && unit.spec.gang && !this.heldWorkers.hold(reservation.candidate.view)) this.undo(reservation)
+      if (open > 0 && unit.spec.gang && !this.heldWorkers.hold(reservation.candidate.view, unit)) this.undo(reservation)
       else this.noteReserved(reservation.candidate, reservedIds)
     }
     // Later units of its account must not use the room under the cap that this capacity is being released for.
@@ -344,7 +344,7 @@
   private reserveFreest (unit: SchedulingUnit, holders: Candidate[], count: number, reservedIds: Set<string>): void {
     holders.sort((one, other) => other.free.millicores - one.free.millicores)
     for (const candidate of holders.slice(0, count)) {
-      if (!this.heldWorkers.hold(candidate.view)) continue
+      if (!this.heldWorkers.hold(candidate.view, unit)) continue
       applyDemand(candidate.free, unit, -1)
       this.noteReserved(candidate, reservedIds)
     }
