--- a/review/6/scenario.js
+++ b/review/6/scenario.js
@@ -1,45 +1,78 @@
 /**
- * A client hands in one job: a first step of one task, and 400 further steps of one task each that depend on the first.
- * TROUBLE=0: the same tasks in two steps. Small jobs are handed in before and after. `finish_s` (14 s) after the end of the
- * traffic, the jobs that were accepted are asked for.
+ * Three controllers. The process that leads freezes for 2 s, and another one leads. The runners are started again one after
+ * the other, each under its id and at another port of its machine. Then the process that leads now freezes; that is repeated
+ * until the first one leads again. TROUBLE=0: nothing freezes. After that, a small job is handed in.
  */
 
 import { play, sleep, WITH_TROUBLE } from '../standins-2/cell.js'
 
-const TASKS = 400
-const SMALL = [{ count: 2, cpu: 500, mem_mb: 64, estimate_ms: 500 }]
-const TASK = { cpu: 100, mem_mb: 16, estimate_ms: 200 }
-const LARGE_ID = 'b000000000000000'
+const FREEZE_MS = 2_000
+const CALM_MS = 4_000
+
+/** After each freeze the first process leads again about every second time. */
+const FREEZE_LIMIT = 8
+const SMALL = [{ count: 6, cpu: 500, mem_mb: 64, estimate_ms: 500 }]
+
+/** LOST: for 3 s nothing of a job runs, `finish_s` after the end of the traffic. */
 const FINISH_MS = 14_000
+const LOST_MS = 3_000
+
+async function freeze (cell, index) {
+  const { child } = cell.controller(index)
+  cell.note(`controller ${index} freezes`)
+  child.kill('SIGSTOP')
+  await sleep(FREEZE_MS)
+  child.kill('SIGCONT')
+  cell.note(`controller ${index} goes on`)
+  await sleep(CALM_MS)
+}
 
-/** Time for which a job is asked for again and again, each call with a deadline of 3 s. */
-const ASK_MS = 20_000
+async function runJob (cell, id) {
+  if (!await cell.submit(id, { work: 500 }, SMALL)) throw new Error(`${id} was not accepted`)
+  await cell.waitUntil(`${id} is completed`, 8_000, async () => await cell.readState(id) === 'completed')
+}
+
+async function findLeader (cell) {
+  const leader = await cell.findLeader()
+  cell.note(`controller ${leader} leads`)
+  return leader
+}
 
 play(async cell => {
-  await cell.start()
-  for (let index = 0; index < 3; index++) await cell.submit(`a00000000000000${index}`, { work: 500 }, SMALL)
-  await cell.waitUntil('the first jobs are completed', 5_000, async () => await cell.readState('a000000000000002') === 'completed')
-  const rest = WITH_TROUBLE ? Array.from({ length: TASKS }, () => ({ count: 1, ...TASK, depends_on: [0] })) : [{ count: TASKS, ...TASK, depends_on: [0] }]
-  const steps = [{ count: 1, ...TASK }, ...rest]
-  cell.note(`the next job has ${TASKS + 1} tasks in ${steps.length} steps, in about ${JSON.stringify(steps).length} bytes`)
-  if (!await cell.submit(LARGE_ID, { work: 200 }, steps)) cell.note('the large job was not accepted')
-  for (let index = 0; index < 5; index++) {
-    await sleep(1_000)
-    await cell.submit(`c00000000000000${index}`, { work: 500 }, SMALL)
+  await cell.start({ runnerCount: 6 })
+  const first = await findLeader(cell)
+  await runJob(cell, 'a000000000000000')
+  if (WITH_TROUBLE) await freeze(cell, first)
+  await findLeader(cell)
+  for (const runner of cell.runners) {
+    runner.crash()
+    await sleep(500)
+    const [host, port] = runner.address.split(':')
+    await runner.start(`${host}:${Number(port) + 1}`)
+  }
+  await sleep(3_000)
+  await runJob(cell, 'b000000000000000')
+  let leader = WITH_TROUBLE ? await findLeader(cell) : first
+  for (let count = 0; leader !== first; count++) {
+    if (count === FREEZE_LIMIT) throw new Error('the first leader did not lead again')
+    await freeze(cell, leader)
+    leader = await findLeader(cell)
   }
+  const id = 'c000000000000000'
+  if (!await cell.submit(id, { work: 500 }, SMALL)) throw new Error('the last job was not accepted')
   cell.note('end of the traffic')
   await sleep(FINISH_MS)
-  const breaks = []
-  await Promise.all([...cell.jobs.keys()].map(async id => {
-    let state = ''
-    for (const endsAt = performance.now() + ASK_MS; performance.now() < endsAt; await sleep(500)) {
-      state = await cell.readState(id)
-      if (state === 'completed') break
+  let idleSince = performance.now()
+  for (const endsAt = performance.now() + 4 * LOST_MS; performance.now() < endsAt; await sleep(100)) {
+    const state = await cell.readState(id)
+    if (state === 'completed') {
+      cell.note(`${id} is completed`)
+      return []
     }
-    cell.note(`${id}, accepted: ${state}`)
-    if (state !== 'completed') breaks.push(`LOST: the accepted job ${id} is ${state} to the end of ${ASK_MS / 1_000} s of calls that began ${FINISH_MS / 1_000} s after the traffic`)
-  }))
-  const starts = cell.runners.flatMap(runner => runner.starts).filter(({ task }) => task.startsWith(`${LARGE_ID}.`)).length
-  cell.note(`starts of tasks of ${LARGE_ID}: ${starts}`)
-  return breaks
+    if (cell.listRuns(id).length > 0) idleSince = performance.now()
+    if (performance.now() - idleSince < LOST_MS) continue
+    const starts = cell.runners.flatMap(runner => runner.starts).filter(({ task }) => task.startsWith(`${id}.`)).length
+    return [`LOST: ${FINISH_MS / 1_000} s after the end of the traffic nothing of the accepted job ${id} has run for ${LOST_MS / 1_000} s, with six idle runners that are up and send heartbeats; it is shown as ${state}; starts of its tasks: ${starts}`]
+  }
+  return []
 })
--- a/review/standins-2/cell.js
+++ b/review/standins-2/cell.js
@@ -16,6 +16,9 @@
 const SERVICE = 'work'
 export const HOST = 'jobs.example'
 export const PREFIX = '/q/'
+
+/** Prefix of the queue whose steps need tickets of the advice service, where a scenario has one. */
+export const ADVISED_PREFIX = '/advised/'
 export const WITH_TROUBLE = process.env.TROUBLE !== '0'
 
 /** The values of the site file coastline-ops. */
@@ -84,6 +87,8 @@
     this.processes = []
     this.runners = []
     this.jobs = new Map()
+    /** The advice service; undefined in a scenario without one. */
+    this.advice = undefined
     this.note = text => { appendFileSync('record.txt', `${((performance.now() - this.startedAt) / 1_000).toFixed(3)} ${text}\n`) }
   }
 
@@ -148,7 +153,8 @@
       limits: { cpu_share: 0.675, cores: 2, memory_mb: 350, max_fds: 4_100, link_mbps: 1_000, disk_mb: 128 },
       fault_tolerance: { machines: 1, zones: 0, regions: 0 },
       bounds: BOUNDS,
-      cloud: {}
+      cloud: {},
+      ...(this.advice === undefined ? {} : { advice: this.advice.address })
     }
     const settingsPath = join(this.folder, `${name}.json`)
     const template = readFileSync(join(ROOT, 'deploy', 'settings.json'), 'utf8')
@@ -186,9 +192,11 @@
   }
 
   async configure (version, limitMs = 20_000) {
+    const route = { host: HOST, kind: 'unsafe', timeout_ms: 3_000, target_latency_ms: 1_000, priority: 1, service: SERVICE, max_attempts: 4, stretch: 4 }
+    const advised = { ...route, name: 'r-advised', path_prefix: ADVISED_PREFIX, priority: 0, advice: this.advice?.timing }
     const body = {
       version,
-      routes: [{ name: 'r-work', host: HOST, path_prefix: PREFIX, kind: 'unsafe', timeout_ms: 3_000, target_latency_ms: 1_000, priority: 1, service: SERVICE, max_attempts: 4, stretch: 4 }],
+      routes: [{ ...route, name: 'r-work', path_prefix: PREFIX }, ...(this.advice === undefined ? [] : [advised])],
       services: [{ name: SERVICE, health_path: '/healthz', max_conns: 64, protocol: 'h1', tls: false, admission_check: false, standby: false }],
       limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 }
     }
@@ -200,17 +208,17 @@
   }
 
   /** One call of a client at one entry, with a deadline of 3 s. */
-  async call (method, id, body, entry = Math.floor(Math.random() * this.entries.length)) {
-    const answer = await send(method, this.entries[entry], `${PREFIX}${id}`, body, 3_000, { Host: HOST, 'X-Deadline-Ms': '3000' })
+  async call (method, id, body, entry = Math.floor(Math.random() * this.entries.length), prefix = PREFIX) {
+    const answer = await send(method, this.entries[entry], `${prefix}${id}`, body, 3_000, { Host: HOST, 'X-Deadline-Ms': '3000' })
     return { ...answer, entry }
   }
 
   /** Hands a job in; up to five attempts at different entries. Returns true once it was acknowledged. */
-  async submit (id, spec, steps) {
+  async submit (id, spec, steps, prefix = PREFIX) {
     const first = Math.floor(Math.random() * this.entries.length)
     for (let attempt = 0; attempt < 5; attempt++) {
       const sentAt = performance.now()
-      const { status, entry } = await this.call('POST', id, { spec: JSON.stringify(spec), steps }, (first + attempt) % this.entries.length)
+      const { status, entry } = await this.call('POST', id, { spec: JSON.stringify(spec), steps }, (first + attempt) % this.entries.length, prefix)
       this.note(`client: POST ${id} (${steps.length} steps) at entry ${entry}, attempt ${attempt + 1}: ${status === 0 ? 'no answer' : status} after ${Math.round(performance.now() - sentAt)} ms`)
       if (status >= 200 && status < 300) {
         this.jobs.set(id, { acceptedAt: performance.now() })
