--- a/review/standins-2/cell.js
+++ b/review/standins-2/cell.js
@@ -19,6 +19,9 @@
 
 /** Prefix of the queue whose steps need tickets of the advice service, where a scenario has one. */
 export const ADVISED_PREFIX = '/advised/'
+
+/** Prefix of the queue of the highest priority, where a scenario has one. */
+export const URGENT_PREFIX = '/urgent/'
 export const WITH_TROUBLE = process.env.TROUBLE !== '0'
 
 /** The values of the site file coastline-ops. */
@@ -89,6 +92,8 @@
     this.jobs = new Map()
     /** The advice service; undefined in a scenario without one. */
     this.advice = undefined
+    /** True for a second queue, of the highest priority. */
+    this.hasUrgentQueue = false
     this.note = text => { appendFileSync('record.txt', `${((performance.now() - this.startedAt) / 1_000).toFixed(3)} ${text}\n`) }
   }
 
@@ -194,9 +199,10 @@
   async configure (version, limitMs = 20_000) {
     const route = { host: HOST, kind: 'unsafe', timeout_ms: 3_000, target_latency_ms: 1_000, priority: 1, service: SERVICE, max_attempts: 4, stretch: 4 }
     const advised = { ...route, name: 'r-advised', path_prefix: ADVISED_PREFIX, priority: 0, advice: this.advice?.timing }
+    const urgent = { ...route, name: 'r-urgent', path_prefix: URGENT_PREFIX, priority: 0 }
     const body = {
       version,
-      routes: [{ ...route, name: 'r-work', path_prefix: PREFIX }, ...(this.advice === undefined ? [] : [advised])],
+      routes: [{ ...route, name: 'r-work', path_prefix: PREFIX }, ...(this.advice === undefined ? [] : [advised]), ...(this.hasUrgentQueue ? [urgent] : [])],
       services: [{ name: SERVICE, health_path: '/healthz', max_conns: 64, protocol: 'h1', tls: false, admission_check: false, standby: false }],
       limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 }
     }
