Review case 6: a controller that lost its disk is never taken in again

A leader names the sender of a message by the dialler of its link, and keeps the dialler of a former member at the same address. If that one connects last, the answers of the new member are dropped, and the next lost disk leaves the group without a quorum.

--- a/review/6/scenario.js
+++ b/review/6/scenario.js
@@ -1,78 +1,67 @@
 /**
- * Three controllers. The process that leads freezes for 2 s, and another one leads. The runners are started again one after
- * the other, each under its id and at another port of its machine. Then the process that leads now freezes; that is repeated
- * until the first one leads again. TROUBLE=0: nothing freezes. After that, a small job is handed in.
+ * The controller that leads loses its disk and is down for a second. It starts again with an empty folder, and freezes
+ * for 0.7 s as it starts. 4.5 s after that (`catch_up_s` is 4 s), the next one that leads loses its disk in the same way, until no
+ * process leads any more, fourteen times at most. Small jobs are handed in all the while. TROUBLE=0: no disk is lost.
  */
 
+import { mkdirSync, rmSync, statSync } from 'node:fs'
+import { join } from 'node:path'
 import { play, sleep, WITH_TROUBLE } from '../standins-2/cell.js'
 
-const FREEZE_MS = 2_000
-const CALM_MS = 4_000
+const LOSSES = 14
+const DOWN_MS = 1_000
 
-/** After each freeze the first process leads again about every second time. */
-const FREEZE_LIMIT = 8
-const SMALL = [{ count: 6, cpu: 500, mem_mb: 64, estimate_ms: 500 }]
+const FREEZE_MS = 700
 
-/** LOST: for 3 s nothing of a job runs, `finish_s` after the end of the traffic. */
-const FINISH_MS = 14_000
-const LOST_MS = 3_000
+/** When the process freezes, after its first line; one after the other. Two hundredths of a second later it listens. */
+const OFFSETS_MS = [8, 7, 9, 6, 10]
+const CALM_MS = 4_500
+const JOB_INTERVAL_MS = 200
+const RECOVER_MS = 12_000
 
-async function freeze (cell, index) {
-  const { child } = cell.controller(index)
-  cell.note(`controller ${index} freezes`)
+/** Freezes a process for a moment as soon as it writes its first line, which it does right after its start. */
+async function freezeAtStart (child, logPath, offsetMs) {
+  const size = statSync(logPath).size
+  while (statSync(logPath).size === size) await new Promise(resolve => { setImmediate(resolve) })
+  await sleep(offsetMs)
   child.kill('SIGSTOP')
   await sleep(FREEZE_MS)
   child.kill('SIGCONT')
-  cell.note(`controller ${index} goes on`)
-  await sleep(CALM_MS)
-}
-
-async function runJob (cell, id) {
-  if (!await cell.submit(id, { work: 500 }, SMALL)) throw new Error(`${id} was not accepted`)
-  await cell.waitUntil(`${id} is completed`, 8_000, async () => await cell.readState(id) === 'completed')
-}
-
-async function findLeader (cell) {
-  const leader = await cell.findLeader()
-  cell.note(`controller ${leader} leads`)
-  return leader
 }
 
 play(async cell => {
   await cell.start({ runnerCount: 6 })
-  const first = await findLeader(cell)
-  await runJob(cell, 'a000000000000000')
-  if (WITH_TROUBLE) await freeze(cell, first)
-  await findLeader(cell)
-  for (const runner of cell.runners) {
-    runner.crash()
-    await sleep(500)
-    const [host, port] = runner.address.split(':')
-    await runner.start(`${host}:${Number(port) + 1}`)
-  }
-  await sleep(3_000)
-  await runJob(cell, 'b000000000000000')
-  let leader = WITH_TROUBLE ? await findLeader(cell) : first
-  for (let count = 0; leader !== first; count++) {
-    if (count === FREEZE_LIMIT) throw new Error('the first leader did not lead again')
-    await freeze(cell, leader)
-    leader = await findLeader(cell)
-  }
-  const id = 'c000000000000000'
-  if (!await cell.submit(id, { work: 500 }, SMALL)) throw new Error('the last job was not accepted')
-  cell.note('end of the traffic')
-  await sleep(FINISH_MS)
-  let idleSince = performance.now()
-  for (const endsAt = performance.now() + 4 * LOST_MS; performance.now() < endsAt; await sleep(100)) {
-    const state = await cell.readState(id)
-    if (state === 'completed') {
-      cell.note(`${id} is completed`)
-      return []
+  const accepted = []
+  const calls = []
+  const timer = setInterval(() => {
+    const id = `c${String(calls.length).padStart(15, '0')}`
+    calls.push(cell.call('POST', id, { spec: JSON.stringify({ work: 300 }), steps: [{ count: 2, cpu: 200, mem_mb: 16, estimate_ms: 300 }] })
+      .then(({ status }) => { if (status === 200) accepted.push(id) }))
+  }, JOB_INTERVAL_MS)
+  for (let loss = 1; loss <= LOSSES; loss++) {
+    const leader = await cell.findLeader()
+    if (leader < 0) break
+    const found = cell.controller(leader)
+    if (WITH_TROUBLE) {
+      cell.note(`${found.name}, which leads, loses its disk (${loss}); ${accepted.length} jobs are accepted`)
+      found.child.kill('SIGKILL')
+      await sleep(DOWN_MS)
+      const folder = join(cell.folder, found.name)
+      rmSync(folder, { recursive: true, force: true })
+      mkdirSync(folder)
+      cell.restart(found)
+      await freezeAtStart(found.child, join(cell.folder, `${found.name}.log`), OFFSETS_MS[loss % OFFSETS_MS.length])
     }
-    if (cell.listRuns(id).length > 0) idleSince = performance.now()
-    if (performance.now() - idleSince < LOST_MS) continue
-    const starts = cell.runners.flatMap(runner => runner.starts).filter(({ task }) => task.startsWith(`${id}.`)).length
-    return [`LOST: ${FINISH_MS / 1_000} s after the end of the traffic nothing of the accepted job ${id} has run for ${LOST_MS / 1_000} s, with six idle runners that are up and send heartbeats; it is shown as ${state}; starts of its tasks: ${starts}`]
+    await sleep(CALM_MS)
   }
-  return []
+  clearInterval(timer)
+  await Promise.all(calls)
+  await sleep(RECOVER_MS)
+  const running = cell.processes.filter(({ child }) => child.exitCode === null && child.signalCode === null).length
+  if (running < cell.processes.length) throw new Error(`only ${running} processes run`)
+  const states = await Promise.all(accepted.map(id => cell.readState(id)))
+  const counts = [...new Set(states)].map(state => `${states.filter(other => other === state).length} ${state}`).join(', ')
+  cell.note(`states of the accepted jobs: ${counts}`)
+  const lost = states.filter(state => state !== 'completed').length
+  return lost === 0 ? [] : [`LOST: ${lost} of ${accepted.length} accepted jobs are not known, more than ${RECOVER_MS / 1_000} s after the last loss, with all processes running; no two disks were lost at once`]
 })
