--- a/review/standins-2/cell.js
+++ b/review/standins-2/cell.js
@@ -171,6 +171,7 @@
 
   /** Starts the process of a role on a machine; its log goes on. */
   run (found) {
+    if (this.isStopping === true) throw new Error('the script is ending')
     const log = openSync(join(this.folder, `${found.name}.log`), 'a')
     const [program, ...args] = readCommand(found.role)
     found.child = spawn(program, args, { cwd: ROOT, env: { PATH: process.env.PATH, HOME: process.env.HOME, FLAMINGOROUTER_SETTINGS: found.settingsPath }, stdio: ['ignore', log, log] })
@@ -258,35 +259,38 @@
 
   async stop () {
     this.isStopping = true
-    for (const runner of this.runners) if (runner.isUp) runner.crash()
     for (const { child } of this.processes) {
-      child.kill('SIGCONT')
-      child.kill('SIGKILL')
+      child?.kill('SIGKILL')
+      child?.kill('SIGCONT')
     }
+    for (const runner of this.runners) if (runner.isUp) runner.crash()
     await sleep(300)
     if (process.env.KEEP === undefined) rmSync(this.folder, { recursive: true, force: true })
     else this.note(`logs are kept in ${this.folder}`)
   }
 }
 
-/** Plays a scenario, which returns the breaks of the rule that it saw, and exits with 1 if there are any. */
+/** Plays a scenario, which returns the breaks of the rule that it saw, and exits with 1 if there are any. Ends in any case within 115 s. */
 export async function play (scenario) {
   const cell = new Cell()
-  const guard = setTimeout(() => { end(cell, 2, 'the time limit of the script is over') }, 115_000)
+  const fail = text => { end(cell, 2, text) }
+  setTimeout(() => { fail('the time limit of the script is over') }, 114_000)
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => { fail(`the script was ended by ${signal}`) })
+  process.on('uncaughtException', thrown => { fail(`could not run: ${thrown.stack}`) })
+  process.on('unhandledRejection', thrown => { fail(`could not run: ${thrown?.stack ?? thrown}`) })
   try {
     cell.note(WITH_TROUBLE ? 'with the disruption' : 'without the disruption')
     const breaks = await scenario(cell)
-    clearTimeout(guard)
-    for (const text of breaks) cell.note(`BROKEN: ${text}`)
-    await end(cell, breaks.length > 0 ? 1 : 0, breaks.length > 0 ? 'the rule was broken' : 'the rule held')
+    if (cell.isStopping !== true) for (const text of breaks) cell.note(`BROKEN: ${text}`)
+    end(cell, breaks.length > 0 ? 1 : 0, breaks.length > 0 ? 'the rule was broken' : 'the rule held')
   } catch (thrown) {
-    clearTimeout(guard)
-    await end(cell, 2, `could not run: ${thrown.stack}`)
+    fail(`could not run: ${thrown.stack}`)
   }
 }
 
-async function end (cell, code, text) {
+/** Ends all processes and exits; only the first call counts. */
+function end (cell, code, text) {
+  if (cell.isStopping === true) return
   cell.note(text)
-  await cell.stop()
-  process.exit(code)
+  cell.stop().catch(() => {}).finally(() => { process.exit(code) })
 }
