Controllers: log and count messages that are dropped

Its logs show additions and removals of the same learner every 3.4 s, but not why its answers have no effect: a link that is not open, an answer that counts for nobody, a wrong disk identity and a message for another receiver all look the same.

--- a/packages/cli/src/metrics/metrics.ts
+++ b/packages/cli/src/metrics/metrics.ts
@@ -7,6 +7,7 @@
 import Counter from 'prom-client/lib/counter.js'
 import Gauge from 'prom-client/lib/gauge.js'
 import Registry from 'prom-client/lib/registry.js'
+import type { MessageDrop } from '@flamingorouter/controllers'
 import { MetricsRecorder } from '@flamingorouter/runtime'
 import { getUrgencyName, type CallRecord, type PlainResponse } from '@flamingorouter/rpc'
 import type { ClusterState, Decision, Effect, OutcomeKind, Resources, Urgency } from '@flamingorouter/scheduler'
@@ -46,6 +47,7 @@
   private readonly decisions = this.createCounter('decisions_total', 'Decisions by kind.', ['kind'])
   private readonly workersLost = this.createCounter('workers_lost_total', 'Called workers whose runs were lost, by how that is known.', ['loss'])
   private readonly runAnomalies = this.createCounter('run_anomalies_total', 'Runs on called workers that contradict the state of the leader.', ['anomaly'])
+  private readonly messageDrops = this.createCounter('message_drops_total', 'Messages between controllers that were dropped.', ['kind', 'reason'])
   private readonly outcomes = this.createCounter('request_outcomes_total', 'Requests by outcome and urgency.', ['outcome', 'urgency'])
   private readonly callSeconds: Summary<'method'>
   private readonly taskWait: Summary<'kind' | 'urgency'>
@@ -117,6 +119,10 @@
     }
   }
 
+  override recordMessageDrop ({ kind, reason }: MessageDrop): void {
+    this.messageDrops.inc({ kind, reason })
+  }
+
   /** Records the waiting time of a request that was assigned to a runner. */
   override recordRequestWait (urgency: Urgency, durationMs: number): void {
     this.requestWait.record({ urgency: getUrgencyName(urgency) }, durationMs)
--- a/packages/controllers/src/core/raft/candidate.ts
+++ b/packages/controllers/src/core/raft/candidate.ts
@@ -3,7 +3,7 @@
  * without raising the term, the vote itself, and granting votes to others.
  */
 
-import type { VoteAnswer, VoteRequest } from '../../types/raft.js'
+import { DropReason, type VoteAnswer, type VoteRequest } from '../../types/raft.js'
 import { findMember, isVoter, quorumSize } from './members.js'
 import type { RaftState } from './raft-state.js'
 
@@ -65,7 +65,8 @@
     if (this.phase === 'idle' || answer.pre !== (this.phase === 'preVote') || !answer.granted) return
     if (answer.term !== (answer.pre ? this.state.term + 1 : this.state.term)) return
     // A vote counts only if its disk identity is the one that the membership binds the voter to.
-    if (findMember(this.state.log.members, from)?.disk !== answer.disk) return
+    const member = findMember(this.state.log.members, from)
+    if (member?.disk !== answer.disk) return this.state.drop(from, answer.kind, member === undefined ? DropReason.notMember : DropReason.senderDisk)
     this.grantedBy.add(from)
     this.countVotes()
   }
--- a/packages/controllers/src/core/raft/leader.ts
+++ b/packages/controllers/src/core/raft/leader.ts
@@ -6,7 +6,7 @@
 
 import { ErrorKind, fail } from '@flamingorouter/scheduler'
 import {
-  EntryKind, type AppendAnswer, type Member, type SnapshotAnswer
+  DropReason, EntryKind, type AppendAnswer, type Member, type SnapshotAnswer
 } from '../../types/raft.js'
 import { findMember, isVoter, highestQuorumValue } from './members.js'
 import { Progress } from './progress.js'
@@ -168,7 +168,7 @@
   }
 
   handleAppendAnswer (from: string, answer: AppendAnswer, now: number): void {
-    const progress = this.findAnsweringProgress(from, answer.disk, now)
+    const progress = this.findAnsweringProgress(from, answer, now)
     if (progress === undefined) return
     progress.recordAnswer(answer.sentAt, now)
     this.recordLease(now)
@@ -183,7 +183,7 @@
   }
 
   handleSnapshotAnswer (from: string, answer: SnapshotAnswer, now: number): void {
-    const progress = this.findAnsweringProgress(from, answer.disk, now)
+    const progress = this.findAnsweringProgress(from, answer, now)
     if (progress === undefined) return
     progress.recordAnswer(answer.sentAt, now)
     if (progress.upload?.snapshot.index !== answer.index) return
@@ -240,14 +240,22 @@
   }
 
   /** Progress of a member; undefined unless the answer carries the disk identity that the member is bound to. */
-  private findAnsweringProgress (from: string, disk: string, now: number): Progress | undefined {
-    const member = findMember(this.state.log.members, from)
+  private findAnsweringProgress (from: string, { kind, disk }: AppendAnswer | SnapshotAnswer, now: number): Progress | undefined {
+    const { state } = this
+    const member = findMember(state.log.members, from)
     const progress = this.progressById.get(from)
-    if (member === undefined || progress === undefined) return undefined
-    if (isVoter(member)) return member.disk === disk ? progress : undefined
+    if (member === undefined || progress === undefined) {
+      state.drop(from, kind, DropReason.notMember)
+      return undefined
+    }
+    if (isVoter(member)) {
+      if (member.disk === disk) return progress
+      state.drop(from, kind, DropReason.senderDisk)
+      return undefined
+    }
     if (progress.disk === disk) return progress
     // A learner answered for the first time, or with a new, empty disk: start over.
-    const renewed = Progress.create(disk, this.state.log.lastIndex, now)
+    const renewed = Progress.create(disk, state.log.lastIndex, now)
     this.progressById.set(from, renewed)
     return undefined
   }
--- a/packages/controllers/src/core/raft/raft-state.ts
+++ b/packages/controllers/src/core/raft/raft-state.ts
@@ -6,7 +6,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
-import type { MessageBody, LogEntry, HardState, Member, Message, Snapshot, RaftTiming, StorageWrite } from '../../types/raft.js'
+import type { DropReason, MessageBody, LogEntry, HardState, Member, Message, MessageDrop, Snapshot, RaftTiming, StorageWrite } from '../../types/raft.js'
 import { findMember } from './members.js'
 import type { RaftLog } from './raft-log.js'
 
@@ -36,6 +36,8 @@
   durableIndex: number
   /** Messages to send; the replica empties the list after each step. */
   messages: OutgoingMessage[] = []
+  /** Messages that were dropped; the replica empties the list after each step. */
+  drops: MessageDrop[] = []
   /** Writes to make durable, in order; the replica empties the list and reports their completion. */
   writes: StorageWrite[] = []
   /** Sequence number of the newest write that was queued. */
@@ -106,6 +108,11 @@
     this.messages.push({ to, message: { ...body, term, disk: this.disk, toDisk } as Message })
   }
 
+  /** Records that a message of `peer` is not processed any further. */
+  drop (peer: string, kind: Message['kind'], reason: DropReason): void {
+    this.drops.push({ peer, kind, reason })
+  }
+
   /** Changes the hard state and queues its write. */
   persist (change: Partial<HardState>): void {
     this.currentHardState = { ...this.currentHardState, ...change }
--- a/packages/controllers/src/core/raft/raft.ts
+++ b/packages/controllers/src/core/raft/raft.ts
@@ -7,7 +7,7 @@
  */
 
 import { ErrorKind, fail } from '@flamingorouter/scheduler'
-import { EntryKind, type Member, type Message, type Snapshot, type VoteRequest } from '../../types/raft.js'
+import { DropReason, EntryKind, type Member, type Message, type Snapshot, type VoteRequest } from '../../types/raft.js'
 import type { MemberFacts, ReplicaStatus } from '../../types/replica.js'
 import { Candidate } from './candidate.js'
 import { Follower } from './follower.js'
@@ -159,7 +159,7 @@
   /** Processes a validated message. Messages addressed to another disk identity are dropped. */
   receive (from: string, message: Message, now: number): void {
     this.now = now
-    if (message.toDisk !== '' && message.toDisk !== this.state.disk) return
+    if (message.toDisk !== '' && message.toDisk !== this.state.disk) return this.state.drop(from, message.kind, DropReason.receiverDisk)
     switch (message.kind) {
       case 'greeting': return this.formation.handleGreeting(from, message)
       case 'voteRequest': return this.handleVoteRequest(from, message)
@@ -194,7 +194,7 @@
     const isHoldingOff = this.leader !== undefined || this.follower.hasRecentLeaderContact(this.now)
     if (isHoldingOff && !request.transfer) return
     if (request.pre) return this.candidate.handlePreVoteRequest(from, request)
-    if (!this.candidate.hasExpectedDisk(from, request)) return
+    if (!this.candidate.hasExpectedDisk(from, request)) return state.drop(from, request.kind, DropReason.senderDisk)
     if (request.term > state.term) this.becomeFollower(request.term)
     if (request.term < state.term) {
       state.send(from, request.disk, { kind: 'voteAnswer', pre: false, granted: false })
--- a/packages/controllers/src/core/replica.ts
+++ b/packages/controllers/src/core/replica.ts
@@ -5,7 +5,7 @@
  */
 
 import { ErrorKind, Failure, fail, toFailure } from '@flamingorouter/scheduler'
-import { EntryKind, type Snapshot, type RaftTiming } from '../types/raft.js'
+import { EntryKind, type MessageDrop, type Snapshot, type RaftTiming } from '../types/raft.js'
 import type { MemberFacts, ReplicaOwner, ReplicaStatus } from '../types/replica.js'
 import type { Clock } from './clock.js'
 import { RaftLog } from './raft/raft-log.js'
@@ -31,6 +31,8 @@
   timing: RaftTiming
   /** Number of committed entries after which a snapshot is taken. */
   snapshotEvery: number
+  /** Called for each received message that the replica does not process, as when it carries another disk identity; for logs and metrics only. */
+  handleDrop?: (drop: MessageDrop) => void
   /** Size at which a new log segment is started, in bytes. */
   segmentBytes?: number
 }
@@ -228,6 +230,7 @@
     try {
       this.raft.flush(this.clock.now())
       this.sendMessages()
+      this.reportDrops()
       this.stopLeadingIfLost()
       this.applyCommitted()
       this.startLeadingIfReady()
@@ -244,6 +247,14 @@
     for (const { to, message } of messages) this.options.transport.send(to, message)
   }
 
+  private reportDrops (): void {
+    const { state } = this.raft
+    if (state.drops.length === 0) return
+    const drops = state.drops
+    state.drops = []
+    for (const drop of drops) this.options.handleDrop?.(drop)
+  }
+
   private stopLeadingIfLost (): void {
     const { raft } = this
     if (this.leadingTerm === 0 || (raft.isLeading && raft.state.term === this.leadingTerm)) return
--- a/packages/controllers/src/types/raft.ts
+++ b/packages/controllers/src/types/raft.ts
@@ -139,6 +139,26 @@
 export type Message = VoteRequest | VoteAnswer | AppendRequest | AppendAnswer |
   SnapshotRequest | SnapshotAnswer | TimeoutNow | Greeting
 
+/** Why a message between controllers was neither sent nor processed. */
+export const DropReason = Object.freeze({
+  /** No link to the receiver is open, or its send buffer is full. */
+  noLink: 'noLink',
+  /** The sender of an answer is not a member. */
+  notMember: 'notMember',
+  /** The sender answers or asks for a vote under another disk identity than the membership binds its id to. */
+  senderDisk: 'senderDisk',
+  /** The message is addressed to another disk identity than the receiver's. */
+  receiverDisk: 'receiverDisk'
+} as const)
+export type DropReason = typeof DropReason[keyof typeof DropReason]
+
+/** A message that was dropped; `peer` is the id of the controller at the other end. */
+export interface MessageDrop {
+  peer: string
+  kind: Message['kind']
+  reason: DropReason
+}
+
 /** A message without the envelope fields common to all messages. */
 export type MessageBody = Message extends infer M ? M extends Message ? Omit<M, keyof Envelope> : never : never
 
--- a/packages/runtime/src/core/controller-links.ts
+++ b/packages/runtime/src/core/controller-links.ts
@@ -4,8 +4,8 @@
  */
 
 import {
-  LinkDialler, Transport,
-  type HelloFrame, type Link, type LinkHandlers, type LinkTraffic, type MemberFacts, type PeerKeys
+  DropReason, LinkDialler, Transport,
+  type HelloFrame, type Link, type LinkHandlers, type LinkTraffic, type MemberFacts, type Message, type MessageDrop, type PeerKeys
 } from '@flamingorouter/controllers'
 import type { RuntimeLog } from './runtime-log.js'
 
@@ -25,6 +25,9 @@
   /** Handles a message that a member sends over the link dialled to it; set once the replica exists. */
   handleMessage: (from: string, message: unknown) => void = () => {}
 
+  /** Called for each message that cannot be sent; for logs and metrics only. */
+  handleDrop: (drop: MessageDrop) => void = () => {}
+
   private constructor (
     private readonly hello: HelloFrame,
     private readonly members: () => readonly MemberFacts[],
@@ -57,7 +60,7 @@
   override send (to: string, message: unknown): void {
     const link = this.dial(to)?.link
     const openLink = link?.isOpen === true ? link : this.inboundLinks.get(to)
-    openLink?.send({ kind: 'replication', message })
+    if (openLink?.send({ kind: 'replication', message }) !== true) this.handleDrop({ peer: to, kind: (message as Message).kind, reason: DropReason.noLink })
   }
 
   /** Registers a link that another process opened; links of processes other than controllers are ignored. */
--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -5,7 +5,7 @@
 import { randomBytes } from 'node:crypto'
 import {
   FolderDisk, LinkServer, MonotonicClock, parseAddress, Replica,
-  type HelloFrame, type LinkHandlers, type LinkTraffic, type MemberFacts, type PeerKeys, type RaftTiming
+  type HelloFrame, type LinkHandlers, type LinkTraffic, type MemberFacts, type MessageDrop, type PeerKeys, type RaftTiming
 } from '@flamingorouter/controllers'
 import type { Binding } from '@flamingorouter/rpc'
 import { createComponents, Scheduler, type Limits } from '@flamingorouter/scheduler'
@@ -15,6 +15,7 @@
 import { monotonicNow } from './clock.js'
 import { observeGcMs } from './gc-clock.js'
 import { LoopMonitor } from './loop-monitor.js'
+import { MessageDropLog } from './message-drop-log.js'
 import type { MetricsRecorder } from './metrics-recorder.js'
 import type { RuntimeLog } from './runtime-log.js'
 
@@ -100,7 +101,10 @@
       const known = controller.isAttached ? controller.replica.status().members : []
       return known.length > 0 ? known : settings.bootstrap
     }
+    const drops = MessageDropLog.create(context.log, context.metrics)
+    const handleDrop = (drop: MessageDrop): void => { drops.record(drop, monotonicNow()) }
     const links = ControllerLinks.create(hello, members, context.peerKeys, context.traffic, context.log)
+    links.handleDrop = handleDrop
     const replica = await Replica.open({
       id,
       group,
@@ -112,7 +116,8 @@
       clock: MonotonicClock.create(),
       seed: settings.seed,
       timing: settings.timing,
-      snapshotEvery: settings.snapshotEvery
+      snapshotEvery: settings.snapshotEvery,
+      handleDrop
     })
     controller.attach(replica)
     links.handleMessage = (from, message) => { controller.receive(from, message) }
--- a/packages/runtime/src/core/metrics-recorder.ts
+++ b/packages/runtime/src/core/metrics-recorder.ts
@@ -2,6 +2,7 @@
  * The measurements that the runtime reports to the metrics of a process.
  */
 
+import type { MessageDrop } from '@flamingorouter/controllers'
 import type { ClusterState, Decision, Effect, OutcomeKind, Urgency } from '@flamingorouter/scheduler'
 
 export abstract class MetricsRecorder {
@@ -17,6 +18,8 @@
   abstract recordEffects (effects: readonly Effect[]): void
   /** Records how long a request waited until a runner was granted to it. */
   abstract recordRequestWait (urgency: Urgency, durationMs: number): void
+  /** Records a message between controllers that was dropped. */
+  abstract recordMessageDrop (drop: MessageDrop): void
   /** Records a finished request. */
   abstract recordRequest (urgency: Urgency, outcome: OutcomeKind, durationMs: number): void
 }
--- a/packages/runtime/src/core/metrics-registry.ts
+++ b/packages/runtime/src/core/metrics-registry.ts
@@ -4,6 +4,7 @@
  * so that they take a few kilobytes regardless of the load.
  */
 
+import type { MessageDrop } from '@flamingorouter/controllers'
 import { isClosedInTime, type ClusterState, type Decision, type Effect } from '@flamingorouter/scheduler'
 import { EstimateErrors } from './estimate-errors.js'
 import { MetricsRecorder } from './metrics-recorder.js'
@@ -83,6 +84,10 @@
     }
   }
 
+  override recordMessageDrop ({ kind, reason }: MessageDrop): void {
+    this.incrementCounter('message_drops_total', `kind="${kind}",reason="${reason}"`)
+  }
+
   private recordClosing (id: string, state: ClusterState, now: number): void {
     const job = state.jobs.get(id)
     if (job === undefined) return
