Links: name a controller by its hello, not by the member that was dialled

Cause: a controller that lost its disk comes back under a new id at its old address. The leader kept the dialler of the former member, which reached the new process, and took all that came over its link for messages of the former member. A learner knows no membership yet and answers over the link that was opened to it last. The learner was removed after 3 s of silence and added again over the same links, and the next lost disk left one voter of two. A learner also forgot a link that was still open when a newer one from the same controller closed.

Change: a link leads to the controller that its peer's hello names, whichever side opened it; what arrives over it is that controller's, and what is sent goes over the newest open link to the receiver's id. All open links of a controller are kept, so that one that closes leaves the others. Diallers of former members and former addresses are closed. Whether an answer or a vote counts still depends on the disk identity that the membership binds.

Why this works: no order of connections changes the name under which a message arrives, nor the process that a message reaches; before, both depended on the dialler.

--- a/packages/runtime/__tests__/links.test.ts
+++ b/packages/runtime/__tests__/links.test.ts
@@ -65,11 +65,11 @@
     it('answers over the link that the leader dialled', async () => {
       const learner = ControllerLinks.create(createHello('learner'), () => [])
       const server = LinkServer.create(createHello('learner'), {
-        opened: link => { learner.addInbound(link) },
+        opened: link => { learner.add(link) },
         called: async () => undefined,
         replication: link => { learner.send(link.peer?.process ?? '', 'answer') },
         notice: () => {},
-        closed: link => { learner.removeInbound(link) }
+        closed: link => { learner.remove(link) }
       })
       const port = await server.listen({ host: '127.0.0.1', port: 0 })
       const members = [{ id: 'learner', address: `127.0.0.1:${port}`, availabilityZone: 'zone', role: 'learner' as const }]
--- a/packages/runtime/src/core/controller-links.ts
+++ b/packages/runtime/src/core/controller-links.ts
@@ -1,6 +1,7 @@
 /**
- * Links between controllers. This controller dials each other member; while no
- * dialled link to a controller is open, it sends over the link that the other opened.
+ * Links between controllers. A link leads to the controller that its peer's hello names, whichever side opened it and
+ * whichever member was dialled: after the loss of its disk a controller comes back at its old address under a new id. This
+ * controller dials each other member; a controller without a membership answers over the links that others opened to it.
  */
 
 import {
@@ -9,20 +10,12 @@
 } from '@flamingorouter/controllers'
 import type { RuntimeLog } from './runtime-log.js'
 
-const NO_OP_HANDLERS: LinkHandlers = {
-  opened: () => {},
-  called: async () => { throw new Error('replication links carry no calls') },
-  replication: () => {},
-  notice: () => {},
-  closed: () => {}
-}
-
 export class ControllerLinks extends Transport {
   /** Diallers by the id of the member. */
   private readonly diallers = new Map<string, LinkDialler>()
-  /** Links opened by other controllers, by controller id. */
-  private readonly inboundLinks = new Map<string, Link>()
-  /** Handles a message that a member sends over the link dialled to it; set once the replica exists. */
+  /** Open links by the id of the controller that they lead to, in the order in which they were opened. */
+  private readonly openLinks = new Map<string, Link[]>()
+  /** Handles a message of another controller; set once the replica exists. */
   handleMessage: (from: string, message: unknown) => void = () => {}
 
   /** Called for each message that cannot be sent; for logs and metrics only. */
@@ -49,52 +42,73 @@
     return new ControllerLinks(hello, members, keys, traffic, log)
   }
 
-  /** Dials the other members that are not dialled yet, so that the first messages of an election find open links. */
+  /**
+   * Dials the other members that are not dialled yet, so that the first messages of an election find open links, and closes
+   * the diallers of former members and of former addresses.
+   */
   dialMembers (): void {
-    for (const { id } of this.members()) {
-      if (id !== this.hello.process) this.dial(id)
+    const members = this.members()
+    for (const [id, dialler] of this.diallers) {
+      if (members.some(member => member.id === id && member.address === dialler.address)) continue
+      dialler.close()
+      this.diallers.delete(id)
+    }
+    for (const member of members) {
+      if (member.id !== this.hello.process && !this.diallers.has(member.id)) this.diallers.set(member.id, this.dial(member))
     }
   }
 
-  /** Sends a message to a controller; the message is dropped when no link to it is open. */
+  /**
+   * Sends a message to a controller over the link to it that was opened last, since an older one may lead to a process that
+   * is gone; the message is dropped when no link to it is open.
+   */
   override send (to: string, message: unknown): void {
-    const link = this.dial(to)?.link
-    const openLink = link?.isOpen === true ? link : this.inboundLinks.get(to)
-    if (openLink?.send({ kind: 'replication', message }) !== true) this.handleDrop({ peer: to, kind: (message as Message).kind, reason: DropReason.noLink })
+    if (!this.diallers.has(to)) this.dialMembers()
+    const link = this.openLinks.get(to)?.at(-1)
+    if (link?.send({ kind: 'replication', message }) !== true) this.handleDrop({ peer: to, kind: (message as Message).kind, reason: DropReason.noLink })
+  }
+
+  /** Passes on a message that arrived over a link, as one of the controller that the link leads to. */
+  receive (link: Link, message: unknown): void {
+    if (link.peer?.role === 'controller') this.handleMessage(link.peer.process, message)
   }
 
-  /** Registers a link that another process opened; links of processes other than controllers are ignored. */
-  addInbound (link: Link): void {
-    if (link.peer?.role === 'controller') this.inboundLinks.set(link.peer.process, link)
+  /** Registers a link whose peer said its hello; links of processes other than controllers are ignored. */
+  add (link: Link): void {
+    if (link.peer?.role !== 'controller') return
+    const { process } = link.peer
+    const links = this.openLinks.get(process)
+    if (links === undefined) this.openLinks.set(process, [link])
+    else links.push(link)
   }
 
-  /** Removes a closed link that another process had opened. */
-  removeInbound (link: Link): void {
+  /** Removes a closed link. */
+  remove (link: Link): void {
     const process = link.peer?.process ?? ''
-    if (this.inboundLinks.get(process) === link) this.inboundLinks.delete(process)
+    const links = this.openLinks.get(process)?.filter(other => other !== link) ?? []
+    if (links.length > 0) this.openLinks.set(process, links)
+    else this.openLinks.delete(process)
   }
 
   close (): void {
     for (const dialler of this.diallers.values()) dialler.close()
   }
 
-  /** Returns the dialler of a member, which is replaced if the member's address changed; that of a former member stays as it is. */
-  private dial (to: string): LinkDialler | undefined {
-    const member = this.members().find(({ id }) => id === to)
-    const existing = this.diallers.get(to)
-    if (member === undefined || existing?.address === member.address) return existing
-    existing?.close()
+  private dial ({ id, address }: MemberFacts): LinkDialler {
     const handlers: LinkHandlers = {
-      ...NO_OP_HANDLERS,
       traffic: this.traffic,
-      replication: (_link, message) => { this.handleMessage(to, message) },
-      opened: () => { this.log?.info('controller_reached', { controller: to, address: member.address }) },
+      opened: link => {
+        this.add(link)
+        this.log?.info('controller_reached', { controller: link.peer?.process ?? '', address, member: id })
+      },
+      called: async () => { throw new Error('replication links carry no calls') },
+      replication: (link, message) => { this.receive(link, message) },
+      notice: () => {},
       closed: (link, reason) => {
-        if (link.peer !== undefined) this.log?.warn('controller_lost', { controller: to, address: member.address, reason })
+        this.remove(link)
+        if (link.peer !== undefined) this.log?.warn('controller_lost', { controller: link.peer.process, address, reason })
       }
     }
-    const dialler = LinkDialler.create(member.address, this.hello, handlers, this.keys)
-    this.diallers.set(to, dialler)
-    return dialler
+    return LinkDialler.create(address, this.hello, handlers, this.keys)
   }
 }
--- a/packages/runtime/src/core/controller-node.ts
+++ b/packages/runtime/src/core/controller-node.ts
@@ -189,15 +189,15 @@
 function createHandlers (controller: Controller, links: ControllerLinks, log: RuntimeLog): LinkHandlers {
   return {
     opened: link => {
-      links.addInbound(link)
+      links.add(link)
       controller.handleLinkOpened(link)
     },
     called: (link, frame) => controller.handleCall(link, frame),
-    replication: (link, message) => { controller.receive(link.peer?.process ?? '', message) },
+    replication: (link, message) => { links.receive(link, message) },
     notice: (link, topic, body) => { controller.handleNotice(link, topic, body) },
     closed: (link, reason) => {
       if (link.peer !== undefined) log.warn('peer_lost', { peer: link.peer.process, role: link.peer.role, reason })
-      links.removeInbound(link)
+      links.remove(link)
       controller.handleLinkClosed(link)
     }
   }
