Membership: an offer replaces earlier ones from the same address

A controller that lost its disk twice within two seconds had two offers at the leader: that of its first loss, whose process no longer existed, and that of the second. The leader took them in the order of arrival, so it added the dead one, removed it again for the conflict of addresses, and only then added the one that lived; each round cost 0.4 s of the time for catching up.

Offers are kept by address now, of which a machine has one. They no longer accumulate with each lost disk either.

Test: "adds the newest controller at an address, not one that offered itself there before" fails on the code before.

--- a/packages/runtime/__tests__/membership-repair.test.ts
+++ b/packages/runtime/__tests__/membership-repair.test.ts
@@ -5,7 +5,7 @@
 
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { MemberFacts, Replica, ReplicaStatus } from '@flamingorouter/controllers'
+import type { MemberCandidate, MemberFacts, Replica, ReplicaStatus } from '@flamingorouter/controllers'
 import { NoopLog, MembershipRepair, type RepairAction } from '../src/index.js'
 
 /** Ids that differ only after a tilde share an address: a controller that lost its disk returns with a new id at its old address. */
@@ -17,13 +17,18 @@
   return { id: 'one', term: 1, role: 'leader', leader: 'one', commitIndex: 1, lastIndex: 1, members, matchIndex: {}, responsiveMembers: responsive, fault: '', missingInitialMembers: [] }
 }
 
+function createOffer (id: string): MemberCandidate {
+  const { address, availabilityZone } = createMember(id)
+  return { id, address, availabilityZone }
+}
+
 /** Ticks with the same status every 500 ms and returns the decision at the end. */
 function decideAfter (status: ReplicaStatus, offers: string[], untilMs: number): RepairAction | undefined {
   const repair = MembershipRepair.create(3, NoopLog.create())
   // Without the lease, a tick tracks silent members and changes nothing.
   const replica = { status: () => status, holdsLease: () => false } as unknown as Replica
   for (let now = 0; now <= untilMs; now += 500) {
-    for (const id of offers) repair.recordOffer({ id, address: `${id.split('~')[0]}:1`, availabilityZone: 'zone' }, now)
+    for (const id of offers) repair.recordOffer(createOffer(id), now)
     repair.tick(replica, now)
   }
   return repair.decide(status, untilMs)
@@ -54,6 +59,23 @@
     assert.deepEqual(decideAfter(grown, [], 4_000), { kind: 'remove', id: 'three' })
   })
 
+  // A controller that lost its disk twice within the validity of an offer was added again under the id of the first loss.
+  it('adds the newest controller at an address, not one that offered itself there before', () => {
+    const repair = MembershipRepair.create(3, NoopLog.create())
+    repair.recordOffer(createOffer('three~first'), 0)
+    repair.recordOffer(createOffer('three~second'), 500)
+    const status = createStatus(THREE_VOTERS.slice(0, 2), ['one', 'two'])
+    assert.deepEqual(repair.decide(status, 600), { kind: 'add', facts: createMember('three~second', 'learner') })
+  })
+
+  it('removes a learner whose address is taken by a newer controller', () => {
+    const repair = MembershipRepair.create(3, NoopLog.create())
+    repair.recordOffer(createOffer('three~first'), 0)
+    repair.recordOffer(createOffer('three~second'), 500)
+    const status = createStatus([...THREE_VOTERS.slice(0, 2), createMember('three~first', 'learner')], ['one', 'two'])
+    assert.deepEqual(repair.decide(status, 600), { kind: 'remove', id: 'three~first' })
+  })
+
   it('removes a learner that is silent', () => {
     const status = createStatus([...THREE_VOTERS.slice(0, 2), createMember('four', 'learner')], ['one', 'two'])
     assert.deepEqual(decideAfter(status, [], 4_000), { kind: 'remove', id: 'four' })
--- a/packages/runtime/src/core/membership-repair.ts
+++ b/packages/runtime/src/core/membership-repair.ts
@@ -22,7 +22,10 @@
   | { kind: 'remove', id: string }
 
 export class MembershipRepair {
-  /** Latest offer of each candidate, by controller id; `arrivedAt` is monotonic time in milliseconds. */
+  /**
+   * Latest offer from each address; `arrivedAt` is monotonic time in milliseconds. An offer replaces that of the controller
+   * that served the address before, which no longer exists.
+   */
   private readonly offers = new Map<string, { candidate: MemberCandidate, arrivedAt: number }>()
   /** Monotonic time in milliseconds since which a member has been silent, by controller id. */
   private readonly silentSince = new Map<string, number>()
@@ -37,7 +40,7 @@
 
   /** Records an offer that arrived at `now`, in monotonic milliseconds. */
   recordOffer (candidate: MemberCandidate, now: number): void {
-    this.offers.set(candidate.id, { candidate, arrivedAt: now })
+    this.offers.set(candidate.address, { candidate, arrivedAt: now })
   }
 
   /** Called periodically with the monotonic time in milliseconds; makes one change at a time, and only on the leader. */
