--- a/packages/runtime/__tests__/membership-repair.test.ts
+++ b/packages/runtime/__tests__/membership-repair.test.ts
@@ -22,14 +22,17 @@
   return { id, address, availabilityZone }
 }
 
+/** A replica without the lease, so that a tick tracks silent members and changes nothing. */
+function createReplica (status: ReplicaStatus): Replica {
+  return { status: () => status, holdsLease: () => false } as unknown as Replica
+}
+
 /** Ticks with the same status every 500 ms and returns the decision at the end. */
 function decideAfter (status: ReplicaStatus, offers: string[], untilMs: number): RepairAction | undefined {
   const repair = MembershipRepair.create(3, NoopLog.create())
-  // Without the lease, a tick tracks silent members and changes nothing.
-  const replica = { status: () => status, holdsLease: () => false } as unknown as Replica
   for (let now = 0; now <= untilMs; now += 500) {
     for (const id of offers) repair.recordOffer(createOffer(id), now)
-    repair.tick(replica, now)
+    repair.tick(createReplica(status), now)
   }
   return repair.decide(status, untilMs)
 }
@@ -76,6 +79,17 @@
     assert.deepEqual(repair.decide(status, 600), { kind: 'remove', id: 'three~first' })
   })
 
+  // A leader that was held up after the addition removed the learner at once, for its silence as a member before.
+  it('counts the silence of a controller anew when it is added again', () => {
+    const repair = MembershipRepair.create(3, NoopLog.create())
+    const without = createStatus(THREE_VOTERS.slice(0, 2), ['one', 'two'])
+    const silent = createStatus([...without.members, createMember('three', 'learner')], ['one', 'two'])
+    repair.tick(createReplica(silent), 0)
+    repair.tick(createReplica(without), 4_000)
+    repair.tick(createReplica(silent), 4_500)
+    assert.equal(repair.decide(silent, 4_500), undefined)
+  })
+
   it('removes a learner that is silent', () => {
     const status = createStatus([...THREE_VOTERS.slice(0, 2), createMember('four', 'learner')], ['one', 'two'])
     assert.deepEqual(decideAfter(status, [], 4_000), { kind: 'remove', id: 'four' })
--- a/packages/runtime/src/core/membership-repair.ts
+++ b/packages/runtime/src/core/membership-repair.ts
@@ -86,6 +86,9 @@
   }
 
   private updateSilence (status: ReplicaStatus, now: number): void {
+    for (const id of this.silentSince.keys()) {
+      if (status.members.every(member => member.id !== id)) this.silentSince.delete(id)
+    }
     for (const { id } of status.members) {
       if (status.responsiveMembers.includes(id)) this.silentSince.delete(id)
       else if (!this.silentSince.has(id)) this.silentSince.set(id, now)
