Links: find a controller at a new address, and keep an entry that has another open link

Two places beside the replication links took a process for what an address or an earlier answer had said.

- LeaderClient kept its diallers by id and ignored a new address of a known id.
An entry found no leader while a controller led that had moved: calls failed with "no leader could be reached".
It dials each address now.
- The leader kept one link for each entry.
When the newest of two closed, it took the entry for lost, though the other link was open; with links to two addresses of one controller that is no longer rare.
LinkTable keeps all open links of a process, for the entries and for the controllers.

The users' platform has one address for each controller, so neither occurs there.

--- a/packages/runtime/__tests__/leader-client.test.ts
+++ b/packages/runtime/__tests__/leader-client.test.ts
@@ -6,7 +6,7 @@
 
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { InternalMethod, LinkServer, Topic, type AdmissionAnswer, type CallFrame, type HeartbeatBody, type HelloFrame, type Link } from '@flamingorouter/controllers'
+import { InternalMethod, LinkServer, Topic, type AdmissionAnswer, type CallFrame, type ControllerAddress, type HeartbeatBody, type HelloFrame, type Link } from '@flamingorouter/controllers'
 import { ErrorKind, Failure, type Answer } from '@flamingorouter/scheduler'
 import { AdmissionService, HEARTBEAT_INTERVAL_MS, JobGateway } from '../src/index.js'
 
@@ -276,3 +276,33 @@
     assert.equal(leader.submissions.length, 20)
   })
 })
+
+describe('a controller that moved to another address under its id', () => {
+  const servers: LinkServer[] = []
+  let gateway: JobGateway
+
+  afterEach(() => {
+    gateway.close()
+    for (const server of servers.splice(0)) server.close()
+  })
+
+  async function listen (id: string, answer: (frame: CallFrame) => unknown): Promise<ControllerAddress> {
+    const server = LinkServer.create(createHello(id), { opened: () => {}, called: async (_link, frame) => answer(frame), replication: () => {}, notice: () => {}, closed: () => {} })
+    servers.push(server)
+    return { id, address: `127.0.0.1:${await server.listen({ host: '127.0.0.1', port: 0 })}` }
+  }
+
+  // An entry ignored the new address of a known id, and found no leader while that controller led.
+  it('is found there when it leads', async () => {
+    const moved = await listen('moved', ({ method }) => method === InternalMethod.heartbeat ? { term: 1, configurationVersion: 0, controllers: [] } : { kind: 'jobAccepted' })
+    const other = await listen('other', ({ method }) => method === InternalMethod.members ? { controllers: [moved] } : notLead())
+    const former = { id: 'moved', address: '127.0.0.1:1' }
+    gateway = JobGateway.create({ hello: createHello('entry'), controllers: [former, other] })
+    const answer = await gateway.ask({ kind: 'acceptJob', host: 'host', path: '/queue/1', spec: { payload: '', stages: [] } }, CALL_TIMEOUT_MS)
+    assert.equal(answer.kind, 'jobAccepted')
+  })
+
+  function notLead (): never {
+    throw Failure.create(ErrorKind.notLeader, 'this controller does not lead')
+  }
+})
--- a/packages/runtime/src/core/admission-entries.ts
+++ b/packages/runtime/src/core/admission-entries.ts
@@ -6,8 +6,9 @@
  * lists of all workers. Heartbeats of one turn of the event loop are reported together.
  */
 
-import type { HeartbeatBody, Link } from '@flamingorouter/controllers'
+import type { HeartbeatBody } from '@flamingorouter/controllers'
 import type { EntryTable } from './entry-table.js'
+import type { LinkTable } from './link-table.js'
 
 export interface AdmissionEntriesOwner {
   /** Passes the names of the entries to the scheduler. */
@@ -25,12 +26,12 @@
 
   private constructor (
     private readonly table: EntryTable,
-    private readonly links: ReadonlyMap<string, Link>,
+    private readonly links: LinkTable,
     private readonly owner: AdmissionEntriesOwner
   ) {}
 
-  /** `links` contains the open links to entries, by the name of the process. */
-  static create (table: EntryTable, links: ReadonlyMap<string, Link>, owner: AdmissionEntriesOwner): AdmissionEntries {
+  /** `links` contains the open links to entries. */
+  static create (table: EntryTable, links: LinkTable, owner: AdmissionEntriesOwner): AdmissionEntries {
     return new AdmissionEntries(table, links, owner)
   }
 
@@ -52,7 +53,7 @@
   /** Reports the entries that are live, connected and able to forward queries, if that set has changed. */
   refresh (): void {
     const now = this.owner.now()
-    const live = this.table.list().filter(entry => entry.isAdvisor === true && this.table.isLive(entry, now) && this.links.has(entry.process))
+    const live = this.table.list().filter(entry => entry.isAdvisor === true && this.table.isLive(entry, now) && this.links.find(entry.process) !== undefined)
     const names = live.map(entry => entry.process).sort()
     if (names.length === this.reported.size && names.every(name => this.reported.has(name))) return
     this.reported = new Set(names)
--- a/packages/runtime/src/core/controller-links.ts
+++ b/packages/runtime/src/core/controller-links.ts
@@ -8,13 +8,13 @@
   DropReason, LinkDialler, Transport,
   type HelloFrame, type Link, type LinkHandlers, type LinkTraffic, type MemberFacts, type Message, type MessageDrop, type PeerKeys
 } from '@flamingorouter/controllers'
+import { LinkTable } from './link-table.js'
 import type { RuntimeLog } from './runtime-log.js'
 
 export class ControllerLinks extends Transport {
   /** Diallers by the id of the member. */
   private readonly diallers = new Map<string, LinkDialler>()
-  /** Open links by the id of the controller that they lead to, in the order in which they were opened. */
-  private readonly openLinks = new Map<string, Link[]>()
+  private readonly openLinks = LinkTable.create()
   /** Handles a message of another controller; set once the replica exists. */
   handleMessage: (from: string, message: unknown) => void = () => {}
 
@@ -58,13 +58,10 @@
     }
   }
 
-  /**
-   * Sends a message to a controller over the link to it that was opened last, since an older one may lead to a process that
-   * is gone; the message is dropped when no link to it is open.
-   */
+  /** Sends a message to a controller; the message is dropped when no link to it is open. */
   override send (to: string, message: unknown): void {
     if (!this.diallers.has(to)) this.dialMembers()
-    const link = this.openLinks.get(to)?.at(-1)
+    const link = this.openLinks.find(to)
     if (link?.send({ kind: 'replication', message }) !== true) this.handleDrop({ peer: to, kind: (message as Message).kind, reason: DropReason.noLink })
   }
 
@@ -75,19 +72,12 @@
 
   /** Registers a link whose peer said its hello; links of processes other than controllers are ignored. */
   add (link: Link): void {
-    if (link.peer?.role !== 'controller') return
-    const { process } = link.peer
-    const links = this.openLinks.get(process)
-    if (links === undefined) this.openLinks.set(process, [link])
-    else links.push(link)
+    if (link.peer?.role === 'controller') this.openLinks.add(link)
   }
 
   /** Removes a closed link. */
   remove (link: Link): void {
-    const process = link.peer?.process ?? ''
-    const links = this.openLinks.get(process)?.filter(other => other !== link) ?? []
-    if (links.length > 0) this.openLinks.set(process, links)
-    else this.openLinks.delete(process)
+    this.openLinks.remove(link)
   }
 
   close (): void {
--- a/packages/runtime/src/core/controller.ts
+++ b/packages/runtime/src/core/controller.ts
@@ -23,6 +23,7 @@
 import { LoadReporter } from './load-reporter.js'
 import { JobCalls } from './job-calls.js'
 import { LeaseGate } from './lease-gate.js'
+import { LinkTable } from './link-table.js'
 import type { LocalMethod } from './local-methods.js'
 import type { LoopMonitor } from './loop-monitor.js'
 import type { OrderDispatcher } from './order-dispatcher.js'
@@ -71,8 +72,7 @@
   private readonly watches = StateWatches.create()
   private readonly rpcCalls: RpcCalls
   private readonly jobCalls: JobCalls
-  /** Open links to entries, by the name of the process. */
-  private readonly entryLinks = new Map<string, Link>()
+  private readonly entryLinks = LinkTable.create()
   private readonly effectCalls: EffectCalls
   private readonly admissionEntries: AdmissionEntries
   private readonly leaseGate = LeaseGate.create()
@@ -145,15 +145,12 @@
   }
 
   handleLinkOpened (link: Link): void {
-    const peer = link.peer
-    if (peer?.role === 'entry') this.entryLinks.set(peer.process, link)
+    if (link.peer?.role === 'entry') this.entryLinks.add(link)
   }
 
   handleLinkClosed (link: Link): void {
-    const peer = link.peer
-    if (peer === undefined || this.entryLinks.get(peer.process) !== link) return
-    this.entryLinks.delete(peer.process)
-    if (this.isLeading) this.feed({ kind: 'entryLost', entry: peer.process })
+    const isLast = this.entryLinks.remove(link)
+    if (isLast && this.isLeading) this.feed({ kind: 'entryLost', entry: link.peer?.process ?? '' })
   }
 
   /** Proposes all decisions made so far. Called before each tick of the replica, since a snapshot of the state may contain only decisions that are in the log. */
@@ -212,7 +209,7 @@
       event => { if (this.isLeading) this.feed(event) },
       (kind, durationMs) => { this.work.record(kind, durationMs) }
     )
-    for (const link of this.entryLinks.values()) link.send({ kind: 'notice', topic: Topic.leading, body: { term } })
+    for (const link of this.entryLinks.list()) link.send({ kind: 'notice', topic: Topic.leading, body: { term } })
     this.options.log.info('leading', { term, change: this.state.change })
     // The first event makes the scheduler watch the workers; it follows the notices, so that heartbeats arrive meanwhile.
     setImmediate(() => { this.runFirstTick() })
--- a/packages/runtime/src/core/effect-calls.ts
+++ b/packages/runtime/src/core/effect-calls.ts
@@ -5,9 +5,10 @@
  * after leadership was lost is dropped.
  */
 
-import { InternalMethod, type AdmissionAnswer, type AdmissionBody, type ExecuteAnswer, type ExecuteBody, type Link } from '@flamingorouter/controllers'
+import { InternalMethod, type AdmissionAnswer, type AdmissionBody, type ExecuteAnswer, type ExecuteBody } from '@flamingorouter/controllers'
 import { ErrorKind, fail, toFailure, type Effect, type Event, type ListedVm } from '@flamingorouter/scheduler'
 import { clusterNow } from './clock.js'
+import type { LinkTable } from './link-table.js'
 import type { RuntimeLog } from './runtime-log.js'
 import type { VmService } from './vm-service.js'
 
@@ -34,8 +35,8 @@
   isAuthoritative: () => boolean
   /** The current term of the replica. */
   term: () => number
-  /** Open links to entries, by the name of the process. */
-  entryLinks: ReadonlyMap<string, Link>
+  /** Open links to entries. */
+  entryLinks: LinkTable
 }
 
 export class EffectCalls {
@@ -73,7 +74,7 @@
     const body: AdmissionBody = { stage, workers, timeoutMs }
     let answer: AdmissionAnswer | undefined
     try {
-      const link = this.owner.entryLinks.get(entry) ?? fail(ErrorKind.unavailable, `entry ${entry} is not connected`)
+      const link = this.owner.entryLinks.find(entry) ?? fail(ErrorKind.unavailable, `entry ${entry} is not connected`)
       answer = await link.call(InternalMethod.admission, body, timeoutMs) as AdmissionAnswer
     } catch (thrown) {
       this.log.warn('admission_unanswered', { stage, entry, asked: workers.length, error: toFailure(thrown).message })
@@ -109,7 +110,7 @@
     const { target, address, session, fence, commands } = effect
     // Every entry can reach the worker at its address, so another one takes the place of an entry that is not connected.
     const body: ExecuteBody = { target, address, session, fence, commands }
-    const link = this.owner.entryLinks.get(effect.entry) ?? this.owner.entryLinks.values().next().value
+    const link = this.owner.entryLinks.find(effect.entry) ?? this.owner.entryLinks.list().at(0)
     try {
       if (!this.owner.isAuthoritative()) fail(ErrorKind.notLeader, 'this controller does not hold the leader lease; commands were not sent')
       if (link === undefined) fail(ErrorKind.unavailable, 'no entry is connected; commands were not sent')
--- a/packages/runtime/src/core/leader-client.ts
+++ b/packages/runtime/src/core/leader-client.ts
@@ -59,8 +59,10 @@
 
 export class LeaderClient {
   private readonly handlers: LinkHandlers
-  /** Diallers by the id of the controller. */
+  /** Diallers by address: a controller may return under its id at another address, or under another id at its address. */
   private readonly diallers = new Map<string, LinkDialler>()
+  /** Id that was last stated for each address. */
+  private readonly idsByAddress = new Map<string, string>()
   /** Open link to the leader; undefined while no leader is known. */
   private leader: Link | undefined
   private leaderTerm = 0
@@ -98,14 +100,14 @@
     return new LeaderClient(controllers, hello, handlers, heartbeatOwner, keys)
   }
 
-  /** Adds controllers to search for a leader; known ids and addresses are ignored. */
+  /** Adds controllers to search for a leader; known addresses are not dialled again. */
   addControllers (controllers: readonly ControllerAddress[]): void {
     for (const controller of controllers) this.dial(controller)
   }
 
   /** All controllers among which this process searches for a leader. */
   get controllers (): ControllerAddress[] {
-    return [...this.diallers].map(([id, { address }]) => ({ id, address }))
+    return [...this.idsByAddress].map(([address, id]) => ({ id, address }))
   }
 
   /** True for the link to the leader that is known now. */
@@ -181,13 +183,9 @@
     for (const dialler of this.diallers.values()) dialler.close()
   }
 
-  /** Dials a controller unless its id or address is known, so that addresses in the settings override those from the leader. */
   private dial ({ id, address }: ControllerAddress): void {
-    if (this.diallers.has(id)) return
-    for (const dialler of this.diallers.values()) {
-      if (dialler.address === address) return
-    }
-    this.diallers.set(id, LinkDialler.create(address, this.hello, this.handlers, this.keys))
+    this.idsByAddress.set(address, id)
+    if (!this.diallers.has(address)) this.diallers.set(address, LinkDialler.create(address, this.hello, this.handlers, this.keys))
   }
 
   /** Resolves with undefined when no leader is found within the search time or before the deadline. */
