Membership: add another controller before one that stayed silent

A controller that offers itself but cannot be reached, as over a link that works one way only, was added, removed after 3 s of silence and, being the first that had offered itself, added again, for as long as it lasted. No other controller was taken in meanwhile, so that the group stayed short of a voter with spares at hand.

A controller that was removed offers itself anew, behind the others. Found by reading; no play showed it.

Test: "adds another controller before one that was added and stayed silent" fails on the code before (it adds the same one).

--- a/packages/runtime/__tests__/membership-repair.test.ts
+++ b/packages/runtime/__tests__/membership-repair.test.ts
@@ -90,6 +90,26 @@
     assert.equal(repair.decide(silent, 4_500), undefined)
   })
 
+  // A controller that offers itself and cannot be reached was added again and again, and no other one.
+  it('adds another controller before one that was added and stayed silent', async () => {
+    const repair = MembershipRepair.create(3, NoopLog.create())
+    const without = createStatus(THREE_VOTERS.slice(0, 2), ['one', 'two'])
+    const silent = createStatus([...without.members, createMember('four', 'learner')], ['one', 'two'])
+    const changes: string[] = []
+    const replica = {
+      status: () => changes.length === 0 ? silent : without,
+      holdsLease: () => true,
+      removeMember: async (id: string) => { changes.push(`remove ${id}`) },
+      addMember: async ({ id }: MemberFacts) => { changes.push(`add ${id}`) }
+    } as unknown as Replica
+    for (let now = 0; now <= 6_000 && changes.length < 2; now += 500) {
+      for (const id of ['four', 'five']) repair.recordOffer(createOffer(id), now)
+      repair.tick(replica, now)
+      await new Promise(resolve => { setImmediate(resolve) })
+    }
+    assert.deepEqual(changes, ['remove four', 'add five'])
+  })
+
   it('removes a learner that is silent', () => {
     const status = createStatus([...THREE_VOTERS.slice(0, 2), createMember('four', 'learner')], ['one', 'two'])
     assert.deepEqual(decideAfter(status, [], 4_000), { kind: 'remove', id: 'four' })
--- a/packages/runtime/src/core/membership-repair.ts
+++ b/packages/runtime/src/core/membership-repair.ts
@@ -85,6 +85,12 @@
     return { kind: 'add', facts: { ...candidate, role: 'learner' } }
   }
 
+  private forgetOffer (id: string): void {
+    for (const [address, { candidate }] of this.offers) {
+      if (candidate.id === id) this.offers.delete(address)
+    }
+  }
+
   private updateSilence (status: ReplicaStatus, now: number): void {
     for (const id of this.silentSince.keys()) {
       if (status.members.every(member => member.id !== id)) this.silentSince.delete(id)
@@ -98,6 +104,8 @@
   private async applyAction (replica: Replica, action: RepairAction): Promise<void> {
     if (action.kind === 'add') await replica.addMember(action.facts)
     else await replica.removeMember(action.id)
+    // The next offer of a controller that was removed comes after those of the others.
+    if (action.kind === 'remove') this.forgetOffer(action.id)
     this.log.info('membership_repaired', { action: action.kind, member: action.kind === 'add' ? action.facts.id : action.id })
   }
 }
