--- a/packages/controllers/src/core/raft/leader.ts
+++ b/packages/controllers/src/core/raft/leader.ts
@@ -9,15 +9,13 @@
   DropReason, EntryKind, type AppendAnswer, type Member, type SnapshotAnswer
 } from '../../types/raft.js'
 import { findMember, isVoter, highestQuorumValue } from './members.js'
-import { Progress } from './progress.js'
+import { Progress, type SnapshotUpload } from './progress.js'
 import type { RaftState } from './raft-state.js'
 
-/** Limit on the bytes of entries in one message; a single larger entry is sent alone. */
+/** Limit on the bytes of entries or of a snapshot in one message; a single larger entry is sent alone. */
 const MESSAGE_LIMIT_BYTES = 128 * 1024
-/** No further entries are sent to a member while at least this many bytes of entries to it are not acknowledged. */
+/** No further entries and no further parts of a snapshot are sent to a member while at least this many bytes to it are not acknowledged. */
 const IN_FLIGHT_LIMIT_BYTES = 1024 * 1024
-/** Bytes of a snapshot in one message. */
-const SNAPSHOT_CHUNK_BYTES = 256 * 1024
 
 /**
  * Number of election timeouts without a lease after which a leader steps down. A leader whose answers always arrive too
@@ -186,9 +184,10 @@
     const progress = this.findAnsweringProgress(from, answer, now)
     if (progress === undefined) return
     progress.recordAnswer(answer.sentAt, now)
-    if (progress.upload?.snapshot.index !== answer.index) return
-    progress.upload.offset = answer.offset
-    this.sendSnapshotChunk(from, progress, now)
+    const { upload } = progress
+    if (upload?.snapshot.index !== answer.index) return
+    progress.recordReceivedBytes(upload, answer.offset, answer.sentAt)
+    this.sendSnapshot(from, progress, upload, now)
   }
 
   /** Creates progress for added members and deletes that of removed ones. */
@@ -269,12 +268,9 @@
   private broadcast (now: number): void {
     this.lastHeartbeatAt = now
     for (const [id, progress] of this.progressById) {
-      const { electionMs } = this.state.timing
-      const isSilent = progress.isSilent(now, this.state.timing)
-      if (isSilent) progress.restartProbe()
+      if (progress.isSilent(now, this.state.timing)) progress.restartProbe()
       if (progress.upload === undefined) this.sendAppend(id, progress, now)
-      // Snapshot chunks are large, so a silent member gets only one per election timeout.
-      else if (!isSilent || now - progress.sentAt >= electionMs) this.sendSnapshotChunk(id, progress, now)
+      else this.sendSnapshotPart(id, progress, progress.upload, 0, now)
     }
   }
 
@@ -301,7 +297,6 @@
     state.send(id, this.diskOf(id, progress), {
       kind: 'appendRequest', previousIndex, previousTerm, entries, commitIndex: state.commitIndex, sentAt: now
     })
-    progress.sentAt = now
     progress.nextIndex += entries.length
     for (const entry of entries) progress.bytesInFlight += entry.data.length
   }
@@ -309,24 +304,35 @@
   private startSnapshotUpload (id: string, progress: Progress, now: number): void {
     const { snapshot } = this.state.log
     if (snapshot === undefined) fail(ErrorKind.internal, `entry ${progress.nextIndex} is in neither the log nor a snapshot`)
-    progress.upload = { snapshot, offset: 0 }
-    this.sendSnapshotChunk(id, progress, now)
+    progress.upload = { snapshot, offset: 0, sentOffset: 0, dataSentAt: -Infinity }
+    this.sendSnapshot(id, progress, progress.upload, now)
   }
 
-  private sendSnapshotChunk (id: string, progress: Progress, now: number): void {
-    if (progress.upload === undefined) return
-    const { snapshot, offset } = progress.upload
+  /** Sends further parts of a snapshot up to the limit of bytes in flight. */
+  private sendSnapshot (id: string, progress: Progress, upload: SnapshotUpload, now: number): void {
+    const totalBytes = upload.snapshot.data.length
+    while (upload.sentOffset < totalBytes && upload.sentOffset - upload.offset < IN_FLIGHT_LIMIT_BYTES) {
+      this.sendSnapshotPart(id, progress, upload, MESSAGE_LIMIT_BYTES, now)
+    }
+  }
+
+  /** Sends the next part of a snapshot, of at most `limit` bytes; an empty one as a heartbeat, whose answer tells what the member has. */
+  private sendSnapshotPart (id: string, progress: Progress, upload: SnapshotUpload, limit: number, now: number): void {
+    const { snapshot, sentOffset } = upload
+    const data = snapshot.data.subarray(sentOffset, sentOffset + limit)
     this.state.send(id, this.diskOf(id, progress), {
       kind: 'snapshotRequest',
       index: snapshot.index,
       lastTerm: snapshot.term,
       members: snapshot.members,
-      offset,
+      offset: sentOffset,
       totalBytes: snapshot.data.length,
-      data: snapshot.data.subarray(offset, offset + SNAPSHOT_CHUNK_BYTES),
+      data,
       sentAt: now
     })
-    progress.sentAt = now
+    if (data.length === 0) return
+    upload.sentOffset += data.length
+    upload.dataSentAt = now
   }
 
   private diskOf (id: string, progress: Progress): string {
--- a/packages/controllers/src/core/raft/progress.ts
+++ b/packages/controllers/src/core/raft/progress.ts
@@ -8,6 +8,10 @@
   snapshot: Snapshot
   /** Bytes that the member has confirmed. */
   offset: number
+  /** Bytes sent; those after `offset` are on their way. */
+  sentOffset: number
+  /** Time at which the last part of the snapshot was sent. */
+  dataSentAt: number
 }
 
 export class Progress {
@@ -30,8 +34,6 @@
   disk: string
   /** Snapshot that is being sent instead of entries; undefined if none is. */
   upload: SnapshotUpload | undefined
-  /** Time of the last append request, with or without entries, or snapshot chunk sent to the member. */
-  sentAt = -Infinity
   /** Bytes of entries sent and not yet acknowledged. */
   bytesInFlight = 0
 
@@ -60,6 +62,16 @@
     return now - this.lastAnswerAt > electionMs && this.ticksSinceAnswer * heartbeatMs > electionMs
   }
 
+  /**
+   * Records that the member has received the first `offset` bytes of the snapshot, as it answered to a request of `sentAt`.
+   * A link keeps the order of messages, so parts that the member does not have by then, though they were sent before that
+   * request, are lost and have to be sent again. Parts that are only late are not.
+   */
+  recordReceivedBytes (upload: SnapshotUpload, offset: number, sentAt: number): void {
+    upload.offset = offset
+    if (sentAt > upload.dataSentAt || offset > upload.sentOffset) upload.sentOffset = offset
+  }
+
   /** Records that the member's log is durable up to `index`, which acknowledges `bytes` of entries. */
   recordAcceptance (index: number, bytes: number): void {
     this.bytesInFlight = Math.max(0, this.bytesInFlight - bytes)
