--- a/packages/runtime/__tests__/membership-repair.test.ts
+++ b/packages/runtime/__tests__/membership-repair.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import type { MemberCandidate, MemberFacts, Replica, ReplicaStatus } from '@flamingorouter/controllers'
-import { NoopLog, MembershipRepair, type RepairAction } from '../src/index.js'
+import { NoopLog, MembershipRepair, RuntimeLog, type LogFields, type RepairAction } from '../src/index.js'
 
 /** Ids that differ only after a tilde share an address: a controller that lost its disk returns with a new id at its old address. */
 function createMember (id: string, role: MemberFacts['role'] = 'voter'): MemberFacts {
@@ -110,6 +110,21 @@
     assert.deepEqual(changes, ['remove four', 'add five'])
   })
 
+  it('logs how long a learner took to become a voter', () => {
+    const lines: LogFields[] = []
+    const log = new (class extends RuntimeLog {
+      override info (event: string, fields: LogFields = {}): void { lines.push({ event, ...fields }) }
+      override warn (): void {}
+      override error (): void {}
+    })()
+    const repair = MembershipRepair.create(3, log)
+    const others = THREE_VOTERS.slice(0, 2)
+    for (const [now, role] of [[0, 'learner'], [500, 'learner'], [700, 'voter'], [900, 'voter']] as const) {
+      repair.tick(createReplica(createStatus([...others, createMember('three', role)], ['one', 'two', 'three'])), now)
+    }
+    assert.deepEqual(lines, [{ event: 'member_promoted', member: 'three', tookMs: 700 }])
+  })
+
   it('removes a learner that is silent', () => {
     const status = createStatus([...THREE_VOTERS.slice(0, 2), createMember('four', 'learner')], ['one', 'two'])
     assert.deepEqual(decideAfter(status, [], 4_000), { kind: 'remove', id: 'four' })
--- a/packages/runtime/src/core/membership-repair.ts
+++ b/packages/runtime/src/core/membership-repair.ts
@@ -29,6 +29,8 @@
   private readonly offers = new Map<string, { candidate: MemberCandidate, arrivedAt: number }>()
   /** Monotonic time in milliseconds since which a member has been silent, by controller id. */
   private readonly silentSince = new Map<string, number>()
+  /** Monotonic time in milliseconds since which a member has been a learner, by controller id. */
+  private readonly learnerSince = new Map<string, number>()
   private isActing = false
 
   private constructor (private readonly wantedVoters: number, private readonly log: RuntimeLog) {}
@@ -48,9 +50,11 @@
     const status = replica.status()
     if (status.role !== 'leader') {
       this.silentSince.clear()
+      this.learnerSince.clear()
       return
     }
     this.updateSilence(status, now)
+    this.logPromotions(status, now)
     if (this.isActing || !replica.holdsLease()) return
     const action = this.decide(status, now)
     if (action === undefined) return
@@ -101,6 +105,18 @@
     }
   }
 
+  private logPromotions (status: ReplicaStatus, now: number): void {
+    for (const [id, since] of this.learnerSince) {
+      const role = status.members.find(member => member.id === id)?.role
+      if (role === 'learner') continue
+      this.learnerSince.delete(id)
+      if (role === 'voter') this.log.info('member_promoted', { member: id, tookMs: Math.round(now - since) })
+    }
+    for (const { id, role } of status.members) {
+      if (role === 'learner' && !this.learnerSince.has(id)) this.learnerSince.set(id, now)
+    }
+  }
+
   private async applyAction (replica: Replica, action: RepairAction): Promise<void> {
     if (action.kind === 'add') await replica.addMember(action.facts)
     else await replica.removeMember(action.id)
