Links: prefer the link to the address of a member over a newer one

When a member has moved to another address under its id and its former process still runs, that process opens links under the same id; entries then went there, were dropped for the disk identity, and the member fell silent.

The link that was dialled at the member's address comes first again, if it leads to that controller, and then the newest one.

--- a/packages/controllers/src/core/raft/leader.ts
+++ b/packages/controllers/src/core/raft/leader.ts
@@ -186,7 +186,7 @@
     progress.recordAnswer(answer.sentAt, now)
     const { upload } = progress
     if (upload?.snapshot.index !== answer.index) return
-    progress.recordReceivedBytes(upload, answer.offset, answer.sentAt)
+    progress.recordReceivedBytes(answer.offset, answer.sentAt)
     this.sendSnapshot(from, progress, upload, now)
   }
 
--- a/packages/controllers/src/core/raft/progress.ts
+++ b/packages/controllers/src/core/raft/progress.ts
@@ -67,7 +67,9 @@
    * A link keeps the order of messages, so parts that the member does not have by then, though they were sent before that
    * request, are lost and have to be sent again. Parts that are only late are not.
    */
-  recordReceivedBytes (upload: SnapshotUpload, offset: number, sentAt: number): void {
+  recordReceivedBytes (offset: number, sentAt: number): void {
+    const { upload } = this
+    if (upload === undefined) return
     upload.offset = offset
     if (sentAt > upload.dataSentAt || offset > upload.sentOffset) upload.sentOffset = offset
   }
--- a/packages/runtime/__tests__/replaced-controllers.test.ts
+++ b/packages/runtime/__tests__/replaced-controllers.test.ts
@@ -157,6 +157,26 @@
   })
 })
 
+describe('links to a member that moved to another address under its id', () => {
+  it('carry messages to the process at the new address, while the one at the old address still opens links', async () => {
+    const [leader, former, moved] = [Peer.create('leader'), Peer.create('moved'), Peer.create('moved')]
+    try {
+      for (const peer of [leader, moved]) await peer.listen()
+      leader.members = [createMember('moved', moved.port)]
+      leader.links.dialMembers()
+      await waitUntil(() => moved.openInbound.length === 1)
+      former.members = [createMember('leader', leader.port, 'voter')]
+      former.links.dialMembers()
+      await waitUntil(() => leader.openInbound.length === 1)
+      leader.links.send('moved', 'entries')
+      await waitUntil(() => moved.received.length + former.received.length > 0)
+      assert.deepEqual(moved.received, [['leader', 'entries']])
+    } finally {
+      for (const peer of [leader, former, moved]) peer.close()
+    }
+  })
+})
+
 describe('several links between two controllers', () => {
   for (const closing of ['first', 'last'] as const) {
     it(`carry messages both ways after the ${closing} of them has closed`, async () => {
--- a/packages/runtime/src/core/controller-links.ts
+++ b/packages/runtime/src/core/controller-links.ts
@@ -60,8 +60,7 @@
 
   /** Sends a message to a controller; the message is dropped when no link to it is open. */
   override send (to: string, message: unknown): void {
-    if (!this.diallers.has(to)) this.dialMembers()
-    const link = this.openLinks.find(to)
+    const link = this.findLink(to)
     if (link?.send({ kind: 'replication', message }) !== true) this.handleDrop({ peer: to, kind: (message as Message).kind, reason: DropReason.noLink })
   }
 
@@ -84,6 +83,16 @@
     for (const dialler of this.diallers.values()) dialler.close()
   }
 
+  /**
+   * The link to a controller that was dialled at its address, if it leads to that controller, or else the one that was opened
+   * last. A process that keeps the id of a member which has moved to another address may still open links.
+   */
+  private findLink (to: string): Link | undefined {
+    if (!this.diallers.has(to)) this.dialMembers()
+    const dialled = this.diallers.get(to)?.link
+    return dialled?.isOpen === true && dialled.peer?.process === to ? dialled : this.openLinks.find(to)
+  }
+
   private dial ({ id, address }: MemberFacts): LinkDialler {
     const handlers: LinkHandlers = {
       traffic: this.traffic,
