LeaderClient: an address in the settings goes before those that others state

A controller is dialled at a new address only if its id was learnt from others and not named in the settings; its former address is given up.

--- a/packages/runtime/src/core/leader-client.ts
+++ b/packages/runtime/src/core/leader-client.ts
@@ -59,10 +59,10 @@
 
 export class LeaderClient {
   private readonly handlers: LinkHandlers
-  /** Diallers by address: a controller may return under its id at another address, or under another id at its address. */
+  /** Diallers by the id of the controller. */
   private readonly diallers = new Map<string, LinkDialler>()
-  /** Id that was last stated for each address. */
-  private readonly idsByAddress = new Map<string, string>()
+  /** Ids of the controllers that the settings name. */
+  private readonly configuredIds: ReadonlySet<string>
   /** Open link to the leader; undefined while no leader is known. */
   private leader: Link | undefined
   private leaderTerm = 0
@@ -86,6 +86,7 @@
       notice: (link, topic, body) => { this.handleNotice(link, topic, body) },
       closed: link => { this.clearLeader(link) }
     }
+    this.configuredIds = new Set(controllers.map(({ id }) => id))
     for (const controller of controllers) this.dial(controller)
     this.timer = setInterval(() => { this.sendHeartbeats() }, HEARTBEAT_INTERVAL_MS)
   }
@@ -107,7 +108,7 @@
 
   /** All controllers among which this process searches for a leader. */
   get controllers (): ControllerAddress[] {
-    return [...this.idsByAddress].map(([address, id]) => ({ id, address }))
+    return [...this.diallers].map(([id, { address }]) => ({ id, address }))
   }
 
   /** True for the link to the leader that is known now. */
@@ -183,9 +184,18 @@
     for (const dialler of this.diallers.values()) dialler.close()
   }
 
+  /**
+   * Dials a controller unless its address is known; a controller that has moved is dialled at its new address only. An address
+   * in the settings overrides those that others state for the same id.
+   */
   private dial ({ id, address }: ControllerAddress): void {
-    this.idsByAddress.set(address, id)
-    if (!this.diallers.has(address)) this.diallers.set(address, LinkDialler.create(address, this.hello, this.handlers, this.keys))
+    const existing = this.diallers.get(id)
+    if (existing !== undefined && this.configuredIds.has(id)) return
+    for (const dialler of this.diallers.values()) {
+      if (dialler.address === address) return
+    }
+    existing?.close()
+    this.diallers.set(id, LinkDialler.create(address, this.hello, this.handlers, this.keys))
   }
 
   /** Resolves with undefined when no leader is found within the search time or before the deadline. */
