LeaderClient: keep the former address of a controller that has moved

While a controller that had not learnt of the move stated the former address, each of its answers closed the link to the new one, and an entry found no leader.

The fault was at the wrong depth: an address that is stated tells where to look, and only what answers there tells who it is. Each stated address has a dialler of its own now; for controllers that the settings name, the addresses there override others, as before.

Test: "is found there while a controller that has not learnt of the move still states the former address" fails on ("no leader could be reached"). 21 tests of leader clients, the directory and links pass.

--- a/packages/runtime/__tests__/leader-client.test.ts
+++ b/packages/runtime/__tests__/leader-client.test.ts
@@ -302,6 +302,24 @@
     assert.equal(answer.kind, 'jobAccepted')
   })
 
+  // Each stale answer closed the link to the new address before the first heartbeat over it was answered.
+  it('is found there while a controller that has not learnt of the move still states the former address', async () => {
+    const moved = await listen('moved', async ({ method }) => {
+      if (method !== InternalMethod.heartbeat) return { kind: 'jobAccepted' }
+      await pause(100)
+      return { term: 1, configurationVersion: 0, controllers: [] }
+    })
+    const fresh = await listen('fresh', ({ method }) => method === InternalMethod.members ? { controllers: [moved] } : notLead())
+    const stale = await listen('stale', async ({ method }) => {
+      if (method !== InternalMethod.members) notLead()
+      await pause(50)
+      return { controllers: [{ id: 'moved', address: '127.0.0.1:1' }] }
+    })
+    gateway = JobGateway.create({ hello: createHello('entry'), controllers: [fresh, stale] })
+    const answer = await gateway.ask({ kind: 'acceptJob', host: 'host', path: '/queue/1', spec: { payload: '', stages: [] } }, CALL_TIMEOUT_MS)
+    assert.equal(answer.kind, 'jobAccepted')
+  })
+
   function notLead (): never {
     throw Failure.create(ErrorKind.notLeader, 'this controller does not lead')
   }
--- a/packages/runtime/src/core/leader-client.ts
+++ b/packages/runtime/src/core/leader-client.ts
@@ -59,8 +59,10 @@
 
 export class LeaderClient {
   private readonly handlers: LinkHandlers
-  /** Diallers by the id of the controller. */
+  /** Diallers by address. A controller that has moved keeps that of its former address, since others may still state it. */
   private readonly diallers = new Map<string, LinkDialler>()
+  /** Id that was first stated for each address. */
+  private readonly idsByAddress = new Map<string, string>()
   /** Ids of the controllers that the settings name. */
   private readonly configuredIds: ReadonlySet<string>
   /** Open link to the leader; undefined while no leader is known. */
@@ -101,14 +103,16 @@
     return new LeaderClient(controllers, hello, handlers, heartbeatOwner, keys)
   }
 
-  /** Adds controllers to search for a leader; known addresses are not dialled again. */
+  /** Adds controllers to search for a leader. For those that the settings name, the addresses there override other ones. */
   addControllers (controllers: readonly ControllerAddress[]): void {
-    for (const controller of controllers) this.dial(controller)
+    for (const controller of controllers) {
+      if (!this.configuredIds.has(controller.id)) this.dial(controller)
+    }
   }
 
   /** All controllers among which this process searches for a leader. */
   get controllers (): ControllerAddress[] {
-    return [...this.diallers].map(([id, { address }]) => ({ id, address }))
+    return [...this.idsByAddress].map(([address, id]) => ({ id, address }))
   }
 
   /** True for the link to the leader that is known now. */
@@ -184,18 +188,11 @@
     for (const dialler of this.diallers.values()) dialler.close()
   }
 
-  /**
-   * Dials a controller unless its address is known; a controller that has moved is dialled at its new address only. An address
-   * in the settings overrides those that others state for the same id.
-   */
+  /** Dials an address that is not known yet. */
   private dial ({ id, address }: ControllerAddress): void {
-    const existing = this.diallers.get(id)
-    if (existing !== undefined && this.configuredIds.has(id)) return
-    for (const dialler of this.diallers.values()) {
-      if (dialler.address === address) return
-    }
-    existing?.close()
-    this.diallers.set(id, LinkDialler.create(address, this.hello, this.handlers, this.keys))
+    if (this.diallers.has(address)) return
+    this.idsByAddress.set(address, id)
+    this.diallers.set(address, LinkDialler.create(address, this.hello, this.handlers, this.keys))
   }
 
   /** Resolves with undefined when no leader is found within the search time or before the deadline. */
@@ -229,7 +226,7 @@
     if (this.leader !== link) this.leader?.rejectPendingCalls('another controller leads')
     this.leaderTerm = answer.term
     this.leader = link
-    for (const controller of answer.controllers) this.dial(controller)
+    this.addControllers(answer.controllers)
     this.heartbeatOwner.handleConfirmation(answer, sentAt)
   }
 
