--- a/packages/controllers/__tests__/snapshot-transfer.test.ts
+++ b/packages/controllers/__tests__/snapshot-transfer.test.ts
@@ -14,6 +14,9 @@
 const SNAPSHOT_INDEX = 10
 const DELAY_MS = 5
 
+/** Bytes on their way at most, which a closed link may lose (docs/REPLICATION.md), with the part that exceeds the limit. */
+const WINDOW_BYTES = 1024 * 1024 + 128 * 1024
+
 /** Size of a message without the data in it. */
 const ENVELOPE_BYTES = 200
 
@@ -126,7 +129,7 @@
         transfer.loseMessages()
         transfer.runUntil(() => transfer.isVoter)
         assert.ok(transfer.isVoter, `${transfer.dataBytes} bytes were sent in ${transfer.now} ms`)
-        assert.ok(transfer.dataBytes < 2 * SNAPSHOT_BYTES, `${transfer.dataBytes} bytes`)
+        assert.ok(transfer.dataBytes <= SNAPSHOT_BYTES + WINDOW_BYTES, `${transfer.dataBytes} bytes`)
       })
     })
   }
--- a/packages/runtime/__tests__/replaced-controllers.test.ts
+++ b/packages/runtime/__tests__/replaced-controllers.test.ts
@@ -107,6 +107,14 @@
     await waitUntil(isDone).finally(() => { clearInterval(timer) })
   }
 
+  /** Dials the address of the former member, at which the new controller answers. */
+  async function reachAsFormerMember (): Promise<void> {
+    await replacement.listen()
+    leader.members = [createMember('old', replacement.port, 'voter')]
+    leader.links.dialMembers()
+    await waitUntil(() => replacement.openInbound.length === 1)
+  }
+
   it('deliver its answers under its own id when the dialler of the former member connects last', async () => {
     await replacement.listen()
     const { port } = replacement
@@ -126,30 +134,21 @@
   })
 
   it('deliver its answers under its own id when it was reached before the former member was removed', async () => {
-    await replacement.listen()
-    leader.members = [createMember('old', replacement.port, 'voter')]
-    leader.links.dialMembers()
-    await waitUntil(() => replacement.openInbound.length === 1)
+    await reachAsFormerMember()
     leader.members = [createMember('new', replacement.port)]
     await askUntil(() => leader.answeredBy.length > 0)
     assert.deepEqual(leader.answeredBy, ['new'])
   })
 
   it('never deliver its messages as those of the member whose address was dialled', async () => {
-    await replacement.listen()
-    leader.members = [createMember('old', replacement.port, 'voter')]
-    leader.links.dialMembers()
-    await waitUntil(() => replacement.openInbound.length === 1)
+    await reachAsFormerMember()
     replacement.links.send('leader', 'vote')
     await waitUntil(() => leader.received.length > 0)
     assert.deepEqual(leader.received, [['new', 'vote']])
   })
 
   it('carry no message for the member whose address was dialled', async () => {
-    await replacement.listen()
-    leader.members = [createMember('old', replacement.port, 'voter')]
-    leader.links.dialMembers()
-    await waitUntil(() => replacement.openInbound.length === 1)
+    await reachAsFormerMember()
     leader.links.send('old', 'entries')
     replacement.links.send('leader', 'vote')
     await waitUntil(() => leader.received.length > 0)
@@ -158,6 +157,7 @@
 })
 
 describe('links to a member that moved to another address under its id', () => {
+  // Entries went to the former process over its newer link and were dropped there, so that the member fell silent.
   it('carry messages to the process at the new address, while the one at the old address still opens links', async () => {
     const [leader, former, moved] = [Peer.create('leader'), Peer.create('moved'), Peer.create('moved')]
     try {
@@ -204,6 +204,7 @@
     })
   }
 
+  // The older link was forgotten when a newer one closed, so that a learner had no way to answer.
   it('carry messages to a controller without a membership after the newest link has closed', async () => {
     const [one, two] = [Peer.create('one'), Peer.create('two')]
     const other = Peer.create('one')
