--- a/review/13/script.js
+++ b/review/13/script.js
@@ -1,59 +1,56 @@
 /**
- * A gang of two starts on two runners of one rack; the rack crashes half a second later and is back after 2 s.
+ * A machine without a disk stands still for 3.5 s. A client whose submission it holds leaves early and cancels the job at
+ * another machine, which acknowledges that with 410. The submission is carried out when the machine wakes.
  */
 
 import { join, dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { Cell, createConfiguration } from '../standins-3/cell.js'
-import { Journal, pause, waitFor } from '../standins-3/journal.js'
+import { BOUNDS, Cell, createConfiguration } from '../standins-3/cell.js'
+import { Journal, pause } from '../standins-3/journal.js'
 import { Fleet } from '../standins-3/runners.js'
 
-/** Time from the start of the gang to the crash of the rack. */
-const CRASH_AFTER_MS = 500
-const DOWN_MS = 2000
-const WORK_MS = 4000
-const RACK = 'r1-1'
+/** The site has 3.5 s. */
+const FREEZE_MS = 3500
+/** The client leaves after 250 ms, well within the half of its objective that the pages have. */
+const PATIENCE_MS = 250
+/** A front machine without a controller. */
+const FROZEN = 3
 
 const isTrouble = process.env.TROUBLE !== '0'
 const journal = new Journal(join(dirname(fileURLToPath(import.meta.url)), 'record.txt'))
 const JOB = '5c0e7a21d94b36f8'
-const PATH = `/gangs/${JOB}`
+const PATH = `/service/${JOB}`
 let cell
 let fleet
 let code = 2
 
-async function readState () {
-  const { status, text } = await cell.ask(0, 'GET', PATH)
-  return status === 200 ? JSON.parse(text).state : `status ${status}`
-}
-
 async function play () {
-  cell = await Cell.start(journal)
-  const { status } = await cell.operate('PUT', '/api/config', createConfiguration(1, [{ prefix: '/gangs/', fields: {} }]))
+  cell = await Cell.start(journal, { machines: 4 })
+  const { status } = await cell.operate('PUT', '/api/config', createConfiguration(1, [{ prefix: '/service/', fields: {} }]))
   if (status !== 200) return 2
-  const plans = new Map([[JOB, { steps: [{ count: 2, workMs: WORK_MS, gang: true }] }]])
-  const specs = Array.from({ length: 9 }, (_, index) => ({ zone: `zone-${'abc'[index % 3]}`, rack: `r1-${1 + Math.floor(index / 2)}` }))
+  const plans = new Map([[JOB, { steps: [{ count: 1, workMs: Infinity }] }]])
+  const specs = Array.from({ length: 9 }, (_, index) => ({ zone: `zone-${'abc'[index % 3]}`, rack: `r1-${1 + index % 3}` }))
   fleet = await Fleet.start(cell, journal, plans, specs)
-  await pause(3000)
-  const steps = [{ count: 2, cpu: 5000, mem_mb: 4096, estimate_ms: WORK_MS, gang: true, data_rack: RACK }]
-  const answer = await cell.submit(PATH, { spec: 'gang', steps })
-  if (answer.status !== 200) return 2
-  if (!await waitFor(() => fleet.findRuns(run => run.workingSince !== undefined).length === 2, 10000, 5)) return 2
-  const racks = new Set(fleet.findRuns(() => true).map(({ runner }) => runner.rack))
-  journal.note(`the gang is at work on rack ${[...racks].join(' and ')}`)
-  if (racks.size !== 1) return 2
-  if (isTrouble) {
-    const [rack] = racks
-    await pause(CRASH_AFTER_MS)
-    const lost = fleet.runners.filter(runner => runner.rack === rack)
-    await Promise.all(lost.map(runner => runner.crash(`the rack ${rack} loses power`)))
-    await pause(DOWN_MS)
-    for (const runner of lost) await runner.begin()
-  }
-  const isDone = await waitFor(async () => await readState() === 'completed', 45000, 1000)
-  journal.note(`in the end: ${await readState()}, ${fleet.starts.length} starts, ${fleet.findRuns(() => true).length} runs on ${fleet.runners.length} runners`)
-  journal.note(isDone ? 'LOST held' : 'LOST broken: nothing of the job runs, though all capacity is free')
-  return isDone ? 0 : 1
+  // Longer than contact_ms, so that all machines are in touch.
+  await pause(BOUNDS.contact_ms + 1000)
+  const frozen = cell.machines[FROZEN]
+  const frozenAt = performance.now()
+  if (isTrouble) cell.signal(frozen, 'SIGSTOP')
+  await cell.ask(FROZEN, 'POST', PATH, { spec: 'serve', steps: [{ count: 1, cpu: 1000, mem_mb: 256, long_running: true }] }, PATIENCE_MS)
+  const cancelled = await cell.ask(0, 'DELETE', PATH)
+  const cancelledAt = journal.seconds
+  if (cancelled.status !== 410 && (cancelled.status < 200 || cancelled.status > 299)) return 2
+  journal.note(`the cancelling of ${JOB} is acknowledged with ${cancelled.status}`)
+  await pause(FREEZE_MS - (performance.now() - frozenAt))
+  if (isTrouble) cell.signal(frozen, 'SIGCONT')
+  await pause(2 * BOUNDS.contact_ms + BOUNDS.cancel_ms + BOUNDS.stop_ms)
+  await cell.ask(1, 'GET', PATH)
+  const lateStarts = fleet.starts.filter(({ at }) => at - cancelledAt > BOUNDS.cancel_ms / 1000)
+  const running = fleet.findRuns(() => true).length
+  journal.note(`${lateStarts.length} starts later than ${BOUNDS.cancel_ms} ms after the acknowledgement; ${running} of its tasks run ${(journal.seconds - cancelledAt).toFixed(1)} s after it`)
+  const isBroken = lateStarts.length > 0 || running > 0
+  journal.note(isBroken ? 'UNASKED broken: a task of a cancelled job is started' : 'UNASKED held')
+  return isBroken ? 1 : 0
 }
 
 try {
--- a/review/standins-3/cell.js
+++ b/review/standins-3/cell.js
@@ -14,7 +14,7 @@
 import { pause, waitFor } from './journal.js'
 
 export const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..')
-export const PORTS = { frontend: 8161, control: 8166, readiness: 8167, internal: 7720, runner: 8367, service: 8169 }
+export const PORTS = { frontend: 8161, control: 8166, readiness: 8167, internal: 7720, runner: 8367, service: 8169, controllerMetrics: 9464 }
 
 /** Bounds of the small deployment of the users' pages (coastline-ops). */
 export const BOUNDS = {
@@ -171,6 +171,20 @@
     this.journal.note(`${signal} to all processes of ${name}`)
   }
 
+  /** Kills the controller that leads, as its metrics say, and starts it again a second later. */
+  async restartLeader () {
+    for (const machine of this.machines.filter(({ hasController }) => hasController)) {
+      const { text } = await call(`${machine.ip}:${PORTS.controllerMetrics}`, 'GET', '/metrics')
+      if (!/^(\w+_)?leader(\{.*\})? 1$/m.test(text)) continue
+      this.journal.note(`${machine.name} leads; its controller is killed`)
+      this.processes.get(`${machine.name}/controller`).kill('SIGKILL')
+      await pause(1000)
+      this.startProcess(machine, 'controller')
+      return
+    }
+    throw new Error('no controller says that it leads')
+  }
+
   readLog (machine, role) {
     return readFileSync(join(this.folder, `${machine.name}-${role}.txt`), 'utf8')
   }
