--- a/review/standins-3/cell.js
+++ b/review/standins-3/cell.js
@@ -86,6 +86,10 @@
     this.isBootstrap = true
     this.machines = Array.from({ length: machineCount }, (_, index) => ({ name: `front-${'abcdefg'[index]}-1`, zone: `zone-${'abcdefg'[index]}`, ip: `${prefix}.${11 + index}`, hasController: index < coreCount }))
     this.processes = new Map()
+    this.started = []
+    // Also when the script is stopped before its end.
+    process.on('exit', () => { for (const child of this.started) child.kill('SIGKILL') })
+    for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => { process.exit(2) })
   }
 
   /** Starts `machines` machines, all of which run the entry role; the first `core` of them have a disk and run the controller role. */
@@ -130,6 +134,7 @@
     child.stderr.on('data', data => { appendFileSync(log, data) })
     child.on('exit', (code, signal) => { this.journal.note(`process ${key} (${child.pid}) ended: ${signal ?? code}`) })
     this.processes.set(key, child)
+    this.started.push(child)
     this.journal.note(`process ${key} (${child.pid}) started`)
   }
 
@@ -222,7 +227,7 @@
   }
 
   async stop () {
-    const running = [...this.processes.values()].filter(child => child.exitCode === null && child.signalCode === null)
+    const running = this.started.filter(child => child.exitCode === null && child.signalCode === null)
     for (const child of running) child.kill('SIGKILL')
     await waitFor(() => running.every(child => child.exitCode !== null || child.signalCode !== null), 3000)
     if (process.env.KEEP_LOGS !== '1') rmSync(this.folder, { recursive: true, force: true })
