--- a/review/11/script.js
+++ b/review/11/script.js
@@ -63,7 +63,5 @@
 } finally {
   await fleet?.stop()
   await cell?.stop()
-  journal.note(`exit code ${code}`)
-  journal.write()
 }
 process.exit(code)
--- a/review/standins-3/cell.js
+++ b/review/standins-3/cell.js
@@ -10,6 +10,7 @@
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { guard } from './guard.js'
 import { call } from './http.js'
 import { pause, waitFor } from './journal.js'
 
@@ -87,9 +88,16 @@
     this.machines = Array.from({ length: machineCount }, (_, index) => ({ name: `front-${'abcdefg'[index]}-1`, zone: `zone-${'abcdefg'[index]}`, ip: `${prefix}.${11 + index}`, hasController: index < coreCount }))
     this.processes = new Map()
     this.started = []
-    // Also when the script is stopped before its end.
-    process.on('exit', () => { for (const child of this.started) child.kill('SIGKILL') })
-    for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => { process.exit(2) })
+    guard(journal, () => {
+      for (const child of this.started) child.kill('SIGKILL')
+      if (process.env.KEEP_LOGS === '1') return console.log(this.folder)
+      // A process that is being killed may still write there.
+      try {
+        rmSync(this.folder, { recursive: true, force: true, maxRetries: 5, retryDelay: 50 })
+      } catch (thrown) {
+        journal.note(`the temporary folder is left: ${thrown.message}`)
+      }
+    })
   }
 
   /** Starts `machines` machines, all of which run the entry role; the first `core` of them have a disk and run the controller role. */
@@ -230,8 +238,6 @@
     const running = this.started.filter(child => child.exitCode === null && child.signalCode === null)
     for (const child of running) child.kill('SIGKILL')
     await waitFor(() => running.every(child => child.exitCode !== null || child.signalCode !== null), 3000)
-    if (process.env.KEEP_LOGS !== '1') rmSync(this.folder, { recursive: true, force: true })
-    else console.log(this.folder)
   }
 }
 
