Staged jobs: refuse a submission that arrives after its job was cancelled

What callers saw: a client whose submission got no answer cancelled the job at another entry, which answered 410.

Cause: the cancel of an unknown id left no trace, so a submission that was on its way was accepted like any other. Evidence: cancelled-ids.test.ts plays it at the scheduler, without an entry or a frozen process.

Change: the id is kept for 300 s by a decision that is committed before the 410 is sent, by 12 characters, for at most 50,000 ids; the submission is refused as unavailable with the rest of the time as Retry-After. At the limit the cancel of an unknown job is refused instead of forgotten.

--- a/packages/runtime/src/core/decision-log.ts
+++ b/packages/runtime/src/core/decision-log.ts
@@ -79,6 +79,7 @@
       const job = state.jobs.get(id)
       return log.info('job_closed', { job: id, queue: job?.queue ?? '', ...describeAccount(job?.account), phase, ageMs: at - (job?.acceptedAt ?? at), inTime: job !== undefined && isClosedInTime(job, state.cell), reason, change })
     }
+    case 'unknownJobCancelled': return log.info('unknown_job_cancelled', { fingerprint: decision.fingerprint, change })
     case 'runPlaced': {
       const { ref, run, worker, incarnation } = decision
       const job = state.jobs.get(ref.job)
--- a/packages/scheduler/src/core/apply-decision.ts
+++ b/packages/scheduler/src/core/apply-decision.ts
@@ -3,15 +3,12 @@
  * reach the same state, so it depends on nothing but its arguments.
  */
 
-import { createHash } from 'node:crypto'
 import type { Decision, DecisionOf } from '../types/decisions.js'
 import type { ClusterState } from '../types/state.js'
 import { applyJobDecision } from './jobs/apply-job-decision.js'
+import { computeFingerprint } from '../utils/fingerprint.js'
 import { isLive, TaskPhase, type TaskState, WorkloadKind, type WorkloadSpec } from '../types/workloads.js'
 
-/** Length in base64url characters of six bits each, so 72 bits. */
-const FINGERPRINT_LENGTH = 12
-
 export function applyDecision (state: ClusterState, decision: Decision): void {
   state.change += 1
   switch (decision.kind) {
@@ -73,7 +70,7 @@
 
 /** Identifies a forgotten request. A collision only causes another request to be refused. */
 export function requestFingerprint (key: string): string {
-  return createHash('sha256').update(key).digest('base64url').slice(0, FINGERPRINT_LENGTH)
+  return computeFingerprint(key)
 }
 
 /** Key of a request in the replicated state. */
--- a/packages/scheduler/src/core/jobs/apply-job-decision.ts
+++ b/packages/scheduler/src/core/jobs/apply-job-decision.ts
@@ -7,6 +7,7 @@
 import { createOccurrence, JobPhase, StageTaskPhase, type StageTask, type TaskRef } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
 import { isWaveOver } from '../../types/upkeep.js'
+import { recordCancelledId } from './cancelled-ids.js'
 import { recordWork } from './run-times/run-time-records.js'
 
 export function applyJobDecision (state: ClusterState, decision: Decision): void {
@@ -17,6 +18,7 @@
     case 'jobAccepted': return acceptJob(state, decision)
     case 'jobClosed': return closeJob(state, decision)
     case 'jobForgotten': state.jobs.delete(decision.id); return
+    case 'unknownJobCancelled': return recordCancelledId(state, decision)
     case 'occurrenceOpened': return openOccurrence(state, decision)
     case 'runPlaced': return placeRun(state, decision)
     case 'runEnded': return endRun(state, decision)
--- a/packages/scheduler/src/core/jobs/job-requests.ts
+++ b/packages/scheduler/src/core/jobs/job-requests.ts
@@ -8,11 +8,12 @@
 import type { EventOf } from '../../types/events.js'
 import { isLiveJob, JobPhase, type CellConfiguration, type JobSpec, type StagedJob, type StageSpec } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
-import { ErrorKind } from '../../utils/errors.js'
+import { ErrorKind, Failure } from '../../utils/errors.js'
 import type { Step } from '../step.js'
 import { findAccountFault, listRetiredAccounts } from './accounts/account-changes.js'
 import { findCapFault } from './accounts/account-usage.js'
 import { identifyCaller } from './accounts/caller-identity.js'
+import { createCancelDecision, findCancelRefusal, findSubmissionRefusal } from './cancelled-ids.js'
 import { findRoute, type Route } from './order/queues.js'
 import type { OwedJobs } from './shares/owed-jobs.js'
 
@@ -40,10 +41,12 @@
   if (route === undefined) return
   const { jobId: id, account } = route
   if (step.state.jobs.has(id)) return step.reply(event.call, { kind: 'jobAccepted' })
+  const refusal = findSubmissionRefusal(step.state, id, step.now)
+  if (refusal !== undefined) return refuseConfirmed(event.call, step, refusal)
   const fault = findIdFault(id) || findSpecFault(event.spec)
   if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
   const capFault = findCapFault(event.spec.stages, step.state.cell, account, accountOverage)
-  if (capFault !== '') return refuseConfirmed(event.call, step, ErrorKind.infeasible, capFault)
+  if (capFault !== '') return refuseConfirmed(event.call, step, Failure.create(ErrorKind.infeasible, capFault))
   const isBeyondWeight = isOneTime(event.spec) && owedJobs.isBeyondWeight(findAccount(step.state.cell, account ?? ''), step.now)
   const heldMs = Math.min(HELD_LIMIT_MS, Math.max(0, event.heldMs ?? 0))
   step.decide({
@@ -72,13 +75,25 @@
   step.reply(event.call, { kind: 'job', phase: job?.phase, isStarted: job?.started ?? false })
 }
 
-export function cancelJob (event: EventOf<'cancelJob'>, step: Step): void {
+/**
+ * Cancels a job. Of a job that is not known, the id is kept, so that a submission that is still on its way is refused; at most
+ * `idLimit` such ids are.
+ */
+export function cancelJob (event: EventOf<'cancelJob'>, step: Step, idLimit: number): void {
   const route = findRouteOrRefuse(event, step)
   if (route === undefined) return
   const job = step.state.jobs.get(route.jobId)
-  if (job === undefined) step.decide({ kind: 'leadershipProbed' })
-  else if (isLiveJob(job)) step.decide({ kind: 'jobClosed', id: job.id, phase: JobPhase.cancelled, at: step.now })
-  step.reply(event.call, { kind: 'job', phase: job?.phase, isStarted: job?.started ?? false })
+  if (job === undefined) return cancelUnknownJob(event.call, route.jobId, step, idLimit)
+  if (isLiveJob(job)) step.decide({ kind: 'jobClosed', id: job.id, phase: JobPhase.cancelled, at: step.now })
+  step.reply(event.call, { kind: 'job', phase: job.phase, isStarted: job.started })
+}
+
+function cancelUnknownJob (call: number, id: string, step: Step, idLimit: number): void {
+  const isSubmittable = findIdFault(id) === ''
+  const refusal = isSubmittable ? findCancelRefusal(step.state, id, step.now, idLimit) : undefined
+  if (refusal !== undefined) return refuseConfirmed(call, step, refusal)
+  step.decide(isSubmittable ? createCancelDecision(id, step.now) : { kind: 'leadershipProbed' })
+  step.reply(call, { kind: 'job', phase: undefined, isStarted: false })
 }
 
 /**
@@ -120,18 +135,18 @@
   }
   const route = findRoute(cell, event.host, event.path)
   if (route === undefined) {
-    refuseConfirmed(event.call, step, ErrorKind.notFound, `no queue at ${event.host}${event.path}`)
+    refuseConfirmed(event.call, step, Failure.create(ErrorKind.notFound, `no queue at ${event.host}${event.path}`))
     return undefined
   }
   const { fault, account } = identifyCaller(cell, route.queue, event.keyDigest)
   if (fault === '') return { ...route, account }
-  refuseConfirmed(event.call, step, ErrorKind.unauthenticated, fault)
+  refuseConfirmed(event.call, step, Failure.create(ErrorKind.unauthenticated, fault))
 }
 
 /** Refuses a call by the configuration. Only a confirmed leader has the newest one; the probe makes the refusal wait for a quorum round. */
-function refuseConfirmed (call: number, step: Step, error: ErrorKind, message: string): void {
+function refuseConfirmed (call: number, step: Step, { kind, message, retryAfterMs }: Failure): void {
   step.decide({ kind: 'leadershipProbed' })
-  step.refuse(call, error, message)
+  step.refuse(call, kind, message, retryAfterMs)
 }
 
 function refuseUnconfigured (call: number, step: Step): void {
--- a/packages/scheduler/src/core/jobs/staged-jobs.ts
+++ b/packages/scheduler/src/core/jobs/staged-jobs.ts
@@ -15,6 +15,7 @@
 import type { Step } from '../step.js'
 import { AccountTotals } from './accounts/account-totals.js'
 import { AccountUsage } from './accounts/account-usage.js'
+import { CLOSED_ID_RETENTION_MS } from './cancelled-ids.js'
 import { acceptJob, cancelJob, configureCell, readCell, readJob } from './job-requests.js'
 import type { AdmissionQuery, RunPlacement } from './placement/pass-results.js'
 import { PlacementPass } from './placement/placement-pass.js'
@@ -31,9 +32,6 @@
 import { OwedJobs } from './shares/owed-jobs.js'
 import { createUnitOrder } from './shares/unit-orders.js'
 
-/** Cluster time for which a closed job can still be read. */
-const CLOSED_JOB_RETENTION_MS = 300_000
-
 /** Maximum number of units that one placement pass considers. */
 const PASS_UNIT_LIMIT = 200
 
@@ -129,7 +127,7 @@
     switch (event.kind) {
       case 'acceptJob': return acceptJob(event, step, this.limits.accountOverage, this.owedJobs)
       case 'readJob': return readJob(event, step, this.jobIndex.live, job => this.runManager.hasConfirmedRun(job))
-      case 'cancelJob': return cancelJob(event, step)
+      case 'cancelJob': return cancelJob(event, step, this.limits.cancelledIdLimit)
       case 'configureCell': return configureCell(event, step)
       case 'readCell': return readCell(event, step)
       case 'workerReported':
@@ -355,7 +353,7 @@
   private forgetClosedJobs (step: Step): void {
     for (const id of this.jobIndex.closed) {
       const job = step.state.jobs.get(id)
-      if (job !== undefined && step.now - job.closedAt < CLOSED_JOB_RETENTION_MS) return
+      if (job !== undefined && step.now - job.closedAt < CLOSED_ID_RETENTION_MS) return
       // Its placed tasks count against the cap of its account, also at the next leader.
       if (job?.account !== undefined && hasPlacedTask(job)) continue
       step.decide({ kind: 'jobForgotten', id })
--- a/packages/scheduler/src/types/decisions.ts
+++ b/packages/scheduler/src/types/decisions.ts
@@ -66,6 +66,8 @@
   /** `reason` says why a job failed; decisions of earlier versions lack it. */
   | { kind: 'jobClosed', id: string, phase: JobPhase, at: number, reason?: string }
   | { kind: 'jobForgotten', id: string }
+  /** A job that is not known was cancelled; `fingerprint` is that of its id. Ids that were cancelled before `keptFrom` are removed. */
+  | { kind: 'unknownJobCancelled', fingerprint: string, at: number, keptFrom: number }
   | { kind: 'occurrenceOpened', id: string, occurrence: number }
   | { kind: 'runPlaced', ref: TaskRef, run: number, worker: string, incarnation: number }
   /**
--- a/packages/scheduler/src/types/limits.ts
+++ b/packages/scheduler/src/types/limits.ts
@@ -38,6 +38,8 @@
   endedLimit: number
   /** Audit entries kept in the state. */
   auditLimit: number
+  /** Ids of unknown jobs that were cancelled and whose submission would be refused. */
+  cancelledIdLimit: number
   /** Longest lease that a called worker grants to its runs, on its own clock. */
   runLeaseMs: number
   /** Estimate run times from finished runs, and tell long tasks from slow workers. */
@@ -67,6 +69,7 @@
   lateMs: 2_000,
   endedLimit: 10_000,
   auditLimit: 20_000,
+  cancelledIdLimit: 50_000,
   runLeaseMs: 6_000,
   learntRunTimes: false,
   accountOverage: 0.1,
--- a/packages/scheduler/src/types/state.ts
+++ b/packages/scheduler/src/types/state.ts
@@ -50,6 +50,8 @@
   auditNumber: number
   /** Staged jobs by id. */
   jobs: Map<string, StagedJob>
+  /** Fingerprints of job ids that were cancelled while no such job was known, with the cluster time of the cancel; oldest first. */
+  cancelledIds: Map<string, number>
   /** Workers that the leader calls, by id. */
   calledWorkers: Map<string, CalledWorker>
   cell: CellConfiguration | undefined
@@ -82,6 +84,7 @@
     audit: [],
     auditNumber: 0,
     jobs: new Map(),
+    cancelledIds: new Map(),
     calledWorkers: new Map(),
     cell: undefined,
     upkeepWaves: new Map()
