Placement: let one suspected gang at a time exceed the share of workers for suspects

Cause: suspected tasks may be in their startup on a fifth of the workers. A gang starts as a whole, so one that needs more workers than that never starts, and only a start clears the suspicion.

Change: one gang at a time may take what it needs beyond the share; its workers count, so others wait for its startup. All of its workers are kept free at once until they are calm. A start that stays open counts for 5 s, so that a worker that never lists its runs cannot use up the share. The choice moved to suspect-workers.ts.

--- a/packages/scheduler/src/core/jobs/placement/candidate-score.ts
+++ b/packages/scheduler/src/core/jobs/placement/candidate-score.ts
@@ -34,7 +34,8 @@
   let best: Candidate | undefined
   let bestScore = Infinity
   for (const candidate of usable) {
-    if (candidate.suspectUnit !== undefined || !fits(candidate.free, spec.resources, spec.fills) || !isBelowLimit(candidate, unit, taskCounts)) continue
+    const isKeptFree = candidate.suspectUnit !== undefined && !(spec.gang && candidate.suspectUnit === unit.key)
+    if (isKeptFree || !fits(candidate.free, spec.resources, spec.fills) || !isBelowLimit(candidate, unit, taskCounts)) continue
     const score = computeScore(candidate, unit, taskCounts)
     if (score >= bestScore) continue
     best = candidate
--- a/packages/scheduler/src/core/jobs/placement/placement-pass.ts
+++ b/packages/scheduler/src/core/jobs/placement/placement-pass.ts
@@ -10,10 +10,6 @@
  * does not take that capacity again and again. Less urgent runs that keep their
  * progress in a checkpoint are preempted for more urgent ones, so that bursts of
  * urgent work can start on a full pool.
- *
- * A task that is suspected to crash workers starts on a worker where no other run is
- * in its startup, and nothing else starts there in the same pass, so that a crash
- * tells whether it was the cause.
  */
 
 import { limitToCap, type AccountUsage } from '../accounts/account-usage.js'
@@ -31,12 +27,10 @@
 import { listPreemptible } from './preemptible-runs.js'
 import { countReservations, isLarge, mayReserve } from './reservation-rules.js'
 import { SpareCapacity } from '../shares/spare-capacity.js'
+import { SuspectWorkers } from './suspect-workers.js'
 
-/**
- * Share of the workers on which a suspected task may be in its startup, or that wait for such a task, at the same time; each
- * of them gets no other work meanwhile, and may crash.
- */
-const SUSPECT_WORKER_SHARE = 0.2
+/** A worker for one waiting task; if it is not ready, the task has to wait until other runs there have outlived their startup. */
+interface Choice { index: number, candidate: Candidate, isReady: boolean }
 
 /** The capacity for one task on a worker, the runs that are preempted for it, and the amounts of the worker before. */
 interface Reservation { candidate: Candidate, victims: Run[], free: Amounts, releasing: Amounts }
@@ -60,28 +54,25 @@
   private readonly heldWorkers = HeldWorkers.create(this.candidates)
   private readonly missingRoom = MissingRoom.create()
   private reservationCount = 0
-  /** Number of workers that a suspected task may still get for itself. */
-  private suspectWorkersLeft: number
+  private readonly suspectWorkers: SuspectWorkers
 
   private constructor (
-    views: Iterable<WorkerView>,
+    views: readonly WorkerView[],
     private readonly tickets: AdmissionTickets,
     private readonly now: number,
     previouslyReserved: ReadonlySet<string>,
     private readonly usage: AccountUsage | undefined,
     private readonly feasibility: Feasibility
   ) {
-    let probedCount = 0
     for (const view of views) {
       if (view.isUnlisted) this.unlisted.push(view)
-      if (!view.isSilent && view.isProbed(now)) probedCount += 1
       if (!view.isSchedulable(now)) continue
       const free = { millicores: view.freeMillicores, memoryMib: view.freeMemoryMib, accelerators: view.freeAccelerators }
       const candidate = { view, free, releasing: undefined, isReserved: previouslyReserved.has(view.id), suspectUnit: undefined, isChosen: false, preemptible: undefined }
       this.candidates.push(candidate)
       this.candidatesById.set(view.id, candidate)
     }
-    this.suspectWorkersLeft = Math.max(1, Math.floor(SUSPECT_WORKER_SHARE * (this.candidates.length + probedCount))) - probedCount
+    this.suspectWorkers = SuspectWorkers.create(views, this.candidates.length, now)
   }
 
   /**
@@ -118,9 +109,8 @@
   private placeUnit (unit: SchedulingUnit): void {
     const candidates = this.listEligible(unit)
     const usable = this.filterUsable(unit, candidates)
-    const mayChoose = !unit.spec.gang || unit.suspects.size === 0 || this.isWholeFitting(unit, usable)
-    const chosen = mayChoose ? this.choose(unit, usable) : []
-    const isWhole = chosen.length === unit.waiting.length
+    const chosen = this.mayChoose(unit, usable) ? this.choose(unit, usable) : []
+    const isWhole = chosen.length === unit.waiting.length && chosen.every(({ isReady }) => isReady)
     if (isWhole || !unit.spec.gang) {
       for (const { index, candidate } of chosen) {
         candidate.isChosen = true
@@ -140,47 +130,38 @@
 
   /**
    * Chooses a candidate for each waiting task until none fits, those of suspected tasks first, and deducts the demand of the
-   * task from its free capacity.
+   * task from its free capacity. Of a gang, all workers that suspected tasks have to wait for are chosen at once, so that they
+   * become ready together.
    */
-  private choose (unit: SchedulingUnit, usable: Candidate[]): Array<{ index: number, candidate: Candidate }> {
-    const chosen: Array<{ index: number, candidate: Candidate }> = []
+  private choose (unit: SchedulingUnit, usable: Candidate[]): Choice[] {
+    const chosen: Choice[] = []
     const taskCounts = new Map(unit.placedCounts)
     const isSuspect = (index: number): boolean => unit.suspects.has(index)
     const ordered = unit.suspects.size === 0 ? unit.waiting : [...unit.waiting].sort((one, other) => Number(isSuspect(other)) - Number(isSuspect(one)))
     for (const index of ordered) {
-      const candidate = isSuspect(index) ? this.pickSuspectWorker(unit, usable, taskCounts) : pickCandidate(unit, usable, taskCounts)
-      if (candidate === undefined) break
+      const suspectWorker = isSuspect(index) ? this.suspectWorkers.pick(unit, usable, taskCounts) : undefined
+      const candidate = isSuspect(index) ? suspectWorker?.candidate : pickCandidate(unit, usable, taskCounts)
+      const isReady = suspectWorker?.isCalm !== false
+      if (candidate === undefined || (!isReady && !unit.spec.gang)) break
       applyDemand(candidate.free, unit, -1)
       taskCounts.set(candidate.view.id, (taskCounts.get(candidate.view.id) ?? 0) + 1)
-      chosen.push({ index, candidate })
+      chosen.push({ index, candidate, isReady })
     }
     return chosen
   }
 
-  /** True when all tasks of a gang fit; only then is a worker kept free of other starts for its suspected tasks. */
+  /** False for a gang whose suspected tasks cannot start now; no worker is kept free of other starts for them then. */
+  private mayChoose (unit: SchedulingUnit, usable: Candidate[]): boolean {
+    if (!unit.spec.gang || unit.suspects.size === 0) return true
+    return this.suspectWorkers.isOpenToGangs && this.isWholeFitting(unit, usable)
+  }
+
   private isWholeFitting (unit: SchedulingUnit, usable: Candidate[]): boolean {
     const chosen = this.choose({ ...unit, suspects: new Set() }, usable)
     for (const { candidate } of chosen) applyDemand(candidate.free, unit, 1)
     return chosen.length === unit.waiting.length
   }
 
-  /**
-   * A worker for a suspected task: one on which no run is in its startup. If there is none, the worker with the fewest such
-   * runs gets no other work in this pass, so that there will be one. Suspected members of a gang may share a worker.
-   */
-  private pickSuspectWorker (unit: SchedulingUnit, usable: Candidate[], taskCounts: ReadonlyMap<string, number>): Candidate | undefined {
-    const fitting = usable.filter(candidate => fits(candidate.free, unit.spec.resources, unit.spec.fills) && isBelowLimit(candidate, unit, taskCounts))
-    const shared = unit.spec.gang ? fitting.find(({ suspectUnit, view }) => suspectUnit === unit.key && view.countStartups(this.now) === 0) : undefined
-    if (shared !== undefined || this.suspectWorkersLeft <= 0) return shared
-    const [calmest] = fitting.filter(({ suspectUnit, isChosen }) => suspectUnit === undefined && !isChosen)
-      .map(candidate => ({ candidate, startups: candidate.view.countStartups(this.now), runs: candidate.view.runs.size }))
-      .sort((one, other) => one.startups - other.startups || one.runs - other.runs)
-    if (calmest === undefined) return undefined
-    calmest.candidate.suspectUnit = unit.key
-    this.suspectWorkersLeft -= 1
-    return calmest.startups === 0 ? calmest.candidate : undefined
-  }
-
   /** Candidates that offer the service of the unit and the label that it requires. */
   private listEligible (unit: SchedulingUnit): Candidate[] {
     const key = `${unit.queue.service} ${unit.spec.requiredLabel}`
--- a/packages/scheduler/src/core/jobs/workers/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -328,9 +328,15 @@
 /** Time after the confirmation of a start in which a crash of the worker would have closed its connections, in milliseconds. */
 const CLOSING_MS = 400
 
-/** True while a run may still crash its worker in its startup: it is in its startup, and a crash might not have been noticed yet. */
+/** Time after its placement for which a run that its worker has not listed is expected to start, in milliseconds. */
+const LATE_START_MS = 5_000
+
+/**
+ * True while a run may still crash its worker in its startup: it is in its startup, and a crash might not have been noticed yet.
+ * A worker that leaves orders unanswered, or restarts again and again, would otherwise be waited for without end.
+ */
 function mayCrashSoon (view: WorkerView, run: Run, now: number): boolean {
-  return isInStartup(view, run) && !(run.status === RunStatus.running && now - run.confirmedAt >= CLOSING_MS)
+  return now - run.placedAt < LATE_START_MS && isInStartup(view, run) && !(run.status === RunStatus.running && now - run.confirmedAt >= CLOSING_MS)
 }
 
 /** Time that a placement usually takes until its start order arrives, in milliseconds. */
