Workers: forget one that this leader never reached once no lease can remain there

What callers saw: a worker was lost for good and the leader killed a second later.

Cause: a session ends by the worker's clock, which the next leader never read. Only the runs of such a worker were given up after the longest lease; the worker itself stayed in the replicated state, under each later leader, and counted as capacity. Evidence: in unreached-workers.test.ts it is still known long after the bound, with and without a change of the leader.

Change: the worker is forgotten by the same bound as its runs, counted from the start of the leader or its last report. One that reports itself and cannot be called stays known, and does not count as capacity until it has listed its runs. The bound moved to unreached-leases.ts.

--- a/packages/scheduler/src/core/jobs/placement/feasibility.ts
+++ b/packages/scheduler/src/core/jobs/placement/feasibility.ts
@@ -3,7 +3,7 @@
  * ended. A unit that none of them could hold would wait at the head of the order for as
  * long as its job lives, so it takes no part in a pass: it holds back no capacity, asks
  * for no tickets and uses up no limit on the number of units. Workers that are silent for
- * a while count, those that drain do not. Each pass asks again, so a unit returns with
+ * a while count; those that drain, and those that the leader could not reach, do not. Each pass asks again, so a unit returns with
  * the first worker that could hold it; what the workers have is kept until one changes.
  */
 
@@ -15,7 +15,7 @@
 import type { AdmissionTickets } from './admission-tickets.js'
 
 /** What a worker has for work beside the long-running tasks that stay there, and what this was computed from. */
-interface Room { view: WorkerView, worker: CalledWorker, longRunningVersion: number, amounts: Resources }
+interface Room { view: WorkerView, worker: CalledWorker, isExpected: boolean, longRunningVersion: number, amounts: Resources }
 
 /** The workers with one service and one label, the most that one of them has in each dimension, and what they have together. */
 interface RoomGroup { rooms: Room[], most: Resources, total: Resources }
@@ -37,7 +37,7 @@
     this.groups.clear()
     this.rooms.clear()
     for (const view of views) {
-      this.rooms.set(view.id, { view, worker: view.worker, longRunningVersion: view.longRunningVersion, amounts: computeRoom(view) })
+      this.rooms.set(view.id, { view, worker: view.worker, isExpected: view.isExpected, longRunningVersion: view.longRunningVersion, amounts: computeRoom(view) })
     }
   }
 
@@ -65,7 +65,7 @@
 
   private isCurrent (view: WorkerView): boolean {
     const room = this.rooms.get(view.id)
-    return room?.view === view && room.worker === view.worker && room.longRunningVersion === view.longRunningVersion
+    return room?.view === view && room.worker === view.worker && room.isExpected === view.isExpected && room.longRunningVersion === view.longRunningVersion
   }
 
   private getGroup (service: string, label: string): RoomGroup {
@@ -77,8 +77,8 @@
   }
 
   private createGroup (service: string, label: string): RoomGroup {
-    const rooms = [...this.rooms.values()].filter(({ worker }) => {
-      return !worker.isDraining && worker.address !== '' && worker.service === service && (label === '' || worker.labels.includes(label))
+    const rooms = [...this.rooms.values()].filter(({ worker, isExpected }) => {
+      return isExpected && !worker.isDraining && worker.address !== '' && worker.service === service && (label === '' || worker.labels.includes(label))
     })
     const most = createZeroResources()
     const total = createZeroResources()
--- a/packages/scheduler/src/core/jobs/runs/run-manager.ts
+++ b/packages/scheduler/src/core/jobs/runs/run-manager.ts
@@ -27,18 +27,13 @@
 import { SlowRuns } from './slow-runs.js'
 import { LearntRunTimes } from '../run-times/learnt-run-times.js'
 import { DeclaredStragglers, LearntStragglers } from '../run-times/straggler-policy.js'
+import { UnreachedLeases } from './unreached-leases.js'
 import { isSuspected, WorkerCrashes } from './worker-crashes.js'
 import { createOrphanRun, createRun, isServing, RunStatus, WorkerView, type Run } from '../workers/worker-view.js'
 
 /** Time for which a worker gets no new work after it refused a start or a connection. */
 const COOLDOWN_MS = { noRoom: 300, unhealthy: 2_000 } as const
 
-/** Bound on how much slower the clock of a worker may run than cluster time, as a share. */
-const CLOCK_DRIFT = 0.02
-
-/** Time after the start of a leader in which orders of the previous one may still extend leases, in milliseconds. */
-const PREVIOUS_LEADER_MS = 3_000
-
 export class RunManager {
   readonly orders = RunOrders.create()
   readonly ends: RunEnds
@@ -46,19 +41,15 @@
   readonly learnt: LearntRunTimes | undefined
   private readonly slowRuns: SlowRuns
   private readonly crashes = WorkerCrashes.create()
-  /** Cluster time at which this leader took over. */
-  private leaderSince = 0
+  private readonly unreachedLeases: UnreachedLeases
   /** True once a worker refused an order because it has seen a higher fencing token: another process leads. */
   isFencedOff = false
 
-  /** Time after which no lease remains on a worker that this leader never reached, in milliseconds. */
-  private readonly unreachedLeaseMs: number
-
   private constructor (runLeaseMs: number, learntRunTimes: boolean) {
     this.learnt = learntRunTimes ? LearntRunTimes.create() : undefined
     this.ends = RunEnds.create(this.orders, this.learnt)
     this.slowRuns = SlowRuns.create(this.orders, this.learnt === undefined ? DeclaredStragglers.create(this.ends.meanRunMs) : LearntStragglers.create(this.learnt))
-    this.unreachedLeaseMs = runLeaseMs / (1 - CLOCK_DRIFT) + PREVIOUS_LEADER_MS
+    this.unreachedLeases = UnreachedLeases.create(runLeaseMs)
   }
 
   /** `runLeaseMs` is the longest lease that a called worker grants to its runs, in milliseconds of its clock. */
@@ -76,10 +67,13 @@
     this.ends.meanRunMs.clear()
     this.learnt?.reset(state, now)
     this.crashes.clear()
-    this.leaderSince = now
     this.isFencedOff = false
     const activeAt = Math.min(now, findLastActivity(state))
-    for (const worker of state.calledWorkers.values()) this.views.set(worker.id, WorkerView.create(worker, now, activeAt))
+    for (const worker of state.calledWorkers.values()) {
+      const view = WorkerView.create(worker, now, activeAt)
+      view.isExpected = true
+      this.views.set(worker.id, view)
+    }
     for (const job of state.jobs.values()) {
       for (const [occurrence, stages] of job.occurrences) {
         stages.forEach((tasks, stage) => tasks.forEach((task, index) => {
@@ -145,6 +139,7 @@
     if (view === undefined) return
     if (!view.hasAcceptedToken) this.loseFormerWorkers(step, view.worker)
     view.hasAcceptedToken = true
+    view.isExpected = true
     view.recordContact(step.now)
     view.closedAt = undefined
     view.clockMs = Math.max(view.clockMs, event.clockMs ?? 0)
@@ -223,6 +218,7 @@
     if (view === undefined) return
     this.loseRuns(step, view, loss, reason)
     view.hasAcceptedToken = false
+    view.unreachedSince = step.now
     view.isSilent = true
   }
 
@@ -240,26 +236,34 @@
   }
 
   /**
-   * Resends stop orders without an answer and stops runs whose start was not answered. Removes the runs of workers that
-   * this leader never reached, or that started again and did not report themselves, once their leases must have lapsed.
+   * Resends stop orders without an answer and stops runs whose start was not answered. Removes workers that started again
+   * and did not report themselves, and gives up those that this leader has not reached, once their leases must have lapsed.
    */
   tick (step: Step): void {
     this.crashes.forgetOld(step.now)
     this.learnt?.tick(step.state, this.views, step.now)
     for (const view of this.views.values()) {
       if (view.restartedAt > 0) {
-        if (step.now - view.restartedAt > this.unreachedLeaseMs) this.forgetWorker(step, view.id, view.worker.incarnation, WorkerLoss.restarted, 'it started again and did not report itself')
+        if (step.now - view.restartedAt > this.unreachedLeases.longestMs) this.forgetWorker(step, view.id, view.worker.incarnation, WorkerLoss.restarted, 'it started again and did not report itself')
         continue
       }
       for (const run of [...view.runs.values()]) this.orders.resendOrder(step, view, run)
-      const isUnreached = !view.hasAcceptedToken && view.runs.size > 0
-      const unreachedSince = Math.max(this.leaderSince, view.knownSince, this.lastPlacementAt(view))
-      if (isUnreached && step.now - unreachedSince > this.unreachedLeaseMs) {
-        this.loseRuns(step, view, WorkerLoss.leaseExpired, 'it was never reached by this leader, and its lease is over')
-      }
+      if (!view.hasAcceptedToken) this.giveUpUnreached(step, view)
     }
   }
 
+  /**
+   * Once no lease of an earlier leader can remain on a worker that this leader has not reached: removes its runs, and forgets
+   * the worker unless it still reports itself. Its clock was never read, so its session has no lease that would lapse.
+   */
+  private giveUpUnreached (step: Step, view: WorkerView): void {
+    if (!this.unreachedLeases.areOver(view, step.now)) return
+    const reason = 'it was never reached by this leader, and its lease is over'
+    if (this.unreachedLeases.isWithoutSign(view, step.now)) return this.forgetWorker(step, view.id, view.worker.incarnation, WorkerLoss.leaseExpired, reason)
+    view.isExpected = false
+    if (view.runs.size > 0) this.loseRuns(step, view, WorkerLoss.leaseExpired, reason)
+  }
+
   /** True once a worker confirmed a run of the job; a placement alone does not count. */
   hasConfirmedRun (job: StagedJob): boolean {
     if (!job.started) return false
@@ -276,11 +280,6 @@
     return this.views.get(task.worker)?.runs.get(formatTaskRef(ref))?.hasStarted === true
   }
 
-  /** Cluster time of the latest placement on a worker; an inherited run counts from the start of this leader. */
-  private lastPlacementAt (view: WorkerView): number {
-    return Math.max(...[...view.runs.values()].map(run => run.status === RunStatus.inherited ? this.leaderSince : run.placedAt))
-  }
-
   /**
    * Adds the run of a task that a previous leader placed. If its worker has started again since, only the incarnation
    * that is known now can still run it.
--- a/packages/scheduler/src/core/jobs/workers/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -98,6 +98,11 @@
   readonly runs = new Map<string, Run>()
   /** True once the worker has answered a query with the fencing token of this leader; reset when its runs have lapsed. */
   hasAcceptedToken = false
+  /**
+   * True if the worker can be expected to take work, now or after a short silence: this leader has reached it, or took it over
+   * so lately that a lease may remain there. A report alone does not tell that the worker can be called.
+   */
+  isExpected = false
   /** Cluster time at which the worker was found to have started again, before it reported its new incarnation; 0 if it was not. */
   restartedAt = 0
   /** True while the worker does not answer. */
@@ -142,16 +147,16 @@
 
   private constructor (
     public worker: CalledWorker,
-    /** Cluster time at which this leader learned of this incarnation. */
-    readonly knownSince: number,
+    /** Cluster time at which this leader learned of this incarnation, or knew that its runs were over; meaningful until it is reached. */
+    public unreachedSince: number,
     capacityKnownAt: number
   ) {
     this.contactAt = capacityKnownAt
   }
 
   /** `capacityKnownAt` is the cluster time at which the capacity of the worker was still known to hold. */
-  static create (worker: CalledWorker, knownSince: number, capacityKnownAt = knownSince): WorkerView {
-    const view = new WorkerView(worker, knownSince, capacityKnownAt)
+  static create (worker: CalledWorker, unreachedSince: number, capacityKnownAt = unreachedSince): WorkerView {
+    const view = new WorkerView(worker, unreachedSince, capacityKnownAt)
     view.reportSequence = worker.sequence ?? 0
     return view
   }
@@ -174,6 +179,11 @@
     return this.worker.id
   }
 
+  /** Cluster time of the last sign of the worker, while this leader has not reached it. */
+  get lastSignAt (): number {
+    return Math.max(this.unreachedSince, this.reportedAt)
+  }
+
   get freeMillicores (): number {
     return this.worker.capacity.millicores - this.usedMillicores
   }
