Staged jobs: refuse calls without creating an error

Cause: the refusals of a submission after its cancel had been made errors, and with them those of unknown routes and keys, which are frequent: an error takes a stack trace. A refusal at the very end of the time that an id is kept stated no Retry-After, which the entry takes for a call to send again. Change: a refusal is plain data; an id is kept for less than its time. Measured: the tests of cancels, accounts and unexpected errors pass.

--- a/packages/scheduler/src/core/jobs/cancelled-ids.ts
+++ b/packages/scheduler/src/core/jobs/cancelled-ids.ts
@@ -6,32 +6,29 @@
 
 import type { DecisionOf } from '../../types/decisions.js'
 import type { ClusterState } from '../../types/state.js'
-import { ErrorKind, Failure } from '../../utils/errors.js'
+import { ErrorKind, type Refusal } from '../../utils/errors.js'
 import { computeFingerprint } from '../../utils/fingerprint.js'
 
 /** Cluster time for which the id of a job is known after the job was closed, or was cancelled before its submission. */
 export const CLOSED_ID_RETENTION_MS = 300_000
 
-/** Retry-After of a cancel that is refused because too many ids are kept, in milliseconds. */
-const FULL_RETRY_MS = 1_000
-
 /** Why a submission under an id is refused; undefined unless the id was cancelled. */
-export function findSubmissionRefusal ({ cancelledIds }: ClusterState, id: string, now: number): Failure | undefined {
+export function findSubmissionRefusal ({ cancelledIds }: ClusterState, id: string, now: number): Refusal | undefined {
   // Most cells have no such id, and the fingerprint has a cost.
   if (cancelledIds.size === 0) return undefined
   const cancelledAt = cancelledIds.get(computeFingerprint(id))
   if (cancelledAt === undefined || !isKept(cancelledAt, now)) return undefined
   const message = 'the job was cancelled before this submission arrived and does not run; submit it under another id'
-  return Failure.create(ErrorKind.unavailable, message, { retryAfterMs: cancelledAt + CLOSED_ID_RETENTION_MS - now })
+  return { kind: ErrorKind.unavailable, message, retryAfterMs: cancelledAt + CLOSED_ID_RETENTION_MS - now }
 }
 
 /** Why the cancel of an unknown job cannot be acknowledged; undefined if there is room for its id. */
-export function findCancelRefusal ({ cancelledIds }: ClusterState, id: string, now: number, limit: number): Failure | undefined {
+export function findCancelRefusal ({ cancelledIds }: ClusterState, id: string, now: number, limit: number): Refusal | undefined {
   if (cancelledIds.size < limit || cancelledIds.has(computeFingerprint(id))) return undefined
   const [oldest] = cancelledIds.values()
   if (!isKept(oldest, now)) return undefined
   const message = `${limit} ids of unknown jobs have been cancelled in the last ${CLOSED_ID_RETENTION_MS / 1_000} s, which is the limit`
-  return Failure.create(ErrorKind.resourceExhausted, message, { retryAfterMs: Math.max(FULL_RETRY_MS, oldest + CLOSED_ID_RETENTION_MS - now) })
+  return { kind: ErrorKind.resourceExhausted, message, retryAfterMs: oldest + CLOSED_ID_RETENTION_MS - now }
 }
 
 export function createCancelDecision (id: string, now: number): DecisionOf<'unknownJobCancelled'> {
@@ -50,5 +47,5 @@
 }
 
 function isKept (cancelledAt: number, now: number): boolean {
-  return cancelledAt >= now - CLOSED_ID_RETENTION_MS
+  return now - cancelledAt < CLOSED_ID_RETENTION_MS
 }
--- a/packages/scheduler/src/core/jobs/job-requests.ts
+++ b/packages/scheduler/src/core/jobs/job-requests.ts
@@ -8,7 +8,7 @@
 import type { EventOf } from '../../types/events.js'
 import { isLiveJob, JobPhase, type CellConfiguration, type JobSpec, type StagedJob, type StageSpec } from '../../types/jobs.js'
 import type { ClusterState } from '../../types/state.js'
-import { ErrorKind, Failure } from '../../utils/errors.js'
+import { ErrorKind, type Refusal } from '../../utils/errors.js'
 import type { Step } from '../step.js'
 import { findAccountFault, listRetiredAccounts } from './accounts/account-changes.js'
 import { findCapFault } from './accounts/account-usage.js'
@@ -46,7 +46,7 @@
   const fault = findIdFault(id) || findSpecFault(event.spec)
   if (fault !== '') return step.refuse(event.call, ErrorKind.invalidArgument, fault)
   const capFault = findCapFault(event.spec.stages, step.state.cell, account, accountOverage)
-  if (capFault !== '') return refuseConfirmed(event.call, step, Failure.create(ErrorKind.infeasible, capFault))
+  if (capFault !== '') return refuseConfirmed(event.call, step, { kind: ErrorKind.infeasible, message: capFault })
   const isBeyondWeight = isOneTime(event.spec) && owedJobs.isBeyondWeight(findAccount(step.state.cell, account ?? ''), step.now)
   const heldMs = Math.min(HELD_LIMIT_MS, Math.max(0, event.heldMs ?? 0))
   step.decide({
@@ -135,16 +135,16 @@
   }
   const route = findRoute(cell, event.host, event.path)
   if (route === undefined) {
-    refuseConfirmed(event.call, step, Failure.create(ErrorKind.notFound, `no queue at ${event.host}${event.path}`))
+    refuseConfirmed(event.call, step, { kind: ErrorKind.notFound, message: `no queue at ${event.host}${event.path}` })
     return undefined
   }
   const { fault, account } = identifyCaller(cell, route.queue, event.keyDigest)
   if (fault === '') return { ...route, account }
-  refuseConfirmed(event.call, step, Failure.create(ErrorKind.unauthenticated, fault))
+  refuseConfirmed(event.call, step, { kind: ErrorKind.unauthenticated, message: fault })
 }
 
 /** Refuses a call by the configuration. Only a confirmed leader has the newest one; the probe makes the refusal wait for a quorum round. */
-function refuseConfirmed (call: number, step: Step, { kind, message, retryAfterMs }: Failure): void {
+function refuseConfirmed (call: number, step: Step, { kind, message, retryAfterMs }: Refusal): void {
   step.decide({ kind: 'leadershipProbed' })
   step.refuse(call, kind, message, retryAfterMs)
 }
--- a/packages/scheduler/src/utils/errors.ts
+++ b/packages/scheduler/src/utils/errors.ts
@@ -88,6 +88,14 @@
   }
 }
 
+/** Why a call is refused: the content of a `Failure`, without the cost of an error. */
+export interface Refusal {
+  kind: ErrorKind
+  message: string
+  /** Milliseconds after which a retry is worthwhile; absent when not known. */
+  retryAfterMs?: number
+}
+
 /** Throws a Failure of a kind. */
 export function fail (kind: ErrorKind, message: string): never {
   throw Failure.create(kind, message)
