--- a/packages/runtime/__tests__/support/simulated-cell.ts
+++ b/packages/runtime/__tests__/support/simulated-cell.ts
@@ -212,6 +212,12 @@
     this.takeDown(id, 1_000 + this.drawInteger(2_000))
   }
 
+  /** Ends a worker process without notice, for good. */
+  loseWorker (host: string): void {
+    this.workerModels.get(host)?.crash()
+    this.workerModels.delete(host)
+  }
+
   /** Changes the capacity of a worker to some quarters of the full one, from none to all. */
   resizeWorker (host: string, quarters: number): void {
     const { millicores, memoryMib, accelerators } = CAPACITY
