--- a/packages/scheduler/src/core/jobs/placement/feasibility.ts
+++ b/packages/scheduler/src/core/jobs/placement/feasibility.ts
@@ -3,8 +3,9 @@
  * ended. A unit that none of them could hold would wait at the head of the order for as
  * long as its job lives, so it takes no part in a pass: it holds back no capacity, asks
  * for no tickets and uses up no limit on the number of units. Workers that are silent for
- * a while count; those that drain, and those that the leader could not reach, do not. Each pass asks again, so a unit returns with
- * the first worker that could hold it; what the workers have is kept until one changes.
+ * a while count; those that drain, and those that the leader could not reach, do not.
+ * Each pass asks again, so a unit returns with the first worker that could hold it; what
+ * the workers have is kept until one changes.
  */
 
 import type { CalledWorker } from '../../../types/jobs.js'
--- a/packages/scheduler/src/core/jobs/placement/suspect-workers.ts
+++ b/packages/scheduler/src/core/jobs/placement/suspect-workers.ts
@@ -41,8 +41,8 @@
   }
 
   /**
-   * A worker for a suspected task; for one of a gang, `isOpenToGangs` must have been true before its first task. If no worker
-   * is calm, the calmest one gets no other work in this pass, so that it will be.
+   * A worker for a suspected task; if none is calm, the calmest one, which gets no other work in this pass, so that it will be.
+   * For a task of a gang the share is not checked: the caller checks `isOpenToGangs` once for the whole gang.
    */
   pick (unit: SchedulingUnit, usable: readonly Candidate[], taskCounts: ReadonlyMap<string, number>): SuspectWorker | undefined {
     const fitting = usable.filter(candidate => fits(candidate.free, unit.spec.resources, unit.spec.fills) && isBelowLimit(candidate, unit, taskCounts))
--- a/packages/scheduler/src/core/jobs/runs/unreached-leases.ts
+++ b/packages/scheduler/src/core/jobs/runs/unreached-leases.ts
@@ -23,7 +23,10 @@
     return new UnreachedLeases(runLeaseMs / (1 - CLOCK_DRIFT) + PREVIOUS_LEADER_MS)
   }
 
-  /** True when no lease can remain on a worker since it was last known to be reached, or a start was last ordered there. */
+  /**
+   * True when no lease can remain on a worker, counted from when this leader learned of it and from the last start that it
+   * ordered there. Inherited runs were placed before.
+   */
   areOver (view: WorkerView, now: number): boolean {
     const placedAt = [...view.runs.values()].map(run => run.status === RunStatus.inherited ? 0 : run.placedAt)
     return now - Math.max(view.unreachedSince, ...placedAt) > this.longestMs
--- a/packages/scheduler/src/core/jobs/workers/worker-view.ts
+++ b/packages/scheduler/src/core/jobs/workers/worker-view.ts
@@ -338,7 +338,7 @@
 /** Time after the confirmation of a start in which a crash of the worker would have closed its connections, in milliseconds. */
 const CLOSING_MS = 400
 
-/** Time after its placement for which a run that its worker has not listed is expected to start, in milliseconds. */
+/** Time after the placement of a run for which its start may still be open, in milliseconds: as long as the start is repeated, and a margin. */
 const LATE_START_MS = 5_000
 
 /**
