--- a/packages/runtime/__tests__/state-snapshot.test.ts
+++ b/packages/runtime/__tests__/state-snapshot.test.ts
@@ -4,16 +4,14 @@
 import { describe, it } from 'node:test'
 import { encodeValue } from '@flamingorouter/controllers'
 import { createClusterState, Scheduler, StagedJobs, type Event } from '@flamingorouter/scheduler'
+import { createQueue } from '../../scheduler/__tests__/support/staged-cells.js'
+import { createStage } from '../../scheduler/__tests__/support/stages.js'
 import { decodeState } from '../src/index.js'
 
-const QUEUE = {
-  name: 'q', host: 'jobs.example', pathPrefix: '/q/', service: 'work', priority: 1, attemptLimit: 2, stretch: 2, targetMs: 500, timeoutMs: 3_000
-}
-
 describe('a snapshot of the state', () => {
   function cancelLate (scheduler: Scheduler): void {
     scheduler.startLeading(1)
-    scheduler.handle({ kind: 'configureCell', call: 1, cell: { version: 1, queues: [QUEUE], retired: [], services: [], document: '' } }, 1)
+    scheduler.handle({ kind: 'configureCell', call: 1, cell: { version: 1, queues: [createQueue()], retired: [], services: [], document: '' } }, 1)
     scheduler.handle({ kind: 'cancelJob', call: 2, host: 'jobs.example', path: '/q/late' }, 2)
   }
 
@@ -23,25 +21,7 @@
     cancelLate(scheduler)
     const restored = Scheduler.create([StagedJobs.create()], decodeState(encodeValue(scheduler.state)))
     restored.startLeading(3)
-    const stage = {
-      taskCount: 1,
-      resources: { millicores: 100, memoryMib: 1, accelerators: 0 },
-      estimateMs: 0,
-      dependsOn: [],
-      checkpoints: false,
-      gang: false,
-      rackLocal: false,
-      requiredLabel: '',
-      dataRack: '',
-      perWorkerLimit: 0,
-      speculative: false,
-      longRunning: false,
-      image: '',
-      targetMs: 0,
-      fills: false,
-      disruptionBudget: 0
-    }
-    const submission: Event = { kind: 'acceptJob', call: 3, host: 'jobs.example', path: '/q/late', spec: { payload: '', stages: [stage] } }
+    const submission: Event = { kind: 'acceptJob', call: 3, host: 'jobs.example', path: '/q/late', spec: { payload: '', stages: [createStage()] } }
     const { effects } = restored.handle(submission, 4)
     assert.deepEqual(effects.map(effect => effect.kind === 'refuse' ? effect.error : effect.kind), ['unavailable'])
   })
